Build the whole path, thin

Two nodes on loopback elect a leader, accept a release note, stream an answer through a chain of two stages and place an order once, all through the command line's demo. The log keeps its entries in memory so far.

--- /dev/null
+++ b/packages/base/src/hash.ts
@@ -0,0 +1,32 @@
+/** Digests and rendezvous weights. */
+
+import { createHash } from 'node:crypto';
+import type { Digest } from './id.js';
+
+/** The SHA-256 digest of `text`, in hexadecimal. */
+export function digestOf(text: string | Uint8Array): Digest {
+  return createHash('sha256').update(text).digest('hex') as Digest;
+}
+
+/** A 32-bit FNV-1a hash of `text` with a final mix; stable over versions and machines. */
+export function hash32(text: string): number {
+  let h = 0x811c9dc5;
+  for (let i = 0; i < text.length; i += 1) {
+    h ^= text.charCodeAt(i);
+    h = Math.imul(h, 0x01000193);
+  }
+  h ^= h >>> 16;
+  h = Math.imul(h, 0x85ebca6b);
+  h ^= h >>> 13;
+  h = Math.imul(h, 0xc2b2ae35);
+  h ^= h >>> 16;
+  return h >>> 0;
+}
+
+/** Orders `candidates` for `key` by rendezvous hashing, best first. */
+export function rendezvous<T extends string>(key: string, candidates: readonly T[]): readonly T[] {
+  return candidates
+    .map((name) => ({ name, weight: hash32(`${key}|${name}`) }))
+    .sort((a, b) => b.weight - a.weight || (a.name < b.name ? -1 : 1))
+    .map((c) => c.name);
+}
--- /dev/null
+++ b/packages/base/src/random.ts
@@ -0,0 +1,27 @@
+/** Randomness as the program sees it, so that a test can fix it. */
+
+/** A source of random numbers. */
+export interface Random {
+  /** A number in [0, 1). */
+  next(): number;
+}
+
+/** The random numbers of the machine. */
+export const systemRandom: Random = { next: () => Math.random() };
+
+/** A seeded generator (mulberry32); equal seeds give equal sequences. */
+export class SeededRandom implements Random {
+  private constructor(private state: number) {}
+
+  static create(seed: number): SeededRandom {
+    return new SeededRandom(Math.trunc(seed) % 2 ** 32);
+  }
+
+  next(): number {
+    this.state = (this.state + 0x6d2b79f5) % 2 ** 32;
+    let t = this.state;
+    t = Math.imul(t ^ (t >>> 15), t | 1);
+    t ^= t + Math.imul(t ^ (t >>> 7), t | 61);
+    return ((t ^ (t >>> 14)) >>> 0) / 2 ** 32;
+  }
+}
--- /dev/null
+++ b/packages/bench/src/index.ts
@@ -0,0 +1,3 @@
+/** Measurements of the product, printed as JSON and tables. */
+
+export {};
--- /dev/null
+++ b/packages/cli/src/commands.ts
@@ -0,0 +1,165 @@
+/** The commands of `tanagercart`. */
+
+import { Command, Option } from 'clipanion';
+import { BunyanLogger, SystemClock } from '@tanagercart/base';
+import { Node } from '@tanagercart/node';
+import { readNote, readSettings, readText } from './files.js';
+import { callOperator } from './operator.js';
+import { runDemo } from './demo.js';
+
+/** Exit codes: success, a refusal, wrong usage. */
+const success = 0;
+const refusal = 1;
+
+abstract class OperatorCommand extends Command {
+  url = Option.String('--url', 'http://127.0.0.1:9101', {
+    description: "Base URL of a node's operator listener",
+  });
+
+  keyEnv = Option.String('--key-env', 'TANAGERCART_OPERATOR_KEY', {
+    description: "Environment variable that holds the operators' key",
+  });
+
+  protected async send(method: 'GET' | 'POST', path: string, body?: string): Promise<number> {
+    const key = process.env[this.keyEnv] ?? '';
+    const answer = await callOperator(this.url, key, method, path, body);
+    if (answer.isErr()) {
+      this.context.stderr.write(`${answer.error}\n`);
+      return refusal;
+    }
+    this.context.stdout.write(`${JSON.stringify(answer.value.body, null, 2)}\n`);
+    return answer.value.status < 400 ? success : refusal;
+  }
+}
+
+/** `tanagercart node`: runs one node until it is told to stop. */
+export class NodeCommand extends Command {
+  static override paths = [['node']];
+
+  static override usage = Command.Usage({
+    description: 'Run one node',
+    examples: [['Run a node', 'tanagercart node --settings n1.toml']],
+  });
+
+  settings = Option.String('--settings', { required: true });
+
+  async execute(): Promise<number> {
+    const settings = await readSettings(this.settings);
+    if (settings.isErr()) {
+      this.context.stderr.write(`${settings.error.join('\n')}\n`);
+      return refusal;
+    }
+    const key = process.env[settings.value.operatorKeyEnv];
+    if (!key) {
+      this.context.stderr.write(
+        `${this.settings}: operatorKeyEnv: ${settings.value.operatorKeyEnv} is not set\n`,
+      );
+      return refusal;
+    }
+    const logger = BunyanLogger.create(settings.value.node.id, settings.value.log.level);
+    const started = await Node.start({
+      settings: settings.value,
+      operatorKey: key,
+      clock: SystemClock.create(),
+      logger: logger.part('node'),
+      onBroken: (error) => {
+        logger.error('Invariant broken.', { error: String((error as Error).stack ?? error) });
+        process.exit(refusal);
+      },
+    });
+    if (started.isErr()) {
+      this.context.stderr.write(`${started.error.detail}\n`);
+      return refusal;
+    }
+    await untilStopped(started.value);
+    await started.value.drain();
+    return success;
+  }
+}
+
+/** `tanagercart check`: checks settings or a release note. */
+export class CheckCommand extends Command {
+  static override paths = [['check']];
+
+  static override usage = Command.Usage({
+    description: 'Check settings or a release note',
+    examples: [
+      ['Check settings', 'tanagercart check --settings n1.toml'],
+      ['Check a release note', 'tanagercart check --note release-1.toml'],
+    ],
+  });
+
+  settings = Option.String('--settings');
+
+  note = Option.String('--note');
+
+  async execute(): Promise<number> {
+    const problems: string[] = [];
+    if (this.settings) (await readSettings(this.settings)).mapErr((p) => problems.push(...p));
+    if (this.note) (await readNote(this.note)).mapErr((p) => problems.push(...p));
+    for (const p of problems) this.context.stderr.write(`${p}\n`);
+    if (problems.length === 0) this.context.stdout.write('ok\n');
+    return problems.length === 0 ? success : refusal;
+  }
+}
+
+/** `tanagercart release submit`: submits a note and waits until it is in force. */
+export class SubmitCommand extends OperatorCommand {
+  static override paths = [['release', 'submit']];
+
+  static override usage = Command.Usage({
+    description: 'Submit a release note',
+    examples: [['Submit a note', 'tanagercart release submit release-1.toml']],
+  });
+
+  file = Option.String();
+
+  async execute(): Promise<number> {
+    const text = await readText(this.file);
+    if (text.isOk()) return this.send('POST', '/operators/v1/releases', text.value);
+    this.context.stderr.write(`${text.error.join('\n')}\n`);
+    return refusal;
+  }
+}
+
+/** `tanagercart status`: shows what a node knows of the system. */
+export class StatusCommand extends OperatorCommand {
+  static override paths = [['status']];
+
+  static override usage = Command.Usage({ description: 'Show the state of the system' });
+
+  execute(): Promise<number> {
+    return this.send('GET', '/operators/v1/status');
+  }
+}
+
+/** `tanagercart demo`: runs nodes and stand-ins in one process. */
+export class DemoCommand extends Command {
+  static override paths = [['demo']];
+
+  static override usage = Command.Usage({
+    description: 'Run nodes and stand-ins in one process',
+    examples: [['Run the demo', 'tanagercart demo']],
+  });
+
+  nodes = Option.String('--nodes', '2');
+
+  async execute(): Promise<number> {
+    const demo = await runDemo({ nodes: Number(this.nodes), clock: SystemClock.create() });
+    this.context.stdout.write(`${JSON.stringify(demo.ready)}\n`);
+    await signalled();
+    await demo.stop();
+    return success;
+  }
+}
+
+function signalled(): Promise<void> {
+  return new Promise((resolve) => {
+    process.once('SIGINT', () => resolve());
+    process.once('SIGTERM', () => resolve());
+  });
+}
+
+function untilStopped(node: Node): Promise<void> {
+  return Promise.race([signalled(), node.untilDrainAsked()]);
+}
--- /dev/null
+++ b/packages/cli/src/files.ts
@@ -0,0 +1,34 @@
+/** Reads files named on the command line. */
+
+import { readFile } from 'node:fs/promises';
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+import { describeProblem, parseSettings } from '@tanagercart/settings';
+import type { Settings } from '@tanagercart/settings';
+import { parseNote } from '@tanagercart/release';
+import type { ReleaseNote } from '@tanagercart/release';
+
+/** Reads a text file; the error names the file. */
+export async function readText(file: string): Promise<Result<string, readonly string[]>> {
+  try {
+    return ok(await readFile(file, 'utf8'));
+  } catch (error) {
+    return err([`${file}: ${(error as Error).message}`]);
+  }
+}
+
+/** Reads and checks settings; each error is one line. */
+export async function readSettings(file: string): Promise<Result<Settings, readonly string[]>> {
+  const text = await readText(file);
+  if (text.isErr()) return err(text.error);
+  return parseSettings(text.value, file).mapErr((problems) => problems.map(describeProblem));
+}
+
+/** Reads and checks a release note; each error is one line. */
+export async function readNote(file: string): Promise<Result<ReleaseNote, readonly string[]>> {
+  const text = await readText(file);
+  if (text.isErr()) return err(text.error);
+  return parseNote(text.value).mapErr((problems) =>
+    problems.map((p) => `${file}:${p.line > 0 ? `${p.line}:` : ''} ${p.entry}: ${p.message}`),
+  );
+}
--- /dev/null
+++ b/packages/dispatch/src/refusal.ts
@@ -0,0 +1,23 @@
+/** Refusals as callers are told of them. */
+
+import type { Millis } from '@tanagercart/base';
+import type { RefusalReason } from '@tanagercart/protocol';
+
+/** Why and how a request was refused. */
+export interface Refusal {
+  readonly reason: RefusalReason;
+  /** `not-run` only when nothing was sent that an upstream could have run. */
+  readonly run: 'not-run' | 'unknown';
+  readonly message: string;
+  readonly retryAfterMs: Millis | undefined;
+}
+
+/** A refusal of a request that was not run. */
+export function notRun(reason: RefusalReason, message: string, retryAfterMs?: Millis): Refusal {
+  return { reason, run: 'not-run', message, retryAfterMs };
+}
+
+/** A refusal of a request that may have been run. */
+export function maybeRun(reason: RefusalReason, message: string): Refusal {
+  return { reason, run: 'unknown', message, retryAfterMs: undefined };
+}
--- /dev/null
+++ b/packages/entry/src/answers.ts
@@ -0,0 +1,188 @@
+/** Serves requests for answers of models. */
+
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { randomUUID } from 'node:crypto';
+import { ModelId, RequestId, TierId, unreachable } from '@tanagercart/base';
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+import { fingerprintOf, notRun } from '@tanagercart/dispatch';
+import type { Generation, Piece, Refusal } from '@tanagercart/dispatch';
+import type { ClientAccount } from '@tanagercart/release';
+import { parseJson, readBody, sendJson } from './body.js';
+import { AnswerWriter, parseAnswerRequest } from './chat.js';
+import type { AnswerKind, AnswerRequest } from './chat.js';
+import type { Door } from './door.js';
+import { refusalBody, sendRefusal } from './refuse.js';
+
+/** Header that names the tier. */
+const tierHeader = 'tanagercart-tier';
+
+/** Answers one request for an answer. */
+export async function answerRequest(
+  door: Door,
+  kind: AnswerKind,
+  req: IncomingMessage,
+  res: ServerResponse,
+): Promise<void> {
+  const checked = await check(door, kind, req);
+  if (checked.isErr()) {
+    door.refuse(res, checked.error, sendRefusal);
+    return;
+  }
+  const { asked, generation } = checked.value;
+  const hangUp = new AbortController();
+  res.on('close', () => hangUp.abort());
+  const created = Math.floor(door.o.clock.wall() / 1000);
+  const writer = AnswerWriter.create(kind, generation.id, asked.model, created);
+  const pieces = door.o.dispatch.generate(generation, hangUp.signal);
+  if (asked.stream) await sendStream(door, res, writer, pieces);
+  else await sendWhole(door, res, writer, generation, pieces);
+}
+
+interface Checked {
+  readonly asked: AnswerRequest;
+  readonly generation: Generation;
+}
+
+async function check(
+  door: Door,
+  kind: AnswerKind,
+  req: IncomingMessage,
+): Promise<Result<Checked, Refusal>> {
+  const closed = door.closed();
+  if (closed) return err(closed);
+  const account = door.account(req);
+  if (!account) return err(notRun('unauthorised', 'no account has this key'));
+  const body = await readBody(req, door.o.limits.bodyBytes);
+  if (body.isErr()) {
+    return err(notRun('too-large', `a body may have ${door.o.limits.bodyBytes} bytes`));
+  }
+  const asked = parseAnswerRequest(kind, parseJson(body.value));
+  if (asked.isErr()) return err(notRun('malformed', asked.error));
+  const generation = judge(door, account, asked.value, req.headers[tierHeader]);
+  return generation.map((g) => ({ asked: asked.value, generation: g }));
+}
+
+/** Judges a request under the release in force. */
+function judge(
+  door: Door,
+  account: ClientAccount,
+  asked: AnswerRequest,
+  tierName: string | string[] | undefined,
+): Result<Generation, Refusal> {
+  const { state, limits } = door.o;
+  const { release } = state;
+  const tier = release.tierOf(
+    account,
+    tierName === undefined ? undefined : TierId(String(tierName)),
+  );
+  if (!tier) {
+    return err(
+      notRun('unknown-tier', `no tier "${String(tierName)}" in the price list of the account`),
+    );
+  }
+  const [name = '', version, adapter] = asked.model.split(':');
+  const model = release.models.get(ModelId(name));
+  const wanted = version || model?.versions.at(-1);
+  if (!model || !wanted || !model.versions.includes(wanted)) {
+    return err(notRun('unknown-model', `no model "${asked.model}"`));
+  }
+  if (adapter && !model.adapters.includes(adapter)) {
+    return err(notRun('unknown-model', `no adapter "${adapter}" of model "${name}"`));
+  }
+  if (asked.maxTokens > limits.answerTokens) {
+    return err(notRun('too-large', `an answer may have ${limits.answerTokens} tokens`));
+  }
+  const generation: Generation = {
+    id: RequestId(randomUUID()),
+    account,
+    tier,
+    model,
+    version: wanted,
+    adapter,
+    release: release.number,
+    prompt: asked.prompt,
+    seed: asked.seed,
+    maxTokens: asked.maxTokens,
+  };
+  if (state.isQuarantined(fingerprintOf(generation))) {
+    return err(notRun('quarantined', 'this request has crashed the upstreams that ran it'));
+  }
+  return ok(generation);
+}
+
+async function sendStream(
+  door: Door,
+  res: ServerResponse,
+  writer: AnswerWriter,
+  pieces: AsyncIterable<Piece>,
+): Promise<void> {
+  for await (const piece of pieces) {
+    if (piece.kind === 'refused' && !res.headersSent) {
+      door.refuse(res, piece.refusal, sendRefusal);
+      return;
+    }
+    if (!res.headersSent) {
+      res.writeHead(200, { 'content-type': 'text/event-stream', 'cache-control': 'no-cache' });
+    }
+    await write(res, eventOf(door, writer, piece));
+  }
+  res.end();
+}
+
+function eventOf(door: Door, writer: AnswerWriter, piece: Piece): string {
+  switch (piece.kind) {
+    case 'token':
+      return event(writer.chunk(piece.token, null));
+    case 'end':
+      return `${event(writer.chunk('', piece.reason))}data: [DONE]\n\n`;
+    case 'refused':
+      door.o.metrics.count('refused', { reason: piece.refusal.reason });
+      return event(refusalBody(piece.refusal, []));
+    default:
+      return unreachable(piece);
+  }
+}
+
+async function sendWhole(
+  door: Door,
+  res: ServerResponse,
+  writer: AnswerWriter,
+  g: Generation,
+  pieces: AsyncIterable<Piece>,
+): Promise<void> {
+  let text = '';
+  for await (const piece of pieces) {
+    switch (piece.kind) {
+      case 'token':
+        text += piece.token;
+        break;
+      case 'end':
+        sendJson(res, 200, writer.whole(text, piece.reason, g.prompt.length, piece.tokens));
+        return;
+      case 'refused':
+        door.refuse(res, piece.refusal, sendRefusal);
+        return;
+      default:
+        unreachable(piece);
+    }
+  }
+}
+
+function event(value: object): string {
+  return `data: ${JSON.stringify(value)}\n\n`;
+}
+
+/** Writes to a caller; resolves once the caller has room for more. */
+function write(res: ServerResponse, text: string): Promise<void> {
+  if (res.write(text) || res.destroyed) return Promise.resolve();
+  return new Promise((resolve) => {
+    const go = () => {
+      res.off('drain', go);
+      res.off('close', go);
+      resolve();
+    };
+    res.on('drain', go);
+    res.on('close', go);
+  });
+}
--- /dev/null
+++ b/packages/entry/src/body.ts
@@ -0,0 +1,39 @@
+/** Reads request bodies with a limit. */
+
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+
+/** Reads a whole body of at most `limit` bytes. */
+export async function readBody(
+  req: IncomingMessage,
+  limit: number,
+): Promise<Result<Buffer, 'too-large'>> {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  for await (const chunk of req as AsyncIterable<Buffer>) {
+    size += chunk.length;
+    if (size > limit) return err('too-large');
+    chunks.push(chunk);
+  }
+  return ok(Buffer.concat(chunks));
+}
+
+/** Parses JSON; undefined where it is malformed. */
+export function parseJson(body: Buffer): unknown {
+  try {
+    return JSON.parse(body.toString());
+  } catch {
+    return undefined;
+  }
+}
+
+/** Sends a JSON answer. */
+export function sendJson(res: ServerResponse, status: number, body: unknown): void {
+  const text = JSON.stringify(body);
+  res.writeHead(status, {
+    'content-type': 'application/json',
+    'content-length': Buffer.byteLength(text),
+  });
+  res.end(text);
+}
--- /dev/null
+++ b/packages/entry/src/refuse.ts
@@ -0,0 +1,56 @@
+/** Tells callers of refusals. */
+
+import type { ServerResponse } from 'node:http';
+import type { Refusal } from '@tanagercart/dispatch';
+import type { RefusalReason } from '@tanagercart/protocol';
+
+/** HTTP status of each refusal. */
+const statusOf: Readonly<Record<RefusalReason, number>> = {
+  unauthorised: 401,
+  malformed: 400,
+  'too-large': 413,
+  'unknown-model': 404,
+  'unknown-tier': 400,
+  'unknown-service': 404,
+  'key-required': 400,
+  'key-conflict': 409,
+  'order-in-progress': 409,
+  'order-unknown': 502,
+  'account-limit': 429,
+  'no-replica': 503,
+  'promise-unreachable': 503,
+  'no-lease': 503,
+  draining: 503,
+  quarantined: 422,
+  withdrawn: 410,
+  'owner-unreachable': 503,
+  'shared-state-unavailable': 503,
+  'upstream-failed': 502,
+  'retry-budget': 503,
+  deadline: 504,
+};
+
+/** A refusal as JSON. */
+export function refusalBody(refusal: Refusal, entries: readonly string[]): object {
+  const { reason, run, message } = refusal;
+  return {
+    error: { code: reason, type: reason, message, run, ...(entries.length > 0 ? { entries } : {}) },
+  };
+}
+
+/** Sends a refusal; `entries` names other nodes to try. */
+export function sendRefusal(
+  res: ServerResponse,
+  refusal: Refusal,
+  entries: readonly string[],
+): void {
+  const text = JSON.stringify(refusalBody(refusal, entries));
+  const headers: Record<string, string> = {
+    'content-type': 'application/json',
+    'tanagercart-run': refusal.run,
+  };
+  if (refusal.retryAfterMs !== undefined) {
+    headers['retry-after'] = String(Math.max(1, Math.ceil(refusal.retryAfterMs / 1000)));
+  }
+  res.writeHead(statusOf[refusal.reason], headers).end(text);
+}
--- /dev/null
+++ b/packages/entry/src/services.ts
@@ -0,0 +1,96 @@
+/** Serves calls to plain services. */
+
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { randomUUID } from 'node:crypto';
+import { RequestId, ServiceId } from '@tanagercart/base';
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+import { notRun } from '@tanagercart/dispatch';
+import type { Order, Refusal } from '@tanagercart/dispatch';
+import type { ServiceCall } from '@tanagercart/release';
+import { readBody } from './body.js';
+import type { Door } from './door.js';
+import { sendRefusal } from './refuse.js';
+
+/** Path under which services stand. */
+export const servicesPath = '/v1/services/';
+
+interface Checked {
+  readonly order: Order;
+  readonly call: ServiceCall;
+}
+
+/** Answers one call to a service. */
+export async function answerService(
+  door: Door,
+  req: IncomingMessage,
+  res: ServerResponse,
+): Promise<void> {
+  const checked = await check(door, req);
+  if (checked.isErr()) {
+    door.refuse(res, checked.error, sendRefusal);
+    return;
+  }
+  const { order, call } = checked.value;
+  const key = req.headers['idempotency-key'];
+  if (!call.repeatable && !key) {
+    const message = 'this call may not be repeated: an Idempotency-Key is required';
+    door.refuse(res, notRun('key-required', message), sendRefusal);
+    return;
+  }
+  const { orders } = door.o;
+  const answer = call.repeatable
+    ? await orders.repeatable(order)
+    : await orders.once(order, String(key));
+  if (answer.isErr()) {
+    door.refuse(res, answer.error, sendRefusal);
+    return;
+  }
+  res.writeHead(answer.value.status, { 'content-type': answer.value.contentType });
+  res.end(answer.value.body);
+}
+
+async function check(door: Door, req: IncomingMessage): Promise<Result<Checked, Refusal>> {
+  const closed = door.closed();
+  if (closed) return err(closed);
+  const account = door.account(req);
+  if (!account) return err(notRun('unauthorised', 'no account has this key'));
+  const rest = (req.url ?? '').slice(servicesPath.length);
+  const [name = ''] = rest.split(/[/?]/, 1);
+  const path = rest.slice(name.length) || '/';
+  const service = door.o.state.release.services.get(ServiceId(name));
+  const call = service?.calls.find((c) => c.method === req.method && matches(c.path, path));
+  if (!call) {
+    return err(notRun('unknown-service', `no call ${req.method} ${path} of service "${name}"`));
+  }
+  const body = await readBody(req, door.o.limits.bodyBytes);
+  if (body.isErr()) {
+    return err(notRun('too-large', `a body may have ${door.o.limits.bodyBytes} bytes`));
+  }
+  return ok({
+    call,
+    order: {
+      request: RequestId(randomUUID()),
+      account: account.id,
+      service: name,
+      path,
+      method: call.method as Order['method'],
+      headers: forwarded(req),
+      body: body.value,
+    },
+  });
+}
+
+function matches(pattern: string, path: string): boolean {
+  const [plain = ''] = path.split('?', 1);
+  return pattern.endsWith('*') ? plain.startsWith(pattern.slice(0, -1)) : plain === pattern;
+}
+
+function forwarded(req: IncomingMessage): Readonly<Record<string, string>> {
+  const headers: Record<string, string> = {};
+  for (const name of ['content-type', 'accept', 'idempotency-key']) {
+    const value = req.headers[name];
+    if (typeof value === 'string') headers[name] = value;
+  }
+  return headers;
+}
--- /dev/null
+++ b/packages/log/src/index.ts
@@ -0,0 +1,2 @@
+export * from './store.js';
+export * from './raft.js';
--- /dev/null
+++ b/packages/node/src/index.ts
@@ -0,0 +1,1 @@
+export * from './node.js';
--- /dev/null
+++ b/packages/node/src/server.ts
@@ -0,0 +1,27 @@
+/** Opens and closes HTTP listeners. */
+
+import type { Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+
+/** Starts to listen at `host:port`; resolves with the address in use. */
+export function listen(server: Server, address: string): Promise<Result<string, Error>> {
+  const colon = address.lastIndexOf(':');
+  const host = address.slice(0, colon).replace(/[[\]]/g, '');
+  const port = Number(address.slice(colon + 1));
+  return new Promise((resolve) => {
+    server.once('error', (e) => resolve(err(e)));
+    server.listen(port, host, () => {
+      resolve(ok(`${address.slice(0, colon)}:${(server.address() as AddressInfo).port}`));
+    });
+  });
+}
+
+/** Takes no new connections and resolves once the open requests have ended. */
+export function close(server: Server): Promise<void> {
+  return new Promise((resolve) => {
+    server.close(() => resolve());
+    server.closeIdleConnections();
+  });
+}
--- /dev/null
+++ b/packages/placement/src/index.ts
@@ -0,0 +1,3 @@
+/** Orders to upstreams: loading models, adapters and versions, and changing roles. */
+
+export {};
--- /dev/null
+++ b/packages/protocol/src/frame.ts
@@ -0,0 +1,47 @@
+/** Frames on a TCP connection: four bytes of length, then that many bytes of CBOR. */
+
+import { Encoder } from 'cbor-x';
+
+/** Largest frame accepted, in bytes. */
+export const maxFrameBytes = 16 * 1024 * 1024;
+
+const headerBytes = 4;
+
+const codec = new Encoder({ useRecords: false, mapsAsObjects: true });
+
+/** Encodes a value as CBOR. */
+export function encode(value: unknown): Uint8Array {
+  return codec.encode(value);
+}
+
+/** Decodes CBOR; throws on malformed input. */
+export function decode<T>(bytes: Uint8Array): T {
+  return codec.decode(bytes) as T;
+}
+
+/** Encodes a value as one frame. */
+export function encodeFrame(value: unknown): Buffer {
+  const body = codec.encode(value);
+  const frame = Buffer.allocUnsafe(headerBytes + body.length);
+  frame.writeUInt32BE(body.length, 0);
+  body.copy(frame, headerBytes);
+  return frame;
+}
+
+/** Yields the frames of a byte stream; throws on an oversized or malformed one. */
+export async function* decodeFrames<T>(chunks: AsyncIterable<Buffer>): AsyncGenerator<T> {
+  let held: Buffer = Buffer.alloc(0);
+  for await (const chunk of chunks) {
+    held = held.length === 0 ? chunk : Buffer.concat([held, chunk]);
+    for (;;) {
+      if (held.length < headerBytes) break;
+      const size = held.readUInt32BE(0);
+      if (size > maxFrameBytes) {
+        throw new RangeError(`frame of ${size} bytes is over ${maxFrameBytes}`);
+      }
+      if (held.length < headerBytes + size) break;
+      yield decode<T>(held.subarray(headerBytes, headerBytes + size));
+      held = held.subarray(headerBytes + size);
+    }
+  }
+}
--- /dev/null
+++ b/packages/protocol/src/memory.ts
@@ -0,0 +1,144 @@
+/** A network in memory with held time, for tests and measurements of many nodes in one process. */
+
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+import type { Clock, NodeId, Random } from '@tanagercart/base';
+import type { CallOf, ExchangeKind, ReplyOf } from './message.js';
+import type { CallError, CallHandler, CallOptions, Transport } from './transport.js';
+import { decode, encode } from './frame.js';
+
+/** How one direction between two nodes behaves. */
+export interface LinkQuality {
+  /** Least delay in milliseconds. */
+  readonly delayMs: number;
+  /** Delay added at random, up to this many milliseconds. */
+  readonly jitterMs: number;
+  /** Share of messages that are lost, 0 to 1. */
+  readonly loss: number;
+}
+
+const fineLink: LinkQuality = { delayMs: 0.5, jitterMs: 0, loss: 0 };
+
+/** Connects the transports of many nodes; links can be cut and slowed. */
+export class MemoryNetwork {
+  private readonly nodes = new Map<NodeId, MemoryTransport>();
+  private readonly cuts = new Set<string>();
+  private quality: LinkQuality = fineLink;
+  /** Bytes sent by each node. */
+  readonly sentBytes = new Map<NodeId, number>();
+
+  private constructor(
+    readonly clock: Clock,
+    readonly random: Random,
+  ) {}
+
+  static create(clock: Clock, random: Random): MemoryNetwork {
+    return new MemoryNetwork(clock, random);
+  }
+
+  /** Attaches a node; a later call for the same node replaces the earlier transport. */
+  attach(node: NodeId): MemoryTransport {
+    const transport = MemoryTransport.create(this, node);
+    this.nodes.set(node, transport);
+    return transport;
+  }
+
+  /** Removes a node, as when its process dies. */
+  detach(node: NodeId): void {
+    this.nodes.delete(node);
+  }
+
+  /** Sets how every link behaves. */
+  setQuality(quality: LinkQuality): void {
+    this.quality = quality;
+  }
+
+  /** Drops what `from` sends to `to`. */
+  cut(from: NodeId, to: NodeId): void {
+    this.cuts.add(`${from}>${to}`);
+  }
+
+  /** Repairs every cut. */
+  heal(): void {
+    this.cuts.clear();
+  }
+
+  /** Carries a message; false where it was lost. */
+  async pass(from: NodeId, to: NodeId, bytes: number): Promise<boolean> {
+    this.sentBytes.set(from, (this.sentBytes.get(from) ?? 0) + bytes);
+    const { delayMs, jitterMs, loss } = this.quality;
+    const lost = this.random.next() < loss;
+    await this.clock.sleep(delayMs + jitterMs * this.random.next());
+    return !lost && !this.cuts.has(`${from}>${to}`);
+  }
+
+  /** The transport that stands for `node` now. */
+  at(node: NodeId): MemoryTransport | undefined {
+    return this.nodes.get(node);
+  }
+}
+
+/** One node's end of a network in memory. */
+export class MemoryTransport implements Transport {
+  private readonly handlers = new Map<ExchangeKind, CallHandler<ExchangeKind>>();
+
+  private constructor(
+    private readonly network: MemoryNetwork,
+    private readonly self: NodeId,
+  ) {}
+
+  static create(network: MemoryNetwork, self: NodeId): MemoryTransport {
+    return new MemoryTransport(network, self);
+  }
+
+  serve<K extends ExchangeKind>(kind: K, handler: CallHandler<K>): void {
+    this.handlers.set(kind, handler as unknown as CallHandler<ExchangeKind>);
+  }
+
+  async call<K extends ExchangeKind>(
+    to: NodeId,
+    kind: K,
+    call: CallOf<K>,
+    options: CallOptions,
+  ): Promise<Result<ReplyOf<K>, CallError>> {
+    const stop = new AbortController();
+    const late = this.network.clock
+      .sleep(options.timeoutMs, stop.signal)
+      .then((): Result<ReplyOf<K>, CallError> => err({ kind: 'timeout' }));
+    const reply = await Promise.race([this.deliver(to, kind, call), late]);
+    stop.abort();
+    return reply;
+  }
+
+  /** Answers a call as the handler of `kind` does; undefined where there is none. */
+  async answer(
+    from: NodeId,
+    kind: ExchangeKind,
+    bytes: Uint8Array,
+  ): Promise<Uint8Array | undefined> {
+    const handler = this.handlers.get(kind);
+    if (!handler) return undefined;
+    return encode(await handler(from, decode(bytes)));
+  }
+
+  private async deliver<K extends ExchangeKind>(
+    to: NodeId,
+    kind: K,
+    call: CallOf<K>,
+  ): Promise<Result<ReplyOf<K>, CallError>> {
+    const bytes = encode(call);
+    if (to !== this.self && !(await this.network.pass(this.self, to, bytes.length))) return never();
+    const peer = this.network.at(to);
+    if (!peer) return err({ kind: 'unreachable', detail: `${to} is down` });
+    const reply = await peer.answer(this.self, kind, bytes);
+    if (!reply) return err({ kind: 'unreachable', detail: `no handler for ${kind}` });
+    if (this.network.at(to) !== peer) return never();
+    if (to !== this.self && !(await this.network.pass(to, this.self, reply.length))) return never();
+    return ok(decode<ReplyOf<K>>(reply));
+  }
+}
+
+/** A promise that never settles: a lost message. */
+function never<T>(): Promise<T> {
+  return new Promise(() => undefined);
+}
--- /dev/null
+++ b/packages/protocol/src/tcp.ts
@@ -0,0 +1,256 @@
+/** Calls between nodes over TCP: one connection and one reading task for each peer and direction. */
+
+import { createConnection, createServer } from 'node:net';
+import type { AddressInfo, Server, Socket } from 'node:net';
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+import type { Clock, Logger, NodeId } from '@tanagercart/base';
+import type { CallOf, ExchangeKind, ReplyOf } from './message.js';
+import type { CallError, CallHandler, CallOptions, Transport } from './transport.js';
+import { decodeFrames, encodeFrame } from './frame.js';
+
+/** Version of the protocol between nodes; peers of another version are refused. */
+export const protocolVersion = 1;
+
+/** How long a connection attempt may take, in milliseconds. */
+const connectTimeoutMs = 1000;
+
+type Frame =
+  | {
+      readonly t: 'hello';
+      readonly version: number;
+      readonly cluster: string;
+      readonly from: NodeId;
+    }
+  | {
+      readonly t: 'call';
+      readonly seq: number;
+      readonly kind: ExchangeKind;
+      readonly body: unknown;
+    }
+  | { readonly t: 'reply'; readonly seq: number; readonly body: unknown }
+  | { readonly t: 'fail'; readonly seq: number; readonly detail: string };
+
+/** Finds the `host:port` of a node. */
+export type Resolve = (node: NodeId) => string | undefined;
+
+type Waiter = (result: Result<unknown, CallError>) => void;
+
+interface Link {
+  readonly socket: Socket;
+  readonly waiting: Map<number, Waiter>;
+}
+
+interface TcpOptions {
+  readonly self: NodeId;
+  /** Nodes of another cluster are refused. */
+  readonly cluster: string;
+  readonly resolve: Resolve;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  /** Receives what a handler throws: a broken invariant or a bug. */
+  readonly onBroken: (error: unknown) => void;
+}
+
+/** A transport over TCP. */
+export class TcpTransport implements Transport {
+  private readonly handlers = new Map<ExchangeKind, CallHandler<ExchangeKind>>();
+  private readonly links = new Map<NodeId, Promise<Result<Link, CallError>>>();
+  private readonly sockets = new Set<Socket>();
+  private server: Server | undefined;
+  private seq = 0;
+  /** Bytes sent and received, for measurement. */
+  readonly traffic = { sentBytes: 0, sentFrames: 0 };
+
+  private constructor(private readonly options: TcpOptions) {}
+
+  static create(options: TcpOptions): TcpTransport {
+    return new TcpTransport(options);
+  }
+
+  /** Starts to accept connections; resolves with the port. */
+  listen(host: string, port: number): Promise<Result<number, Error>> {
+    return new Promise((resolve) => {
+      const server = createServer((socket) => {
+        void this.accept(socket);
+      });
+      this.server = server;
+      server.once('error', (e) => resolve(err(e)));
+      server.listen(port, host, () => resolve(ok((server.address() as AddressInfo).port)));
+    });
+  }
+
+  serve<K extends ExchangeKind>(kind: K, handler: CallHandler<K>): void {
+    this.handlers.set(kind, handler as unknown as CallHandler<ExchangeKind>);
+  }
+
+  async call<K extends ExchangeKind>(
+    to: NodeId,
+    kind: K,
+    call: CallOf<K>,
+    options: CallOptions,
+  ): Promise<Result<ReplyOf<K>, CallError>> {
+    if (to === this.options.self) return this.callSelf(kind, call);
+    const link = await this.link(to);
+    if (link.isErr()) return err(link.error);
+    return this.exchange(link.value, kind, call, options);
+  }
+
+  /** Closes every connection. */
+  async close(): Promise<void> {
+    for (const socket of this.sockets) socket.destroy();
+    const { server } = this;
+    if (!server) return;
+    await new Promise<void>((resolve) => {
+      server.close(() => resolve());
+    });
+  }
+
+  private async callSelf<K extends ExchangeKind>(
+    kind: K,
+    call: CallOf<K>,
+  ): Promise<Result<ReplyOf<K>, CallError>> {
+    const handler = this.handlers.get(kind);
+    if (!handler) return err({ kind: 'unreachable', detail: `no handler for ${kind}` });
+    return ok((await handler(this.options.self, call)) as ReplyOf<K>);
+  }
+
+  private exchange<K extends ExchangeKind>(
+    link: Link,
+    kind: K,
+    call: CallOf<K>,
+    options: CallOptions,
+  ): Promise<Result<ReplyOf<K>, CallError>> {
+    this.seq += 1;
+    const { seq } = this;
+    return new Promise((resolve) => {
+      const stop = new AbortController();
+      const finish = (result: Result<unknown, CallError>) => {
+        if (!link.waiting.delete(seq)) return;
+        stop.abort();
+        resolve(result as Result<ReplyOf<K>, CallError>);
+      };
+      link.waiting.set(seq, finish);
+      options.signal?.addEventListener('abort', () => finish(err({ kind: 'timeout' })), {
+        once: true,
+        signal: stop.signal,
+      });
+      void this.options.clock
+        .sleep(options.timeoutMs, stop.signal)
+        .then(() => finish(err({ kind: 'timeout' })));
+      this.send(link.socket, { t: 'call', seq, kind, body: call });
+    });
+  }
+
+  private link(to: NodeId): Promise<Result<Link, CallError>> {
+    const known = this.links.get(to);
+    if (known) return known;
+    const opening = this.open(to);
+    this.links.set(to, opening);
+    void opening.then((r) => {
+      if (r.isErr()) this.links.delete(to);
+    });
+    return opening;
+  }
+
+  private open(to: NodeId): Promise<Result<Link, CallError>> {
+    const address = this.options.resolve(to);
+    if (!address) {
+      return Promise.resolve(err({ kind: 'unreachable', detail: `no address of ${to}` }));
+    }
+    const colon = address.lastIndexOf(':');
+    const host = address.slice(0, colon);
+    const port = Number(address.slice(colon + 1));
+    return new Promise((resolve) => {
+      const socket = createConnection({ host, port, noDelay: true });
+      const unreachable = (detail: string) => {
+        socket.destroy();
+        resolve(err({ kind: 'unreachable', detail }));
+      };
+      socket.setTimeout(connectTimeoutMs, () => unreachable('connect timed out'));
+      socket.once('error', (e) => unreachable(e.message));
+      socket.once('connect', () => {
+        socket.setTimeout(0);
+        const link: Link = { socket, waiting: new Map() };
+        this.hello(socket);
+        void this.readReplies(to, link);
+        resolve(ok(link));
+      });
+    });
+  }
+
+  private hello(socket: Socket): void {
+    const { cluster, self } = this.options;
+    this.send(socket, { t: 'hello', version: protocolVersion, cluster, from: self });
+  }
+
+  private async readReplies(to: NodeId, link: Link): Promise<void> {
+    this.sockets.add(link.socket);
+    try {
+      for await (const frame of decodeFrames<Frame>(link.socket)) {
+        if (frame.t === 'reply') link.waiting.get(frame.seq)?.(ok(frame.body));
+        if (frame.t === 'fail') {
+          link.waiting.get(frame.seq)?.(err({ kind: 'unreachable', detail: frame.detail }));
+        }
+      }
+    } catch {
+      // A broken connection ends the task; the waiting calls learn of it below.
+    }
+    this.links.delete(to);
+    this.sockets.delete(link.socket);
+    link.socket.destroy();
+    for (const waiter of [...link.waiting.values()]) {
+      waiter(err({ kind: 'lost', detail: `connection to ${to} closed` }));
+    }
+  }
+
+  private async accept(socket: Socket): Promise<void> {
+    this.sockets.add(socket);
+    socket.setNoDelay(true);
+    socket.on('error', () => socket.destroy());
+    let from: NodeId | undefined;
+    try {
+      for await (const frame of decodeFrames<Frame>(socket)) {
+        if (frame.t === 'hello') {
+          if (frame.version !== protocolVersion || frame.cluster !== this.options.cluster) break;
+          from = frame.from;
+        }
+        if (frame.t === 'call' && from) {
+          void this.answer(socket, from, frame.seq, frame.kind, frame.body);
+        }
+      }
+    } catch {
+      this.options.logger.debug('Connection from a peer broke.', { peer: from });
+    }
+    this.sockets.delete(socket);
+    socket.destroy();
+  }
+
+  private async answer(
+    socket: Socket,
+    from: NodeId,
+    seq: number,
+    kind: ExchangeKind,
+    body: unknown,
+  ): Promise<void> {
+    const handler = this.handlers.get(kind);
+    if (!handler) {
+      this.send(socket, { t: 'fail', seq, detail: `no handler for ${kind}` });
+      return;
+    }
+    try {
+      const reply = await handler(from, body as CallOf<ExchangeKind>);
+      this.send(socket, { t: 'reply', seq, body: reply });
+    } catch (error) {
+      this.options.onBroken(error);
+    }
+  }
+
+  private send(socket: Socket, frame: Frame): void {
+    if (socket.destroyed) return;
+    const bytes = encodeFrame(frame);
+    this.traffic.sentBytes += bytes.length;
+    this.traffic.sentFrames += 1;
+    socket.write(bytes);
+  }
+}
--- /dev/null
+++ b/packages/protocol/test/tcp.test.ts
@@ -0,0 +1,54 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { NodeId, SystemClock, silentLogger } from '@tanagercart/base';
+import { TcpTransport } from '../src/index.js';
+
+const a = NodeId('a');
+const b = NodeId('b');
+
+function node(self: NodeId, ports: Map<NodeId, number>, cluster = 'test') {
+  return TcpTransport.create({
+    self,
+    cluster,
+    clock: SystemClock.create(),
+    logger: silentLogger,
+    resolve: (n) => (ports.has(n) ? `127.0.0.1:${ports.get(n)}` : undefined),
+    onBroken: (e) => {
+      throw e;
+    },
+  });
+}
+
+async function listening(self: NodeId, ports: Map<NodeId, number>, cluster?: string) {
+  const t = node(self, ports, cluster);
+  ports.set(self, (await t.listen('127.0.0.1', 0))._unsafeUnwrap());
+  return t;
+}
+
+test('a call is answered by its handler', async () => {
+  const ports = new Map<NodeId, number>();
+  const [one, two] = [await listening(a, ports), await listening(b, ports)];
+  two.serve('transfer', async (from, call) => ({ ok: from === a && call.term === 7 }));
+  const reply = await one.call(b, 'transfer', { term: 7 }, { timeoutMs: 5000 });
+  assert.deepEqual(reply._unsafeUnwrap(), { ok: true });
+  await Promise.all([one.close(), two.close()]);
+});
+
+test('a call to a closed port is unreachable: it was not received', async () => {
+  const ports = new Map<NodeId, number>();
+  const two = await listening(b, ports);
+  await two.close();
+  const one = await listening(a, ports);
+  const reply = await one.call(b, 'transfer', { term: 1 }, { timeoutMs: 5000 });
+  assert.equal(reply._unsafeUnwrapErr().kind, 'unreachable');
+  await one.close();
+});
+
+test('a node of another cluster is cut off, and its call counts as lost', async () => {
+  const ports = new Map<NodeId, number>();
+  const [one, two] = [await listening(a, ports), await listening(b, ports, 'other')];
+  two.serve('transfer', async () => ({ ok: true }));
+  const reply = await one.call(b, 'transfer', { term: 1 }, { timeoutMs: 5000 });
+  assert.equal(reply._unsafeUnwrapErr().kind, 'lost');
+  await Promise.all([one.close(), two.close()]);
+});
--- /dev/null
+++ b/packages/release/src/index.ts
@@ -0,0 +1,3 @@
+export * from './release.js';
+export * from './note.js';
+export * from './apply.js';
--- /dev/null
+++ b/packages/routing/src/index.ts
@@ -0,0 +1,2 @@
+export * from './chain.js';
+export * from './planner.js';
--- /dev/null
+++ b/packages/scheduling/src/index.ts
@@ -0,0 +1,1 @@
+export * from './owner.js';
--- /dev/null
+++ b/packages/settings/src/index.ts
@@ -0,0 +1,1 @@
+export * from './settings.js';
--- /dev/null
+++ b/packages/standin/src/announcer.ts
@@ -0,0 +1,90 @@
+/** Announces a stand-in to the system, again and again. */
+
+import { request } from 'undici';
+import type { Clock } from '@tanagercart/base';
+
+/** Pause after an announcement that nobody took, in milliseconds. */
+const retryMs = 200;
+
+/** How long an announcement may take, in milliseconds. */
+const timeoutMs = 2000;
+
+/** What is announced. */
+export interface Self {
+  readonly id: string;
+  readonly url: string;
+  readonly dataCentre: string;
+  readonly role: object;
+}
+
+interface Reply {
+  readonly heartbeatMs: number;
+  readonly to: readonly string[];
+}
+
+/** A task that announces one stand-in. */
+export class Announcer {
+  private readonly stopping = new AbortController();
+  private readonly incarnation: string;
+  private targets: readonly string[];
+
+  private constructor(
+    private readonly clock: Clock,
+    private readonly seeds: readonly string[],
+    private readonly self: Self,
+  ) {
+    this.targets = seeds;
+    this.incarnation = `${self.url}@${clock.wall()}`;
+  }
+
+  static start(clock: Clock, seeds: readonly string[], self: Self): Announcer {
+    const announcer = new Announcer(clock, seeds, self);
+    void announcer.repeat();
+    return announcer;
+  }
+
+  stop(): void {
+    this.stopping.abort();
+  }
+
+  /** Announces once more that the upstream leaves. */
+  async leave(): Promise<void> {
+    this.stop();
+    await this.announce(true);
+  }
+
+  private async repeat(): Promise<void> {
+    const { signal } = this.stopping;
+    while (!signal.aborted) {
+      const reply = await this.announce(false);
+      await this.clock.sleep(reply?.heartbeatMs ?? retryMs, signal);
+    }
+  }
+
+  private async announce(leaving: boolean): Promise<Reply | undefined> {
+    for (const target of [...this.targets, ...this.seeds]) {
+      const reply = await this.announceAt(target, leaving);
+      if (!reply) continue;
+      this.targets = reply.to;
+      return reply;
+    }
+    return undefined;
+  }
+
+  private async announceAt(target: string, leaving: boolean): Promise<Reply | undefined> {
+    try {
+      const response = await request(`${target}/upstreams/v1/announce`, {
+        method: 'POST',
+        headers: { 'content-type': 'application/json' },
+        body: JSON.stringify({ ...this.self, incarnation: this.incarnation, leaving }),
+        headersTimeout: timeoutMs,
+        bodyTimeout: timeoutMs,
+      });
+      if (response.statusCode === 200) return (await response.body.json()) as Reply;
+      await response.body.dump();
+      return undefined;
+    } catch {
+      return undefined;
+    }
+  }
+}
--- /dev/null
+++ b/packages/standin/src/desk.ts
@@ -0,0 +1,89 @@
+/** A stand-in for an order desk: counts placements by key. */
+
+import { createServer } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import type { Clock } from '@tanagercart/base';
+import { Announcer } from './announcer.js';
+import { readJson } from './engine.js';
+
+/** Names an order desk. */
+export interface DeskSettings {
+  readonly id: string;
+  readonly service: string;
+  readonly dataCentre: string;
+}
+
+/** Placements by idempotency key, shared by the replicas of a desk. */
+export type Placements = Map<string, number>;
+
+/** A running order desk. */
+export class OrderDesk {
+  private readonly server: Server;
+  private announcer: Announcer | undefined;
+  /** When set, the next order is placed but its answer is lost. */
+  loseNextAnswer = false;
+
+  private constructor(private readonly placements: Placements) {
+    this.server = createServer((req, res) => {
+      void this.handle(req, res);
+    });
+  }
+
+  static async start(
+    settings: DeskSettings,
+    placements: Placements,
+    clock: Clock,
+    entries: readonly string[],
+  ): Promise<OrderDesk> {
+    const desk = new OrderDesk(placements);
+    await new Promise<void>((resolve) => {
+      desk.server.listen(0, '127.0.0.1', resolve);
+    });
+    desk.announcer = Announcer.start(clock, entries, {
+      id: settings.id,
+      url: desk.url,
+      dataCentre: settings.dataCentre,
+      role: { kind: 'service', service: settings.service },
+    });
+    return desk;
+  }
+
+  get url(): string {
+    return `http://127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+  }
+
+  async stop(): Promise<void> {
+    await this.announcer?.leave();
+    this.kill();
+  }
+
+  /** Dies without a word. */
+  kill(): void {
+    this.announcer?.stop();
+    this.server.closeAllConnections();
+    this.server.close();
+  }
+
+  private async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    if (req.method !== 'POST') {
+      const list = [...this.placements].map(([key, times]) => ({ key, times }));
+      send(res, 200, { placements: list });
+      return;
+    }
+    const body = await readJson(req);
+    const key = String(req.headers['idempotency-key'] ?? '');
+    const times = (this.placements.get(key) ?? 0) + 1;
+    this.placements.set(key, times);
+    if (this.loseNextAnswer) {
+      this.loseNextAnswer = false;
+      req.socket.destroy();
+      return;
+    }
+    send(res, 201, { placed: key, order: body });
+  }
+}
+
+function send(res: ServerResponse, status: number, body: unknown): void {
+  res.writeHead(status, { 'content-type': 'application/json' }).end(JSON.stringify(body));
+}
--- /dev/null
+++ b/packages/state/src/index.ts
@@ -0,0 +1,3 @@
+export * from './command.js';
+export * from './state.js';
+export * from './proposer.js';
--- /dev/null
+++ b/packages/upstream/src/http.ts
@@ -0,0 +1,175 @@
+/** Engines and services reached over HTTP with undici. */
+
+import { Agent, request } from 'undici';
+import type { Dispatcher } from 'undici';
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+import type {
+  Engines,
+  FinishReason,
+  RunEvent,
+  RunFailure,
+  RunOrder,
+  TokenFrame,
+} from './engine.js';
+import type { SendError, ServiceAnswer, ServiceRequest, Services } from './service.js';
+
+/** Connections to one upstream at most. */
+const connectionLimit = 256;
+
+/** Longest time for opening a connection, in milliseconds. */
+const connectTimeoutMs = 1000;
+
+/** Codes of errors that arise before a request is written. */
+const unsentCodes: ReadonlySet<string> = new Set([
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'ENOTFOUND',
+  'UND_ERR_CONNECT_TIMEOUT',
+]);
+
+type Line =
+  | ({ readonly t: 'token' } & TokenFrame)
+  | { readonly t: 'end'; readonly reason: FinishReason }
+  | { readonly t: 'failed'; readonly detail: string; readonly suspect?: string };
+
+/** A pool of connections shared by all upstream clients of a node. */
+export function createPool(): Agent {
+  return new Agent({
+    connections: connectionLimit,
+    connect: { timeout: connectTimeoutMs },
+    bodyTimeout: 0,
+    headersTimeout: 0,
+  });
+}
+
+/** Engines over HTTP: one POST for each attempt, answered by lines of JSON. */
+export class HttpEngines implements Engines {
+  private constructor(private readonly pool: Dispatcher) {}
+
+  static create(pool: Dispatcher): HttpEngines {
+    return new HttpEngines(pool);
+  }
+
+  async *run(order: RunOrder, signal: AbortSignal): AsyncGenerator<RunEvent> {
+    const [head] = order.chain;
+    if (!head) {
+      yield failed({ kind: 'refused', detail: 'the chain has no stage' });
+      return;
+    }
+    try {
+      const response = await this.post(`${head.url}/v1/run`, order, signal);
+      if (response.statusCode !== 200) {
+        yield failed({ kind: 'refused', detail: await response.body.text() });
+        return;
+      }
+      for await (const line of lines(response.body)) {
+        const event = eventOf(JSON.parse(line) as Line);
+        yield event;
+        if (event.kind !== 'token') return;
+      }
+      yield failed({ kind: 'broken', detail: 'the stream ended early', suspect: undefined });
+    } catch (error) {
+      yield failed(failureOf(error));
+    }
+  }
+
+  async cancel(order: RunOrder): Promise<void> {
+    const [head] = order.chain;
+    if (!head) return;
+    try {
+      const { request: id, attempt } = order;
+      const response = await this.post(`${head.url}/v1/cancel`, { request: id, attempt });
+      await response.body.dump();
+    } catch {
+      // An engine that cannot be reached has nothing left to cancel.
+    }
+  }
+
+  private post(url: string, body: unknown, signal?: AbortSignal) {
+    return request(url, {
+      method: 'POST',
+      dispatcher: this.pool,
+      headers: { 'content-type': 'application/json' },
+      body: JSON.stringify(body),
+      ...(signal ? { signal } : {}),
+    });
+  }
+}
+
+/** Services over HTTP. */
+export class HttpServices implements Services {
+  private constructor(private readonly pool: Dispatcher) {}
+
+  static create(pool: Dispatcher): HttpServices {
+    return new HttpServices(pool);
+  }
+
+  async send(
+    call: ServiceRequest,
+    signal?: AbortSignal,
+  ): Promise<Result<ServiceAnswer, SendError>> {
+    try {
+      const response = await request(call.url, {
+        method: call.method,
+        dispatcher: this.pool,
+        headers: { ...call.headers },
+        body: call.body.length > 0 ? call.body : null,
+        ...(signal ? { signal } : {}),
+      });
+      const contentType = String(response.headers['content-type'] ?? 'application/octet-stream');
+      const body = await response.body.text();
+      return ok({ status: response.statusCode, contentType, body });
+    } catch (error) {
+      const detail = detailOf(error);
+      return err(wasSent(error) ? { kind: 'lost', detail } : { kind: 'unreachable', detail });
+    }
+  }
+}
+
+async function* lines(chunks: AsyncIterable<Buffer>): AsyncGenerator<string> {
+  let held = '';
+  const decoder = new TextDecoder();
+  for await (const chunk of chunks) {
+    held += decoder.decode(chunk, { stream: true });
+    let start = 0;
+    for (let end = held.indexOf('\n'); end >= 0; end = held.indexOf('\n', start)) {
+      yield held.slice(start, end);
+      start = end + 1;
+    }
+    held = held.slice(start);
+  }
+}
+
+function eventOf(line: Line): RunEvent {
+  switch (line.t) {
+    case 'token':
+      return { kind: 'token', frame: line };
+    case 'end':
+      return { kind: 'end', reason: line.reason };
+    case 'failed':
+      return failed({ kind: 'broken', detail: line.detail, suspect: line.suspect as never });
+    default:
+      return failed({ kind: 'broken', detail: 'unknown frame', suspect: undefined });
+  }
+}
+
+function failed(failure: RunFailure): RunEvent {
+  return { kind: 'failed', failure };
+}
+
+function failureOf(error: unknown): RunFailure {
+  const detail = detailOf(error);
+  if (!wasSent(error)) return { kind: 'unreachable', detail };
+  return { kind: 'broken', detail, suspect: undefined };
+}
+
+function wasSent(error: unknown): boolean {
+  const { code } = error as { readonly code?: string };
+  return code === undefined || !unsentCodes.has(code);
+}
+
+function detailOf(error: unknown): string {
+  return error instanceof Error ? error.message : String(error);
+}
--- /dev/null
+++ b/packages/upstream/src/service.ts
@@ -0,0 +1,30 @@
+/** Calls to plain services. */
+
+import type { Result } from 'neverthrow';
+
+/** One call as it is sent to a service. */
+export interface ServiceRequest {
+  readonly url: string;
+  readonly method: 'GET' | 'POST' | 'PUT' | 'DELETE' | 'PATCH';
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: Buffer;
+}
+
+/** The whole answer of a service. */
+export interface ServiceAnswer {
+  readonly status: number;
+  readonly contentType: string;
+  readonly body: string;
+}
+
+/** Why a call has no answer. */
+export type SendError =
+  /** No connection: the service did not receive the call. */
+  | { readonly kind: 'unreachable'; readonly detail: string }
+  /** The service may or may not have carried out the call. */
+  | { readonly kind: 'lost'; readonly detail: string };
+
+/** Sends calls to services; each call is sent once. */
+export interface Services {
+  send(call: ServiceRequest, signal?: AbortSignal): Promise<Result<ServiceAnswer, SendError>>;
+}
