Split the shared state and the messages by concern

Cause: one file held every table of the state, and one every message, so that changes to unrelated concerns met in them.

--- a/packages/base/src/clock.ts
+++ b/packages/base/src/clock.ts
@@ -1,5 +1,7 @@
 /** Time as the program sees it, so that a test can hold it. */
 
+import { Heap } from './heap.js';
+
 /** Milliseconds since an arbitrary fixed point; never goes back. */
 export type Millis = number;
 
@@ -51,13 +53,14 @@
   readonly at: Millis;
   readonly seq: number;
   readonly wake: () => void;
+  cancelled: boolean;
 }
 
 /** A clock that stands still until it is advanced; due sleepers wake in order of time. */
 export class HeldClock implements Clock {
   private time = 0;
   private seq = 0;
-  private sleepers: Sleeper[] = [];
+  private readonly sleepers = Heap.create<Sleeper>(earlier);
 
   static create(): HeldClock {
     return new HeldClock();
@@ -77,13 +80,19 @@
         resolve();
         return;
       }
-      this.seq += 1;
-      const sleeper: Sleeper = { at: this.time + Math.max(0, ms), seq: this.seq, wake: resolve };
-      this.insert(sleeper);
-      signal?.addEventListener('abort', () => {
-        this.sleepers = this.sleepers.filter((s) => s !== sleeper);
+      const cancel = () => {
+        sleeper.cancelled = true;
         resolve();
-      });
+      };
+      const wake = () => {
+        signal?.removeEventListener('abort', cancel);
+        resolve();
+      };
+      this.seq += 1;
+      const at = this.time + Math.max(0, ms);
+      const sleeper: Sleeper = { at, seq: this.seq, wake, cancelled: false };
+      this.sleepers.push(sleeper);
+      signal?.addEventListener('abort', cancel, { once: true });
     });
   }
 
@@ -92,25 +101,24 @@
     const end = this.time + ms;
     await settle();
     for (;;) {
-      const next = this.sleepers[0];
-      if (!next || next.at > end) break;
-      this.sleepers.shift();
+      const next = this.sleepers.peek();
+      if (!next || next.at > end) {
+        break;
+      }
+      this.sleepers.pop();
+      if (next.cancelled) {
+        continue;
+      }
       this.time = Math.max(this.time, next.at);
       next.wake();
       await settle();
     }
     this.time = end;
   }
-
-  private insert(sleeper: Sleeper): void {
-    let i = this.sleepers.length;
-    while (i > 0 && later(this.sleepers[i - 1]!, sleeper)) i -= 1;
-    this.sleepers.splice(i, 0, sleeper);
-  }
 }
 
-function later(a: Sleeper, b: Sleeper): boolean {
-  return a.at > b.at || (a.at === b.at && a.seq > b.seq);
+function earlier(a: Sleeper, b: Sleeper): boolean {
+  return a.at < b.at || (a.at === b.at && a.seq < b.seq);
 }
 
 /** Resolves once all pending micro-tasks have run. */
--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -1,4 +1,5 @@
 export * from './id.js';
+export * from './heap.js';
 export * from './clock.js';
 export * from './random.js';
 export * from './hash.js';
--- a/packages/base/src/latch.ts
+++ b/packages/base/src/latch.ts
@@ -1,5 +1,7 @@
 /** Small tools for tasks that wait on one another. */
 
+import type { Clock, Millis } from './clock.js';
+
 /** Wakes every waiter at once; can be used again after each wake. */
 export class Bell {
   private waiters = new Set<() => void>();
@@ -15,6 +17,19 @@
     for (const wake of woken) wake();
   }
 
+  /** Resolves at the next ring, after `ms` milliseconds, or when `signal` aborts; never rejects. */
+  async waitUpTo(ms: Millis, clock: Clock, signal?: AbortSignal): Promise<void> {
+    const stop = new AbortController();
+    const abort = () => stop.abort();
+    signal?.addEventListener('abort', abort, { once: true });
+    if (signal?.aborted) {
+      stop.abort();
+    }
+    await Promise.race([this.wait(stop.signal), clock.sleep(ms, stop.signal)]);
+    signal?.removeEventListener('abort', abort);
+    stop.abort();
+  }
+
   /** Resolves at the next ring, or when `signal` aborts; never rejects. */
   wait(signal?: AbortSignal): Promise<void> {
     return new Promise((resolve) => {
--- a/packages/bench/src/index.ts
+++ /dev/null
@@ -1,3 +0,0 @@
-/** Measurements of the product, printed as JSON and tables. */
-
-export {};
--- a/packages/log/src/raft.ts
+++ b/packages/log/src/raft.ts
@@ -245,7 +245,7 @@
       if (reply.isOk()) await this.onAppendReply(peer, call, reply.value, sentAt);
       const idle = reply.isErr() || peer.next > store.lastIndex;
       if (idle) {
-        await Promise.race([clock.sleep(timing.heartbeatMs, signal), this.wake.wait(signal)]);
+        await this.wake.waitUpTo(timing.heartbeatMs, clock, signal);
       }
     }
   }
--- a/packages/membership/src/feed.ts
+++ b/packages/membership/src/feed.ts
@@ -75,11 +75,6 @@
   /** Waits until there is something that the follower lacks, for the hold time at most. */
   private async hold(applied: number): Promise<void> {
     if (this.history.state.index > applied) return;
-    const stop = new AbortController();
-    await Promise.race([
-      this.history.changed.wait(stop.signal),
-      this.clock.sleep(this.timing.holdMs, stop.signal),
-    ]);
-    stop.abort();
+    await this.history.changed.waitUpTo(this.timing.holdMs, this.clock);
   }
 }
--- /dev/null
+++ b/packages/protocol/src/grantmessage.ts
@@ -0,0 +1,78 @@
+/** Messages between entries and the owners of replicas. */
+
+import type {
+  AccountId,
+  Digest,
+  GrantId,
+  ModelId,
+  NodeId,
+  ReplicaId,
+  RequestId,
+  TierId,
+  UpstreamId,
+} from '@tanagercart/base';
+import type { RefusalReason } from './refusal.js';
+
+/** Asks the owner of a model's replicas for a slot on one of them. */
+export interface AcquireCall {
+  readonly request: RequestId;
+  readonly attempt: number;
+  readonly account: AccountId;
+  readonly tier: TierId;
+  readonly model: ModelId;
+  readonly version: string | undefined;
+  readonly adapter: string | undefined;
+  /** Number of the release under which the request is judged. */
+  readonly release: number;
+  /** Digests of the prompt's leading blocks, shortest first. */
+  readonly prefix: readonly Digest[];
+  readonly promptTokens: number;
+  readonly maxTokens: number;
+  /** Milliseconds left of the promise for the first token. */
+  readonly budgetMs: number;
+  /** Replicas not to use, as earlier attempts failed there. */
+  readonly avoid: readonly ReplicaId[];
+}
+
+export type AcquireReply =
+  | { readonly kind: 'granted'; readonly grant: Grant }
+  | { readonly kind: 'refused'; readonly reason: RefusalReason; readonly retryAfterMs: number };
+
+/** Permission to run one attempt on one replica. */
+export interface Grant {
+  readonly id: GrantId;
+  readonly replica: ReplicaId;
+  readonly owner: NodeId;
+  /** Fencing number: the epoch of the owner's lease. */
+  readonly epoch: number;
+  /** The grant must be used within this many milliseconds of being given. */
+  readonly startWithinMs: number;
+  /** Priority for the engine; lower runs first. */
+  readonly priority: number;
+  readonly stages: readonly GrantedStage[];
+}
+
+/** One stage of the chain that a grant names, in order of layers. */
+export interface GrantedStage {
+  readonly upstream: UpstreamId;
+  readonly url: string;
+  /** First layer held, inclusive. */
+  readonly from: number;
+  /** Last layer held, exclusive. */
+  readonly to: number;
+}
+
+/** Gives a grant back to its owner. */
+export interface ReleaseCall {
+  readonly grant: GrantId;
+  readonly end: AttemptEnd;
+  readonly tokens: number;
+  readonly firstTokenMs: number | undefined;
+}
+
+/** How an attempt ended, as the entry saw it. */
+export type AttemptEnd = 'complete' | 'cancelled' | 'refused' | 'failed' | 'preempted';
+
+export interface ReleaseReply {
+  readonly known: boolean;
+}
--- /dev/null
+++ b/packages/state/src/nodes.ts
@@ -0,0 +1,84 @@
+/** The nodes that are up. */
+
+import { unreachable } from '@tanagercart/base';
+import type { NodeId } from '@tanagercart/base';
+import type { NodeAddress } from '@tanagercart/protocol';
+
+/** Changes of the set of live nodes. */
+export type NodeCommand =
+  | { readonly kind: 'node-up'; readonly node: NodeAddress; readonly incarnation: string }
+  | { readonly kind: 'node-down'; readonly node: NodeId; readonly incarnation: string };
+
+/** What became of a change of the nodes. */
+export type NodeOutcome = { readonly kind: 'done' } | { readonly kind: 'stale' };
+
+/** A node that is up. */
+export interface LiveNode {
+  readonly address: NodeAddress;
+  readonly incarnation: string;
+  /** Log index at which it came up. */
+  readonly since: number;
+}
+
+/** The live nodes as a snapshot holds them. */
+export interface NodeImage {
+  readonly view: number;
+  readonly nodes: readonly LiveNode[];
+}
+
+/** Keeps the set of live nodes. */
+export class NodeTable {
+  private index = 0;
+  private readonly table = new Map<NodeId, LiveNode>();
+
+  static create(): NodeTable {
+    return new NodeTable();
+  }
+
+  get live(): ReadonlyMap<NodeId, LiveNode> {
+    return this.table;
+  }
+
+  /** Log index of the last change: the epoch of ownership. */
+  get view(): number {
+    return this.index;
+  }
+
+  apply(index: number, command: NodeCommand): NodeOutcome {
+    switch (command.kind) {
+      case 'node-up':
+        return this.up(index, command.node, command.incarnation);
+      case 'node-down':
+        return this.down(index, command.node, command.incarnation);
+      default:
+        return unreachable(command);
+    }
+  }
+
+  image(): NodeImage {
+    return { view: this.index, nodes: [...this.table.values()] };
+  }
+
+  restore(image: NodeImage): void {
+    this.table.clear();
+    for (const node of image.nodes) {
+      this.table.set(node.address.id, node);
+    }
+    this.index = image.view;
+  }
+
+  private up(index: number, address: NodeAddress, incarnation: string): NodeOutcome {
+    this.table.set(address.id, { address, incarnation, since: index });
+    this.index = index;
+    return { kind: 'done' };
+  }
+
+  private down(index: number, node: NodeId, incarnation: string): NodeOutcome {
+    if (this.table.get(node)?.incarnation !== incarnation) {
+      return { kind: 'stale' };
+    }
+    this.table.delete(node);
+    this.index = index;
+    return { kind: 'done' };
+  }
+}
--- a/packages/state/src/proposer.ts
+++ b/packages/state/src/proposer.ts
@@ -5,8 +5,8 @@
 import type { Clock, Millis, NodeId } from '@tanagercart/base';
 import { decode } from '@tanagercart/protocol';
 import type { Transport } from '@tanagercart/protocol';
+import { encodeCommand } from './command.js';
 import type { Command, Outcome } from './command.js';
-import { encodeCommand } from './state.js';
 
 /** Pause before the leader is looked for again, in milliseconds. */
 const searchPauseMs = 50;
--- a/packages/state/test/state.test.ts
+++ b/packages/state/test/state.test.ts
@@ -30,9 +30,9 @@
   const state = SharedState.create();
   state.apply(1, strike('u1'));
   state.apply(2, strike('u1'));
-  assert.equal(state.isQuarantined(digestOf('poison')), false);
+  assert.equal(state.quarantine.holds(digestOf('poison')), false);
   state.apply(3, strike('u2'));
-  assert.equal(state.isQuarantined(digestOf('poison')), true);
+  assert.equal(state.quarantine.holds(digestOf('poison')), true);
 });
 
 test('a snapshot restores the same state, and never goes back', () => {
