Let owners queue a request and take a grant back

Cause: an owner could only grant or refuse at once. Change: a queued answer, which the entry follows up, and a message that takes a grant back for more urgent work. Nothing sends the latter yet.

--- a/packages/dispatch/src/generate.ts
+++ b/packages/dispatch/src/generate.ts
@@ -2,7 +2,17 @@
 
 import type { Clock, Logger, Metrics, Millis, NodeId, RequestId } from '@tanagercart/base';
 import { digestOf } from '@tanagercart/base';
-import type { AttemptEnd, Grant, RefusalReason, Transport } from '@tanagercart/protocol';
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+import type {
+  AcquireCall,
+  AcquireReply,
+  AttemptEnd,
+  CallError,
+  Grant,
+  RefusalReason,
+  Transport,
+} from '@tanagercart/protocol';
 import type { ClientAccount, Model, Tier } from '@tanagercart/release';
 import type { Proposer } from '@tanagercart/state';
 import type { Engines, FinishReason, RunEvent, RunFailure, RunOrder } from '@tanagercart/upstream';
@@ -61,6 +71,8 @@
   | { readonly kind: 'granted'; readonly grant: Grant }
   | { readonly kind: 'refused'; readonly refusal: Refusal };
 
+type Answer = Exclude<AcquireReply, { readonly kind: 'queued' }>;
+
 /** Runs requests on behalf of callers. */
 export class Dispatch {
   private constructor(private readonly o: DispatchOptions) {}
@@ -202,9 +214,7 @@
         budgetMs: g.tier.firstTokenMs,
         avoid: avoid.map((a) => a.replica),
       };
-      const reply = await this.o.transport.call(owner, 'acquire', call, {
-        timeoutMs: acquireTimeoutMs,
-      });
+      const reply = await this.ask(owner, call);
       if (reply.isErr()) {
         reason = 'owner-unreachable';
         continue;
@@ -219,6 +229,21 @@
     };
   }
 
+  /** Asks one owner until it grants or refuses. */
+  private async ask(owner: NodeId, call: AcquireCall): Promise<Result<Answer, CallError>> {
+    for (;;) {
+      const options = { timeoutMs: acquireTimeoutMs };
+      const reply = await this.o.transport.call(owner, 'acquire', call, options);
+      if (reply.isErr()) {
+        return err(reply.error);
+      }
+      if (reply.value.kind !== 'queued') {
+        return ok(reply.value);
+      }
+      await this.o.clock.sleep(reply.value.againMs);
+    }
+  }
+
   private async strike(g: Generation, attempt: Attempt, failure: RunFailure): Promise<void> {
     const suspect = failure.kind === 'broken' ? failure.suspect : undefined;
     const upstream = suspect ?? attempt.grant.stages[0]!.upstream;
--- a/packages/protocol/src/grantmessage.ts
+++ b/packages/protocol/src/grantmessage.ts
@@ -34,7 +34,9 @@
   readonly avoid: readonly ReplicaId[];
 }
 
+/** An owner's answer. A queued caller asks again with the same request and attempt. */
 export type AcquireReply =
+  | { readonly kind: 'queued'; readonly againMs: number }
   | { readonly kind: 'granted'; readonly grant: Grant }
   | { readonly kind: 'refused'; readonly reason: RefusalReason; readonly retryAfterMs: number };
 
@@ -76,3 +78,13 @@
 export interface ReleaseReply {
   readonly known: boolean;
 }
+
+/** Tells an entry that the owner takes a grant back for more urgent work. */
+export interface PreemptCall {
+  readonly grant: GrantId;
+}
+
+export interface PreemptReply {
+  /** Whether the grant was in use; its attempt is cancelled, and resumes under another grant. */
+  readonly known: boolean;
+}
--- a/packages/protocol/src/message.ts
+++ b/packages/protocol/src/message.ts
@@ -2,7 +2,14 @@
 
 import type { AnnounceCall, AnnounceReply } from './announcemessage.js';
 import type { FollowCall, FollowReply, ProgressCall, ProgressReply } from './followmessage.js';
-import type { AcquireCall, AcquireReply, ReleaseCall, ReleaseReply } from './grantmessage.js';
+import type {
+  PreemptCall,
+  PreemptReply,
+  AcquireCall,
+  AcquireReply,
+  ReleaseCall,
+  ReleaseReply,
+} from './grantmessage.js';
 import type {
   AppendCall,
   AppendReply,
@@ -27,6 +34,7 @@
   progress: { call: ProgressCall; reply: ProgressReply };
   acquire: { call: AcquireCall; reply: AcquireReply };
   release: { call: ReleaseCall; reply: ReleaseReply };
+  preempt: { call: PreemptCall; reply: PreemptReply };
   announce: { call: AnnounceCall; reply: AnnounceReply };
 }
 
