Pause before a leader without a lease is followed again

Cause: a new leader without a lease named itself as the parent to follow. Its own follower took that for success and asked again at once; a call to oneself needs no input or output, so the loop starved the event loop and the node hung. Ruled out: elections (the log showed a leader), ports taken twice. Change: an exchange with a parent ends in a typed step; only a taken update goes on without a pause.

--- a/packages/membership/src/follow.ts
+++ b/packages/membership/src/follow.ts
@@ -23,6 +23,12 @@
   readonly seeds: () => readonly NodeId[];
 }
 
+/** What came of one exchange with a parent. */
+type Step =
+  | { readonly kind: 'taken' }
+  | { readonly kind: 'elsewhere'; readonly parent: NodeId | undefined }
+  | { readonly kind: 'lost' };
+
 /** Follows a parent until `signal` aborts. */
 export async function follow(o: FollowOptions, signal: AbortSignal): Promise<void> {
   let parent: NodeId | undefined;
@@ -31,23 +37,21 @@
     const seeds = o.seeds();
     const target = parent ?? seeds[turn % Math.max(1, seeds.length)];
     turn += 1;
-    const next = target ? await followOnce(o, target, signal) : undefined;
-    if (next === target && next) {
+    const step: Step = target ? await followOnce(o, target, signal) : { kind: 'lost' };
+    if (step.kind === 'taken') {
       parent = target;
       continue;
     }
-    if (parent) o.logger.info('Looking for another parent.', { parent });
-    parent = next;
+    if (parent) {
+      o.logger.info('Looking for another parent.', { parent });
+    }
+    parent = step.kind === 'elsewhere' ? step.parent : undefined;
     await o.clock.sleep(searchPauseMs, signal);
   }
 }
 
-/** One exchange with a parent; returns whom to follow next. */
-async function followOnce(
-  o: FollowOptions,
-  parent: NodeId,
-  signal: AbortSignal,
-): Promise<NodeId | undefined> {
+/** One exchange with a parent. */
+async function followOnce(o: FollowOptions, parent: NodeId, signal: AbortSignal): Promise<Step> {
   const sentAt = o.clock.now();
   const call: FollowCall = {
     node: o.self,
@@ -58,10 +62,14 @@
   };
   const timeoutMs = o.timing.holdMs * 2;
   const reply = await o.transport.call(parent, 'follow', call, { timeoutMs, signal });
-  if (reply.isErr()) return undefined;
-  if (reply.value.kind === 'elsewhere') return reply.value.parent;
+  if (reply.isErr()) {
+    return { kind: 'lost' };
+  }
+  if (reply.value.kind === 'elsewhere') {
+    return reply.value;
+  }
   take(o, reply.value, sentAt);
-  return parent;
+  return { kind: 'taken' };
 }
 
 function take(o: FollowOptions, reply: FollowReply & { kind: 'state' }, sentAt: number): void {
