Hold limits of an account across all nodes together

Cause: every entry would have counted on its own, so that an account's limit grew with the nodes it reached. Not wired into the node yet.

--- /dev/null
+++ b/packages/bench/src/limits.ts
@@ -0,0 +1,243 @@
+/** Limits held across nodes: overshoot, convergence after a shift of demand, and cost. */
+
+import { setMaxListeners } from 'node:events';
+import { AccountId, HeldClock, NodeId, SeededRandom, TierId, rendezvous } from '@tanagercart/base';
+import type { Random } from '@tanagercart/base';
+import { Bucket, Keeper, Limiter } from '@tanagercart/limits';
+import type { Contract } from '@tanagercart/limits';
+import { MemoryNetwork } from '@tanagercart/protocol';
+import type { Figure, Report } from './report.js';
+
+const account = AccountId('large');
+const tier = TierId('urgent');
+const contract: Contract = { concurrency: 40, requestsPerSecond: 100, tokensPerSecond: 20_000 };
+
+/** Demand as a multiple of what the limit admits. */
+const demandFactor = 3;
+
+/** Length of a request, in milliseconds, and its tokens. */
+const requestMs = 400;
+const expectedTokens = 100;
+const spreadTokens = 100;
+
+/** When demand moves from one half of the nodes to the other, and when the run ends, in milliseconds. */
+const shiftMs = 8000;
+const endMs = 16_000;
+
+/** Width of the windows over which admissions are counted, in milliseconds. */
+const windowMs = 250;
+
+interface Run {
+  /** Requests admitted in each window. */
+  readonly admitted: number[];
+  readonly tokens: number[];
+  peakConcurrency: number;
+  readonly bytes: number;
+  readonly offered: number;
+}
+
+/** What a limiter of either kind can do. */
+interface Admitting {
+  readonly admit: (tokens: number) => Promise<Settle | undefined>;
+}
+
+type Settle = (tokens: number) => void;
+
+/** Runs the measurement. */
+export async function run(seed: number): Promise<Report> {
+  const figures: Figure[] = [];
+  for (const nodes of [8, 64]) {
+    figures.push(...figuresOf(`${nodes} nodes`, nodes, await runFleet(nodes, seed, sharedLimits)));
+    const fixed = await runFleet(nodes, seed, fixedShares);
+    figures.push(...baselineOf(`${nodes} nodes, fixed shares`, fixed));
+  }
+  return { bench: 'limits', seed, figures };
+}
+
+async function runFleet(count: number, seed: number, create: Create): Promise<Run> {
+  const clock = HeldClock.create();
+  const random = SeededRandom.create(seed);
+  const network = MemoryNetwork.create(clock, random);
+  const names = Array.from({ length: count }, (_, i) => NodeId(`n${i}`));
+  const stop = new AbortController();
+  setMaxListeners(0, stop.signal);
+  const limiters = names.map((self) => create(self, names, network, clock, stop.signal));
+  const windows = Math.ceil(endMs / windowMs);
+  const state = { running: 0, offered: 0 };
+  const result = {
+    admitted: Array.from({ length: windows }, () => 0),
+    tokens: Array.from({ length: windows }, () => 0),
+    peakConcurrency: 0,
+  };
+  const send = async (limiter: Admitting) => {
+    state.offered += 1;
+    const admitted = await limiter.admit(expectedTokens);
+    if (!admitted) {
+      return;
+    }
+    const at = Math.min(windows - 1, Math.floor(clock.now() / windowMs));
+    const tokens = Math.floor(expectedTokens + spreadTokens * random.next());
+    result.admitted[at]! += 1;
+    result.tokens[at]! += tokens;
+    state.running += 1;
+    result.peakConcurrency = Math.max(result.peakConcurrency, state.running);
+    await clock.sleep(requestMs);
+    state.running -= 1;
+    admitted(tokens);
+  };
+  const offer = offerLoad(clock, random, limiters, send);
+  await clock.advance(endMs);
+  await offer;
+  stop.abort();
+  const bytes = [...network.sentBytes.values()].reduce((a, b) => a + b, 0);
+  return { ...result, bytes, offered: state.offered };
+}
+
+type Create = (
+  self: NodeId,
+  names: readonly NodeId[],
+  network: MemoryNetwork,
+  clock: HeldClock,
+  signal: AbortSignal,
+) => Admitting;
+
+const sharedLimits: Create = (self, names, network, clock, signal) => {
+  const keeperOf = (a: AccountId) => rendezvous(a, names)[0];
+  const transport = network.attach(self);
+  const options = { self, clock, transport, keeperOf, keeperBefore: keeperOf };
+  Keeper.create({ ...options, contractOf: () => contract, isLive: () => true });
+  const limiter = Limiter.create(options);
+  void limiter.sweep(signal);
+  const admit = async (tokens: number) => {
+    const admitted = await limiter.admit({ account, tier, contract, expectedTokens: tokens });
+    return admitted.isOk() ? (used: number) => admitted.value.settle(used) : undefined;
+  };
+  return { admit };
+};
+
+/** Baseline: every node holds an equal part of the limit, whatever its demand. */
+const fixedShares: Create = (_, names, __, clock) => {
+  const part = (rate: number) => rate / names.length;
+  const bucketOf = (rate: number) => Bucket.create(rate, Math.max(1, rate), rate, clock.now());
+  let requests = bucketOf(part(contract.requestsPerSecond));
+  let tokens = bucketOf(part(contract.tokensPerSecond));
+  const admit = async (expected: number) => {
+    const now = clock.now();
+    const enough = Math.min(expected, tokens.size);
+    if (requests.levelAt(now) < 1 || tokens.levelAt(now) < enough) {
+      return undefined;
+    }
+    requests = requests.take(1, now);
+    tokens = tokens.take(expected, now);
+    return (used: number) => {
+      tokens = tokens.take(used - expected, clock.now());
+    };
+  };
+  return { admit };
+};
+
+/** Task: offers requests at random, to one half of the nodes and then to the other. */
+async function offerLoad(
+  clock: HeldClock,
+  random: Random,
+  limiters: readonly Admitting[],
+  send: (limiter: Admitting) => Promise<void>,
+): Promise<void> {
+  const perSecond = contract.requestsPerSecond * demandFactor;
+  const half = limiters.length / 2;
+  while (clock.now() < endMs - windowMs) {
+    await clock.sleep((-Math.log(1 - random.next()) * 1000) / perSecond);
+    const first = clock.now() < shiftMs ? 0 : half;
+    void send(limiters[first + Math.floor(random.next() * half)]!);
+  }
+}
+
+function baselineOf(label: string, r: Run): readonly Figure[] {
+  const rate = limitingRate();
+  return [
+    {
+      name: `${label}: admitted share of the limit at saturation`,
+      value: shareOf(r, rate),
+      unit: '',
+    },
+    { name: `${label}: convergence after demand moved`, value: convergence(r, rate), unit: 'ms' },
+  ];
+}
+
+function figuresOf(label: string, nodes: number, r: Run): readonly Figure[] {
+  const name = (what: string) => `${label}: ${what}`;
+  const bound = (rate: number, seconds: number) => rate * (seconds + 1);
+  const seconds = endMs / 1000;
+  // The contract: at any moment, at most the burst and what the rate has filled since.
+  const over = (counts: readonly number[], rate: number) => {
+    let sum = 0;
+    let worst = 0;
+    counts.forEach((n, i) => {
+      sum += n;
+      worst = Math.max(worst, sum / bound(rate, ((i + 1) * windowMs) / 1000) - 1);
+    });
+    return worst * 100;
+  };
+  const limiting = limitingRate();
+  return [
+    {
+      name: name('overshoot of requests'),
+      value: over(r.admitted, contract.requestsPerSecond),
+      unit: '%',
+      target: { kind: 'at-most', value: 2 },
+    },
+    {
+      name: name('overshoot of tokens'),
+      value: over(r.tokens, contract.tokensPerSecond),
+      unit: '%',
+      target: { kind: 'at-most', value: 2 },
+    },
+    {
+      name: name('overshoot of concurrency'),
+      value: Math.max(0, (r.peakConcurrency / contract.concurrency - 1) * 100),
+      unit: '%',
+      target: { kind: 'at-most', value: 2 },
+    },
+    {
+      name: name('admitted share of the limit at saturation'),
+      value: shareOf(r, limiting),
+      unit: '',
+    },
+    {
+      name: name('convergence after demand moved'),
+      value: convergence(r, limiting),
+      unit: 'ms',
+      target: { kind: 'at-most', value: 1000 },
+    },
+    { name: name('bytes sent per request offered'), value: r.bytes / r.offered, unit: 'B' },
+    { name: name('bytes sent per second and node'), value: r.bytes / seconds / nodes, unit: 'B/s' },
+  ];
+}
+
+/** Requests per second that the tightest of the three limits allows. */
+function limitingRate(): number {
+  const meanTokens = expectedTokens + spreadTokens / 2;
+  const byConcurrency = contract.concurrency / (requestMs / 1000);
+  const byTokens = contract.tokensPerSecond / meanTokens;
+  return Math.min(contract.requestsPerSecond, byTokens, byConcurrency);
+}
+
+/** Admitted share of the limit between the end of the first burst and the shift. */
+function shareOf(r: Run, rate: number): number {
+  const from = 2000 / windowMs;
+  const to = shiftMs / windowMs;
+  const sum = r.admitted.slice(from, to).reduce((a, b) => a + b, 0);
+  return sum / (((shiftMs - 2000) / 1000) * rate);
+}
+
+/** Time after the shift until a second's admissions are back at 95 % of the limit. */
+function convergence(r: Run, rate: number): number {
+  const perSecond = 1000 / windowMs;
+  for (let at = shiftMs / windowMs; at + perSecond <= r.admitted.length; at += 1) {
+    const second = r.admitted.slice(at, at + perSecond).reduce((a, b) => a + b, 0);
+    if (second >= rate * 0.95) {
+      return at * windowMs - shiftMs;
+    }
+  }
+  return endMs - shiftMs;
+}
--- a/packages/protocol/src/message.ts
+++ b/packages/protocol/src/message.ts
@@ -1,5 +1,6 @@
 /** Every exchange between the nodes: one call and one reply. */
 
+import type { LimitCall, LimitReply } from './limitmessage.js';
 import type { AnnounceCall, AnnounceReply } from './announcemessage.js';
 import type { FollowCall, FollowReply, ProgressCall, ProgressReply } from './followmessage.js';
 import type {
@@ -35,6 +36,7 @@
   acquire: { call: AcquireCall; reply: AcquireReply };
   release: { call: ReleaseCall; reply: ReleaseReply };
   preempt: { call: PreemptCall; reply: PreemptReply };
+  limit: { call: LimitCall; reply: LimitReply };
   announce: { call: AnnounceCall; reply: AnnounceReply };
 }
 
