Give idle permits back at once while they are scarce

Cause: a permit lay idle on the node that had used it last, for 150 ms and the next look; with 64 nodes a sixth of a binding concurrency limit was lost so. Ruled out: the keeper's answers (1 ms), the buckets (they were not empty). Change: the keeper says when three quarters of the permits are out, and a node then returns a permit when its request ends.

--- a/packages/limits/src/ledger.ts
+++ b/packages/limits/src/ledger.ts
@@ -13,6 +13,9 @@
 /** Wait told to a caller that finds all permits in use, in milliseconds. */
 const permitWaitMs = 250;
 
+/** Share of the permits in use from which they count as scarce. */
+const scarceShare = 0.75;
+
 /** Counts what the nodes hold of one account's limits. */
 export class Ledger {
   private requests: Bucket;
@@ -108,7 +111,8 @@
     this.tokens = this.tokens.take(amounts.tokens, now);
     this.report(node, (this.permits.get(node) ?? 0) + amounts.permits);
     invariant(this.held <= this.contract.concurrency, 'permits never exceed the concurrency limit');
-    return { kind: 'given', amounts };
+    const scarce = this.held >= this.contract.concurrency * scarceShare;
+    return { kind: 'given', amounts, scarce };
   }
 }
 
--- a/packages/limits/src/limiter.ts
+++ b/packages/limits/src/limiter.ts
@@ -87,7 +87,7 @@
     for (;;) {
       if (share.use(r.expectedTokens, this.o.clock.now())) {
         held.fallback.admitted(share.running, this.o.clock.now());
-        return ok(admissionOf(share, r.expectedTokens));
+        return ok(this.admission(held, r.expectedTokens));
       }
       // One exchange at a time: those who wait use what it brings, and ask again if that is short.
       if (held.asking) {
@@ -142,6 +142,21 @@
     }
   }
 
+  private admission(held: Held, expected: number): Admission {
+    let settled = false;
+    const settle = (tokens: number) => {
+      if (settled) {
+        return;
+      }
+      settled = true;
+      held.share.finish(expected, tokens);
+      if (held.share.scarce && !held.asking) {
+        void this.tell(held);
+      }
+    };
+    return { settle };
+  }
+
   /** Goes on at the recent pace while the keeper cannot be asked. */
   private admitAlone(held: Held, r: LimitedRequest): Result<Admission, OverLimit> {
     const { share, fallback } = held;
@@ -150,7 +165,7 @@
       return err({ limit: 'requests', retryAfterMs: awayWaitMs });
     }
     share.overdraw(r.expectedTokens, now);
-    return ok(admissionOf(share, r.expectedTokens));
+    return ok(this.admission(held, r.expectedTokens));
   }
 
   private async ask(held: Held, tokens: number): Promise<LimitReply | undefined> {
@@ -199,6 +214,10 @@
     }
     if (reply.value.kind === 'given') {
       held.share.add(reply.value.amounts);
+      held.share.scarce = reply.value.scarce;
+    }
+    if (reply.value.kind === 'exhausted') {
+      held.share.scarce = reply.value.limit === 'concurrency';
     }
     return reply.value;
   }
@@ -217,16 +236,3 @@
     return fresh;
   }
 }
-
-function admissionOf(share: Share, expected: number): Admission {
-  let settled = false;
-  return {
-    settle: (tokens) => {
-      if (settled) {
-        return;
-      }
-      settled = true;
-      share.finish(expected, tokens);
-    },
-  };
-}
--- a/packages/limits/src/share.ts
+++ b/packages/limits/src/share.ts
@@ -19,6 +19,8 @@
   private tokens = 0;
   /** Permits in use by requests in progress. */
   private inUse = 0;
+  /** Whether idle permits should go back at once. */
+  scarce = false;
   private requestRate = 0;
   private tokenRate = 0;
   private demandAt: Millis;
--- a/packages/protocol/src/limitmessage.ts
+++ b/packages/protocol/src/limitmessage.ts
@@ -30,7 +30,12 @@
 export type LimitKind = 'concurrency' | 'requests' | 'tokens';
 
 export type LimitReply =
-  | { readonly kind: 'given'; readonly amounts: LimitAmounts }
+  | {
+      readonly kind: 'given';
+      readonly amounts: LimitAmounts;
+      /** Whether few permits are left, so that idle ones should come back at once. */
+      readonly scarce: boolean;
+    }
   | { readonly kind: 'exhausted'; readonly limit: LimitKind; readonly retryAfterMs: number }
   /** The keeper is new and waits for what the nodes hold. */
   | { readonly kind: 'recovering' }
