Check release notes whole and name the line of each problem

A note could take a tier away from under an account, repeat a tier or an entry, and its problems had no line. References are now checked against what the note leaves standing, and told at the entry that breaks them. Tables that a note does not touch are shared with the release before it. Full notes are kept for the last 16 only, digests for the last 4096, so the shared state no longer grows with each note.

--- a/packages/entry/src/operators.ts
+++ b/packages/entry/src/operators.ts
@@ -65,7 +65,7 @@
       await submit(o, req, res);
       return;
     case 'GET /operators/v1/releases':
-      sendJson(res, 200, { notes: o.state.releases.notes });
+      sendJson(res, 200, { notes: o.state.releases.accepted });
       return;
     case 'GET /operators/v1/status':
       sendJson(res, 200, o.status());
--- a/packages/release/src/apply.ts
+++ b/packages/release/src/apply.ts
@@ -3,8 +3,15 @@
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import type { NoteProblem } from './note.js';
+import type { ReleaseNote, ReleaseParts } from './release.js';
 import { Release } from './release.js';
-import type { ReleaseNote } from './release.js';
+import { brokenReferences } from './references.js';
+
+/** The kinds of parts that a release has. */
+export const partKinds = ['priceLists', 'clientAccounts', 'models', 'services'] as const;
+
+/** One kind of parts. */
+export type PartKind = (typeof partKinds)[number];
 
 interface Named {
   readonly id: string;
@@ -16,76 +23,64 @@
   note: ReleaseNote,
 ): Result<Release, readonly NoteProblem[]> {
   const problems: NoteProblem[] = [];
-  const old = before.parts();
-  const part = <T extends Named>(
-    kind: string,
-    was: readonly T[],
-    added: readonly T[],
-    changed: readonly T[],
-    withdrawn: readonly string[],
-  ) => mergePart(kind, was, added, changed, withdrawn, problems);
-  const { added, changed, withdrawn } = note;
-  const parts = {
-    priceLists: part(
-      'priceLists',
-      old.priceLists,
-      added.priceLists,
-      changed.priceLists,
-      withdrawn.priceLists,
-    ),
-    clientAccounts: part(
-      'clientAccounts',
-      old.clientAccounts,
-      added.clientAccounts,
-      changed.clientAccounts,
-      withdrawn.clientAccounts,
-    ),
-    models: part('models', old.models, added.models, changed.models, withdrawn.models),
-    services: part('services', old.services, added.services, changed.services, withdrawn.services),
+  const tables = {
+    priceLists: merged(before.priceLists, note, 'priceLists', problems),
+    clientAccounts: merged(before.clientAccounts, note, 'clientAccounts', problems),
+    models: merged(before.models, note, 'models', problems),
+    services: merged(before.services, note, 'services', problems),
   };
-  const after = Release.create(note.number, parts);
-  problems.push(...brokenReferences(after));
+  const after = Release.of(note.number, tables, before);
+  problems.push(...repeatedTiers(note), ...brokenReferences(before, after, note));
   return problems.length > 0 ? err(problems) : ok(after);
 }
 
-function mergePart<T extends Named>(
-  kind: string,
-  was: readonly T[],
-  added: readonly T[],
-  changed: readonly T[],
-  withdrawn: readonly string[],
+/** The table with the note's changes of one kind; the same table where there are none. */
+function merged<K extends string, T extends Named>(
+  was: ReadonlyMap<K, T>,
+  note: ReleaseNote,
+  kind: PartKind,
   problems: NoteProblem[],
-): readonly T[] {
-  const table = new Map(was.map((x) => [x.id, x]));
-  const problem = (entry: string, message: string) => problems.push({ entry, line: 0, message });
+): ReadonlyMap<K, T> {
+  const added = note.added[kind] as readonly Named[] as readonly T[];
+  const changed = note.changed[kind] as readonly Named[] as readonly T[];
+  const withdrawn = note.withdrawn[kind] as readonly string[];
+  if (added.length + changed.length + withdrawn.length === 0) return was;
+  const table = new Map(was);
+  const named = new Set<string>();
+  const check = (list: string, id: string, stands: boolean) => {
+    const entry = `${list}.${kind} "${id}"`;
+    const problem = (message: string) => problems.push({ entry, line: 0, message });
+    if (named.has(id)) problem('is listed more than once in this note');
+    else if (was.has(id as K) !== stands) problem(stands ? 'does not stand' : 'stands already');
+    named.add(id);
+  };
   for (const x of added) {
-    if (table.has(x.id)) problem(`added.${kind} "${x.id}"`, 'stands already');
-    table.set(x.id, x);
+    check('added', x.id, false);
+    table.set(x.id as K, x);
   }
   for (const x of changed) {
-    if (!table.has(x.id)) problem(`changed.${kind} "${x.id}"`, 'does not stand');
-    table.set(x.id, x);
+    check('changed', x.id, true);
+    table.set(x.id as K, x);
   }
-  for (const name of withdrawn) {
-    if (!table.delete(name)) problem(`withdrawn.${kind} "${name}"`, 'does not stand');
+  for (const id of withdrawn) {
+    check('withdrawn', id, true);
+    table.delete(id as K);
   }
-  return [...table.values()];
+  return table;
 }
 
-function brokenReferences(release: Release): readonly NoteProblem[] {
+function repeatedTiers(note: ReleaseNote): readonly NoteProblem[] {
   const problems: NoteProblem[] = [];
-  const keys = new Map<string, string>();
-  for (const account of release.clientAccounts.values()) {
-    const entry = `clientAccounts "${account.id}"`;
-    const problem = (message: string) => problems.push({ entry, line: 0, message });
-    if (!release.priceLists.has(account.priceList)) {
-      problem(`uses price list "${account.priceList}", which does not stand`);
-    } else if (!release.tierOf(account)) {
-      problem(`uses tier "${account.defaultTier}", which does not stand in its price list`);
+  const look = (list: string, parts: ReleaseParts) => {
+    for (const { id, tiers } of parts.priceLists) {
+      tiers.forEach((tier, i) => {
+        if (tiers.findIndex((t) => t.id === tier.id) === i) return;
+        const entry = `${list}.priceLists "${id}".tiers[${i}]`;
+        problems.push({ entry, line: 0, message: `tier "${tier.id}" is listed more than once` });
+      });
     }
-    const other = keys.get(account.keyDigest);
-    if (other) problem(`has the same key as "${other}"`);
-    keys.set(account.keyDigest, account.id);
-  }
+  };
+  look('added', note.added);
+  look('changed', note.changed);
   return problems;
 }
--- /dev/null
+++ b/packages/release/src/difference.ts
@@ -0,0 +1,43 @@
+/** What a note changes of a release, in words for operators. */
+
+import { partKinds } from './apply.js';
+import type { Release, ReleaseNote } from './release.js';
+
+/** One line of a difference. */
+export interface Change {
+  readonly kind: 'added' | 'changed' | 'withdrawn';
+  /** The part, such as `models "fig"`. */
+  readonly part: string;
+  /** Changed keys with their values before and after; empty unless the part is changed. */
+  readonly keys: readonly KeyChange[];
+}
+
+/** A key whose value a note changes. */
+export interface KeyChange {
+  readonly key: string;
+  readonly before: unknown;
+  readonly after: unknown;
+}
+
+/** Everything that a valid note changes of `before`. */
+export function differenceOf(before: Release, note: ReleaseNote): readonly Change[] {
+  return partKinds.flatMap((kind): readonly Change[] => {
+    const was: ReadonlyMap<string, object> = before[kind];
+    const name = (id: string) => `${kind} "${id}"`;
+    return [
+      ...note.added[kind].map(({ id }) => ({ kind: 'added', part: name(id), keys: [] }) as const),
+      ...note.changed[kind].map((x) => {
+        const keys = changedKeys(was.get(x.id) ?? {}, x);
+        return { kind: 'changed', part: name(x.id), keys } as const;
+      }),
+      ...note.withdrawn[kind].map((id) => ({ kind: 'withdrawn', part: name(id), keys: [] } as const)),
+    ];
+  });
+}
+
+function changedKeys(before: object, after: object): readonly KeyChange[] {
+  const old = new Map<string, unknown>(Object.entries(before));
+  return Object.entries(after)
+    .map(([key, value]) => ({ key, before: old.get(key), after: value as unknown }))
+    .filter((k) => JSON.stringify(k.before) !== JSON.stringify(k.after));
+}
--- a/packages/release/src/note.ts
+++ b/packages/release/src/note.ts
@@ -4,8 +4,7 @@
 import type { Result } from 'neverthrow';
 import { TomlError, parse } from 'smol-toml';
 import { z } from 'zod';
-import { digestOf } from '@tanagercart/base';
-import type { Digest } from '@tanagercart/base';
+import { Locator } from './locate.js';
 import type { ReleaseNote } from './release.js';
 
 const id = z
@@ -85,13 +84,14 @@
   const table = parseToml(text);
   if (table.isErr()) return err(table.error);
   const checked = note.safeParse(table.value);
-  if (!checked.success) return err(checked.error.issues.map(problemOf));
+  if (!checked.success) return err(withLines(text, checked.error.issues.map(problemOf)));
   return ok(checked.data as unknown as ReleaseNote);
 }
 
-/** The digest of a note's content; equal notes have equal digests whatever their layout. */
-export function digestOfNote(n: ReleaseNote): Digest {
-  return digestOf(JSON.stringify(n));
+/** Gives each problem the line of its entry in `text`. */
+export function withLines(text: string, problems: readonly NoteProblem[]): readonly NoteProblem[] {
+  const locator = Locator.create(text);
+  return problems.map((p) => (p.line > 0 ? p : { ...p, line: locator.lineOf(p.entry) }));
 }
 
 function parseToml(text: string): Result<unknown, readonly NoteProblem[]> {
--- a/packages/release/src/release.ts
+++ b/packages/release/src/release.ts
@@ -95,33 +95,59 @@
   readonly withdrawn: WithdrawnParts;
 }
 
+/** The parts of a release by their ids. */
+export interface ReleaseTables {
+  readonly priceLists: ReadonlyMap<PriceListId, PriceList>;
+  readonly clientAccounts: ReadonlyMap<AccountId, ClientAccount>;
+  readonly models: ReadonlyMap<ModelId, Model>;
+  readonly services: ReadonlyMap<ServiceId, Service>;
+}
+
 /** Everything on offer under one number; immutable. */
 export class Release {
-  private readonly byKey: ReadonlyMap<Digest, ClientAccount>;
-
   private constructor(
     readonly number: number,
-    readonly priceLists: ReadonlyMap<PriceListId, PriceList>,
-    readonly clientAccounts: ReadonlyMap<AccountId, ClientAccount>,
-    readonly models: ReadonlyMap<ModelId, Model>,
-    readonly services: ReadonlyMap<ServiceId, Service>,
-  ) {
-    this.byKey = new Map([...clientAccounts.values()].map((a) => [a.keyDigest, a]));
-  }
+    private readonly tables: ReleaseTables,
+    private readonly byKey: ReadonlyMap<Digest, ClientAccount>,
+  ) {}
 
   /** The release before the first note: nothing is on offer. */
   static empty(): Release {
-    return new Release(0, new Map(), new Map(), new Map(), new Map());
+    return Release.create(0, { priceLists: [], clientAccounts: [], models: [], services: [] });
   }
 
   static create(number: number, parts: ReleaseParts): Release {
-    return new Release(
-      number,
-      new Map(parts.priceLists.map((p) => [p.id, p])),
-      new Map(parts.clientAccounts.map((a) => [a.id, a])),
-      new Map(parts.models.map((m) => [m.id, m])),
-      new Map(parts.services.map((s) => [s.id, s])),
-    );
+    return Release.of(number, {
+      priceLists: new Map(parts.priceLists.map((p) => [p.id, p])),
+      clientAccounts: new Map(parts.clientAccounts.map((a) => [a.id, a])),
+      models: new Map(parts.models.map((m) => [m.id, m])),
+      services: new Map(parts.services.map((s) => [s.id, s])),
+    });
+  }
+
+  /** A release of the given tables, which must not change afterwards. */
+  static of(number: number, tables: ReleaseTables, before?: Release): Release {
+    const same = before && before.clientAccounts === tables.clientAccounts;
+    const byKey = same
+      ? before.byKey
+      : new Map([...tables.clientAccounts.values()].map((a) => [a.keyDigest, a]));
+    return new Release(number, tables, byKey);
+  }
+
+  get priceLists(): ReadonlyMap<PriceListId, PriceList> {
+    return this.tables.priceLists;
+  }
+
+  get clientAccounts(): ReadonlyMap<AccountId, ClientAccount> {
+    return this.tables.clientAccounts;
+  }
+
+  get models(): ReadonlyMap<ModelId, Model> {
+    return this.tables.models;
+  }
+
+  get services(): ReadonlyMap<ServiceId, Service> {
+    return this.tables.services;
   }
 
   /** The parts of this release as lists. */
--- a/packages/state/src/releases.ts
+++ b/packages/state/src/releases.ts
@@ -1,4 +1,4 @@
-/** The release in force, and every note that led to it. */
+/** The release in force, and the notes that led to it. */
 
 import { invariant } from '@tanagercart/base';
 import type { Digest, Millis } from '@tanagercart/base';
@@ -24,7 +24,13 @@
   | { readonly kind: 'release-conflict'; readonly number: number; readonly inForce: Digest }
   | { readonly kind: 'release-invalid'; readonly problems: readonly NoteProblem[] };
 
-/** An accepted release note. */
+/** Accepted notes of which the number, digest and author are kept. */
+const keptHeaders = 4096;
+
+/** Accepted notes that are kept in full. */
+const keptNotes = 16;
+
+/** What is remembered of an accepted release note. */
 export interface AcceptedNote {
   readonly number: number;
   readonly digest: Digest;
@@ -33,20 +39,21 @@
   readonly index: number;
   /** Wall time of its acceptance. */
   readonly at: Millis;
-  readonly note: ReleaseNote;
 }
 
 /** The releases as a snapshot holds them. */
 export interface ReleaseImage {
   readonly number: number;
   readonly parts: ReleaseParts;
-  readonly notes: readonly AcceptedNote[];
+  readonly accepted: readonly AcceptedNote[];
+  readonly notes: readonly ReleaseNote[];
 }
 
 /** Accepts notes in order of their numbers. */
 export class ReleaseTable {
   private release = Release.empty();
-  private accepted: readonly AcceptedNote[] = [];
+  private readonly headers: AcceptedNote[] = [];
+  private readonly full: ReleaseNote[] = [];
 
   static create(): ReleaseTable {
     return new ReleaseTable();
@@ -57,20 +64,25 @@
     return this.release;
   }
 
-  /** Every accepted note, oldest first. */
-  get notes(): readonly AcceptedNote[] {
-    return this.accepted;
+  /** The recent accepted notes without their content, oldest first. */
+  get accepted(): readonly AcceptedNote[] {
+    return this.headers;
+  }
+
+  /** The content of a recent note. */
+  note(number: number): ReleaseNote | undefined {
+    return this.full.find((n) => n.number === number);
   }
 
   /** Accepts a note whose number is next; a resend gets its first answer, any other is a conflict. */
   apply(index: number, { note, digest, at }: ReleaseCommand): ReleaseOutcome {
     const { number, author } = note;
-    const earlier = this.accepted.find((n) => n.number === number);
+    const earlier = this.header(number);
     if (earlier?.digest === digest) {
       return { kind: 'release-accepted', number, index: earlier.index, resend: true };
     }
     if (number !== this.release.number + 1) {
-      const inForce = this.accepted.at(-1)?.digest ?? ('' as Digest);
+      const inForce = this.headers.at(-1)?.digest ?? ('' as Digest);
       return { kind: 'release-conflict', number: this.release.number, inForce };
     }
     const next = applyNote(this.release, note);
@@ -78,17 +90,31 @@
       return { kind: 'release-invalid', problems: next.error };
     }
     this.release = next.value;
-    this.accepted = [...this.accepted, { number, digest, author, index, at, note }];
+    this.remember({ number, digest, author, index, at }, note);
     return { kind: 'release-accepted', number, index, resend: false };
   }
 
   image(): ReleaseImage {
-    return { number: this.release.number, parts: this.release.parts(), notes: this.accepted };
+    const { number } = this.release;
+    return { number, parts: this.release.parts(), accepted: this.headers, notes: this.full };
   }
 
   restore(image: ReleaseImage): void {
     invariant(image.number >= this.release.number, 'a snapshot must not revert the release');
     this.release = Release.create(image.number, image.parts);
-    this.accepted = image.notes;
+    this.headers.splice(0, Infinity, ...image.accepted);
+    this.full.splice(0, Infinity, ...image.notes);
+  }
+
+  private header(number: number): AcceptedNote | undefined {
+    const first = this.headers[0]?.number ?? 0;
+    return this.headers[number - first];
+  }
+
+  private remember(header: AcceptedNote, note: ReleaseNote): void {
+    this.headers.push(header);
+    if (this.headers.length > keptHeaders) this.headers.shift();
+    this.full.push(note);
+    if (this.full.length > keptNotes) this.full.shift();
   }
 }
