Submit, try and show releases through any node

A submit through a node without a vote asked the first voter for ever, also when another led. A watcher of progress now follows the leader.

--- a/packages/cli/src/commands.ts
+++ b/packages/cli/src/commands.ts
@@ -3,7 +3,7 @@
 import { Command, Option } from 'clipanion';
 import { BunyanLogger, SystemClock } from '@tanagercart/base';
 import { Node } from '@tanagercart/node';
-import { readNote, readSettings, readText } from './files.js';
+import { readNote, readSettings } from './files.js';
 import { callOperator } from './operator.js';
 import { runDemo } from './demo.js';
 
@@ -11,7 +11,8 @@
 const success = 0;
 const refusal = 1;
 
-abstract class OperatorCommand extends Command {
+/** A command that calls a node's listener for operators. */
+export abstract class OperatorCommand extends Command {
   url = Option.String('--url', 'http://127.0.0.1:9101', {
     description: "Base URL of a node's operator listener",
   });
@@ -103,25 +104,6 @@
   }
 }
 
-/** `tanagercart release submit`: submits a note and waits until it is in force. */
-export class SubmitCommand extends OperatorCommand {
-  static override paths = [['release', 'submit']];
-
-  static override usage = Command.Usage({
-    description: 'Submit a release note',
-    examples: [['Submit a note', 'tanagercart release submit release-1.toml']],
-  });
-
-  file = Option.String();
-
-  async execute(): Promise<number> {
-    const text = await readText(this.file);
-    if (text.isOk()) return this.send('POST', '/operators/v1/releases', text.value);
-    this.context.stderr.write(`${text.error.join('\n')}\n`);
-    return refusal;
-  }
-}
-
 /** `tanagercart status`: shows what a node knows of the system. */
 export class StatusCommand extends OperatorCommand {
   static override paths = [['status']];
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,16 +1,21 @@
 /** The command line of tanagercart. */
 
 import { Builtins, Cli } from 'clipanion';
-import {
-  CheckCommand,
-  DemoCommand,
-  NodeCommand,
-  StatusCommand,
-  SubmitCommand,
-} from './commands.js';
+import { CheckCommand, DemoCommand, NodeCommand, StatusCommand } from './commands.js';
+import { HistoryCommand, ShowReleaseCommand, SubmitCommand } from './release.js';
 
 export * from './demo.js';
 
+const commands = [
+  NodeCommand,
+  CheckCommand,
+  SubmitCommand,
+  ShowReleaseCommand,
+  HistoryCommand,
+  StatusCommand,
+  DemoCommand,
+];
+
 /** Runs one command line and exits with its code. */
 export async function main(args: readonly string[]): Promise<void> {
   const cli = new Cli({
@@ -18,7 +23,7 @@
     binaryLabel: 'Tanagercart',
     binaryVersion: '0.1.0',
   });
-  for (const command of [NodeCommand, CheckCommand, SubmitCommand, StatusCommand, DemoCommand]) {
+  for (const command of commands) {
     cli.register(command);
   }
   cli.register(Builtins.HelpCommand);
--- a/packages/entry/src/operators.ts
+++ b/packages/entry/src/operators.ts
@@ -3,24 +3,14 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { timingSafeEqual } from 'node:crypto';
-import { digestOf, unreachable } from '@tanagercart/base';
-import type { Clock, Millis, NodeId } from '@tanagercart/base';
-import type { Transport } from '@tanagercart/protocol';
-import { digestOfNote, parseNote } from '@tanagercart/release';
-import type { Proposer, SharedState } from '@tanagercart/state';
-import { readBody, sendJson } from './body.js';
+import { digestOf } from '@tanagercart/base';
+import type { NodeId } from '@tanagercart/base';
+import { sendJson } from './body.js';
+import { listReleases, showRelease, submitRelease, tryRelease } from './releases.js';
+import type { ReleaseDesk } from './releases.js';
 
-/** How long accepting a note may take, in milliseconds. */
-const acceptTimeoutMs: Millis = 5000;
-
-/** How long a submit waits for a note to be in force, in milliseconds. */
-const inForceTimeoutMs: Millis = 10_000;
-
-/** Pause between two looks at the progress of a note, in milliseconds. */
-const progressPauseMs: Millis = 50;
-
-/** Largest note, in bytes. */
-const noteBytes = 8 * 1024 * 1024;
+/** Path of the releases. */
+const releasesPath = '/operators/v1/releases';
 
 /** What a status reports. */
 export interface StatusReport {
@@ -29,13 +19,8 @@
 }
 
 /** What the operators' listener needs. */
-export interface OperatorOptions {
+export interface OperatorOptions extends ReleaseDesk {
   readonly key: string;
-  readonly state: SharedState;
-  readonly proposer: Proposer;
-  readonly transport: Transport;
-  readonly clock: Clock;
-  readonly leader: () => NodeId | undefined;
   readonly status: () => StatusReport;
   readonly drain: () => void;
 }
@@ -59,13 +44,22 @@
     });
     return;
   }
-  const [path = ''] = (req.url ?? '').split('?', 1);
+  const url = new URL(req.url ?? '', 'http://operators');
+  const path = url.pathname;
+  const number = numberIn(path);
+  if (req.method === 'GET' && number !== undefined) {
+    showRelease(o, res, number);
+    return;
+  }
   switch (`${req.method} ${path}`) {
-    case 'POST /operators/v1/releases':
-      await submit(o, req, res);
+    case `POST ${releasesPath}`:
+      await (url.searchParams.get('dry-run') === 'true' ? tryRelease : submitRelease)(o, req, res);
+      return;
+    case `GET ${releasesPath}`:
+      listReleases(o, res);
       return;
-    case 'GET /operators/v1/releases':
-      sendJson(res, 200, { notes: o.state.releases.accepted });
+    case `GET ${releasesPath}/current`:
+      showRelease(o, res);
       return;
     case 'GET /operators/v1/status':
       sendJson(res, 200, o.status());
@@ -79,79 +73,13 @@
   }
 }
 
+/** The number of a note in a path such as `/operators/v1/releases/7`. */
+function numberIn(path: string): number | undefined {
+  const [, digits] = /^\/operators\/v1\/releases\/(\d+)$/.exec(path) ?? [];
+  return digits === undefined ? undefined : Number(digits);
+}
+
 function hasKey(o: OperatorOptions, req: IncomingMessage): boolean {
   const [, key = ''] = (req.headers.authorization ?? '').split(' ');
   return timingSafeEqual(Buffer.from(digestOf(key)), Buffer.from(digestOf(o.key)));
 }
-
-async function submit(
-  o: OperatorOptions,
-  req: IncomingMessage,
-  res: ServerResponse,
-): Promise<void> {
-  const body = await readBody(req, noteBytes);
-  if (body.isErr()) {
-    return sendJson(res, 413, { error: { code: 'too-large', message: 'the note is too large' } });
-  }
-  const note = parseNote(body.value.toString());
-  if (note.isErr()) return sendInvalid(res, note.error);
-  const digest = digestOfNote(note.value);
-  const command = { kind: 'accept-release', note: note.value, digest, at: o.clock.wall() } as const;
-  const committed = await o.proposer.propose(command, acceptTimeoutMs);
-  if (committed.isErr()) {
-    const { kind, detail } = committed.error;
-    const message =
-      kind === 'unknown' ? 'the note may or may not be accepted; submit it again' : detail;
-    return sendJson(res, 503, { error: { code: kind, message } });
-  }
-  const { outcome } = committed.value;
-  switch (outcome.kind) {
-    case 'release-accepted':
-      return sendJson(res, 200, {
-        number: outcome.number,
-        digest,
-        resend: outcome.resend,
-        ...(await waitInForce(o, outcome.index)),
-      });
-    case 'release-conflict':
-      return sendJson(res, 409, {
-        error: { code: 'conflict', message: `release ${outcome.number} is in force`, ...outcome },
-      });
-    case 'release-invalid':
-      return sendInvalid(res, outcome.problems);
-    case 'done':
-    case 'stale':
-    case 'order-claimed':
-    case 'order-known':
-    case 'order-conflict':
-      return sendJson(res, 500, { error: { code: 'unknown', message: outcome.kind } });
-    default:
-      return unreachable(outcome);
-  }
-}
-
-function sendInvalid(res: ServerResponse, problems: readonly unknown[]): void {
-  sendJson(res, 422, {
-    error: { code: 'invalid-note', message: 'the note is not valid', problems },
-  });
-}
-
-interface InForce {
-  readonly inForce: boolean;
-  readonly waitingFor: readonly NodeId[];
-}
-
-/** Waits until the command at `index` is in force everywhere, or says who lacks it. */
-async function waitInForce(o: OperatorOptions, index: number): Promise<InForce> {
-  const deadline = o.clock.now() + inForceTimeoutMs;
-  let waitingFor: readonly NodeId[] = [];
-  while (o.clock.now() < deadline) {
-    const leader = o.leader();
-    const reply =
-      leader && (await o.transport.call(leader, 'progress', { index }, { timeoutMs: 1000 }));
-    if (reply?.isOk() && reply.value.kind === 'in-force') return { inForce: true, waitingFor: [] };
-    if (reply?.isOk() && reply.value.kind === 'pending') waitingFor = reply.value.waitingFor;
-    await o.clock.sleep(progressPauseMs);
-  }
-  return { inForce: false, waitingFor };
-}
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -13,6 +13,7 @@
   ConfigurationLease,
   Feed,
   History,
+  Progress,
   Upstreams,
   defaultLeaseTiming,
   follow,
@@ -62,6 +63,7 @@
   private readonly stopping = new AbortController();
   private readonly tasks: TaskGroup;
   private readonly proposer: Proposer;
+  private readonly progress: Progress;
   private readonly commitTimes = CommitTimes.create();
   private readonly logger: Logger;
   private readonly callers: Server;
@@ -92,6 +94,7 @@
       onBroken,
     });
     this.proposer = Proposer.create(this.transport, clock, () => settings.voters);
+    this.progress = Progress.create(this.transport, clock, () => settings.voters);
     this.upstreams = this.createUpstreams();
     this.feed = this.createFeed();
     this.owner = this.createOwner();
@@ -288,9 +291,8 @@
       key: this.o.operatorKey,
       state: this.history.state,
       proposer: this.proposer,
-      transport: this.transport,
+      progress: this.progress,
       clock: this.o.clock,
-      leader: () => this.raft?.leader ?? this.o.settings.voters[0],
       status: () => this.status(),
       drain: () => this.drainAsked.ring(),
     };
--- a/packages/release/src/difference.ts
+++ b/packages/release/src/difference.ts
@@ -30,7 +30,9 @@
         const keys = changedKeys(was.get(x.id) ?? {}, x);
         return { kind: 'changed', part: name(x.id), keys } as const;
       }),
-      ...note.withdrawn[kind].map((id) => ({ kind: 'withdrawn', part: name(id), keys: [] } as const)),
+      ...note.withdrawn[kind].map(
+        (id) => ({ kind: 'withdrawn', part: name(id), keys: [] }) as const,
+      ),
     ];
   });
 }
