Spread state and leases through a tree of bounded degree

Every node followed the leader, which would serve 400 long polls. Each node now follows a parent computed from the shared state: one head in each data centre, then levels of eight. A relay gives no more than what is left of its own lease, and reports only what is new below it. The leader calls a note in force once the least index applied by every holder of a lease has reached it, or a lease length has passed. Before, a node recorded as down could still hold a lease while its note was called in force.

--- a/packages/node/src/incoming.ts
+++ b/packages/membership/src/committimes.ts
@@ -9,17 +9,23 @@
 export class CommitTimes {
   private readonly times = new Map<number, Millis>();
 
-  static create(): CommitTimes {
-    return new CommitTimes();
+  private constructor(private floor: Millis) {}
+
+  /** `startedAt` stands for every index that was committed before. */
+  static create(startedAt: Millis): CommitTimes {
+    return new CommitTimes(startedAt);
   }
 
   note(index: number, at: Millis): void {
     this.times.set(index, at);
-    if (this.times.size > kept) this.times.delete(this.times.keys().next().value!);
+    if (this.times.size <= kept) return;
+    const [oldest, oldestAt] = this.times.entries().next().value!;
+    this.times.delete(oldest);
+    this.floor = oldestAt;
   }
 
-  /** When `index` was committed; an index that is no longer kept was committed long ago. */
+  /** A time at which `index` was committed already. */
   at(index: number): Millis {
-    return this.times.get(index) ?? -Infinity;
+    return this.times.get(index) ?? this.floor;
   }
 }
--- a/packages/membership/src/feed.ts
+++ b/packages/membership/src/feed.ts
@@ -3,78 +3,97 @@
 import type { Clock, Millis, NodeId } from '@tanagercart/base';
 import type { FollowCall, FollowReply, ProgressReply, Transport } from '@tanagercart/protocol';
 import type { History } from './history.js';
-import type { LeaseTiming } from './lease.js';
+import type { ConfigurationLease, LeaseTiming } from './lease.js';
+import { longestLeaseMs } from './lease.js';
+import type { Position } from './position.js';
+import { Subtree } from './subtree.js';
 
-/** What a node may pass on: the leader its own lease, a relay what is left of the one it was given. */
-export interface Source {
-  /** Milliseconds for which a lease may be given now; 0 where none may. */
-  leaseMs(): Millis;
-  /** Index that a follower must have applied before it uses a lease given now. */
-  upTo(): number;
-  /** Who to follow where this node cannot give a lease. */
-  parent(): NodeId | undefined;
-}
+/** Longest hold of a call from a node below which some lack committed state, in milliseconds. */
+const catchUpHoldMs: Millis = 50;
 
-/** What is known of one follower. */
-export interface Follower {
-  readonly call: FollowCall;
-  readonly heardAt: Millis;
+/** What a feed needs. */
+export interface FeedOptions {
+  readonly self: NodeId;
+  readonly transport: Transport;
+  readonly history: History;
+  readonly lease: ConfigurationLease;
+  readonly position: Position;
+  readonly clock: Clock;
+  readonly timing: LeaseTiming;
 }
 
-/** Serves the nodes that follow this one. */
+/** Serves the nodes that follow this one, as the leader or as a relay. */
 export class Feed {
-  private readonly heard = new Map<NodeId, Follower>();
-
-  private constructor(
-    private readonly history: History,
-    private readonly source: Source,
-    private readonly clock: Clock,
-    private readonly timing: LeaseTiming,
-  ) {}
+  readonly subtree: Subtree;
 
-  static create(
-    transport: Transport,
-    history: History,
-    source: Source,
-    clock: Clock,
-    timing: LeaseTiming,
-  ): Feed {
-    const feed = new Feed(history, source, clock, timing);
-    transport.serve('follow', (_, call) => feed.onFollow(call));
-    return feed;
+  private constructor(private readonly o: FeedOptions) {
+    this.subtree = Subtree.create(o.clock, o.timing);
   }
 
-  /** Every node heard of, with when. */
-  get followers(): ReadonlyMap<NodeId, Follower> {
-    return this.heard;
+  static create(options: FeedOptions): Feed {
+    const feed = new Feed(options);
+    options.transport.serve('follow', (_, call) => feed.onFollow(call));
+    return feed;
   }
 
-  /** Whether the command at `index`, committed at `at`, is in force on every node. */
+  /**
+   * On the leader: whether the command at `index`, committed at `at`, is in force on every node.
+   * Once this node has led for a lease, every lease that has not run out came from it, and every
+   * holder of one is covered by the floor of the child through which the lease was given.
+   */
   progress(index: number, committedAt: Millis): ProgressReply {
-    const left = committedAt + this.timing.leaseMs - this.clock.now();
+    const { clock, history, position, timing } = this.o;
+    const now = clock.now();
+    const left = committedAt + longestLeaseMs(timing) - now;
     if (left <= 0) return { kind: 'in-force' };
-    const behind = [...this.history.state.nodes.keys()].filter((n) => this.appliedBy(n) < index);
-    if (behind.length === 0) return { kind: 'in-force' };
-    return { kind: 'pending', waitingFor: behind, atMostMs: left };
+    const since = position.leadingSince;
+    const knowsAll = since !== undefined && since + longestLeaseMs(timing) <= now;
+    if (knowsAll && this.subtree.floor(history.state.index) >= index) return { kind: 'in-force' };
+    return { kind: 'pending', waitingFor: this.subtree.behind(index), atMostMs: left };
+  }
+
+  private async onFollow(call: FollowCall): Promise<FollowReply> {
+    const heardAt = this.o.clock.now();
+    const wantsFull = this.subtree.heard(call);
+    if (this.superseded(call) || this.leaseMs() <= 0) return this.elsewhere();
+    await this.hold(call);
+    const leaseMs = this.leaseMs();
+    if (this.superseded(call) || leaseMs <= 0) return this.elsewhere();
+    const { clock, history, position, self } = this.o;
+    this.subtree.leased(call, leaseMs);
+    return {
+      kind: 'state',
+      ...history.since(call.applied),
+      upTo: history.state.index,
+      // Counted from when the call was sent, which was not after it was heard.
+      leaseMs: clock.now() - heardAt + leaseMs,
+      path: [...position.path, self],
+      wantsFull,
+    };
   }
 
-  private appliedBy(node: NodeId): number {
-    return this.heard.get(node)?.call.applied ?? 0;
+  /** Length of a lease that may be given now: the leader's own, or what is left of the relay's. */
+  private leaseMs(): Millis {
+    const { lease, position, timing } = this.o;
+    if (position.leads) return timing.leaseMs;
+    return Math.min(timing.leaseMs, lease.leftMs);
   }
 
-  private async onFollow(call: FollowCall): Promise<FollowReply> {
-    if (this.source.leaseMs() <= 0) return { kind: 'elsewhere', parent: this.source.parent() };
-    this.heard.set(call.node.id, { call, heardAt: this.clock.now() });
-    await this.hold(call.applied);
-    const leaseMs = this.source.leaseMs();
-    if (leaseMs <= 0) return { kind: 'elsewhere', parent: this.source.parent() };
-    const update = this.history.since(call.applied);
-    return { kind: 'state', ...update, upTo: this.source.upTo(), leaseMs };
+  /** Whether a later start of the same node is known. */
+  private superseded(call: FollowCall): boolean {
+    return this.o.history.state.isSuperseded(call.node.id, call.incarnation);
+  }
+
+  private elsewhere(): FollowReply {
+    return { kind: 'elsewhere', parent: this.o.position.leader };
   }
 
-  /** Waits until there is something that the follower lacks, for the hold time at most. */
-  private async hold(applied: number): Promise<void> {
-    if (this.history.state.index > applied) return;
-    await this.history.changed.waitUpTo(this.timing.holdMs, this.clock);
+  /** Waits until there is something that the caller lacks: state, or a longer lease. */
+  private async hold(call: FollowCall): Promise<void> {
+    const { clock, history, lease, position, timing } = this.o;
+    if (history.state.index > call.applied) return;
+    const holdMs = call.floor < history.state.index ? catchUpHoldMs : timing.holdMs;
+    const bell = position.leads ? history.changed : lease.renewed;
+    await bell.waitUpTo(holdMs, clock);
   }
 }
--- a/packages/membership/src/follow.ts
+++ b/packages/membership/src/follow.ts
@@ -1,20 +1,38 @@
 /** The follower's side of configuration: a task that keeps the state and the lease up to date. */
 
-import type { Clock, Logger, NodeId } from '@tanagercart/base';
+import type { Clock, Logger, Millis, NodeId } from '@tanagercart/base';
 import type { FollowCall, FollowReply, NodeAddress, Transport } from '@tanagercart/protocol';
 import type { History } from './history.js';
 import type { ConfigurationLease, LeaseTiming } from './lease.js';
+import type { Position } from './position.js';
+import { Reporter } from './report.js';
+import type { Subtree } from './subtree.js';
+import { ancestors } from './tree.js';
 
 /** Pause before another parent is tried, in milliseconds. */
 const searchPauseMs = 50;
 
+/** Pause between two renewals of the leader's own lease, in milliseconds. */
+const ownRenewalMs = 100;
+
+/** How long a parent that did not answer is passed over, in milliseconds. */
+const avoidMs = 3000;
+
+/** Time for a reply beyond the parent's hold, in milliseconds. */
+const replyMarginMs = 300;
+
+/** Share of a lease below which a parent that does not renew it is passed over. */
+const leastLeaseShare = 0.4;
+
 /** What a follower needs. */
 export interface FollowOptions {
-  readonly self: NodeAddress;
+  readonly self: () => NodeAddress;
   readonly incarnation: string;
   readonly transport: Transport;
   readonly history: History;
   readonly lease: ConfigurationLease;
+  readonly position: Position;
+  readonly subtree: Subtree;
   readonly clock: Clock;
   readonly timing: LeaseTiming;
   readonly logger: Logger;
@@ -23,57 +41,123 @@
   readonly seeds: () => readonly NodeId[];
 }
 
-/** What came of one exchange with a parent. */
-type Step =
-  | { readonly kind: 'taken' }
-  | { readonly kind: 'elsewhere'; readonly parent: NodeId | undefined }
-  | { readonly kind: 'lost' };
-
-/** Follows a parent until `signal` aborts. */
+/** Follows a parent, or renews the own lease while leading, until `signal` aborts. */
 export async function follow(o: FollowOptions, signal: AbortSignal): Promise<void> {
-  let parent: NodeId | undefined;
-  let turn = 0;
-  while (!signal.aborted) {
-    const seeds = o.seeds();
-    const target = parent ?? seeds[turn % Math.max(1, seeds.length)];
-    turn += 1;
-    const step: Step = target ? await followOnce(o, target, signal) : { kind: 'lost' };
-    if (step.kind === 'taken') {
-      parent = target;
-      continue;
+  await Follower.create(o).run(signal);
+}
+
+/** The task of one node that follows others. */
+class Follower {
+  private parent: NodeId | undefined;
+  private turn = 0;
+  /** A node that another named as the one to follow. */
+  private hint: NodeId | undefined;
+  private readonly avoided = new Map<NodeId, Millis>();
+  private readonly reporter: Reporter;
+
+  private constructor(private readonly o: FollowOptions) {
+    this.reporter = Reporter.create(o.subtree);
+  }
+
+  static create(options: FollowOptions): Follower {
+    return new Follower(options);
+  }
+
+  async run(signal: AbortSignal): Promise<void> {
+    const { clock, position } = this.o;
+    while (!signal.aborted) {
+      if (position.leads) {
+        this.renewOwn();
+        await clock.sleep(ownRenewalMs, signal);
+        continue;
+      }
+      const taken = await this.followOnce(signal);
+      if (!taken) await clock.sleep(searchPauseMs, signal);
     }
-    if (parent) {
-      o.logger.info('Looking for another parent.', { parent });
+  }
+
+  /** The leader gives itself the lease that it gives others. */
+  private renewOwn(): void {
+    const { clock, lease, timing } = this.o;
+    lease.renew(clock.now() + timing.leaseMs);
+    this.parent = undefined;
+  }
+
+  /** One exchange with a parent; whether it brought state and a lease. */
+  private async followOnce(signal: AbortSignal): Promise<boolean> {
+    const target = this.choose();
+    if (!target) return false;
+    if (target !== this.parent) this.reporter.startOver();
+    this.parent = target;
+    const { clock, timing, transport } = this.o;
+    const sentAt = clock.now();
+    const timeoutMs = timing.holdMs + replyMarginMs;
+    const reply = await transport.call(target, 'follow', this.call(), { timeoutMs, signal });
+    if (signal.aborted) return false;
+    if (reply.isErr()) return this.leave(target, undefined);
+    if (reply.value.kind === 'elsewhere') return this.leave(target, reply.value.parent);
+    return this.take(target, reply.value, sentAt);
+  }
+
+  private call(): FollowCall {
+    const { history, incarnation, self, subtree } = this.o;
+    const applied = history.state.index;
+    const floor = subtree.floor(applied);
+    return {
+      node: self(),
+      incarnation,
+      applied,
+      floor,
+      behind: floor < applied ? subtree.behind(floor + 1) : [],
+      draining: this.o.draining(),
+      ...this.reporter.next(),
+    };
+  }
+
+  private take(parent: NodeId, reply: FollowReply & { kind: 'state' }, sentAt: Millis): boolean {
+    const { history, lease, position, self, timing } = this.o;
+    // A parent below this node has nothing to give but what it got from here.
+    if (reply.path.includes(self().id)) return this.leave(parent, undefined);
+    if (reply.snapshot) history.restore(reply.snapshot);
+    for (const { index, bytes } of reply.commands) history.apply(index, bytes);
+    if (reply.wantsFull) this.reporter.startOver();
+    position.moved(reply.path);
+    if (history.state.index < reply.upTo) return true;
+    const longer = lease.renew(sentAt + reply.leaseMs);
+    if (!longer && lease.leftMs < timing.leaseMs * leastLeaseShare) {
+      return this.leave(parent, undefined);
     }
-    parent = step.kind === 'elsewhere' ? step.parent : undefined;
-    await o.clock.sleep(searchPauseMs, signal);
+    return true;
   }
-}
 
-/** One exchange with a parent. */
-async function followOnce(o: FollowOptions, parent: NodeId, signal: AbortSignal): Promise<Step> {
-  const sentAt = o.clock.now();
-  const call: FollowCall = {
-    node: o.self,
-    incarnation: o.incarnation,
-    applied: o.history.state.index,
-    draining: o.draining(),
-    below: [],
-  };
-  const timeoutMs = o.timing.holdMs * 2;
-  const reply = await o.transport.call(parent, 'follow', call, { timeoutMs, signal });
-  if (reply.isErr()) {
-    return { kind: 'lost' };
+  /** Passes over a parent for a while. */
+  private leave(parent: NodeId, hint: NodeId | undefined): false {
+    const { clock, logger } = this.o;
+    logger.debug('Looking for another parent.', { parent });
+    this.avoided.set(parent, clock.now() + avoidMs);
+    this.reporter.startOver();
+    this.parent = undefined;
+    this.hint = hint;
+    return false;
   }
-  if (reply.value.kind === 'elsewhere') {
-    return reply.value;
+
+  /** The nearest ancestor that answers, else whoever was named, else a seed. */
+  private choose(): NodeId | undefined {
+    const { history, position, seeds, self } = this.o;
+    const { leader } = position;
+    const own = self().id;
+    const above = leader && leader !== own ? ancestors(history.state.nodes, own, leader) : [];
+    const usable = above.find((n) => !this.isAvoided(n));
+    if (usable) return usable;
+    const { hint } = this;
+    this.hint = undefined;
+    if (hint && hint !== own) return hint;
+    const others = seeds().filter((n) => n !== own);
+    this.turn += 1;
+    return others[this.turn % Math.max(1, others.length)];
   }
-  take(o, reply.value, sentAt);
-  return { kind: 'taken' };
-}
 
-function take(o: FollowOptions, reply: FollowReply & { kind: 'state' }, sentAt: number): void {
-  if (reply.snapshot) o.history.restore(reply.snapshot);
-  for (const { index, bytes } of reply.commands) o.history.apply(index, bytes);
-  if (o.history.state.index >= reply.upTo) o.lease.renew(sentAt + reply.leaseMs);
+  private isAvoided(node: NodeId): boolean {
+    return (this.avoided.get(node) ?? -Infinity) > this.o.clock.now();
+  }
 }
--- a/packages/membership/src/lease.ts
+++ b/packages/membership/src/lease.ts
@@ -1,5 +1,6 @@
 /** The configuration lease: how long this node may take new work under the state that it holds. */
 
+import { Bell } from '@tanagercart/base';
 import type { Clock, Millis } from '@tanagercart/base';
 
 /** Timing of configuration leases and of the detection of silent nodes, in milliseconds. */
@@ -14,8 +15,18 @@
 
 export const defaultLeaseTiming: LeaseTiming = { leaseMs: 2000, holdMs: 400, silenceMs: 1500 };
 
+/** By how much the clocks of two nodes may differ in speed, as a share. */
+const clockDrift = 0.01;
+
+/** Time after which a lease given now has run out on whatever node holds it. */
+export function longestLeaseMs(timing: LeaseTiming): Millis {
+  return timing.leaseMs * (1 + clockDrift);
+}
+
 /** A lease that lapses unless it is renewed. */
 export class ConfigurationLease {
+  /** Rings whenever the lease gets longer. */
+  readonly renewed = Bell.create();
   private until: Millis = -Infinity;
 
   private constructor(private readonly clock: Clock) {}
@@ -24,9 +35,12 @@
     return new ConfigurationLease(clock);
   }
 
-  /** Extends the lease; it never gets shorter. */
-  renew(until: Millis): void {
-    this.until = Math.max(this.until, until);
+  /** Extends the lease; it never gets shorter. Whether it got longer. */
+  renew(until: Millis): boolean {
+    if (until <= this.until) return false;
+    this.until = until;
+    this.renewed.ring();
+    return true;
   }
 
   /** Milliseconds left; 0 when the lease has lapsed. */
--- a/packages/membership/src/registrar.ts
+++ b/packages/membership/src/registrar.ts
@@ -1,10 +1,12 @@
 /** The leader's task that keeps the set of live nodes in the shared state. */
 
-import type { Clock, Logger, Millis, NodeId } from '@tanagercart/base';
-import type { Proposer } from '@tanagercart/state';
+import type { Clock, Logger, Millis } from '@tanagercart/base';
+import type { NodeCommand, Proposer } from '@tanagercart/state';
 import type { Feed } from './feed.js';
 import type { History } from './history.js';
 import type { LeaseTiming } from './lease.js';
+import type { Position } from './position.js';
+import type { Sighting } from './subtree.js';
 
 /** Pause between two looks at the followers, in milliseconds. */
 const lookMs = 100;
@@ -14,53 +16,62 @@
 
 /** What the registrar needs. */
 export interface RegistrarOptions {
+  readonly self: () => Sighting['report'];
   readonly feed: Feed;
   readonly history: History;
   readonly proposer: Proposer;
+  readonly position: Position;
   readonly clock: Clock;
   readonly timing: LeaseTiming;
   readonly logger: Logger;
-  readonly leads: () => boolean;
 }
 
-/** While this node leads, records nodes that come up, drain or fall silent. */
+/** While this node leads, records nodes that come up, drain or fall silent, all of a look at once. */
 export async function keepNodes(o: RegistrarOptions, signal: AbortSignal): Promise<void> {
-  let leadingSince: Millis | undefined;
   while (!signal.aborted) {
     await o.clock.sleep(lookMs, signal);
-    if (!o.leads()) {
-      leadingSince = undefined;
-      continue;
-    }
-    leadingSince ??= o.clock.now();
-    await recordNew(o);
-    await recordGone(o, leadingSince);
+    const since = o.position.leadingSince;
+    if (signal.aborted || since === undefined) continue;
+    const changes = changesOf(o, since);
+    if (changes.length === 0) continue;
+    await o.proposer.propose({ kind: 'roster', changes }, proposeTimeoutMs);
   }
 }
 
-async function recordNew(o: RegistrarOptions): Promise<void> {
-  for (const { call, heardAt } of o.feed.followers.values()) {
-    const known = o.history.state.nodes.get(call.node.id);
-    const fresh = heardAt + o.timing.silenceMs > o.clock.now();
-    if (!fresh || call.draining || known?.incarnation === call.incarnation) continue;
-    o.logger.info('Node is up.', { node: call.node.id });
-    const { node, incarnation } = call;
-    await o.proposer.propose({ kind: 'node-up', node, incarnation }, proposeTimeoutMs);
-  }
+function changesOf(o: RegistrarOptions, leadingSince: Millis): readonly NodeCommand[] {
+  const seen = new Map(o.feed.subtree.sightings());
+  const report = o.self();
+  seen.set(report.node.id, { report, heardAt: o.clock.now() });
+  return [...cameUp(o, seen), ...wentDown(o, seen, leadingSince)];
 }
 
-async function recordGone(o: RegistrarOptions, leadingSince: Millis): Promise<void> {
-  for (const [node, live] of [...o.history.state.nodes]) {
-    const follower = o.feed.followers.get(node);
-    const heardAt = Math.max(follower?.heardAt ?? 0, leadingSince);
-    const silent = heardAt + o.timing.silenceMs <= o.clock.now();
-    const drains = follower?.call.draining === true;
-    if (!silent && !drains) continue;
-    o.logger.info(drains ? 'Node drains.' : 'Node is silent.', { node });
-    await down(o, node, live.incarnation);
+function cameUp(o: RegistrarOptions, seen: ReadonlyMap<string, Sighting>): readonly NodeCommand[] {
+  const { state } = o.history;
+  const changes: NodeCommand[] = [];
+  for (const { report } of seen.values()) {
+    const { node, incarnation, draining } = report;
+    const known = state.nodes.get(node.id)?.incarnation === incarnation;
+    if (draining || known || state.isSuperseded(node.id, incarnation)) continue;
+    o.logger.info('Node is up.', { node: node.id });
+    changes.push({ kind: 'node-up', node, incarnation });
   }
+  return changes;
 }
 
-async function down(o: RegistrarOptions, node: NodeId, incarnation: string): Promise<void> {
-  await o.proposer.propose({ kind: 'node-down', node, incarnation }, proposeTimeoutMs);
+/** A new leader waits for a silence of its own before it counts any node as silent. */
+function wentDown(
+  o: RegistrarOptions,
+  seen: ReadonlyMap<string, Sighting>,
+  leadingSince: Millis,
+): readonly NodeCommand[] {
+  const changes: NodeCommand[] = [];
+  const mayJudge = leadingSince + o.timing.silenceMs <= o.clock.now();
+  for (const [node, { incarnation }] of o.history.state.nodes) {
+    const sighting = seen.get(node);
+    const drains = sighting?.report.draining === true;
+    if (!drains && (sighting || !mayJudge)) continue;
+    o.logger.info(drains ? 'Node drains.' : 'Node is silent.', { node });
+    changes.push({ kind: 'node-down', node, incarnation });
+  }
+  return changes;
 }
--- /dev/null
+++ b/packages/membership/test/cluster.ts
@@ -0,0 +1,151 @@
+/** A cluster in memory with held time: real voters, leases and followers, and no callers. */
+
+import {
+  DataCentreId,
+  HeldClock,
+  NodeId,
+  SeededRandom,
+  TaskGroup,
+  digestOf,
+  silentLogger,
+} from '@tanagercart/base';
+import { MemoryStore, Raft, defaultTiming } from '@tanagercart/log';
+import { MemoryNetwork, encode } from '@tanagercart/protocol';
+import { Proposer } from '@tanagercart/state';
+import type { ReleaseCommand } from '@tanagercart/state';
+import { Control, History, Progress, defaultLeaseTiming } from '../src/index.js';
+
+type ReleaseNote = ReleaseCommand['note'];
+
+const none = { priceLists: [], clientAccounts: [], models: [], services: [] };
+
+/** A note that changes nothing but the number. */
+export const emptyNote = (number: number, author = 'ops'): ReleaseNote => ({
+  number,
+  author,
+  added: none,
+  changed: none,
+  withdrawn: none,
+});
+
+const broken = (error: unknown) => {
+  throw error;
+};
+
+function startMember(net: MemoryNetwork, clock: HeldClock, name: string, o: ClusterOptions) {
+  const id = NodeId(name);
+  const transport = net.attach(id);
+  const history = History.create();
+  const stop = new AbortController();
+  const tasks = TaskGroup.create(broken);
+  const voters = o.voters.map(NodeId);
+  const proposer = Proposer.create(transport, clock, () => voters);
+  const member = { draining: false, raft: undefined as Raft | undefined };
+  const dataCentre = DataCentreId(o.dataCentreOf?.(name) ?? 'north');
+  const control = Control.create({
+    self: () => ({ id, dataCentre, peer: '', entry: '' }),
+    incarnation: `${name}@${clock.now()}`,
+    transport,
+    history,
+    proposer,
+    leadership: {
+      leads: () => member.raft?.holdsLease === true,
+      leader: () => member.raft?.leader,
+    },
+    clock,
+    timing: defaultLeaseTiming,
+    logger: silentLogger,
+    draining: () => member.draining,
+    seeds: () => voters,
+  });
+  if (voters.includes(id)) {
+    member.raft = Raft.create({
+      self: id,
+      voters,
+      transport,
+      store: MemoryStore.create(),
+      machine: {
+        apply: (index, bytes) => {
+          control.commitTimes.note(index, clock.now());
+          return encode(history.apply(index, bytes));
+        },
+      },
+      clock,
+      random: net.random,
+      timing: defaultTiming,
+      logger: silentLogger,
+      onBroken: broken,
+    });
+  }
+  transport.serve('propose', async (_, { bytes }) => {
+    if (!member.raft) return { kind: 'not-leader', leader: undefined };
+    const applied = await member.raft.propose(bytes);
+    if (applied.isOk()) return { kind: 'applied', ...applied.value };
+    if (applied.error.kind === 'not-leader') return applied.error;
+    return { kind: 'unknown', reason: 'leadership was lost' };
+  });
+  control.start(tasks, stop.signal);
+  const progress = Progress.create(transport, clock, () => voters);
+  const kill = async () => {
+    net.detach(id);
+    stop.abort();
+    await member.raft?.stop();
+  };
+  return { id, member, control, history, proposer, progress, kill };
+}
+
+export type Member = ReturnType<typeof startMember>;
+
+export interface ClusterOptions {
+  readonly names: readonly string[];
+  readonly voters: readonly string[];
+  readonly dataCentreOf?: (name: string) => string;
+  readonly seed?: number;
+}
+
+/** Starts a cluster and lets it come to rest. */
+export async function startCluster(o: ClusterOptions) {
+  const clock = HeldClock.create();
+  const net = MemoryNetwork.create(clock, SeededRandom.create(o.seed ?? 1));
+  const start = (name: string) => startMember(net, clock, name, o);
+  const members = new Map(o.names.map((name) => [name, start(name)]));
+  await clock.advance(5000);
+  const all = () => [...members.values()];
+  const leader = () => all().find((m) => m.control.position.leads);
+  const isolate = (m: Member) => {
+    for (const other of all()) {
+      net.cut(m.id, other.id);
+      net.cut(other.id, m.id);
+    }
+  };
+  const submit = (m: Member, note: ReleaseNote) =>
+    m.proposer.propose(
+      { kind: 'accept-release', note, digest: digestOf(JSON.stringify(note)), at: 0 },
+      5000,
+    );
+  const stop = async () => {
+    const stopped = Promise.all(all().map((m) => m.kill()));
+    await clock.advance(10_000);
+    await stopped;
+  };
+  return { clock, net, members, all, leader, isolate, submit, start, stop };
+}
+
+export type Cluster = Awaited<ReturnType<typeof startCluster>>;
+
+/** Advances time in small steps until `done` holds; the milliseconds that it took. */
+export async function until(c: Cluster, done: () => boolean, limitMs = 20_000): Promise<number> {
+  const from = c.clock.now();
+  while (!done() && c.clock.now() < from + limitMs) await c.clock.advance(10);
+  return c.clock.now() - from;
+}
+
+/** Runs a promise to its end by advancing time. */
+export async function finish<T>(c: Cluster, promise: Promise<T>): Promise<T> {
+  let settled = false;
+  const watched = promise.finally(() => {
+    settled = true;
+  });
+  await until(c, () => settled);
+  return watched;
+}
--- a/packages/membership/test/follow.test.ts
+++ b/packages/membership/test/follow.test.ts
@@ -2,40 +2,50 @@
 import { test } from 'node:test';
 import { DataCentreId, HeldClock, NodeId, SeededRandom, silentLogger } from '@tanagercart/base';
 import { MemoryNetwork } from '@tanagercart/protocol';
-import { ConfigurationLease, Feed, History, defaultLeaseTiming, follow } from '../src/index.js';
+import {
+  ConfigurationLease,
+  Feed,
+  History,
+  Position,
+  Subtree,
+  defaultLeaseTiming,
+  follow,
+} from '../src/index.js';
 
 const self = NodeId('a');
+const parent = NodeId('b');
+const timing = defaultLeaseTiming;
 
-function fixture(leaseMs: () => number) {
+function fixture(leads: () => boolean) {
   const clock = HeldClock.create();
-  const transport = MemoryNetwork.create(clock, SeededRandom.create(1)).attach(self);
-  const history = History.create();
-  const lease = ConfigurationLease.create(clock);
-  const source = { leaseMs, upTo: () => history.state.index, parent: () => self };
-  Feed.create(transport, history, source, clock, defaultLeaseTiming);
+  const net = MemoryNetwork.create(clock, SeededRandom.create(1));
+  const none = { leads: () => false, leader: () => undefined };
+  const own = { history: History.create(), lease: ConfigurationLease.create(clock), clock, timing };
+  const position = Position.create(clock, { leads, leader: () => parent });
+  const transport = net.attach(parent);
+  Feed.create({ ...own, self: parent, transport, position, history: History.create() });
   const options = {
-    self: { id: self, dataCentre: DataCentreId('north'), peer: '', entry: '' },
+    ...own,
+    self: () => ({ id: self, dataCentre: DataCentreId('north'), peer: '', entry: '' }),
     incarnation: '1',
-    transport,
-    history,
-    lease,
-    clock,
-    timing: defaultLeaseTiming,
+    transport: net.attach(self),
+    position: Position.create(clock, none),
+    subtree: Subtree.create(clock, timing),
     logger: silentLogger,
     draining: () => false,
-    seeds: () => [self],
+    seeds: () => [parent],
   };
-  return { clock, lease, options };
+  return { clock, lease: own.lease, options };
 }
 
 test('a leader that cannot give leases yet is asked again after a pause', async () => {
-  let leaseMs = 0;
-  const f = fixture(() => leaseMs);
+  let leads = false;
+  const f = fixture(() => leads);
   const stop = new AbortController();
   const done = follow(f.options, stop.signal);
   await f.clock.advance(500);
   assert.equal(f.lease.valid, false);
-  leaseMs = 2000;
+  leads = true;
   await f.clock.advance(500);
   assert.equal(f.lease.valid, true);
   stop.abort();
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -10,16 +10,14 @@
 import { Door, createCallerServer, createOperatorServer } from '@tanagercart/entry';
 import { MemoryStore, Raft, defaultTiming } from '@tanagercart/log';
 import {
-  ConfigurationLease,
-  Feed,
+  Control,
   History,
   Progress,
   Upstreams,
   defaultLeaseTiming,
-  follow,
-  keepNodes,
   ownerOf,
 } from '@tanagercart/membership';
+import type { ConfigurationLease } from '@tanagercart/membership';
 import { TcpTransport, encode } from '@tanagercart/protocol';
 import type { NodeAddress } from '@tanagercart/protocol';
 import type { Model } from '@tanagercart/release';
@@ -29,7 +27,6 @@
 import { Proposer } from '@tanagercart/state';
 import type { Replica, Upstream } from '@tanagercart/state';
 import { HttpEngines, HttpServices, createPool } from '@tanagercart/upstream';
-import { CommitTimes } from './incoming.js';
 import { close, listen } from './server.js';
 
 /** Entries that a caller is told of at most. */
@@ -57,20 +54,18 @@
 export class Node {
   readonly metrics: Metrics;
   readonly history = History.create();
-  readonly lease: ConfigurationLease;
   readonly transport: TcpTransport;
   private readonly pool = createPool();
   private readonly stopping = new AbortController();
   private readonly tasks: TaskGroup;
   private readonly proposer: Proposer;
   private readonly progress: Progress;
-  private readonly commitTimes = CommitTimes.create();
+  private readonly control: Control;
   private readonly logger: Logger;
   private readonly callers: Server;
   private readonly operators: Server;
   private readonly owner: Owner;
   private readonly upstreams: Upstreams;
-  private readonly feed: Feed;
   private raft: Raft | undefined;
   private address: NodeAddress;
   private draining = false;
@@ -83,7 +78,6 @@
     this.logger = o.logger;
     this.metrics = StatsdMetrics.create(statsdOf(settings));
     this.tasks = TaskGroup.create(onBroken);
-    this.lease = ConfigurationLease.create(clock);
     this.address = addressOf(settings);
     this.transport = TcpTransport.create({
       self,
@@ -96,7 +90,7 @@
     this.proposer = Proposer.create(this.transport, clock, () => settings.voters);
     this.progress = Progress.create(this.transport, clock, () => settings.voters);
     this.upstreams = this.createUpstreams();
-    this.feed = this.createFeed();
+    this.control = this.createControl();
     this.owner = this.createOwner();
     this.callers = createCallerServer(this.createDoor(), settings.limits.requestMs, onBroken);
     this.callers.on('request', (_, res) => {
@@ -127,6 +121,11 @@
   /** Base URL for operators. */
   operatorUrl = '';
 
+  /** How long this node may take new work under the state that it holds. */
+  get lease(): ConfigurationLease {
+    return this.control.lease;
+  }
+
   /** Whether this node may take new work now. */
   get ready(): boolean {
     return this.lease.valid && !this.draining;
@@ -190,9 +189,7 @@
     const { signal } = this.stopping;
     if (this.o.settings.voters.includes(this.id)) this.raft = this.createRaft();
     this.servePropose();
-    this.serveProgress();
-    this.tasks.start(() => follow(this.followOptions(), signal));
-    this.tasks.start(() => keepNodes(this.registrarOptions(), signal));
+    this.control.start(this.tasks, signal);
     this.tasks.start(() => keepPlans(this.plannerOptions(), signal));
     this.tasks.start(() => this.upstreams.watch(signal));
   }
@@ -206,7 +203,7 @@
       store: MemoryStore.create(),
       machine: {
         apply: (index, bytes) => {
-          this.commitTimes.note(index, clock.now());
+          this.control.commitTimes.note(index, clock.now());
           return encode(this.history.apply(index, bytes));
         },
       },
@@ -229,13 +226,20 @@
     });
   }
 
-  private createFeed(): Feed {
-    const source = {
-      leaseMs: () => (this.leads() ? defaultLeaseTiming.leaseMs : 0),
-      upTo: () => this.history.state.index,
-      parent: () => this.raft?.leader,
-    };
-    return Feed.create(this.transport, this.history, source, this.o.clock, defaultLeaseTiming);
+  private createControl(): Control {
+    return Control.create({
+      self: () => this.address,
+      incarnation: randomUUID(),
+      transport: this.transport,
+      history: this.history,
+      proposer: this.proposer,
+      leadership: { leads: () => this.leads(), leader: () => this.raft?.leader },
+      clock: this.o.clock,
+      timing: defaultLeaseTiming,
+      logger: this.logger.part('control'),
+      draining: () => this.draining,
+      seeds: () => this.o.settings.voters,
+    });
   }
 
   private createOwner(): Owner {
@@ -314,33 +318,6 @@
     };
   }
 
-  private followOptions() {
-    return {
-      self: this.address,
-      incarnation: randomUUID(),
-      transport: this.transport,
-      history: this.history,
-      lease: this.lease,
-      clock: this.o.clock,
-      timing: defaultLeaseTiming,
-      logger: this.logger.part('follow'),
-      draining: () => this.draining,
-      seeds: () => this.o.settings.voters,
-    };
-  }
-
-  private registrarOptions() {
-    return {
-      feed: this.feed,
-      history: this.history,
-      proposer: this.proposer,
-      clock: this.o.clock,
-      timing: defaultLeaseTiming,
-      logger: this.logger.part('nodes'),
-      leads: () => this.leads(),
-    };
-  }
-
   private plannerOptions() {
     return {
       state: this.history.state,
@@ -361,13 +338,6 @@
     });
   }
 
-  private serveProgress(): void {
-    this.transport.serve('progress', async (_, call) => {
-      if (!this.leads()) return { kind: 'not-leader', leader: this.raft?.leader };
-      return this.feed.progress(call.index, this.commitTimes.at(call.index));
-    });
-  }
-
   private leads(): boolean {
     return this.raft?.holdsLease === true;
   }
--- a/packages/protocol/src/followmessage.ts
+++ b/packages/protocol/src/followmessage.ts
@@ -10,20 +10,27 @@
   readonly incarnation: string;
   /** Last index applied by the caller. */
   readonly applied: number;
+  /** Least index applied by the caller and by every node that may hold a lease from it. */
+  readonly floor: number;
+  /** Some of the nodes below the caller that have applied no more than `floor`. */
+  readonly behind: readonly NodeId[];
   /** Whether the caller refuses new work because it is shutting down. */
   readonly draining: boolean;
-  /** Nodes that follow through the caller, with what each has applied. */
+  /** Counts the calls of the caller; a gap means that a report was lost. */
+  readonly seq: number;
+  /** Whether `below` lists every node below the caller, or only what is new since the last call. */
+  readonly full: boolean;
+  /** Nodes that follow through the caller. */
   readonly below: readonly FollowerReport[];
+  /** Nodes that no longer follow through the caller. */
+  readonly gone: readonly NodeId[];
 }
 
 /** What a node tells its parent about a node below it. */
 export interface FollowerReport {
   readonly node: NodeAddress;
   readonly incarnation: string;
-  readonly applied: number;
   readonly draining: boolean;
-  /** Age of this report in milliseconds. */
-  readonly ageMs: number;
 }
 
 export type FollowReply =
@@ -36,6 +43,10 @@
       readonly upTo: number;
       /** Length of the lease in milliseconds, counted from when the call was sent. */
       readonly leaseMs: number;
+      /** The nodes from the leader down to the parent, both included. */
+      readonly path: readonly NodeId[];
+      /** Whether the next call must list every node below the caller. */
+      readonly wantsFull: boolean;
     }
   | { readonly kind: 'elsewhere'; readonly parent: NodeId | undefined };
 
--- a/packages/state/src/command.ts
+++ b/packages/state/src/command.ts
@@ -5,15 +5,16 @@
 import type { OrderChange, OrderCommand } from './orders.js';
 import type { QuarantineCommand, QuarantineOutcome } from './quarantine.js';
 import type { ReleaseCommand, ReleaseOutcome } from './releases.js';
+import type { RosterCommand, RosterOutcome } from './roster.js';
 import type { UpstreamCommand, UpstreamOutcome } from './upstreams.js';
 
 /** One change of the replicated state. */
 export type Command =
-  ReleaseCommand | NodeCommand | UpstreamCommand | OrderCommand | QuarantineCommand;
+  ReleaseCommand | NodeCommand | RosterCommand | UpstreamCommand | OrderCommand | QuarantineCommand;
 
 /** What a command came to. */
 export type Outcome =
-  ReleaseOutcome | NodeOutcome | UpstreamOutcome | OrderChange | QuarantineOutcome;
+  ReleaseOutcome | NodeOutcome | RosterOutcome | UpstreamOutcome | OrderChange | QuarantineOutcome;
 
 /** Encodes a command for the log. */
 export function encodeCommand(command: Command): Uint8Array {
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -1,6 +1,7 @@
 export * from './releases.js';
 export * from './nodes.js';
 export * from './upstreams.js';
+export * from './roster.js';
 export * from './orders.js';
 export * from './quarantine.js';
 export * from './command.js';
--- a/packages/state/src/nodes.ts
+++ b/packages/state/src/nodes.ts
@@ -20,9 +20,17 @@
   readonly since: number;
 }
 
+/** Nodes of which earlier starts are remembered. */
+const rememberedNodes = 1024;
+
+/** Earlier starts of a node that are remembered. */
+const rememberedStarts = 4;
+
 /** The live nodes as a snapshot holds them. */
 export interface NodeImage {
   readonly view: number;
+  /** Starts of each node, the latest last. */
+  readonly starts: readonly (readonly [NodeId, readonly string[]])[];
   readonly nodes: readonly LiveNode[];
 }
 
@@ -30,6 +38,7 @@
 export class NodeTable {
   private index = 0;
   private readonly table = new Map<NodeId, LiveNode>();
+  private readonly starts = new Map<NodeId, readonly string[]>();
 
   static create(): NodeTable {
     return new NodeTable();
@@ -44,6 +53,12 @@
     return this.index;
   }
 
+  /** Whether a later start of the node is known than `incarnation`. */
+  isSuperseded(node: NodeId, incarnation: string): boolean {
+    const starts = this.starts.get(node) ?? [];
+    return starts.includes(incarnation) && starts.at(-1) !== incarnation;
+  }
+
   apply(index: number, command: NodeCommand): NodeOutcome {
     switch (command.kind) {
       case 'node-up':
@@ -56,7 +71,7 @@
   }
 
   image(): NodeImage {
-    return { view: this.index, nodes: [...this.table.values()] };
+    return { view: this.index, starts: [...this.starts], nodes: [...this.table.values()] };
   }
 
   restore(image: NodeImage): void {
@@ -64,10 +79,18 @@
     for (const node of image.nodes) {
       this.table.set(node.address.id, node);
     }
+    this.starts.clear();
+    for (const [node, starts] of image.starts) {
+      this.starts.set(node, starts);
+    }
     this.index = image.view;
   }
 
   private up(index: number, address: NodeAddress, incarnation: string): NodeOutcome {
+    if (this.isSuperseded(address.id, incarnation)) {
+      return { kind: 'stale' };
+    }
+    this.remember(address.id, incarnation);
     this.table.set(address.id, { address, incarnation, since: index });
     this.index = index;
     return { kind: 'done' };
@@ -81,4 +104,13 @@
     this.index = index;
     return { kind: 'done' };
   }
+
+  private remember(node: NodeId, incarnation: string): void {
+    const known = this.starts.get(node) ?? [];
+    if (known.at(-1) === incarnation) return;
+    this.starts.delete(node);
+    this.starts.set(node, [...known, incarnation].slice(-rememberedStarts));
+    const oldest = this.starts.keys().next().value;
+    if (this.starts.size > rememberedNodes && oldest) this.starts.delete(oldest);
+  }
 }
--- a/packages/state/src/state.ts
+++ b/packages/state/src/state.ts
@@ -13,6 +13,7 @@
 import type { QuarantineImage } from './quarantine.js';
 import { ReleaseTable } from './releases.js';
 import type { ReleaseImage } from './releases.js';
+import type { RosterCommand, RosterOutcome } from './roster.js';
 import { UpstreamTable } from './upstreams.js';
 import type { Replica, Upstream, UpstreamImage } from './upstreams.js';
 
@@ -57,6 +58,11 @@
     return this.nodeTable.view;
   }
 
+  /** Whether a later start of the node is known than `incarnation`. */
+  isSuperseded(node: NodeId, incarnation: string): boolean {
+    return this.nodeTable.isSuperseded(node, incarnation);
+  }
+
   get upstreams(): ReadonlyMap<UpstreamId, Upstream> {
     return this.upstreamTable.upstreams;
   }
@@ -112,6 +118,8 @@
       case 'upstream-down':
       case 'plan':
         return this.upstreamTable.apply(command);
+      case 'roster':
+        return this.changeRoster(index, command);
       case 'claim-order':
       case 'settle-order':
         return this.orders.apply(command);
@@ -122,4 +130,9 @@
         return unreachable(command);
     }
   }
+
+  private changeRoster(index: number, { changes }: RosterCommand): RosterOutcome {
+    const outcomes = changes.map((c) => this.change(index, c));
+    return { kind: 'roster-done', stale: outcomes.filter((o) => o.kind === 'stale').length };
+  }
 }
