Let a new owner wait until the old one can grant no more

A replica that changed hands could be granted by two owners at once: the old one until it learned of the change, the new one at once. A stage that changes hands is now barred for the old owner's lease and the longest start of a grant. A process is known by its incarnation, so a restarted node waits for its old self too.

--- a/packages/membership/src/history.ts
+++ b/packages/membership/src/history.ts
@@ -19,6 +19,7 @@
   readonly state = SharedState.create();
   /** Rings at each change of the state. */
   readonly changed = Bell.create();
+  private readonly listeners: ((jumped: boolean) => void)[] = [];
   private recent: CommittedCommand[] = [];
   /** Index before the first of `recent`. */
   private base = 0;
@@ -27,6 +28,11 @@
     return new History();
   }
 
+  /** Calls `listener` at each change, before any other task runs; `jumped` after a snapshot. */
+  onChange(listener: (jumped: boolean) => void): void {
+    this.listeners.push(listener);
+  }
+
   /** Applies a committed command, unless it is applied already. */
   apply(index: number, bytes: Uint8Array): Outcome {
     if (index <= this.state.index) return { kind: 'stale' };
@@ -35,7 +41,7 @@
     invariant(this.state.release.number >= before, 'a release never reverts');
     this.recent.push({ index, bytes });
     this.trim();
-    this.changed.ring();
+    this.tell(false);
     return outcome;
   }
 
@@ -45,7 +51,7 @@
     this.state.restore(snapshot.index, snapshot.bytes);
     this.recent = [];
     this.base = snapshot.index;
-    this.changed.ring();
+    this.tell(true);
   }
 
   /** What a node lacks that has applied up to `applied`. */
@@ -58,6 +64,11 @@
     return { commands: [], snapshot: { index, bytes: this.state.snapshot() } };
   }
 
+  private tell(jumped: boolean): void {
+    for (const listener of this.listeners) listener(jumped);
+    this.changed.ring();
+  }
+
   private trim(): void {
     while (this.recent.length > keptCommands) {
       this.base = this.recent.shift()!.index;
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -8,6 +8,7 @@
 export * from './follow.js';
 export * from './registrar.js';
 export * from './owner.js';
+export * from './ownership.js';
 export * from './progress.js';
 export * from './upstreams.js';
 export * from './committimes.js';
--- a/packages/membership/src/lease.ts
+++ b/packages/membership/src/lease.ts
@@ -18,9 +18,14 @@
 /** By how much the clocks of two nodes may differ in speed, as a share. */
 const clockDrift = 0.01;
 
+/** The longest that `ms` measured on one node may last on another. */
+export function withDrift(ms: Millis): Millis {
+  return ms * (1 + clockDrift);
+}
+
 /** Time after which a lease given now has run out on whatever node holds it. */
 export function longestLeaseMs(timing: LeaseTiming): Millis {
-  return timing.leaseMs * (1 + clockDrift);
+  return withDrift(timing.leaseMs);
 }
 
 /** A lease that lapses unless it is renewed. */
--- a/packages/membership/src/registrar.ts
+++ b/packages/membership/src/registrar.ts
@@ -71,7 +71,7 @@
     const drains = sighting?.report.draining === true;
     if (!drains && (sighting || !mayJudge)) continue;
     o.logger.info(drains ? 'Node drains.' : 'Node is silent.', { node });
-    changes.push({ kind: 'node-down', node, incarnation });
+    changes.push({ kind: 'node-down', node, incarnation, stopped: drains });
   }
   return changes;
 }
--- a/packages/membership/src/subtree.ts
+++ b/packages/membership/src/subtree.ts
@@ -3,7 +3,7 @@
 import type { Clock, Millis, NodeId } from '@tanagercart/base';
 import type { FollowCall, FollowerReport } from '@tanagercart/protocol';
 import type { LeaseTiming } from './lease.js';
-import { longestLeaseMs } from './lease.js';
+import { withDrift } from './lease.js';
 
 /** Nodes behind the others that are named to the parent at most. */
 const namedBehind = 8;
@@ -63,8 +63,7 @@
   leased(call: FollowCall, leaseMs: Millis): void {
     const child = this.children.get(keyOf(call));
     if (!child) return;
-    const until = this.clock.now() + (leaseMs * longestLeaseMs(this.timing)) / this.timing.leaseMs;
-    child.leasedUntil = Math.max(child.leasedUntil, until);
+    child.leasedUntil = Math.max(child.leasedUntil, this.clock.now() + withDrift(leaseMs));
   }
 
   /** Least index applied by every process that may hold a lease from here, `own` included. */
--- a/packages/membership/test/cluster.ts
+++ b/packages/membership/test/cluster.ts
@@ -13,7 +13,7 @@
 import { MemoryNetwork, encode } from '@tanagercart/protocol';
 import { Proposer } from '@tanagercart/state';
 import type { ReleaseCommand } from '@tanagercart/state';
-import { Control, History, Progress, defaultLeaseTiming } from '../src/index.js';
+import { Control, History, Ownership, Progress, defaultLeaseTiming } from '../src/index.js';
 
 type ReleaseNote = ReleaseCommand['note'];
 
@@ -85,13 +85,23 @@
     return { kind: 'unknown', reason: 'leadership was lost' };
   });
   control.start(tasks, stop.signal);
+  const incarnation = `${name}@${clock.now()}`;
+  const ownership = Ownership.create({
+    self: id,
+    incarnation,
+    history,
+    transport,
+    clock,
+    timing: defaultLeaseTiming,
+  });
+  tasks.start(() => ownership.watch(stop.signal));
   const progress = Progress.create(transport, clock, () => voters);
   const kill = async () => {
     net.detach(id);
     stop.abort();
     await member.raft?.stop();
   };
-  return { id, member, control, history, proposer, progress, kill };
+  return { id, member, control, history, ownership, proposer, progress, kill };
 }
 
 export type Member = ReturnType<typeof startMember>;
--- a/packages/membership/test/inforce.test.ts
+++ b/packages/membership/test/inforce.test.ts
@@ -93,7 +93,9 @@
 
 test('nodes below a relay that dies keep their leases', async () => {
   const c = await startCluster({ names: names(24), voters });
-  const relay = c.all().find((m) => m !== c.leader() && c.all().some((x) => x.control.position.path.at(-1) === m.id))!;
+  const relay = c
+    .all()
+    .find((m) => m !== c.leader() && c.all().some((x) => x.control.position.path.at(-1) === m.id))!;
   await relay.kill();
   c.members.delete(relay.id);
   let lapsed = 0;
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -12,10 +12,10 @@
 import {
   Control,
   History,
+  Ownership,
   Progress,
   Upstreams,
   defaultLeaseTiming,
-  ownerOf,
 } from '@tanagercart/membership';
 import type { ConfigurationLease } from '@tanagercart/membership';
 import { TcpTransport, encode } from '@tanagercart/protocol';
@@ -65,6 +65,8 @@
   private readonly callers: Server;
   private readonly operators: Server;
   private readonly owner: Owner;
+  private readonly ownership: Ownership;
+  private readonly incarnation = randomUUID();
   private readonly upstreams: Upstreams;
   private raft: Raft | undefined;
   private address: NodeAddress;
@@ -91,6 +93,14 @@
     this.progress = Progress.create(this.transport, clock, () => settings.voters);
     this.upstreams = this.createUpstreams();
     this.control = this.createControl();
+    this.ownership = Ownership.create({
+      self,
+      incarnation: this.incarnation,
+      history: this.history,
+      transport: this.transport,
+      clock,
+      timing: defaultLeaseTiming,
+    });
     this.owner = this.createOwner();
     this.callers = createCallerServer(this.createDoor(), settings.limits.requestMs, onBroken);
     this.callers.on('request', (_, res) => {
@@ -192,6 +202,7 @@
     this.control.start(this.tasks, signal);
     this.tasks.start(() => keepPlans(this.plannerOptions(), signal));
     this.tasks.start(() => this.upstreams.watch(signal));
+    this.tasks.start(() => this.ownership.watch(signal));
   }
 
   private createRaft(): Raft {
@@ -229,7 +240,7 @@
   private createControl(): Control {
     return Control.create({
       self: () => this.address,
-      incarnation: randomUUID(),
+      incarnation: this.incarnation,
       transport: this.transport,
       history: this.history,
       proposer: this.proposer,
@@ -248,8 +259,8 @@
       state: this.history.state,
       clock: this.o.clock,
       transport: this.transport,
-      mayGrant: () => this.lease.valid,
-      owns: (replica) => this.ownerOfReplica(replica) === this.id,
+      mayGrant: () => this.ready,
+      owns: (replica) => this.ownership.mayGrant(replica),
       isLeaving: (upstream) => this.upstreams.isLeaving(upstream.id),
     });
   }
@@ -313,7 +324,10 @@
       leader: this.raft?.leader,
       voters: this.o.settings.voters,
       nodes: [...state.nodes.values()].map((n) => n.address),
-      replicas: [...state.replicas.values()].map((r) => ({ ...r, owner: this.ownerOfReplica(r) })),
+      replicas: [...state.replicas.values()].map((r) => ({
+        ...r,
+        owner: this.ownership.ownerOf(r),
+      })),
       upstreams: [...state.upstreams.values()],
     };
   }
@@ -347,16 +361,10 @@
     return known ?? this.o.settings.peers.find((p) => p.id === node)?.peer;
   }
 
-  private ownerOfReplica(replica: Replica): NodeId | undefined {
-    const [first] = replica.stages;
-    const dataCentre = first && this.history.state.upstreams.get(first)?.dataCentre;
-    return ownerOf(this.history.state, replica.id, dataCentre ?? '');
-  }
-
   private ownersOf(model: Model): readonly NodeId[] {
     const owners = new Set<NodeId>();
     for (const replica of this.history.state.replicas.values()) {
-      const owner = replica.model === model.id && this.ownerOfReplica(replica);
+      const owner = replica.model === model.id && this.ownership.ownerOf(replica);
       if (owner) owners.add(owner);
     }
     return rendezvous(randomUUID(), [...owners]);
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -1,6 +1,7 @@
 export * from './address.js';
 export * from './logmessage.js';
 export * from './followmessage.js';
+export * from './ownermessage.js';
 export * from './grantmessage.js';
 export * from './announcemessage.js';
 export * from './refusal.js';
--- a/packages/protocol/src/message.ts
+++ b/packages/protocol/src/message.ts
@@ -10,6 +10,7 @@
   ReleaseCall,
   ReleaseReply,
 } from './grantmessage.js';
+import type { HandoverCall, HandoverReply } from './ownermessage.js';
 import type {
   AppendCall,
   AppendReply,
@@ -35,6 +36,7 @@
   acquire: { call: AcquireCall; reply: AcquireReply };
   release: { call: ReleaseCall; reply: ReleaseReply };
   preempt: { call: PreemptCall; reply: PreemptReply };
+  handover: { call: HandoverCall; reply: HandoverReply };
   announce: { call: AnnounceCall; reply: AnnounceReply };
 }
 
--- a/packages/state/src/nodes.ts
+++ b/packages/state/src/nodes.ts
@@ -7,7 +7,13 @@
 /** Changes of the set of live nodes. */
 export type NodeCommand =
   | { readonly kind: 'node-up'; readonly node: NodeAddress; readonly incarnation: string }
-  | { readonly kind: 'node-down'; readonly node: NodeId; readonly incarnation: string };
+  | {
+      readonly kind: 'node-down';
+      readonly node: NodeId;
+      readonly incarnation: string;
+      /** Whether the process is known to give no grants any more. */
+      readonly stopped: boolean;
+    };
 
 /** What became of a change of the nodes. */
 export type NodeOutcome = { readonly kind: 'done' } | { readonly kind: 'stale' };
@@ -20,6 +26,13 @@
   readonly since: number;
 }
 
+/** A process that was recorded as down. */
+export interface Departure {
+  readonly incarnation: string;
+  /** Whether it was known to give no grants any more. */
+  readonly stopped: boolean;
+}
+
 /** Nodes of which earlier starts are remembered. */
 const rememberedNodes = 1024;
 
@@ -31,13 +44,17 @@
   readonly view: number;
   /** Starts of each node, the latest last. */
   readonly starts: readonly (readonly [NodeId, readonly string[]])[];
+  readonly departures: readonly (readonly [NodeId, Departure])[];
   readonly nodes: readonly LiveNode[];
 }
 
+type NodeDown = NodeCommand & { readonly kind: 'node-down' };
+
 /** Keeps the set of live nodes. */
 export class NodeTable {
   private index = 0;
   private readonly table = new Map<NodeId, LiveNode>();
+  private readonly departures = new Map<NodeId, Departure>();
   private readonly starts = new Map<NodeId, readonly string[]>();
 
   static create(): NodeTable {
@@ -59,19 +76,29 @@
     return starts.includes(incarnation) && starts.at(-1) !== incarnation;
   }
 
+  /** The last departure of a node that is down. */
+  departure(node: NodeId): Departure | undefined {
+    return this.departures.get(node);
+  }
+
   apply(index: number, command: NodeCommand): NodeOutcome {
     switch (command.kind) {
       case 'node-up':
         return this.up(index, command.node, command.incarnation);
       case 'node-down':
-        return this.down(index, command.node, command.incarnation);
+        return this.down(index, command);
       default:
         return unreachable(command);
     }
   }
 
   image(): NodeImage {
-    return { view: this.index, starts: [...this.starts], nodes: [...this.table.values()] };
+    return {
+      view: this.index,
+      starts: [...this.starts],
+      departures: [...this.departures],
+      nodes: [...this.table.values()],
+    };
   }
 
   restore(image: NodeImage): void {
@@ -83,6 +110,10 @@
     for (const [node, starts] of image.starts) {
       this.starts.set(node, starts);
     }
+    this.departures.clear();
+    for (const [node, departure] of image.departures) {
+      this.departures.set(node, departure);
+    }
     this.index = image.view;
   }
 
@@ -96,11 +127,15 @@
     return { kind: 'done' };
   }
 
-  private down(index: number, node: NodeId, incarnation: string): NodeOutcome {
+  private down(index: number, { node, incarnation, stopped }: NodeDown): NodeOutcome {
     if (this.table.get(node)?.incarnation !== incarnation) {
       return { kind: 'stale' };
     }
     this.table.delete(node);
+    this.departures.delete(node);
+    this.departures.set(node, { incarnation, stopped });
+    const oldest = this.departures.keys().next().value;
+    if (this.departures.size > rememberedNodes && oldest) this.departures.delete(oldest);
     this.index = index;
     return { kind: 'done' };
   }
--- a/packages/state/src/state.ts
+++ b/packages/state/src/state.ts
@@ -63,6 +63,17 @@
     return this.nodeTable.isSuperseded(node, incarnation);
   }
 
+  /** Whether a process that is down is known to have given no grants since. */
+  hasStopped(node: NodeId, incarnation: string): boolean {
+    const departure = this.nodeTable.departure(node);
+    return departure?.incarnation === incarnation && departure.stopped;
+  }
+
+  /** Counts the changes of upstreams and replicas on this node. */
+  get rosterVersion(): number {
+    return this.upstreamTable.version;
+  }
+
   get upstreams(): ReadonlyMap<UpstreamId, Upstream> {
     return this.upstreamTable.upstreams;
   }
--- a/packages/state/src/upstreams.ts
+++ b/packages/state/src/upstreams.ts
@@ -65,6 +65,7 @@
 export class UpstreamTable {
   private readonly roster = new Map<UpstreamId, Upstream>();
   private readonly chains = new Map<ReplicaId, Replica>();
+  private changes = 0;
 
   static create(): UpstreamTable {
     return new UpstreamTable();
@@ -78,7 +79,13 @@
     return this.chains;
   }
 
+  /** Counts the changes on this node; not part of the replicated state. */
+  get version(): number {
+    return this.changes;
+  }
+
   apply(command: UpstreamCommand): UpstreamOutcome {
+    this.changes += 1;
     switch (command.kind) {
       case 'upstream-up':
         this.roster.set(command.upstream.id, command.upstream);
@@ -97,6 +104,7 @@
   }
 
   restore(image: UpstreamImage): void {
+    this.changes += 1;
     this.roster.clear();
     this.chains.clear();
     for (const upstream of image.upstreams) {
