--- a/packages/protocol/src/message.ts
+++ b/packages/protocol/src/message.ts
@@ -11,6 +11,7 @@
   ReleaseCall,
   ReleaseReply,
 } from './grantmessage.js';
+import type { HandoverCall, HandoverReply } from './ownermessage.js';
 import type {
   AppendCall,
   AppendReply,
@@ -37,6 +38,7 @@
   release: { call: ReleaseCall; reply: ReleaseReply };
   preempt: { call: PreemptCall; reply: PreemptReply };
   limit: { call: LimitCall; reply: LimitReply };
+  handover: { call: HandoverCall; reply: HandoverReply };
   announce: { call: AnnounceCall; reply: AnnounceReply };
 }
 
