Split the wiring of a node by concern

node.ts held the shared state, the lookups, the listeners and the life cycle in one class of 419 lines. They now stand in control.ts, directory.ts, listeners.ts and node.ts; addresses are split in address.ts, once.

--- /dev/null
+++ b/packages/node/src/directory.ts
@@ -0,0 +1,73 @@
+/** Who owns, serves or answers what, as the shared state of a node tells it. */
+
+import { randomUUID } from 'node:crypto';
+import { rendezvous } from '@tanagercart/base';
+import type { AccountId, NodeId } from '@tanagercart/base';
+import { ownerOf } from '@tanagercart/membership';
+import type { Upstreams } from '@tanagercart/membership';
+import type { Model } from '@tanagercart/release';
+import type { Settings } from '@tanagercart/settings';
+import type { Replica, SharedState, Upstream } from '@tanagercart/state';
+
+/** Entries that a caller is told of at most. */
+const entriesTold = 3;
+
+/** What a directory reads. */
+export interface DirectoryOptions {
+  readonly settings: Settings;
+  readonly state: SharedState;
+  readonly upstreams: Upstreams;
+  readonly draining: () => boolean;
+}
+
+/** Looks up nodes, owners and upstreams. */
+export class Directory {
+  private constructor(private readonly o: DirectoryOptions) {}
+
+  static create(options: DirectoryOptions): Directory {
+    return new Directory(options);
+  }
+
+  /** The `host:port` at which the other nodes reach `node`. */
+  peerAddress(node: NodeId): string | undefined {
+    const known = this.o.state.nodes.get(node)?.address.peer;
+    return known ?? this.o.settings.peers.find((p) => p.id === node)?.peer;
+  }
+
+  /** The node that grants slots on `replica`. */
+  ownerOfReplica(replica: Replica): NodeId | undefined {
+    const [first] = replica.stages;
+    const dataCentre = first && this.o.state.upstreams.get(first)?.dataCentre;
+    return ownerOf(this.o.state, replica.id, dataCentre ?? '');
+  }
+
+  /** Nodes that own replicas of `model`, in random order. */
+  ownersOf(model: Model): readonly NodeId[] {
+    const owners = new Set<NodeId>();
+    for (const replica of this.o.state.replicas.values()) {
+      const owner = replica.model === model.id && this.ownerOfReplica(replica);
+      if (owner) owners.add(owner);
+    }
+    return rendezvous(randomUUID(), [...owners]);
+  }
+
+  /** Upstreams that stand for `service` and do not leave. */
+  upstreamsOf(service: string): readonly Upstream[] {
+    const all = [...this.o.state.upstreams.values()];
+    return all.filter(
+      (u) =>
+        u.role.kind === 'service' &&
+        u.role.service === service &&
+        !this.o.upstreams.isLeaving(u.id),
+    );
+  }
+
+  /** Base URLs of nodes for an account, best first. */
+  entriesFor(account: AccountId | undefined): readonly string[] {
+    const { nodes } = this.o.state;
+    const ranked = rendezvous(account ?? randomUUID(), [...nodes.keys()]);
+    const self = this.o.settings.node.id;
+    const told = this.o.draining() ? ranked.filter((n) => n !== self) : ranked;
+    return told.slice(0, entriesTold).map((n) => nodes.get(n)!.address.entry);
+  }
+}
--- /dev/null
+++ b/packages/node/src/listeners.ts
@@ -0,0 +1,93 @@
+/** What the listeners for callers and operators are made of. */
+
+import type { Clock, Logger, Metrics } from '@tanagercart/base';
+import { Dispatch, Orders } from '@tanagercart/dispatch';
+import { Door } from '@tanagercart/entry';
+import type { StatusReport } from '@tanagercart/entry';
+import type { ConfigurationLease, Upstreams } from '@tanagercart/membership';
+import type { Transport } from '@tanagercart/protocol';
+import type { Settings } from '@tanagercart/settings';
+import type { Proposer, SharedState } from '@tanagercart/state';
+import { HttpEngines, HttpServices } from '@tanagercart/upstream';
+import type { createPool } from '@tanagercart/upstream';
+import type { Control } from './control.js';
+import type { Directory } from './directory.js';
+
+/** Parts of a node that its listeners use. */
+export interface Parts {
+  readonly settings: Settings;
+  readonly state: SharedState;
+  readonly lease: ConfigurationLease;
+  readonly proposer: Proposer;
+  readonly transport: Transport;
+  readonly directory: Directory;
+  readonly upstreams: Upstreams;
+  readonly control: Control;
+  readonly pool: ReturnType<typeof createPool>;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  readonly draining: () => boolean;
+}
+
+/** Creates what callers reach. */
+export function createDoor(p: Parts): Door {
+  return Door.create({
+    self: p.settings.node.id,
+    state: p.state,
+    lease: p.lease,
+    dispatch: createDispatch(p),
+    orders: createOrders(p),
+    upstreams: p.upstreams,
+    clock: p.clock,
+    logger: p.logger.part('entry'),
+    metrics: p.metrics,
+    limits: p.settings.limits,
+    entries: (account) => p.directory.entriesFor(account),
+    draining: p.draining,
+  });
+}
+
+/** The state of the system as a node tells operators. */
+export function statusOf(p: Parts): StatusReport {
+  const { state, control, directory } = p;
+  return {
+    node: p.settings.node.id,
+    draining: p.draining(),
+    leaseMs: Math.round(p.lease.leftMs),
+    release: state.release.number,
+    index: state.index,
+    leader: control.leader,
+    voters: p.settings.voters,
+    nodes: [...state.nodes.values()].map((n) => n.address),
+    replicas: [...state.replicas.values()].map((r) => ({
+      ...r,
+      owner: directory.ownerOfReplica(r),
+    })),
+    upstreams: [...state.upstreams.values()],
+  };
+}
+
+function createDispatch(p: Parts): Dispatch {
+  return Dispatch.create({
+    clock: p.clock,
+    logger: p.logger.part('dispatch'),
+    metrics: p.metrics,
+    transport: p.transport,
+    engines: HttpEngines.create(p.pool),
+    proposer: p.proposer,
+    owners: (model) => p.directory.ownersOf(model),
+  });
+}
+
+function createOrders(p: Parts): Orders {
+  return Orders.create({
+    self: p.settings.node.id,
+    clock: p.clock,
+    logger: p.logger.part('orders'),
+    metrics: p.metrics,
+    proposer: p.proposer,
+    services: HttpServices.create(p.pool),
+    upstreams: (service) => p.directory.upstreamsOf(service),
+  });
+}
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -1,39 +1,25 @@
 /** One node of the system, wired out of the library packages. */
 
-import { randomUUID } from 'node:crypto';
 import type { Server } from 'node:http';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
-import { Bell, StatsdMetrics, TaskGroup, rendezvous, systemRandom } from '@tanagercart/base';
-import type { AccountId, Clock, Logger, Metrics, NodeId } from '@tanagercart/base';
-import { Dispatch, Orders } from '@tanagercart/dispatch';
-import { Door, createCallerServer, createOperatorServer } from '@tanagercart/entry';
-import { MemoryStore, Raft, defaultTiming } from '@tanagercart/log';
-import {
-  ConfigurationLease,
-  Feed,
-  History,
-  Upstreams,
-  defaultLeaseTiming,
-  follow,
-  keepNodes,
-  ownerOf,
-} from '@tanagercart/membership';
-import { TcpTransport, encode } from '@tanagercart/protocol';
+import { Bell, StatsdMetrics, TaskGroup } from '@tanagercart/base';
+import type { Clock, Logger, Metrics, NodeId } from '@tanagercart/base';
+import { createCallerServer, createOperatorServer } from '@tanagercart/entry';
+import { ConfigurationLease, History, Upstreams } from '@tanagercart/membership';
+import { TcpTransport } from '@tanagercart/protocol';
 import type { NodeAddress } from '@tanagercart/protocol';
-import type { Model } from '@tanagercart/release';
-import { keepPlans } from '@tanagercart/routing';
 import { Owner } from '@tanagercart/scheduling';
 import type { Settings } from '@tanagercart/settings';
 import { Proposer } from '@tanagercart/state';
-import type { Replica, Upstream } from '@tanagercart/state';
-import { HttpEngines, HttpServices, createPool } from '@tanagercart/upstream';
-import { CommitTimes } from './incoming.js';
+import { createPool } from '@tanagercart/upstream';
+import { addressOf, hostPortOf, withPort } from './address.js';
+import { Control } from './control.js';
+import { Directory } from './directory.js';
+import { createDoor, statusOf } from './listeners.js';
+import type { Parts } from './listeners.js';
 import { close, listen } from './server.js';
 
-/** Entries that a caller is told of at most. */
-const entriesTold = 3;
-
 /** Pause between two looks at whether the work in progress has ended, in milliseconds. */
 const drainPauseMs = 20;
 
@@ -62,14 +48,13 @@
   private readonly stopping = new AbortController();
   private readonly tasks: TaskGroup;
   private readonly proposer: Proposer;
-  private readonly commitTimes = CommitTimes.create();
   private readonly logger: Logger;
+  private readonly upstreams: Upstreams;
+  private readonly directory: Directory;
+  private readonly control: Control;
+  private readonly owner: Owner;
   private readonly callers: Server;
   private readonly operators: Server;
-  private readonly owner: Owner;
-  private readonly upstreams: Upstreams;
-  private readonly feed: Feed;
-  private raft: Raft | undefined;
   private address: NodeAddress;
   private draining = false;
   private inProgress = 0;
@@ -77,32 +62,21 @@
 
   private constructor(private readonly o: NodeOptions) {
     const { settings, clock, onBroken } = o;
-    const self = settings.node.id;
     this.logger = o.logger;
     this.metrics = StatsdMetrics.create(statsdOf(settings));
     this.tasks = TaskGroup.create(onBroken);
     this.lease = ConfigurationLease.create(clock);
     this.address = addressOf(settings);
-    this.transport = TcpTransport.create({
-      self,
-      cluster: settings.cluster,
-      resolve: (node) => this.resolve(node),
-      clock,
-      logger: o.logger.part('peers'),
-      onBroken,
-    });
+    this.transport = this.createTransport();
     this.proposer = Proposer.create(this.transport, clock, () => settings.voters);
     this.upstreams = this.createUpstreams();
-    this.feed = this.createFeed();
+    this.directory = this.createDirectory();
+    this.control = this.createControl();
     this.owner = this.createOwner();
-    this.callers = createCallerServer(this.createDoor(), settings.limits.requestMs, onBroken);
-    this.callers.on('request', (_, res) => {
-      this.inProgress += 1;
-      res.on('close', () => {
-        this.inProgress -= 1;
-      });
-    });
-    this.operators = createOperatorServer(this.operatorOptions(), onBroken);
+    const parts = this.parts();
+    this.callers = createCallerServer(createDoor(parts), settings.limits.requestMs, onBroken);
+    this.countRequests();
+    this.operators = createOperatorServer(this.operatorOptions(parts), onBroken);
   }
 
   /** Starts a node: opens its listeners and begins to follow the cluster. */
@@ -147,7 +121,7 @@
     this.stopping.abort();
     this.callers.closeAllConnections();
     this.operators.closeAllConnections();
-    await Promise.all([close(this.callers), close(this.operators), this.raft?.stop()]);
+    await Promise.all([close(this.callers), close(this.operators), this.control.stop()]);
     await this.transport.close();
     await this.tasks.join();
     await this.pool.destroy();
@@ -174,43 +148,34 @@
   }
 
   private async listenPeers(address: string): Promise<Result<string, Error>> {
-    const colon = address.lastIndexOf(':');
-    const host = address.slice(0, colon);
-    const port = await this.transport.listen(
-      host.replace(/[[\]]/g, ''),
-      Number(address.slice(colon + 1)),
-    );
-    return port.map((p) => `${host}:${p}`);
+    const { host, port } = hostPortOf(address);
+    const opened = await this.transport.listen(host, port);
+    return opened.map((p) => withPort(address, p));
   }
 
   private begin(): void {
     const { signal } = this.stopping;
-    if (this.o.settings.voters.includes(this.id)) this.raft = this.createRaft();
-    this.servePropose();
-    this.serveProgress();
-    this.tasks.start(() => follow(this.followOptions(), signal));
-    this.tasks.start(() => keepNodes(this.registrarOptions(), signal));
-    this.tasks.start(() => keepPlans(this.plannerOptions(), signal));
+    this.control.begin(this.address, this.tasks, signal);
     this.tasks.start(() => this.upstreams.watch(signal));
   }
 
-  private createRaft(): Raft {
-    const { clock, settings, onBroken } = this.o;
-    return Raft.create({
-      self: this.id,
-      voters: settings.voters,
-      transport: this.transport,
-      store: MemoryStore.create(),
-      machine: {
-        apply: (index, bytes) => {
-          this.commitTimes.note(index, clock.now());
-          return encode(this.history.apply(index, bytes));
-        },
-      },
+  private countRequests(): void {
+    this.callers.on('request', (_, res) => {
+      this.inProgress += 1;
+      res.on('close', () => {
+        this.inProgress -= 1;
+      });
+    });
+  }
+
+  private createTransport(): TcpTransport {
+    const { settings, clock, logger, onBroken } = this.o;
+    return TcpTransport.create({
+      self: settings.node.id,
+      cluster: settings.cluster,
+      resolve: (node) => this.directory.peerAddress(node),
       clock,
-      random: systemRandom,
-      timing: defaultTiming,
-      logger: this.logger.part('log'),
+      logger: logger.part('peers'),
       onBroken,
     });
   }
@@ -226,13 +191,29 @@
     });
   }
 
-  private createFeed(): Feed {
-    const source = {
-      leaseMs: () => (this.leads() ? defaultLeaseTiming.leaseMs : 0),
-      upTo: () => this.history.state.index,
-      parent: () => this.raft?.leader,
-    };
-    return Feed.create(this.transport, this.history, source, this.o.clock, defaultLeaseTiming);
+  private createDirectory(): Directory {
+    return Directory.create({
+      settings: this.o.settings,
+      state: this.history.state,
+      upstreams: this.upstreams,
+      draining: () => this.draining,
+    });
+  }
+
+  private createControl(): Control {
+    const { settings, clock, logger, onBroken } = this.o;
+    const { transport, history, lease, proposer } = this;
+    return Control.create({
+      settings,
+      transport,
+      history,
+      lease,
+      proposer,
+      clock,
+      logger,
+      draining: () => this.draining,
+      onBroken,
+    });
   }
 
   private createOwner(): Owner {
@@ -242,178 +223,47 @@
       clock: this.o.clock,
       transport: this.transport,
       mayGrant: () => this.lease.valid,
-      owns: (replica) => this.ownerOfReplica(replica) === this.id,
+      owns: (replica) => this.directory.ownerOfReplica(replica) === this.id,
       isLeaving: (upstream) => this.upstreams.isLeaving(upstream.id),
     });
   }
 
-  private createDoor(): Door {
-    const { clock, settings } = this.o;
-    const dispatch = Dispatch.create({
-      clock,
-      logger: this.logger.part('dispatch'),
-      metrics: this.metrics,
-      transport: this.transport,
-      engines: HttpEngines.create(this.pool),
-      proposer: this.proposer,
-      owners: (model) => this.ownersOf(model),
-    });
-    const orders = Orders.create({
-      self: this.id,
-      clock,
-      logger: this.logger.part('orders'),
-      metrics: this.metrics,
-      proposer: this.proposer,
-      services: HttpServices.create(this.pool),
-      upstreams: (service) => this.upstreamsOf(service),
-    });
-    return Door.create({
-      self: this.id,
+  private parts(): Parts {
+    const { settings, clock, logger } = this.o;
+    const { lease, proposer, transport, directory, upstreams, control, pool, metrics } = this;
+    return {
+      settings,
       state: this.history.state,
-      lease: this.lease,
-      dispatch,
-      orders,
-      upstreams: this.upstreams,
+      lease,
+      proposer,
+      transport,
+      directory,
+      upstreams,
+      control,
+      pool,
       clock,
-      logger: this.logger.part('entry'),
-      metrics: this.metrics,
-      limits: settings.limits,
-      entries: (account) => this.entriesFor(account),
+      logger,
+      metrics,
       draining: () => this.draining,
-    });
+    };
   }
 
-  private operatorOptions() {
+  private operatorOptions(parts: Parts) {
+    const { control, proposer, transport } = this;
     return {
       key: this.o.operatorKey,
       state: this.history.state,
-      proposer: this.proposer,
-      transport: this.transport,
+      proposer,
+      transport,
       clock: this.o.clock,
-      leader: () => this.raft?.leader ?? this.o.settings.voters[0],
-      status: () => this.status(),
+      leader: () => control.leader ?? this.o.settings.voters[0],
+      status: () => statusOf(parts),
       drain: () => this.drainAsked.ring(),
     };
   }
-
-  private status() {
-    const { state } = this.history;
-    return {
-      node: this.id,
-      draining: this.draining,
-      leaseMs: Math.round(this.lease.leftMs),
-      release: state.release.number,
-      index: state.index,
-      leader: this.raft?.leader,
-      voters: this.o.settings.voters,
-      nodes: [...state.nodes.values()].map((n) => n.address),
-      replicas: [...state.replicas.values()].map((r) => ({ ...r, owner: this.ownerOfReplica(r) })),
-      upstreams: [...state.upstreams.values()],
-    };
-  }
-
-  private followOptions() {
-    return {
-      self: this.address,
-      incarnation: randomUUID(),
-      transport: this.transport,
-      history: this.history,
-      lease: this.lease,
-      clock: this.o.clock,
-      timing: defaultLeaseTiming,
-      logger: this.logger.part('follow'),
-      draining: () => this.draining,
-      seeds: () => this.o.settings.voters,
-    };
-  }
-
-  private registrarOptions() {
-    return {
-      feed: this.feed,
-      history: this.history,
-      proposer: this.proposer,
-      clock: this.o.clock,
-      timing: defaultLeaseTiming,
-      logger: this.logger.part('nodes'),
-      leads: () => this.leads(),
-    };
-  }
-
-  private plannerOptions() {
-    return {
-      state: this.history.state,
-      proposer: this.proposer,
-      clock: this.o.clock,
-      logger: this.logger.part('planner'),
-      leads: () => this.leads(),
-    };
-  }
-
-  private servePropose(): void {
-    this.transport.serve('propose', async (_, call) => {
-      if (!this.raft) return { kind: 'not-leader', leader: undefined };
-      const applied = await this.raft.propose(call.bytes);
-      if (applied.isOk()) return { kind: 'applied', ...applied.value };
-      if (applied.error.kind === 'not-leader') return applied.error;
-      return { kind: 'unknown', reason: 'leadership was lost' };
-    });
-  }
-
-  private serveProgress(): void {
-    this.transport.serve('progress', async (_, call) => {
-      if (!this.leads()) return { kind: 'not-leader', leader: this.raft?.leader };
-      return this.feed.progress(call.index, this.commitTimes.at(call.index));
-    });
-  }
-
-  private leads(): boolean {
-    return this.raft?.holdsLease === true;
-  }
-
-  private resolve(node: NodeId): string | undefined {
-    const known = this.history.state.nodes.get(node)?.address.peer;
-    return known ?? this.o.settings.peers.find((p) => p.id === node)?.peer;
-  }
-
-  private ownerOfReplica(replica: Replica): NodeId | undefined {
-    const [first] = replica.stages;
-    const dataCentre = first && this.history.state.upstreams.get(first)?.dataCentre;
-    return ownerOf(this.history.state, replica.id, dataCentre ?? '');
-  }
-
-  private ownersOf(model: Model): readonly NodeId[] {
-    const owners = new Set<NodeId>();
-    for (const replica of this.history.state.replicas.values()) {
-      const owner = replica.model === model.id && this.ownerOfReplica(replica);
-      if (owner) owners.add(owner);
-    }
-    return rendezvous(randomUUID(), [...owners]);
-  }
-
-  private upstreamsOf(service: string): readonly Upstream[] {
-    const all = [...this.history.state.upstreams.values()];
-    return all.filter(
-      (u) =>
-        u.role.kind === 'service' && u.role.service === service && !this.upstreams.isLeaving(u.id),
-    );
-  }
-
-  private entriesFor(account: AccountId | undefined): readonly string[] {
-    const { nodes } = this.history.state;
-    const ranked = rendezvous(account ?? randomUUID(), [...nodes.keys()]);
-    const told = this.draining ? ranked.filter((n) => n !== this.id) : ranked;
-    return told.slice(0, entriesTold).map((n) => nodes.get(n)!.address.entry);
-  }
-}
-
-function addressOf(settings: Settings): NodeAddress {
-  const { id, dataCentre, peer, entry } = settings.node;
-  return { id, dataCentre, peer, entry: `http://${entry}` };
 }
 
 function statsdOf(settings: Settings) {
   const { statsd } = settings.metrics;
-  if (!statsd) return undefined;
-  const colon = statsd.lastIndexOf(':');
-  return { host: statsd.slice(0, colon), port: Number(statsd.slice(colon + 1)) };
+  return statsd === undefined ? undefined : hostPortOf(statsd);
 }
--- a/packages/node/src/server.ts
+++ b/packages/node/src/server.ts
@@ -4,16 +4,15 @@
 import type { AddressInfo } from 'node:net';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
+import { hostPortOf, withPort } from './address.js';
 
 /** Starts to listen at `host:port`; resolves with the address in use. */
 export function listen(server: Server, address: string): Promise<Result<string, Error>> {
-  const colon = address.lastIndexOf(':');
-  const host = address.slice(0, colon).replace(/[[\]]/g, '');
-  const port = Number(address.slice(colon + 1));
+  const { host, port } = hostPortOf(address);
   return new Promise((resolve) => {
     server.once('error', (e) => resolve(err(e)));
     server.listen(port, host, () => {
-      resolve(ok(`${address.slice(0, colon)}:${(server.address() as AddressInfo).port}`));
+      resolve(ok(withPort(address, (server.address() as AddressInfo).port)));
     });
   });
 }
