Check settings across keys, and run the examples as the demo

Cause: settings errors named a key but neither what was found nor what was expected, contradictions between keys were accepted, there were no examples, the demo guessed free ports by probing, and bin/tanagercart.js could not start at all (it imported a folder).

Wrong usage exits with 2. A test runs the program itself.

--- a/packages/cli/src/commands.ts
+++ b/packages/cli/src/commands.ts
@@ -1,11 +1,16 @@
 /** The commands of `tanagercart`. */
 
 import { Command, Option } from 'clipanion';
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
 import { BunyanLogger, SystemClock } from '@tanagercart/base';
 import { Node } from '@tanagercart/node';
+import { readSecret } from '@tanagercart/settings';
+import type { Settings } from '@tanagercart/settings';
 import { readNote, readSettings, readText } from './files.js';
 import { callOperator } from './operator.js';
 import { runDemo } from './demo.js';
+import { readExample } from './demoplan.js';
 
 /** Exit codes: success, a refusal, wrong usage. */
 const success = 0;
@@ -49,17 +54,15 @@
       this.context.stderr.write(`${settings.error.join('\n')}\n`);
       return refusal;
     }
-    const key = process.env[settings.value.operatorKeyEnv];
-    if (!key) {
-      this.context.stderr.write(
-        `${this.settings}: operatorKeyEnv: ${settings.value.operatorKeyEnv} is not set\n`,
-      );
+    const keys = await readKeys(settings.value, this.settings);
+    if (keys.isErr()) {
+      this.context.stderr.write(`${keys.error}\n`);
       return refusal;
     }
     const logger = BunyanLogger.create(settings.value.node.id, settings.value.log.level);
     const started = await Node.start({
       settings: settings.value,
-      operatorKey: key,
+      ...keys.value,
       clock: SystemClock.create(),
       logger: logger.part('node'),
       onBroken: (error) => {
@@ -139,20 +142,52 @@
 
   static override usage = Command.Usage({
     description: 'Run nodes and stand-ins in one process',
-    examples: [['Run the demo', 'tanagercart demo']],
+    examples: [
+      ['Run the example of a maker of drying trays', 'tanagercart demo'],
+      [
+        'Run the other example, and keep its state',
+        'tanagercart demo --example keswick --data DIR',
+      ],
+    ],
   });
 
-  nodes = Option.String('--nodes', '2');
+  example = Option.String('--example', 'ramdenee', { description: 'Folder below examples/' });
+
+  data = Option.String('--data', { description: 'Folder for state that lasts between runs' });
 
   async execute(): Promise<number> {
-    const demo = await runDemo({ nodes: Number(this.nodes), clock: SystemClock.create() });
+    const plan = await readExample(this.example);
+    if (plan.isErr()) {
+      this.context.stderr.write(`${plan.error.join('\n')}\n`);
+      return refusal;
+    }
+    const demo = await runDemo({
+      plan: plan.value,
+      ...(this.data === undefined ? {} : { data: this.data }),
+      logLevel: 'info',
+      clock: SystemClock.create(),
+    });
     this.context.stdout.write(`${JSON.stringify(demo.ready)}\n`);
     await signalled();
-    await demo.stop();
+    await demo.drain();
     return success;
   }
 }
 
+/** Reads the keys of a node; the error names the settings file and the key. */
+async function readKeys(
+  settings: Settings,
+  file: string,
+): Promise<Result<{ readonly operatorKey: string; readonly upstreamKey?: string }, string>> {
+  const { operator, upstream } = settings.keys;
+  const operatorKey = await readSecret(operator, process.env);
+  if (operatorKey.isErr()) return err(`${file}: keys.operator: ${operatorKey.error}`);
+  if (!upstream) return ok({ operatorKey: operatorKey.value });
+  const upstreamKey = await readSecret(upstream, process.env);
+  if (upstreamKey.isErr()) return err(`${file}: keys.upstream: ${upstreamKey.error}`);
+  return ok({ operatorKey: operatorKey.value, upstreamKey: upstreamKey.value });
+}
+
 function signalled(): Promise<void> {
   return new Promise((resolve) => {
     process.once('SIGINT', () => resolve());
--- a/packages/cli/src/demo.ts
+++ b/packages/cli/src/demo.ts
@@ -1,22 +1,28 @@
-/** The demo: nodes, stand-in engines and an order desk in one process. */
+/** The demo: nodes, stand-in engines and services in one process. */
 
-import { BunyanLogger, digestOf } from '@tanagercart/base';
-import type { Clock } from '@tanagercart/base';
+import { join } from 'node:path';
+import { BunyanLogger } from '@tanagercart/base';
+import type { Clock, LogLevel } from '@tanagercart/base';
 import { Node } from '@tanagercart/node';
-import { parseSettings } from '@tanagercart/settings';
+import type { Settings } from '@tanagercart/settings';
 import { EngineStandIn, OrderDesk } from '@tanagercart/standin';
+import { smallPlan } from './demoplan.js';
+import type { DemoPlan, DemoReplica } from './demoplan.js';
 import { callOperator } from './operator.js';
 
 /** Pause between two looks at whether the demo serves, in milliseconds. */
 const lookMs = 50;
 
-const layers = 8;
-const callerKey = 'demo-grower-key';
 const operatorKey = 'demo-operator-key';
 
 /** What the demo is made of. */
 export interface DemoOptions {
-  readonly nodes: number;
+  /** What to run; a small plan of `nodes` nodes where it is left out. */
+  readonly plan?: DemoPlan;
+  readonly nodes?: number;
+  /** Folder for the durable state of the voters; kept in memory where it is left out. */
+  readonly data?: string;
+  readonly logLevel?: LogLevel;
   readonly clock: Clock;
 }
 
@@ -38,180 +44,139 @@
   readonly engines: readonly EngineStandIn[];
   readonly desk: OrderDesk;
   readonly placements: ReadonlyMap<string, number>;
+  /** Finishes what is in progress, then stops everything. */
+  drain(): Promise<void>;
+  /** Stops everything at once. */
   stop(): Promise<void>;
 }
 
 /** Starts the demo; resolves once it serves. */
 export async function runDemo(o: DemoOptions): Promise<Demo> {
-  const nodes = await startNodes(o);
+  const plan = o.plan ?? smallPlan(o.nodes ?? 2);
+  const nodes = await startNodes(o, plan);
   const entries = nodes.map((n) => n.entryUrl);
   await until(o.clock, () => nodes.every((n) => n.ready));
-  const submitted = await callOperator(
-    nodes[0]!.operatorUrl,
-    operatorKey,
-    'POST',
-    '/operators/v1/releases',
-    note(),
-  );
-  if (submitted.isErr() || submitted.value.status !== 200) {
-    throw new Error(`the first note was refused: ${JSON.stringify(submitted)}`);
-  }
+  await submitFirst(nodes[0]!, plan.note);
+  const engines = await startEngines(o.clock, entries, plan);
   const placements = new Map<string, number>();
-  const engines = await Promise.all([
-    startStage(o.clock, entries, 'fig-1a', 0, 4),
-    startStage(o.clock, entries, 'fig-1b', 4, layers),
-    startStage(o.clock, entries, 'fig-2a', 0, 4),
-    startStage(o.clock, entries, 'fig-2b', 4, layers),
-  ]);
-  const settings = { id: 'desk-1', service: 'orders', dataCentre: 'north-1' };
-  const desk = await OrderDesk.start(settings, placements, o.clock, entries);
-  await until(o.clock, () => nodes.every((n) => serves(n)));
-  const ready: Ready = {
-    ready: true,
-    entries,
-    operators: nodes.map((n) => n.operatorUrl),
-    keys: { grower: callerKey },
-    operatorKey,
-    models: ['fig-advisor'],
-    services: ['orders'],
+  const desks = await Promise.all(
+    plan.desks.map((d) => OrderDesk.start(d, placements, o.clock, entries)),
+  );
+  await until(o.clock, () => nodes.every((n) => serves(n, plan)));
+  const stopUpstreams = async () => {
+    await Promise.all([...engines, ...desks].map((u) => u.stop()));
   };
-  const stop = async () => {
-    await Promise.all(engines.map((e) => e.stop()));
-    await desk.stop();
-    await Promise.all(nodes.map((n) => n.stop()));
+  return {
+    ready: readyOf(nodes, plan),
+    nodes,
+    engines,
+    desk: desks[0]!,
+    placements,
+    drain: async () => {
+      await Promise.all(nodes.map((n) => n.drain()));
+      for (const u of [...engines, ...desks]) u.kill();
+    },
+    stop: async () => {
+      await stopUpstreams();
+      await Promise.all(nodes.map((n) => n.stop()));
+    },
   };
-  return { ready, nodes, engines, desk, placements, stop };
 }
 
-async function startNodes(o: DemoOptions): Promise<readonly Node[]> {
-  const ports = await freePorts(o.nodes);
-  const names = ports.map((_, i) => `n${i + 1}`);
-  const started: Node[] = [];
-  for (const [i, id] of names.entries()) {
-    const settings = parseSettings(settingsOf(id, names, ports), `${id}.toml`);
-    if (settings.isErr()) throw new Error(JSON.stringify(settings.error));
-    const logger = BunyanLogger.create(id, 'warn');
-    const node = await Node.start({
-      settings: settings.value,
+/** Opens every node on a free port, then lets all begin with the addresses that they got. */
+async function startNodes(o: DemoOptions, plan: DemoPlan): Promise<readonly Node[]> {
+  const nodes: Node[] = [];
+  for (const settings of plan.settings) {
+    const opened = await Node.open({
+      settings: onLoopback(settings, o.data),
       operatorKey,
       clock: o.clock,
-      logger: logger.part('node'),
+      logger: BunyanLogger.create(settings.node.id, o.logLevel ?? 'warn').part('node'),
       onBroken: (error) => {
         throw error;
       },
     });
-    if (node.isErr()) throw new Error(node.error.detail);
-    started[i] = node.value;
+    if (opened.isErr()) throw new Error(opened.error.detail);
+    nodes.push(opened.value);
   }
-  return started;
+  const addresses = nodes.map((n) => n.address);
+  for (const node of nodes) node.begin(addresses);
+  return nodes;
 }
 
-function settingsOf(id: string, names: readonly string[], ports: readonly number[]): string {
-  const i = names.indexOf(id);
-  const peers = names
-    .map(
-      (n, k) =>
-        `[[peers]]\nid = "${n}"\ndataCentre = "north-1"\npeer = "127.0.0.1:${ports[k]}"\nentry = "127.0.0.1:0"\n`,
-    )
-    .join('');
-  return `cluster = "demo"
-voters = ${JSON.stringify(names.slice(0, 3))}
-[node]
-id = "${id}"
-dataCentre = "north-1"
-peer = "127.0.0.1:${ports[i]}"
-entry = "127.0.0.1:0"
-operator = "127.0.0.1:0"
-${peers}`;
+/** The settings of a node as the demo runs it: on free ports, with durable state below `data`. */
+function onLoopback(settings: Settings, data: string | undefined): Settings {
+  const loopback = '127.0.0.1:0';
+  const { id, dataCentre } = settings.node;
+  const keeps = data !== undefined && settings.voters.includes(id);
+  return {
+    ...settings,
+    node: {
+      id,
+      dataCentre,
+      peer: loopback,
+      entry: loopback,
+      operator: loopback,
+      ...(keeps ? { data: join(data, id) } : {}),
+    },
+    metrics: {},
+  };
 }
 
-function note(): string {
-  return `number = 1
-author = "demo"
-[[added.priceLists]]
-id = "standard"
-[[added.priceLists.tiers]]
-id = "urgent"
-urgency = 0
-price = 9.0
-firstTokenMs = 690
-tokenGapMs = 78
-concurrency = 32
-requestsPerSecond = 100
-tokensPerSecond = 20000
-[[added.clientAccounts]]
-id = "grower"
-priceList = "standard"
-defaultTier = "urgent"
-keyDigest = "${digestOf(callerKey)}"
-[[added.models]]
-id = "fig-advisor"
-layers = ${layers}
-versions = ["1"]
-[[added.services]]
-id = "orders"
-[[added.services.calls]]
-method = "POST"
-path = "/orders"
-repeatable = false
-[[added.services.calls]]
-method = "GET"
-path = "/orders"
-repeatable = true
-`;
+/** Submits the first note, unless kept state holds a release already. */
+async function submitFirst(node: Node, note: string): Promise<void> {
+  if (node.history.state.release.number > 0) return;
+  const path = '/operators/v1/releases';
+  const submitted = await callOperator(node.operatorUrl, operatorKey, 'POST', path, note);
+  if (submitted.isErr() || submitted.value.status !== 200) {
+    throw new Error(`the first note was refused: ${JSON.stringify(submitted)}`);
+  }
 }
 
-function startStage(
+function startEngines(
   clock: Clock,
   entries: readonly string[],
-  id: string,
-  from: number,
-  to: number,
-) {
-  const settings = {
-    id,
-    dataCentre: 'north-1',
-    model: 'fig-advisor',
-    versions: ['1'],
-    adapters: [],
-    from,
+  plan: DemoPlan,
+): Promise<readonly EngineStandIn[]> {
+  const stages = plan.replicas.flatMap(stagesOf);
+  return Promise.all(stages.map((s) => EngineStandIn.start(s, clock, entries)));
+}
+
+/** Settings of the stand-ins that together make one replica. */
+function stagesOf(replica: DemoReplica) {
+  const { id, cuts, accelerators, ...rest } = replica;
+  return cuts.slice(1).map((to, i) => ({
+    ...rest,
+    id: `${id}${String.fromCharCode('a'.charCodeAt(0) + i)}`,
+    from: cuts[i]!,
     to,
-    accelerator: 'small',
-    tokensPerSecond: 200,
-    slots: 8,
-    tokenMs: 2,
-  };
-  return EngineStandIn.start(settings, clock, entries);
+    accelerator: accelerators[i] ?? accelerators[0]!,
+  }));
 }
 
-function serves(node: Node): boolean {
+function serves(node: Node, plan: DemoPlan): boolean {
   const { state } = node.history;
-  return state.replicas.size === 2 && state.upstreams.size === 5;
+  const stages = plan.replicas.flatMap(stagesOf).length;
+  return (
+    state.nodes.size === plan.settings.length &&
+    state.replicas.size === plan.replicas.length &&
+    state.upstreams.size === stages + plan.desks.length
+  );
 }
 
-async function until(clock: Clock, done: () => boolean): Promise<void> {
-  while (!done()) await clock.sleep(lookMs);
+function readyOf(nodes: readonly Node[], plan: DemoPlan): Ready {
+  const { release } = nodes[0]!.history.state;
+  return {
+    ready: true,
+    entries: nodes.map((n) => n.entryUrl),
+    operators: nodes.map((n) => n.operatorUrl),
+    keys: plan.keys,
+    operatorKey,
+    models: [...release.models.keys()],
+    services: [...release.services.keys()],
+  };
 }
 
-async function freePorts(count: number): Promise<readonly number[]> {
-  const { createServer } = await import('node:net');
-  const servers = await Promise.all(
-    Array.from(
-      { length: count },
-      () =>
-        new Promise<ReturnType<typeof createServer>>((resolve) => {
-          const s = createServer().listen(0, '127.0.0.1', () => resolve(s));
-        }),
-    ),
-  );
-  const ports = servers.map((s) => (s.address() as { port: number }).port);
-  await Promise.all(
-    servers.map(
-      (s) =>
-        new Promise((resolve) => {
-          s.close(resolve);
-        }),
-    ),
-  );
-  return ports;
+async function until(clock: Clock, done: () => boolean): Promise<void> {
+  while (!done()) await clock.sleep(lookMs);
 }
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,27 +1,4 @@
-/** The command line of tanagercart. */
-
-import { Builtins, Cli } from 'clipanion';
-import {
-  CheckCommand,
-  DemoCommand,
-  NodeCommand,
-  StatusCommand,
-  SubmitCommand,
-} from './commands.js';
-
+export * from './main.js';
 export * from './demo.js';
-
-/** Runs one command line and exits with its code. */
-export async function main(args: readonly string[]): Promise<void> {
-  const cli = new Cli({
-    binaryName: 'tanagercart',
-    binaryLabel: 'Tanagercart',
-    binaryVersion: '0.1.0',
-  });
-  for (const command of [NodeCommand, CheckCommand, SubmitCommand, StatusCommand, DemoCommand]) {
-    cli.register(command);
-  }
-  cli.register(Builtins.HelpCommand);
-  cli.register(Builtins.VersionCommand);
-  process.exitCode = await cli.run([...args]);
-}
+export * from './demoplan.js';
+export * from './files.js';
--- /dev/null
+++ b/packages/cli/src/main.ts
@@ -0,0 +1,50 @@
+/** The command line of tanagercart. */
+
+import { Builtins, Cli, UsageError } from 'clipanion';
+import {
+  CheckCommand,
+  DemoCommand,
+  NodeCommand,
+  StatusCommand,
+  SubmitCommand,
+} from './commands.js';
+
+/** Exit code of wrong usage. */
+const wrongUsage = 2;
+
+/** Runs one command line and leaves its exit code to the process. */
+export async function main(args: readonly string[]): Promise<void> {
+  const cli = new Cli({
+    binaryName: 'tanagercart',
+    binaryLabel: 'Tanagercart',
+    binaryVersion: '0.1.0',
+  });
+  for (const command of [NodeCommand, CheckCommand, SubmitCommand, StatusCommand, DemoCommand]) {
+    cli.register(command);
+  }
+  cli.register(Builtins.HelpCommand);
+  cli.register(Builtins.VersionCommand);
+  const input = [...args];
+  const usage = usageProblem(cli, input);
+  if (usage !== undefined) {
+    process.stderr.write(usage);
+    process.exitCode = wrongUsage;
+    return;
+  }
+  process.exitCode = await cli.run(input);
+}
+
+/** Why the arguments name no command, if so. */
+function usageProblem(cli: Cli, input: string[]): string | undefined {
+  try {
+    cli.process(input);
+    return undefined;
+  } catch (error) {
+    if (error instanceof UsageError || isUnknownSyntax(error)) return cli.error(error);
+    throw error;
+  }
+}
+
+function isUnknownSyntax(error: unknown): error is Error {
+  return error instanceof Error && error.name === 'UnknownSyntaxError';
+}
--- /dev/null
+++ b/packages/cli/test/command.test.ts
@@ -0,0 +1,46 @@
+import assert from 'node:assert/strict';
+import { execFile } from 'node:child_process';
+import { test } from 'node:test';
+import { fileURLToPath } from 'node:url';
+
+const program = fileURLToPath(new URL('../../bin/tanagercart.js', import.meta.url));
+const example = fileURLToPath(new URL('../../../../examples/', import.meta.url));
+
+interface Run {
+  readonly code: number;
+  readonly out: string;
+  readonly err: string;
+}
+
+const run = (...args: string[]) =>
+  new Promise<Run>((resolve) => {
+    const child = execFile(process.execPath, [program, ...args], (_, out, err) =>
+      resolve({ code: child.exitCode ?? -1, out, err }),
+    );
+  });
+
+test('the program runs and tells its version', async () => {
+  assert.deepEqual(await run('--version'), { code: 0, out: '0.1.0\n', err: '' });
+});
+
+test('wrong usage exits with 2', async () => {
+  const codes = await Promise.all([run('fly'), run('node'), run('check', '--colour', 'red')]);
+  assert.deepEqual(
+    codes.map((r) => r.code),
+    [2, 2, 2],
+  );
+});
+
+test('a refusal exits with 1 and says why', async () => {
+  const r = await run('check', '--settings', `${example}ramdenee/release-1.toml`);
+  assert.equal(r.code, 1);
+  assert.match(r.err, /release-1\.toml: cluster: found nothing; expected/);
+});
+
+test('good settings and a good note exit with 0', async () => {
+  const r = await run(
+    ...['check', '--settings', `${example}ramdenee/r1.toml`],
+    ...['--note', `${example}ramdenee/release-1.toml`],
+  );
+  assert.deepEqual(r, { code: 0, out: 'ok\n', err: '' });
+});
--- a/packages/node/src/control.ts
+++ b/packages/node/src/control.ts
@@ -3,8 +3,8 @@
 import { randomUUID } from 'node:crypto';
 import { systemRandom } from '@tanagercart/base';
 import type { Clock, Logger, NodeId, TaskGroup } from '@tanagercart/base';
-import { MemoryStore, Raft, defaultTiming } from '@tanagercart/log';
-import { Feed, defaultLeaseTiming, follow, keepNodes } from '@tanagercart/membership';
+import { MemoryStore, Raft } from '@tanagercart/log';
+import { Feed, follow, keepNodes } from '@tanagercart/membership';
 import type { ConfigurationLease, History } from '@tanagercart/membership';
 import { encode } from '@tanagercart/protocol';
 import type { NodeAddress, Transport } from '@tanagercart/protocol';
@@ -80,20 +80,20 @@
       },
       clock,
       random: systemRandom,
-      timing: defaultTiming,
+      timing: settings.timing,
       logger: logger.part('log'),
       onBroken,
     });
   }
 
   private createFeed(): Feed {
-    const { transport, history, clock } = this.o;
+    const { transport, history, clock, settings } = this.o;
     const source = {
-      leaseMs: () => (this.leads ? defaultLeaseTiming.leaseMs : 0),
+      leaseMs: () => (this.leads ? settings.timing.leaseMs : 0),
       upTo: () => history.state.index,
       parent: () => this.leader,
     };
-    return Feed.create(transport, history, source, clock, defaultLeaseTiming);
+    return Feed.create(transport, history, source, clock, settings.timing);
   }
 
   private followOptions(self: NodeAddress) {
@@ -105,7 +105,7 @@
       history,
       lease,
       clock,
-      timing: defaultLeaseTiming,
+      timing: settings.timing,
       logger: logger.part('follow'),
       draining,
       seeds: () => settings.voters,
@@ -119,7 +119,7 @@
       history,
       proposer,
       clock,
-      timing: defaultLeaseTiming,
+      timing: this.o.settings.timing,
       logger: logger.part('nodes'),
       leads: () => this.leads,
     };
--- a/packages/node/src/directory.ts
+++ b/packages/node/src/directory.ts
@@ -22,16 +22,24 @@
 
 /** Looks up nodes, owners and upstreams. */
 export class Directory {
-  private constructor(private readonly o: DirectoryOptions) {}
+  private readonly peers = new Map<NodeId, string>();
+
+  private constructor(private readonly o: DirectoryOptions) {
+    for (const p of o.settings.peers) this.peers.set(p.id, p.peer);
+  }
 
   static create(options: DirectoryOptions): Directory {
     return new Directory(options);
   }
 
-  /** The `host:port` at which the other nodes reach `node`. */
+  /** Sets the `host:port` of a peer in place of the one in the settings. */
+  learn(peer: NodeId, address: string): void {
+    this.peers.set(peer, address);
+  }
+
+  /** The `host:port` of a node; what the settings say of a peer goes before the shared state. */
   peerAddress(node: NodeId): string | undefined {
-    const known = this.o.state.nodes.get(node)?.address.peer;
-    return known ?? this.o.settings.peers.find((p) => p.id === node)?.peer;
+    return this.peers.get(node) ?? this.o.state.nodes.get(node)?.address.peer;
   }
 
   /** The node that grants slots on `replica`. */
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -27,6 +27,8 @@
 export interface NodeOptions {
   readonly settings: Settings;
   readonly operatorKey: string;
+  /** Key that upstreams must send; none is asked for where it is left out. */
+  readonly upstreamKey?: string;
   readonly clock: Clock;
   readonly logger: Logger;
   /** Receives a broken invariant. */
@@ -55,7 +57,8 @@
   private readonly owner: Owner;
   private readonly callers: Server;
   private readonly operators: Server;
-  private address: NodeAddress;
+  /** Addresses of the node, as it tells the others. */
+  address: NodeAddress;
   private draining = false;
   private inProgress = 0;
   private readonly drainAsked = Bell.create();
@@ -81,11 +84,29 @@
 
   /** Starts a node: opens its listeners and begins to follow the cluster. */
   static async start(options: NodeOptions): Promise<Result<Node, StartError>> {
+    const opened = await Node.open(options);
+    return opened.map((node) => {
+      node.begin();
+      return node;
+    });
+  }
+
+  /** Opens the listeners of a node, which takes part in the cluster only once it begins. */
+  static async open(options: NodeOptions): Promise<Result<Node, StartError>> {
     const node = new Node(options);
-    const opened = await node.open();
+    const opened = await node.openListeners();
     return opened.map(() => node);
   }
 
+  /** Begins to take part; `peers` are reached at these addresses rather than those in the settings. */
+  begin(peers: readonly NodeAddress[] = []): void {
+    const { signal } = this.stopping;
+    for (const p of peers) this.directory.learn(p.id, p.peer);
+    this.control.begin(this.address, this.tasks, signal);
+    this.tasks.start(() => this.upstreams.watch(signal));
+    this.logger.info('Serving.', { entry: this.address.entry });
+  }
+
   get id(): NodeId {
     return this.o.settings.node.id;
   }
@@ -128,7 +149,7 @@
     this.metrics.close();
   }
 
-  private async open(): Promise<Result<void, StartError>> {
+  private async openListeners(): Promise<Result<void, StartError>> {
     const { node } = this.o.settings;
     const peer = await this.listenPeers(node.peer);
     if (peer.isErr()) return err({ detail: `peer address ${node.peer}: ${peer.error.message}` });
@@ -142,8 +163,6 @@
     }
     this.address = { ...this.address, peer: peer.value, entry: `http://${entry.value}` };
     this.operatorUrl = `http://${operator.value}`;
-    this.begin();
-    this.logger.info('Serving.', { entry: this.address.entry });
     return ok(undefined);
   }
 
@@ -153,12 +172,6 @@
     return opened.map((p) => withPort(address, p));
   }
 
-  private begin(): void {
-    const { signal } = this.stopping;
-    this.control.begin(this.address, this.tasks, signal);
-    this.tasks.start(() => this.upstreams.watch(signal));
-  }
-
   private countRequests(): void {
     this.callers.on('request', (_, res) => {
       this.inProgress += 1;
