Hold callers to limits, and speak what the openai client expects

Cause: a body over its limit cut the connection rather than telling 413, a caller that did not read held its stream for ever, a fault in one handler stopped the node, and n, stop and stream_options were ignored.

Change: limits on head, body, prompt, answer, sending and reading time, each with its refusal; stop sequences; usage at the end of a stream; models named with version and adapter; a key for upstreams; lines of the log name request and account; only a broken invariant stops the node; a drain waits until the others own what this node owned and for its own requests, no longer for grants that other entries hold.

--- a/packages/dispatch/src/order.ts
+++ b/packages/dispatch/src/order.ts
@@ -56,12 +56,13 @@
   }
 
   /** Sends an idempotent call; tries other upstreams when one fails. */
-  async repeatable(order: Order): Promise<Result<ServiceAnswer, Refusal>> {
+  async repeatable(order: Order, signal?: AbortSignal): Promise<Result<ServiceAnswer, Refusal>> {
     const upstreams = this.o.upstreams(order.service).slice(0, attemptLimit);
     if (upstreams.length === 0) return err(noUpstream());
     for (const upstream of upstreams) {
-      const answer = await this.o.services.send(requestOf(order, upstream));
+      const answer = await this.o.services.send(requestOf(order, upstream), signal);
       if (answer.isOk()) return ok(answer.value);
+      if (signal?.aborted) break;
       this.o.metrics.count('retry', { reason: answer.error.kind });
     }
     return err(maybeRun('upstream-failed', 'every attempt failed'));
--- a/packages/entry/src/answers.ts
+++ b/packages/entry/src/answers.ts
@@ -2,17 +2,21 @@
 
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { randomUUID } from 'node:crypto';
-import { ModelId, RequestId, TierId, unreachable } from '@tanagercart/base';
+import { ModelId, RequestId, TierId } from '@tanagercart/base';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import { fingerprintOf, notRun } from '@tanagercart/dispatch';
-import type { Generation, Piece, Refusal } from '@tanagercart/dispatch';
+import type { Generation, Refusal } from '@tanagercart/dispatch';
 import type { ClientAccount } from '@tanagercart/release';
-import { parseJson, readBody, sendJson } from './body.js';
-import { AnswerWriter, parseAnswerRequest } from './chat.js';
+import { parseJson, readBody } from './body.js';
+import { parseAnswerRequest } from './chat.js';
 import type { AnswerKind, AnswerRequest } from './chat.js';
+import { Delivery } from './delivery.js';
 import type { Door } from './door.js';
-import { refusalBody, sendRefusal } from './refuse.js';
+import { AnswerWriter } from './writer.js';
+
+/** Answer tokens where the caller names no limit. */
+const defaultMaxTokens = 1024;
 
 /** Header that names the tier. */
 const tierHeader = 'tanagercart-tier';
@@ -26,7 +30,7 @@
 ): Promise<void> {
   const checked = await check(door, kind, req);
   if (checked.isErr()) {
-    door.refuse(res, checked.error, sendRefusal);
+    door.refuse(res, checked.error, { account: door.account(req)?.id });
     return;
   }
   const { asked, generation } = checked.value;
@@ -35,8 +39,8 @@
   const created = Math.floor(door.o.clock.wall() / 1000);
   const writer = AnswerWriter.create(kind, generation.id, asked.model, created);
   const pieces = door.o.dispatch.generate(generation, hangUp.signal);
-  if (asked.stream) await sendStream(door, res, writer, pieces);
-  else await sendWhole(door, res, writer, generation, pieces);
+  const delivery = Delivery.create({ door, res, writer, asked, generation });
+  await (asked.stream ? delivery.stream(pieces) : delivery.whole(pieces));
 }
 
 interface Checked {
@@ -58,7 +62,7 @@
     return err(notRun('too-large', `a body may have ${door.o.limits.bodyBytes} bytes`));
   }
   const asked = parseAnswerRequest(kind, parseJson(body.value));
-  if (asked.isErr()) return err(notRun('malformed', asked.error));
+  if (asked.isErr()) return err(notRun(asked.error.reason, asked.error.message));
   const generation = judge(door, account, asked.value, req.headers[tierHeader]);
   return generation.map((g) => ({ asked: asked.value, generation: g }));
 }
@@ -90,9 +94,13 @@
   if (adapter && !model.adapters.includes(adapter)) {
     return err(notRun('unknown-model', `no adapter "${adapter}" of model "${name}"`));
   }
-  if (asked.maxTokens > limits.answerTokens) {
+  const maxTokens = asked.maxTokens ?? Math.min(defaultMaxTokens, limits.answerTokens);
+  if (maxTokens > limits.answerTokens) {
     return err(notRun('too-large', `an answer may have ${limits.answerTokens} tokens`));
   }
+  if (Buffer.byteLength(asked.prompt) > limits.promptBytes) {
+    return err(notRun('prompt-too-large', `a prompt may have ${limits.promptBytes} bytes`));
+  }
   const generation: Generation = {
     id: RequestId(randomUUID()),
     account,
@@ -103,86 +111,10 @@
     release: release.number,
     prompt: asked.prompt,
     seed: asked.seed,
-    maxTokens: asked.maxTokens,
+    maxTokens,
   };
   if (state.quarantine.holds(fingerprintOf(generation))) {
     return err(notRun('quarantined', 'this request has crashed the upstreams that ran it'));
   }
   return ok(generation);
 }
-
-async function sendStream(
-  door: Door,
-  res: ServerResponse,
-  writer: AnswerWriter,
-  pieces: AsyncIterable<Piece>,
-): Promise<void> {
-  for await (const piece of pieces) {
-    if (piece.kind === 'refused' && !res.headersSent) {
-      door.refuse(res, piece.refusal, sendRefusal);
-      return;
-    }
-    if (!res.headersSent) {
-      res.writeHead(200, { 'content-type': 'text/event-stream', 'cache-control': 'no-cache' });
-    }
-    await write(res, eventOf(door, writer, piece));
-  }
-  res.end();
-}
-
-function eventOf(door: Door, writer: AnswerWriter, piece: Piece): string {
-  switch (piece.kind) {
-    case 'token':
-      return event(writer.chunk(piece.token, null));
-    case 'end':
-      return `${event(writer.chunk('', piece.reason))}data: [DONE]\n\n`;
-    case 'refused':
-      door.o.metrics.count('refused', { reason: piece.refusal.reason });
-      return event(refusalBody(piece.refusal, []));
-    default:
-      return unreachable(piece);
-  }
-}
-
-async function sendWhole(
-  door: Door,
-  res: ServerResponse,
-  writer: AnswerWriter,
-  g: Generation,
-  pieces: AsyncIterable<Piece>,
-): Promise<void> {
-  let text = '';
-  for await (const piece of pieces) {
-    switch (piece.kind) {
-      case 'token':
-        text += piece.token;
-        break;
-      case 'end':
-        sendJson(res, 200, writer.whole(text, piece.reason, g.prompt.length, piece.tokens));
-        return;
-      case 'refused':
-        door.refuse(res, piece.refusal, sendRefusal);
-        return;
-      default:
-        unreachable(piece);
-    }
-  }
-}
-
-function event(value: object): string {
-  return `data: ${JSON.stringify(value)}\n\n`;
-}
-
-/** Writes to a caller; resolves once the caller has room for more. */
-function write(res: ServerResponse, text: string): Promise<void> {
-  if (res.write(text) || res.destroyed) return Promise.resolve();
-  return new Promise((resolve) => {
-    const go = () => {
-      res.off('drain', go);
-      res.off('close', go);
-      resolve();
-    };
-    res.on('drain', go);
-    res.on('close', go);
-  });
-}
--- a/packages/entry/src/body.ts
+++ b/packages/entry/src/body.ts
@@ -1,17 +1,19 @@
-/** Reads request bodies with a limit. */
+/** Reads request bodies with a limit, and sends JSON. */
 
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 
-/** Reads a whole body of at most `limit` bytes. */
+/** Reads a whole body of at most `limit` bytes; the rest of a longer one is left unread. */
 export async function readBody(
   req: IncomingMessage,
   limit: number,
 ): Promise<Result<Buffer, 'too-large'>> {
+  if (Number(req.headers['content-length'] ?? 0) > limit) return err('too-large');
   const chunks: Buffer[] = [];
   let size = 0;
-  for await (const chunk of req as AsyncIterable<Buffer>) {
+  // The request stays open, so that a refusal can still be sent.
+  for await (const chunk of req.iterator({ destroyOnReturn: false }) as AsyncIterable<Buffer>) {
     size += chunk.length;
     if (size > limit) return err('too-large');
     chunks.push(chunk);
--- a/packages/entry/src/callers.ts
+++ b/packages/entry/src/callers.ts
@@ -2,29 +2,71 @@
 
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import { notRun } from '@tanagercart/dispatch';
+import type { Duplex } from 'node:stream';
+import { BrokenInvariant } from '@tanagercart/base';
+import { maybeRun, notRun } from '@tanagercart/dispatch';
 import { parseAnnouncement } from '@tanagercart/upstream';
 import { answerRequest } from './answers.js';
+import { carriesKey } from './bearer.js';
 import { parseJson, readBody, sendJson } from './body.js';
+import { answerBadRequest, requestTimeoutCode } from './badrequest.js';
 import type { Door } from './door.js';
-import { sendRefusal } from './refuse.js';
+import { sendModels } from './models.js';
 import { answerService, servicesPath } from './services.js';
 
 /** How long callers may keep a list of entries, in seconds. */
 const entriesLifetimeSeconds = 30;
 
 /** Creates the listener; it is not yet listening. */
-export function createCallerServer(
-  door: Door,
-  requestMs: number,
-  onBroken: (error: unknown) => void,
-): Server {
-  return createServer({ requestTimeout: requestMs, headersTimeout: requestMs }, (req, res) => {
-    route(door, req, res).catch((error: unknown) => {
-      if (req.destroyed || res.destroyed) return;
-      onBroken(error);
+export function createCallerServer(door: Door, onBroken: (error: unknown) => void): Server {
+  const { requestMs, headerBytes } = door.o.limits;
+  const options = {
+    requestTimeout: requestMs,
+    headersTimeout: requestMs,
+    connectionsCheckingInterval: Math.ceil(requestMs / 2),
+    maxHeaderSize: headerBytes,
+  };
+  // Connections whose request was answered before it was whole: there is no more to say on them.
+  const answered = new WeakSet<Duplex>();
+  const server = createServer(options, (req, res) => {
+    res.on('finish', () => {
+      if (!req.complete) answered.add(req.socket);
     });
+    const closed = new Promise((resolve) => {
+      res.on('close', resolve);
+    });
+    const served = serve(door, req, res, onBroken);
+    void door.inProgress.during(Promise.all([served, closed]));
+  });
+  server.on('clientError', (error, socket) => {
+    const late = (error as { readonly code?: string }).code === requestTimeoutCode;
+    if (late && answered.has(socket)) socket.destroy();
+    else answerBadRequest(door, error, socket);
   });
+  return server;
+}
+
+/** Serves one request; a bug ends this request alone, a broken invariant the process. */
+async function serve(
+  door: Door,
+  req: IncomingMessage,
+  res: ServerResponse,
+  onBroken: (error: unknown) => void,
+): Promise<void> {
+  try {
+    await route(door, req, res);
+  } catch (error) {
+    if (error instanceof BrokenInvariant) onBroken(error);
+    if (req.destroyed && !req.complete) return;
+    door.o.logger.error('A request failed.', { error: String((error as Error).stack ?? error) });
+    const refusal = maybeRun('internal', 'the request met a fault of this node');
+    if (!res.headersSent) {
+      door.refuse(res, refusal);
+      return;
+    }
+    door.note(refusal, {});
+    res.destroy();
+  }
 }
 
 async function route(door: Door, req: IncomingMessage, res: ServerResponse): Promise<void> {
@@ -36,29 +78,18 @@
       return answerRequest(door, 'chat', req, res);
     case 'POST /v1/completions':
       return answerRequest(door, 'completion', req, res);
-    case 'GET /v1/models':
-      return sendModels(door, res);
     case 'GET /v1/entries':
       return sendEntries(door, req, res);
     case 'POST /upstreams/v1/announce':
       return takeAnnouncement(door, req, res);
     default:
-      return sendJson(res, 404, {
-        error: { code: 'not-found', message: `no ${req.method} ${path}`, run: 'not-run' },
-      });
+      if (req.method === 'GET' && path.startsWith('/v1/models')) {
+        return sendModels(door, req, res, path);
+      }
+      return door.refuse(res, notRun('not-found', `no ${req.method} ${path}`));
   }
 }
 
-function sendModels(door: Door, res: ServerResponse): void {
-  const data = [...door.o.state.release.models.values()].map((m) => ({
-    id: m.id,
-    object: 'model',
-    created: 0,
-    owned_by: 'tanagercart',
-  }));
-  sendJson(res, 200, { object: 'list', data });
-}
-
 function sendEntries(door: Door, req: IncomingMessage, res: ServerResponse): void {
   const entries = door.o.entries(door.account(req)?.id);
   sendJson(res, 200, { entries, lifetimeSeconds: entriesLifetimeSeconds });
@@ -69,12 +100,17 @@
   req: IncomingMessage,
   res: ServerResponse,
 ): Promise<void> {
-  const body = await readBody(req, door.o.limits.bodyBytes);
+  const { upstreamKey, limits, upstreams } = door.o;
+  if (upstreamKey !== undefined && !carriesKey(req, upstreamKey)) {
+    door.refuse(res, notRun('unauthorised', "the upstreams' key is required"));
+    return;
+  }
+  const body = await readBody(req, limits.bodyBytes);
   const parsed = body.isOk() ? parseAnnouncement(parseJson(body.value)) : undefined;
   if (!parsed?.isOk()) {
     const message = parsed?.isErr() ? parsed.error : 'the announcement is too large';
-    door.refuse(res, notRun('malformed', message), sendRefusal);
+    door.refuse(res, notRun('malformed', message));
     return;
   }
-  sendJson(res, 200, await door.o.upstreams.announced(parsed.value));
+  sendJson(res, 200, await upstreams.announced(parsed.value));
 }
--- a/packages/entry/src/chat.ts
+++ b/packages/entry/src/chat.ts
@@ -3,10 +3,6 @@
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import { z } from 'zod';
-import type { FinishReason } from '@tanagercart/upstream';
-
-/** Answer tokens where the caller names no limit. */
-const defaultMaxTokens = 1024;
 
 const part = z.object({ type: z.literal('text'), text: z.string() });
 
@@ -20,6 +16,9 @@
   stream: z.boolean().nullish(),
   seed: z.int().nullish(),
   max_tokens: z.int().positive().nullish(),
+  n: z.literal(1, 'only one answer for a request is supported').nullish(),
+  stop: z.union([z.string(), z.array(z.string()).max(4)]).nullish(),
+  stream_options: z.object({ include_usage: z.boolean().nullish() }).nullish(),
 };
 
 const chat = z.object({
@@ -28,7 +27,7 @@
   max_completion_tokens: z.int().positive().nullish(),
 });
 
-const completion = z.object({ ...common, prompt: z.string() });
+const completion = z.object({ ...common, prompt: z.union([z.string(), z.tuple([z.string()])]) });
 
 /** Which of the two kinds of answer a caller asked for. */
 export type AnswerKind = 'chat' | 'completion';
@@ -40,28 +39,58 @@
   readonly prompt: string;
   readonly stream: boolean;
   readonly seed: number;
-  readonly maxTokens: number;
+  /** Most tokens of the answer, where the caller names a limit. */
+  readonly maxTokens: number | undefined;
+  /** Sequences that end the answer before them. */
+  readonly stop: readonly string[];
+  /** Whether a streamed answer ends with its numbers of tokens. */
+  readonly includeUsage: boolean;
+}
+
+/** What is wrong with a request. */
+export interface AskedProblem {
+  readonly reason: 'malformed' | 'unsupported';
+  /** Key and what is wrong with it. */
+  readonly message: string;
 }
 
 /** Parses the body of a request; the error names the key. */
-export function parseAnswerRequest(kind: AnswerKind, body: unknown): Result<AnswerRequest, string> {
+export function parseAnswerRequest(
+  kind: AnswerKind,
+  body: unknown,
+): Result<AnswerRequest, AskedProblem> {
   const parsed = kind === 'chat' ? chat.safeParse(body) : completion.safeParse(body);
   if (!parsed.success) {
-    const [issue] = parsed.error.issues;
-    return err(`${issue?.path.join('.') ?? ''}: ${issue?.message ?? 'malformed'}`);
+    return err(problemOf(parsed.error));
   }
   const b = parsed.data;
   const most = 'max_completion_tokens' in b ? b.max_completion_tokens : undefined;
   return ok({
     kind,
     model: b.model,
-    prompt: 'messages' in b ? promptOf(b.messages) : b.prompt,
+    prompt: 'messages' in b ? promptOf(b.messages) : String(b.prompt),
     stream: b.stream ?? false,
     seed: b.seed ?? 0,
-    maxTokens: most ?? b.max_tokens ?? defaultMaxTokens,
+    maxTokens: most ?? b.max_tokens ?? undefined,
+    stop: stopOf(b.stop),
+    includeUsage: b.stream_options?.include_usage ?? false,
   });
 }
 
+function problemOf(error: z.ZodError): AskedProblem {
+  const [issue] = error.issues;
+  const path = issue?.path.join('.') ?? '';
+  return {
+    reason: path === 'n' ? 'unsupported' : 'malformed',
+    message: `${path || 'body'}: ${issue?.message ?? 'malformed'}`,
+  };
+}
+
+function stopOf(stop: string | readonly string[] | null | undefined): readonly string[] {
+  const list = typeof stop === 'string' ? [stop] : (stop ?? []);
+  return list.filter((s) => s !== '');
+}
+
 function promptOf(messages: readonly z.infer<typeof message>[]): string {
   return messages.map((m) => `${m.role}: ${textOf(m.content)}`).join('\n');
 }
@@ -69,56 +98,3 @@
 function textOf(content: z.infer<typeof message>['content']): string {
   return typeof content === 'string' ? content : content.map((p) => p.text).join('');
 }
-
-/** Writes the objects of one answer. */
-export class AnswerWriter {
-  private constructor(
-    private readonly kind: AnswerKind,
-    private readonly id: string,
-    private readonly model: string,
-    private readonly created: number,
-  ) {}
-
-  /** `created` is in seconds since 1970. */
-  static create(kind: AnswerKind, id: string, model: string, created: number): AnswerWriter {
-    return new AnswerWriter(kind, id, model, created);
-  }
-
-  /** A chunk of a streamed answer. */
-  chunk(token: string, finish: FinishReason | null): object {
-    const choice =
-      this.kind === 'chat'
-        ? {
-            index: 0,
-            delta: token ? { role: 'assistant', content: token } : {},
-            finish_reason: finish,
-          }
-        : { index: 0, text: token, logprobs: null, finish_reason: finish };
-    const object = this.kind === 'chat' ? 'chat.completion.chunk' : 'text_completion';
-    return { ...this.head(object), choices: [choice] };
-  }
-
-  /** A whole answer. */
-  whole(text: string, finish: FinishReason, promptTokens: number, tokens: number): object {
-    const choice =
-      this.kind === 'chat'
-        ? {
-            index: 0,
-            message: { role: 'assistant', content: text, refusal: null },
-            logprobs: null,
-            finish_reason: finish,
-          }
-        : { index: 0, text, logprobs: null, finish_reason: finish };
-    const object = this.kind === 'chat' ? 'chat.completion' : 'text_completion';
-    const usage = {
-      prompt_tokens: promptTokens,
-      completion_tokens: tokens,
-      total_tokens: promptTokens + tokens,
-    };
-    return { ...this.head(object), choices: [choice], usage };
-  }
-
-  private head(object: string) {
-    return { id: this.id, object, created: this.created, model: this.model };
-  }
-}
--- a/packages/entry/src/door.ts
+++ b/packages/entry/src/door.ts
@@ -2,17 +2,24 @@
 
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { digestOf } from '@tanagercart/base';
-import type { AccountId, Clock, Logger, Metrics, NodeId } from '@tanagercart/base';
+import type { AccountId, Clock, Logger, Metrics, NodeId, RequestId } from '@tanagercart/base';
 import { notRun } from '@tanagercart/dispatch';
 import type { Dispatch, Orders, Refusal } from '@tanagercart/dispatch';
 import type { ConfigurationLease, Upstreams } from '@tanagercart/membership';
 import type { ClientAccount } from '@tanagercart/release';
 import type { SharedState } from '@tanagercart/state';
+import { bearerOf } from './bearer.js';
+import { InProgress } from './inprogress.js';
+import { entriesHelp, sendRefusal } from './refuse.js';
 
-/** Limits on what callers send. */
+/** Limits on what callers send and on how slowly they do so. */
 export interface CallerLimits {
   readonly bodyBytes: number;
+  readonly headerBytes: number;
+  readonly promptBytes: number;
   readonly answerTokens: number;
+  readonly requestMs: number;
+  readonly unreadMs: number;
 }
 
 /** What the callers' listener needs. */
@@ -27,13 +34,23 @@
   readonly logger: Logger;
   readonly metrics: Metrics;
   readonly limits: CallerLimits;
+  /** Key that upstreams must send with their announcements. */
+  readonly upstreamKey?: string | undefined;
   /** Base URLs of nodes for an account, best first. */
   readonly entries: (account: AccountId | undefined) => readonly string[];
   readonly draining: () => boolean;
 }
 
+/** The request that a refusal or a log line concerns. */
+export interface About {
+  readonly request?: RequestId | undefined;
+  readonly account?: AccountId | undefined;
+}
+
 /** Decides on new work and refuses it where it cannot be taken. */
 export class Door {
+  readonly inProgress = InProgress.create();
+
   private constructor(readonly o: DoorOptions) {}
 
   static create(options: DoorOptions): Door {
@@ -42,10 +59,8 @@
 
   /** The account that the caller's key belongs to. */
   account(req: IncomingMessage): ClientAccount | undefined {
-    const header = req.headers.authorization ?? '';
-    const [scheme, key] = header.split(' ');
-    if (scheme?.toLowerCase() !== 'bearer' || !key) return undefined;
-    return this.o.state.release.accountByKey(digestOf(key));
+    const key = bearerOf(req);
+    return key === undefined ? undefined : this.o.state.release.accountByKey(digestOf(key));
   }
 
   /** Why this node takes no new work now, if so. */
@@ -57,14 +72,16 @@
     return undefined;
   }
 
-  /** Sends and counts a refusal. */
-  refuse(
-    res: ServerResponse,
-    refusal: Refusal,
-    send: (res: ServerResponse, r: Refusal, e: readonly string[]) => void,
-  ): void {
-    this.o.metrics.count('refused', { reason: refusal.reason });
-    const others = this.o.entries(undefined);
-    send(res, refusal, others);
+  /** Sends, counts and logs a refusal. */
+  refuse(res: ServerResponse, refusal: Refusal, about: About = {}): void {
+    this.note(refusal, about);
+    sendRefusal(res, refusal, entriesHelp(refusal) ? this.o.entries(about.account) : []);
+  }
+
+  /** Counts and logs a refusal that is told in another way. */
+  note(refusal: Refusal, about: About): void {
+    const { reason, run, message } = refusal;
+    this.o.metrics.count('refused', { reason });
+    this.o.logger.info('Refused.', { ...about, reason, run, detail: message });
   }
 }
--- /dev/null
+++ b/packages/entry/src/inprogress.ts
@@ -0,0 +1,33 @@
+/** The requests that a listener has in progress. */
+
+import { Bell } from '@tanagercart/base';
+
+/** Counts what has begun and not ended. */
+export class InProgress {
+  private begun = 0;
+  private readonly ended = Bell.create();
+
+  static create(): InProgress {
+    return new InProgress();
+  }
+
+  get count(): number {
+    return this.begun;
+  }
+
+  /** Counts `work` until it has ended. */
+  async during(work: Promise<unknown>): Promise<void> {
+    this.begun += 1;
+    try {
+      await work;
+    } finally {
+      this.begun -= 1;
+      this.ended.ring();
+    }
+  }
+
+  /** Resolves once nothing is in progress. */
+  async untilIdle(): Promise<void> {
+    while (this.begun > 0) await this.ended.wait();
+  }
+}
--- a/packages/entry/src/operators.ts
+++ b/packages/entry/src/operators.ts
@@ -2,12 +2,12 @@
 
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import { timingSafeEqual } from 'node:crypto';
-import { digestOf, unreachable } from '@tanagercart/base';
+import { unreachable } from '@tanagercart/base';
 import type { Clock, Millis, NodeId } from '@tanagercart/base';
 import type { Transport } from '@tanagercart/protocol';
 import { digestOfNote, parseNote } from '@tanagercart/release';
 import type { Proposer, SharedState } from '@tanagercart/state';
+import { carriesKey } from './bearer.js';
 import { readBody, sendJson } from './body.js';
 
 /** How long accepting a note may take, in milliseconds. */
@@ -53,7 +53,7 @@
 }
 
 async function route(o: OperatorOptions, req: IncomingMessage, res: ServerResponse): Promise<void> {
-  if (!hasKey(o, req)) {
+  if (!carriesKey(req, o.key)) {
     sendJson(res, 401, {
       error: { code: 'unauthorised', message: "the operators' key is required" },
     });
@@ -79,11 +79,6 @@
   }
 }
 
-function hasKey(o: OperatorOptions, req: IncomingMessage): boolean {
-  const [, key = ''] = (req.headers.authorization ?? '').split(' ');
-  return timingSafeEqual(Buffer.from(digestOf(key)), Buffer.from(digestOf(o.key)));
-}
-
 async function submit(
   o: OperatorOptions,
   req: IncomingMessage,
--- a/packages/entry/src/refuse.ts
+++ b/packages/entry/src/refuse.ts
@@ -8,7 +8,13 @@
 const statusOf: Readonly<Record<RefusalReason, number>> = {
   unauthorised: 401,
   malformed: 400,
+  unsupported: 400,
+  'not-found': 404,
   'too-large': 413,
+  'headers-too-large': 431,
+  'prompt-too-large': 413,
+  'request-timeout': 408,
+  'slow-reader': 408,
   'unknown-model': 404,
   'unknown-tier': 400,
   'unknown-service': 404,
@@ -28,8 +34,27 @@
   'upstream-failed': 502,
   'retry-budget': 503,
   deadline: 504,
+  internal: 500,
 };
 
+/** Refusals that another node may not give. */
+const localReasons: ReadonlySet<RefusalReason> = new Set([
+  'draining',
+  'no-lease',
+  'owner-unreachable',
+  'shared-state-unavailable',
+]);
+
+/** Whether a caller may fare better at another node. */
+export function entriesHelp(refusal: Refusal): boolean {
+  return localReasons.has(refusal.reason);
+}
+
+/** HTTP status of a refusal. */
+export function statusOfRefusal(refusal: Refusal): number {
+  return statusOf[refusal.reason];
+}
+
 /** A refusal as JSON. */
 export function refusalBody(refusal: Refusal, entries: readonly string[]): object {
   const { reason, run, message } = refusal;
@@ -47,6 +72,7 @@
   const text = JSON.stringify(refusalBody(refusal, entries));
   const headers: Record<string, string> = {
     'content-type': 'application/json',
+    'content-length': String(Buffer.byteLength(text)),
     'tanagercart-run': refusal.run,
   };
   if (refusal.retryAfterMs !== undefined) {
--- a/packages/entry/src/services.ts
+++ b/packages/entry/src/services.ts
@@ -8,9 +8,9 @@
 import { notRun } from '@tanagercart/dispatch';
 import type { Order, Refusal } from '@tanagercart/dispatch';
 import type { ServiceCall } from '@tanagercart/release';
+import type { ServiceAnswer } from '@tanagercart/upstream';
 import { readBody } from './body.js';
 import type { Door } from './door.js';
-import { sendRefusal } from './refuse.js';
 
 /** Path under which services stand. */
 export const servicesPath = '/v1/services/';
@@ -28,28 +28,40 @@
 ): Promise<void> {
   const checked = await check(door, req);
   if (checked.isErr()) {
-    door.refuse(res, checked.error, sendRefusal);
+    door.refuse(res, checked.error);
     return;
   }
   const { order, call } = checked.value;
+  const about = { request: order.request, account: order.account };
   const key = req.headers['idempotency-key'];
   if (!call.repeatable && !key) {
     const message = 'this call may not be repeated: an Idempotency-Key is required';
-    door.refuse(res, notRun('key-required', message), sendRefusal);
+    door.refuse(res, notRun('key-required', message), about);
     return;
   }
-  const { orders } = door.o;
-  const answer = call.repeatable
-    ? await orders.repeatable(order)
-    : await orders.once(order, String(key));
+  const answer = await send(door, res, checked.value, String(key));
   if (answer.isErr()) {
-    door.refuse(res, answer.error, sendRefusal);
+    door.refuse(res, answer.error, about);
     return;
   }
   res.writeHead(answer.value.status, { 'content-type': answer.value.contentType });
   res.end(answer.value.body);
 }
 
+/** Sends a call; a caller that hangs up cancels it, unless it is an order. */
+function send(
+  door: Door,
+  res: ServerResponse,
+  { order, call }: Checked,
+  key: string,
+): Promise<Result<ServiceAnswer, Refusal>> {
+  const { orders } = door.o;
+  if (!call.repeatable) return orders.once(order, key);
+  const hangUp = new AbortController();
+  res.on('close', () => hangUp.abort());
+  return orders.repeatable(order, hangUp.signal);
+}
+
 async function check(door: Door, req: IncomingMessage): Promise<Result<Checked, Refusal>> {
   const closed = door.closed();
   if (closed) return err(closed);
--- /dev/null
+++ b/packages/entry/test/callers.test.ts
@@ -0,0 +1,270 @@
+import assert from 'node:assert/strict';
+import { request } from 'node:http';
+import type { IncomingMessage, RequestOptions, Server } from 'node:http';
+import { connect } from 'node:net';
+import type { AddressInfo } from 'node:net';
+import { test } from 'node:test';
+import type { TestContext } from 'node:test';
+import {
+  BrokenInvariant,
+  HeldClock,
+  NodeId,
+  StatsdMetrics,
+  digestOf,
+  settle,
+  silentLogger,
+} from '@tanagercart/base';
+import type { LogFields, Logger } from '@tanagercart/base';
+import type { Generation, Piece } from '@tanagercart/dispatch';
+import { ConfigurationLease } from '@tanagercart/membership';
+import { applyNote, parseNote, Release } from '@tanagercart/release';
+import { Door, createCallerServer } from '../src/index.js';
+import type { CallerLimits, DoorOptions } from '../src/index.js';
+
+const key = 'a-grower-key';
+
+const note = `number = 1
+author = "test"
+[[added.priceLists]]
+id = "standard"
+[[added.priceLists.tiers]]
+id = "urgent"
+urgency = 0
+price = 9.0
+firstTokenMs = 690
+tokenGapMs = 78
+concurrency = 32
+requestsPerSecond = 100
+tokensPerSecond = 20000
+[[added.clientAccounts]]
+id = "grower"
+priceList = "standard"
+defaultTier = "urgent"
+keyDigest = "${digestOf(key)}"
+[[added.models]]
+id = "fig"
+layers = 8
+versions = ["1"]
+`;
+
+const release = applyNote(Release.empty(), parseNote(note)._unsafeUnwrap())._unsafeUnwrap();
+
+const small: CallerLimits = {
+  bodyBytes: 400,
+  headerBytes: 2048,
+  promptBytes: 40,
+  answerTokens: 100,
+  requestMs: 30_000,
+  unreadMs: 1000,
+};
+
+type Generate = (g: Generation, signal: AbortSignal) => AsyncIterable<Piece>;
+
+async function* twoTokens(): AsyncGenerator<Piece> {
+  yield { kind: 'token', token: 'dry ', index: 0 };
+  yield { kind: 'token', token: 'figs', index: 1 };
+  yield { kind: 'end', reason: 'stop', tokens: 2 };
+}
+
+interface Setup {
+  readonly generate?: Generate;
+  readonly limits?: Partial<CallerLimits>;
+  readonly logger?: Logger;
+  readonly more?: Partial<DoorOptions>;
+}
+
+/** A listener whose answers come from `generate`. */
+async function open(t: TestContext, s: Setup = {}) {
+  const clock = HeldClock.create();
+  const lease = ConfigurationLease.create(clock);
+  lease.renew(1e9);
+  const metrics = StatsdMetrics.create();
+  const broken: unknown[] = [];
+  const door = Door.create({
+    self: NodeId('n1'),
+    state: { release, quarantine: { holds: () => false } },
+    lease,
+    dispatch: { generate: s.generate ?? twoTokens },
+    clock,
+    metrics,
+    logger: s.logger ?? silentLogger,
+    limits: { ...small, ...s.limits },
+    entries: () => ['http://other:1'],
+    draining: () => false,
+    ...s.more,
+  } as unknown as DoorOptions);
+  const server = createCallerServer(door, (e) => broken.push(e));
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  t.after(() => {
+    server.closeAllConnections();
+    server.close();
+  });
+  return { clock, metrics, broken, door, server };
+}
+
+const portOf = (server: Server) => (server.address() as AddressInfo).port;
+
+const begin = (server: Server, options: RequestOptions = {}, body = '') =>
+  new Promise<IncomingMessage>((resolve, reject) => {
+    const headers = { authorization: `Bearer ${key}`, ...options.headers };
+    const path = '/v1/completions';
+    const to = { port: portOf(server), method: 'POST', path, ...options, headers };
+    request(to, resolve).on('error', reject).end(body);
+  });
+
+const ask = async (server: Server, body: object | string, options: RequestOptions = {}) => {
+  const text = typeof body === 'string' ? body : JSON.stringify(body);
+  const res = await begin(server, options, text);
+  let answer = '';
+  for await (const chunk of res) answer += String(chunk);
+  return { status: res.statusCode, headers: res.headers, body: answer };
+};
+
+const codeOf = (body: string) => (JSON.parse(body) as { error: { code: string } }).error.code;
+
+const asked = { model: 'fig', prompt: 'dry?' };
+
+test('each limit that is exceeded gives a clear refusal, not run', async (t) => {
+  const { server, metrics } = await open(t);
+  const answers = [
+    await ask(server, 'x'.repeat(500)),
+    await ask(server, 'x'.repeat(500), { headers: { 'transfer-encoding': 'chunked' } }),
+    await ask(server, { ...asked, prompt: 'x'.repeat(50) }),
+    await ask(server, { ...asked, max_tokens: 101 }),
+    await ask(server, asked, { headers: { 'x-long': 'x'.repeat(4000) } }),
+    await ask(server, '{'),
+    await ask(server, asked, { path: '/v1/none' }),
+  ];
+  assert.deepEqual(
+    answers.map((a) => [a.status, codeOf(a.body), a.headers['tanagercart-run']]),
+    [
+      [413, 'too-large', 'not-run'],
+      [413, 'too-large', 'not-run'],
+      [413, 'prompt-too-large', 'not-run'],
+      [413, 'too-large', 'not-run'],
+      [431, 'headers-too-large', 'not-run'],
+      [400, 'malformed', 'not-run'],
+      [404, 'not-found', 'not-run'],
+    ],
+  );
+  assert.equal(metrics.read('refused'), answers.length);
+});
+
+test('a request that is sent too slowly is refused', async (t) => {
+  const { server } = await open(t, { limits: { requestMs: 40 } });
+  const socket = connect(portOf(server), '127.0.0.1');
+  const lines = ['POST /v1/completions HTTP/1.1', 'host: x', `authorization: Bearer ${key}`];
+  socket.write([...lines, 'content-length: 9', '', '{'].join('\r\n'));
+  let answer = '';
+  for await (const chunk of socket) answer += String(chunk);
+  assert.match(answer, /^HTTP\/1\.1 408 /);
+  assert.match(answer, /"code":"request-timeout".*"run":"not-run"/);
+});
+
+test('a caller that does not read is cut, and its work is cancelled', async (t) => {
+  let ended = false;
+  async function* endless(): AsyncGenerator<Piece> {
+    try {
+      for (let index = 0; ; index += 1) yield { kind: 'token', token: 'x'.repeat(65_536), index };
+    } finally {
+      ended = true;
+    }
+  }
+  const { server, clock, metrics, door } = await open(t, { generate: endless });
+  const res = await begin(server, {}, JSON.stringify({ ...asked, stream: true }));
+  res.pause();
+  res.on('error', () => undefined);
+  while (!ended) await clock.advance(100);
+  await door.inProgress.untilIdle();
+  assert.equal(metrics.read('refused', { reason: 'slow-reader' }), 1);
+});
+
+test('a caller that hangs up has its work cancelled', async (t) => {
+  let signal: AbortSignal | undefined;
+  async function* silent(_: Generation, s: AbortSignal): AsyncGenerator<Piece> {
+    signal = s;
+    yield { kind: 'token', token: 'dry ', index: 0 };
+    await new Promise((resolve) => {
+      s.addEventListener('abort', resolve);
+    });
+  }
+  const { server, door } = await open(t, { generate: silent });
+  const res = await begin(server, {}, JSON.stringify({ ...asked, stream: true }));
+  res.on('error', () => undefined);
+  res.destroy();
+  await door.inProgress.untilIdle();
+  assert.equal(signal!.aborted, true);
+});
+
+test('a refusal within a stream is an error event', async (t) => {
+  async function* failing(): AsyncGenerator<Piece> {
+    yield { kind: 'token', token: 'dry ', index: 0 };
+    const message = 'every attempt failed';
+    const refusal = { reason: 'upstream-failed', run: 'unknown', message } as const;
+    yield { kind: 'refused', refusal: { ...refusal, retryAfterMs: undefined } };
+  }
+  const { server } = await open(t, { generate: failing });
+  const answer = await ask(server, { ...asked, stream: true });
+  const events = answer.body.trim().split('\n\n');
+  assert.equal(answer.status, 200);
+  assert.equal(events.length, 2);
+  assert.match(events[1]!, /^data: \{"error":\{"code":"upstream-failed",.*"run":"unknown"/);
+});
+
+test('a fault in one request leaves the others alone; a broken invariant does not', async (t) => {
+  const faults = [new TypeError('a bug'), new BrokenInvariant('tokens are passed on in order')];
+  const generate = () => {
+    throw faults.shift()!;
+  };
+  const { server, broken } = await open(t, { generate });
+  const first = await ask(server, asked);
+  assert.deepEqual([first.status, codeOf(first.body)], [500, 'internal']);
+  assert.equal(first.headers['tanagercart-run'], 'unknown');
+  assert.equal(broken.length, 0);
+  await ask(server, asked);
+  assert.ok(broken[0] instanceof BrokenInvariant);
+});
+
+test('no key reaches the log, and lines name request and account', async (t) => {
+  const lines: LogFields[] = [];
+  const write = (sentence: string, fields: LogFields = {}) => lines.push({ sentence, ...fields });
+  const logger: Logger = {
+    debug: write,
+    info: write,
+    warn: write,
+    error: write,
+    part: () => logger,
+  };
+  const { server } = await open(t, { logger });
+  await ask(server, asked);
+  await ask(server, { ...asked, model: 'none' });
+  await ask(server, asked, { headers: { authorization: 'Bearer not-a-known-key' } });
+  await settle();
+  assert.deepEqual(
+    lines.map((l) => [l.sentence, l.account, l.reason]),
+    [
+      ['Answered.', 'grower', undefined],
+      ['Refused.', 'grower', 'unknown-model'],
+      ['Refused.', undefined, 'unauthorised'],
+    ],
+  );
+  assert.notEqual(lines[0]!.request, undefined);
+  assert.ok(!/a-grower-key|not-a-known-key/.test(JSON.stringify(lines)));
+});
+
+test('upstreams announce themselves with their key, where one is set', async (t) => {
+  const announced = async () => ({ heartbeatMs: 500, to: [] });
+  const more = { upstreamKey: 'upstream-key', upstreams: { announced } as never };
+  const { server } = await open(t, { more });
+  const role = { kind: 'service', service: 'orders' };
+  const body = { id: 'd1', incarnation: '1', url: 'http://127.0.0.1:1', dataCentre: 'n', role };
+  const path = '/upstreams/v1/announce';
+  const send = (authorization: string) => ask(server, body, { path, headers: { authorization } });
+  const answers = [await send('Bearer upstream-key'), await send('Bearer other')];
+  assert.deepEqual(
+    answers.map((a) => a.status),
+    [200, 401],
+  );
+});
--- a/packages/node/src/directory.ts
+++ b/packages/node/src/directory.ts
@@ -17,7 +17,8 @@
   readonly settings: Settings;
   readonly state: SharedState;
   readonly upstreams: Upstreams;
-  readonly draining: () => boolean;
+  /** Whether this node takes no new work, so that callers are sent elsewhere. */
+  readonly closed: () => boolean;
 }
 
 /** Looks up nodes, owners and upstreams. */
@@ -75,7 +76,7 @@
     const { nodes } = this.o.state;
     const ranked = rendezvous(account ?? randomUUID(), [...nodes.keys()]);
     const self = this.o.settings.node.id;
-    const told = this.o.draining() ? ranked.filter((n) => n !== self) : ranked;
+    const told = this.o.closed() ? ranked.filter((n) => n !== self) : ranked;
     return told.slice(0, entriesTold).map((n) => nodes.get(n)!.address.entry);
   }
 }
--- a/packages/node/src/listeners.ts
+++ b/packages/node/src/listeners.ts
@@ -27,6 +27,7 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: Metrics;
+  readonly upstreamKey: string | undefined;
   readonly draining: () => boolean;
 }
 
@@ -43,6 +44,7 @@
     logger: p.logger.part('entry'),
     metrics: p.metrics,
     limits: p.settings.limits,
+    upstreamKey: p.upstreamKey,
     entries: (account) => p.directory.entriesFor(account),
     draining: p.draining,
   });
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -6,6 +6,7 @@
 import { Bell, StatsdMetrics, TaskGroup } from '@tanagercart/base';
 import type { Clock, Logger, Metrics, NodeId } from '@tanagercart/base';
 import { createCallerServer, createOperatorServer } from '@tanagercart/entry';
+import type { Door } from '@tanagercart/entry';
 import { ConfigurationLease, History, Upstreams } from '@tanagercart/membership';
 import { TcpTransport } from '@tanagercart/protocol';
 import type { NodeAddress } from '@tanagercart/protocol';
@@ -20,8 +21,8 @@
 import type { Parts } from './listeners.js';
 import { close, listen } from './server.js';
 
-/** Pause between two looks at whether the work in progress has ended, in milliseconds. */
-const drainPauseMs = 20;
+/** Longest wait for the leader to take a draining node out, in milliseconds. */
+const takeOutLimitMs = 5000;
 
 /** What a node needs besides its settings. */
 export interface NodeOptions {
@@ -55,12 +56,12 @@
   private readonly directory: Directory;
   private readonly control: Control;
   private readonly owner: Owner;
+  private readonly door: Door;
   private readonly callers: Server;
   private readonly operators: Server;
   /** Addresses of the node, as it tells the others. */
   address: NodeAddress;
   private draining = false;
-  private inProgress = 0;
   private readonly drainAsked = Bell.create();
 
   private constructor(private readonly o: NodeOptions) {
@@ -77,8 +78,8 @@
     this.control = this.createControl();
     this.owner = this.createOwner();
     const parts = this.parts();
-    this.callers = createCallerServer(createDoor(parts), settings.limits.requestMs, onBroken);
-    this.countRequests();
+    this.door = createDoor(parts);
+    this.callers = createCallerServer(this.door, onBroken);
     this.operators = createOperatorServer(this.operatorOptions(parts), onBroken);
   }
 
@@ -133,10 +134,24 @@
   async drain(): Promise<void> {
     this.logger.info('Draining.');
     this.draining = true;
-    while (this.inProgress > 0 || this.owner.inUse > 0) await this.o.clock.sleep(drainPauseMs);
+    await this.untilTakenOut();
+    await this.door.inProgress.untilIdle();
+    this.logger.info('Drained.', { grantsLeft: this.owner.inUse });
     await this.stop();
   }
 
+  /**
+   * Resolves once the shared state no longer lists this node, so that others own what it owned.
+   * Streams under its grants go on: entries read them from the engines, not through this node.
+   */
+  private async untilTakenOut(): Promise<void> {
+    const { clock } = this.o;
+    const deadline = clock.now() + takeOutLimitMs;
+    while (this.history.state.nodes.has(this.id) && clock.now() < deadline) {
+      await this.history.changed.waitUpTo(deadline - clock.now(), clock);
+    }
+  }
+
   /** Ends at once; what is in progress is cut. */
   async stop(): Promise<void> {
     this.stopping.abort();
@@ -172,15 +187,6 @@
     return opened.map((p) => withPort(address, p));
   }
 
-  private countRequests(): void {
-    this.callers.on('request', (_, res) => {
-      this.inProgress += 1;
-      res.on('close', () => {
-        this.inProgress -= 1;
-      });
-    });
-  }
-
   private createTransport(): TcpTransport {
     const { settings, clock, logger, onBroken } = this.o;
     return TcpTransport.create({
@@ -209,7 +215,7 @@
       settings: this.o.settings,
       state: this.history.state,
       upstreams: this.upstreams,
-      draining: () => this.draining,
+      closed: () => !this.ready,
     });
   }
 
@@ -257,6 +263,7 @@
       clock,
       logger,
       metrics,
+      upstreamKey: this.o.upstreamKey,
       draining: () => this.draining,
     };
   }
