--- a/packages/entry/src/operators.ts
+++ b/packages/entry/src/operators.ts
@@ -2,9 +2,8 @@
 
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import { timingSafeEqual } from 'node:crypto';
-import { digestOf } from '@tanagercart/base';
 import type { NodeId } from '@tanagercart/base';
+import { carriesKey } from './bearer.js';
 import { sendJson } from './body.js';
 import { listReleases, showRelease, submitRelease, tryRelease } from './releases.js';
 import type { ReleaseDesk } from './releases.js';
@@ -38,7 +37,7 @@
 }
 
 async function route(o: OperatorOptions, req: IncomingMessage, res: ServerResponse): Promise<void> {
-  if (!hasKey(o, req)) {
+  if (!carriesKey(req, o.key)) {
     sendJson(res, 401, {
       error: { code: 'unauthorised', message: "the operators' key is required" },
     });
@@ -78,8 +77,3 @@
   const [, digits] = /^\/operators\/v1\/releases\/(\d+)$/.exec(path) ?? [];
   return digits === undefined ? undefined : Number(digits);
 }
-
-function hasKey(o: OperatorOptions, req: IncomingMessage): boolean {
-  const [, key = ''] = (req.headers.authorization ?? '').split(' ');
-  return timingSafeEqual(Buffer.from(digestOf(key)), Buffer.from(digestOf(o.key)));
-}
