Store the log on disk, in small modules

Proposals that wait share one sync. Conclusion: one fault found on the way has its test: a base record at the first held index dropped the log after a restart.

--- a/packages/cli/src/demo.ts
+++ b/packages/cli/src/demo.ts
@@ -2,6 +2,7 @@
 
 import { BunyanLogger, digestOf } from '@tanagercart/base';
 import type { Clock } from '@tanagercart/base';
+import { MemoryDisk } from '@tanagercart/log';
 import { Node } from '@tanagercart/node';
 import { parseSettings } from '@tanagercart/settings';
 import { EngineStandIn, OrderDesk } from '@tanagercart/standin';
@@ -96,6 +97,7 @@
       operatorKey,
       clock: o.clock,
       logger: logger.part('node'),
+      disk: MemoryDisk.create(),
       onBroken: (error) => {
         throw error;
       },
--- a/packages/log/src/store.ts
+++ b/packages/log/src/store.ts
@@ -1,9 +1,8 @@
-/** Where a voter keeps its term, its vote and its log. */
+/** Where a voter keeps its term, its vote, its log and its snapshot. */
 
-import { ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import type { NodeId } from '@tanagercart/base';
-import type { LogEntry } from '@tanagercart/protocol';
+import type { LogEntry, VoterConfig } from '@tanagercart/protocol';
 
 /** The term and the vote that must survive a restart. */
 export interface HardState {
@@ -11,7 +10,15 @@
   readonly vote: NodeId | undefined;
 }
 
-/** Why the store cannot write. */
+/** The state after `index`, which replaces the log up to there. */
+export interface Snapshot {
+  readonly index: number;
+  readonly term: number;
+  readonly config: VoterConfig;
+  readonly data: Uint8Array;
+}
+
+/** Why the store cannot read or write. */
 export interface StoreError {
   readonly detail: string;
 }
@@ -19,51 +26,24 @@
 /** Durable storage of one voter. A write has resolved only once it is synced. */
 export interface Store {
   readonly hard: HardState;
+  readonly snapshot: Snapshot | undefined;
+  /** Names this folder's content: drawn when the folder was empty, and kept ever after. */
+  readonly disk: string;
+  /** Index of the first entry that is still held. */
+  readonly firstIndex: number;
   /** Index of the last entry; 0 when there is none. */
   readonly lastIndex: number;
-  /** The term of the entry at `index`; 0 at index 0; undefined where there is no such entry. */
+  /** Encoded bytes of the entries that are held. */
+  readonly entryBytes: number;
+  /** Encoded bytes of the entries from `from` on. */
+  bytesFrom(from: number): number;
+  /** The term of the entry at `index`; 0 at index 0; undefined where it is not held. */
   termAt(index: number): number | undefined;
-  /** Entries from `from` on, at most `limit`. */
-  slice(from: number, limit: number): readonly LogEntry[];
+  /** Entries from `from` on: at most `limit`, and `bytes` unless the first is larger. */
+  slice(from: number, limit: number, bytes: number): readonly LogEntry[];
   saveHard(hard: HardState): Promise<Result<void, StoreError>>;
   /** Appends entries, first cutting off whatever stands at or after the first of them. */
   append(entries: readonly LogEntry[]): Promise<Result<void, StoreError>>;
-}
-
-/** A store that forgets with its process. */
-export class MemoryStore implements Store {
-  private state: HardState = { term: 0, vote: undefined };
-  private readonly entries: LogEntry[] = [];
-
-  static create(): MemoryStore {
-    return new MemoryStore();
-  }
-
-  get hard(): HardState {
-    return this.state;
-  }
-
-  get lastIndex(): number {
-    return this.entries.length;
-  }
-
-  termAt(index: number): number | undefined {
-    return index === 0 ? 0 : this.entries[index - 1]?.term;
-  }
-
-  slice(from: number, limit: number): readonly LogEntry[] {
-    return this.entries.slice(from - 1, from - 1 + limit);
-  }
-
-  async saveHard(hard: HardState): Promise<Result<void, StoreError>> {
-    this.state = hard;
-    return ok(undefined);
-  }
-
-  async append(entries: readonly LogEntry[]): Promise<Result<void, StoreError>> {
-    const [first] = entries;
-    if (!first) return ok(undefined);
-    this.entries.splice(first.index - 1, this.entries.length, ...entries);
-    return ok(undefined);
-  }
+  /** Keeps a snapshot and drops the entries before `keepFrom`; all where the log does not match it. */
+  saveSnapshot(snapshot: Snapshot, keepFrom: number): Promise<Result<void, StoreError>>;
 }
--- a/packages/log/test/raft.test.ts
+++ b/packages/log/test/raft.test.ts
@@ -1,66 +1,220 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { HeldClock, NodeId, SeededRandom, silentLogger } from '@tanagercart/base';
-import { MemoryNetwork } from '@tanagercart/protocol';
-import { MemoryStore, Raft, defaultTiming } from '../src/index.js';
-
-const names = ['a', 'b', 'c'].map(NodeId);
-
-function cluster(seed: number) {
-  const clock = HeldClock.create();
-  const random = SeededRandom.create(seed);
-  const network = MemoryNetwork.create(clock, random);
-  const applied = new Map<NodeId, string[]>(names.map((n) => [n, []]));
-  const voter = (self: NodeId) =>
-    Raft.create({
-      self,
-      voters: names,
-      transport: network.attach(self),
-      store: MemoryStore.create(),
-      machine: {
-        apply: (_, bytes) => {
-          applied.get(self)!.push(Buffer.from(bytes).toString());
-          return bytes;
-        },
-      },
-      clock,
-      random,
-      timing: defaultTiming,
-      logger: silentLogger,
-      onBroken: (e) => {
-        throw e;
-      },
-    });
-  const voters = names.map(voter);
-  const leader = () => voters.filter((v) => v.role === 'leader' && v.holdsLease);
-  return { clock, network, voters, applied, leader };
+import { NodeId } from '@tanagercart/base';
+import { LogCluster } from '../src/index.js';
+import type { LogClusterOptions } from '../src/index.js';
+
+const names = ['a', 'b', 'c', 'd', 'e'].map(NodeId);
+
+async function formed(seed: number, voters: number, options: Partial<LogClusterOptions> = {}) {
+  const initial = names.slice(0, voters);
+  const c = LogCluster.create({ seed, nodes: initial, initial, ...options });
+  await c.startAll();
+  assert.ok((await c.until(() => c.leader !== undefined, 5000)) !== undefined);
+  return c;
 }
 
-const text = (s: string) => Buffer.from(s);
+/** Proposes commands at the leader, whoever that is, until each is acknowledged. */
+async function put(c: LogCluster, ...commands: string[]) {
+  for (const command of commands) {
+    const before = c.acknowledged.length;
+    assert.ok((await c.until(() => c.leader !== undefined, 10_000)) !== undefined);
+    void c.propose(c.leader!, command);
+    assert.ok((await c.until(() => c.acknowledged.length > before, 5000)) !== undefined);
+  }
+}
+
+async function change(c: LogCluster, action: 'add' | 'remove', node: NodeId) {
+  await c.until(() => c.leader !== undefined, 10_000);
+  const done = c.raftOf(c.leader!)!.change({ action, node });
+  let reply: Awaited<typeof done> | undefined;
+  void done.then((r) => {
+    reply = r;
+  });
+  await c.until(() => reply !== undefined, 70_000);
+  return reply!;
+}
+
+const many = (n: number) => Array.from({ length: n }, (_, i) => `x${i}`);
+const others = (c: LogCluster) => c.running.filter((n) => n !== c.leader);
 
 test('three voters elect one leader and apply a command everywhere', async () => {
-  const c = cluster(1);
-  await c.clock.advance(3000);
-  assert.equal(c.leader().length, 1);
-  void c.leader()[0]!.propose(text('x'));
-  await c.clock.advance(1000);
-  assert.deepEqual([...c.applied.values()], [['x'], ['x'], ['x']]);
+  const c = await formed(1, 3);
+  await put(c, 'x');
+  await c.advance(1000);
+  assert.deepEqual(
+    c.running.map((n) => c.stateOf(n)),
+    [['x'], ['x'], ['x']],
+  );
 });
 
 test('a leader that is cut off loses its lease, and the others go on without it', async () => {
-  const c = cluster(2);
-  await c.clock.advance(3000);
-  const old = c.leader()[0]!;
-  const self = old.leader!;
-  for (const other of names.filter((n) => n !== self)) {
-    c.network.cut(self, other);
-    c.network.cut(other, self);
-  }
-  await c.clock.advance(3000);
-  assert.equal(old.holdsLease, false);
-  assert.equal(c.leader().length, 1);
-  void c.leader()[0]!.propose(text('y'));
+  const c = await formed(2, 3);
+  const old = c.leader!;
+  c.partition([old]);
+  await c.advance(3000);
+  assert.equal(c.raftOf(old)!.holdsLease, false);
+  assert.notEqual(c.leader, undefined);
+  await put(c, 'y');
+  c.network.heal();
+  await c.advance(3000);
+  assert.deepEqual(
+    c.running.map((n) => c.stateOf(n)),
+    [['y'], ['y'], ['y']],
+  );
+});
+
+test('a whole restart keeps every acknowledged command, by snapshot and log', async () => {
+  const c = await formed(3, 3, { limits: { snapshotEveryBytes: 2000 }, segmentBytes: 1500 });
+  await put(c, ...many(100));
+  for (const n of names.slice(0, 3)) c.crash(n);
+  await c.startAll();
+  await put(c, 'last');
+  await c.advance(1000);
+  for (const n of c.running) assert.deepEqual(c.stateOf(n), [...many(100), 'last']);
+});
+
+test('a voter that was away for many changes catches up by a snapshot in parts', async () => {
+  const limits = { snapshotEveryBytes: 2000, chunkBytes: 300 };
+  const c = await formed(4, 3, { limits, segmentBytes: 1500 });
+  const [away] = others(c);
+  c.crash(away!);
+  await put(c, ...many(300));
+  await c.start(away!);
+  await c.advance(3000);
+  assert.deepEqual(c.stateOf(away!), many(300));
+});
+
+test('a voter cut off in silence for a minute comes back without an election', async () => {
+  const c = await formed(5, 3);
+  const { leader } = c;
+  c.partition([others(c)[0]!]);
+  await c.advance(60_000);
+  const { term } = (c.raftOf(leader!)!);
   c.network.heal();
-  await c.clock.advance(3000);
-  assert.deepEqual([...c.applied.values()], [['y'], ['y'], ['y']]);
+  await c.advance(3000);
+  assert.deepEqual([c.leader, c.raftOf(leader!)!.term], [leader, term]);
+});
+
+test('a voter whose disk comes back empty does not vote, until it is added anew', async () => {
+  const c = await formed(6, 3);
+  await put(c, 'x');
+  const [lost, other] = others(c);
+  const { leader } = c;
+  c.replaceDisk(lost!);
+  await c.start(lost!);
+  c.crash(other!);
+  await c.advance(5000);
+  assert.equal(c.leader, undefined);
+  await c.start(other!);
+  await put(c, 'y');
+  assert.equal((await change(c, 'add', lost!)).kind, 'changed');
+  c.crash(leader!);
+  await put(c, 'z');
+  await c.advance(500);
+  assert.deepEqual(c.stateOf(lost!), ['x', 'y', 'z']);
+});
+
+test('a voter whose disk is an old copy does not vote, until it is added anew', async () => {
+  const c = await formed(7, 3);
+  const [old, other] = others(c);
+  await c.advance(500);
+  const copy = c.diskOf(old!).backup();
+  c.crash(other!);
+  await put(c, 'x');
+  c.replaceDisk(old!, copy);
+  c.crash(c.leader!);
+  await c.start(old!);
+  await c.start(other!);
+  await c.advance(10_000);
+  assert.equal(c.leader, undefined);
+  await c.startAll();
+  await put(c, 'y');
+  assert.equal((await change(c, 'add', old!)).kind, 'changed');
+  assert.deepEqual(c.ledger.size, 2);
+});
+
+for (const fault of ['full', 'failing'] as const) {
+  test(`a leader whose disk is ${fault} gives way, and its process goes on`, async () => {
+    const c = await formed(8, 3);
+    const old = c.leader!;
+    c.diskOf(old).fault = fault;
+    void c.propose(old, 'lost');
+    await c.advance(200);
+    assert.equal(c.raftOf(old)!.failed, true);
+    await put(c, 'x');
+    assert.notEqual(c.leader, old);
+    assert.ok(c.running.includes(old));
+  });
+}
+
+test('a learner becomes a voter once it has caught up, and the dead voter goes', async () => {
+  const c = await formed(9, 3, { nodes: names });
+  await put(c, ...many(50));
+  const [dead] = others(c).filter((n) => names.indexOf(n) < 3);
+  c.crash(dead!);
+  assert.equal((await change(c, 'add', names[3]!)).kind, 'changed');
+  assert.equal((await change(c, 'remove', dead!)).kind, 'changed');
+  const ids = c.raftOf(c.leader!)!.voters.voters.map((m) => m.id);
+  assert.equal(ids.length, 3);
+  assert.ok(ids.includes(names[3]!) && !ids.includes(dead!));
+  assert.deepEqual(c.stateOf(names[3]!), many(50));
+});
+
+test('removing the leader hands leadership over, and the next leader removes it', async () => {
+  const c = await formed(10, 3);
+  const old = c.leader!;
+  assert.equal((await change(c, 'remove', old)).kind, 'not-leader');
+  await put(c, 'x');
+  assert.notEqual(c.leader, old);
+  assert.equal((await change(c, 'remove', old)).kind, 'changed');
+  await c.advance(5000);
+  assert.notEqual(c.leader, undefined);
+  assert.equal(c.raftOf(c.leader!)!.voters.voters.length, 2);
+});
+
+test('a change that would leave no live quorum is refused', async () => {
+  const c = await formed(11, 3);
+  const [one, two] = others(c);
+  c.crash(one!);
+  await c.advance(2000);
+  assert.equal((await change(c, 'remove', two!)).kind, 'refused');
+});
+
+test('leadership is handed over within an election time and without losing a command', async () => {
+  const c = await formed(12, 3);
+  await put(c, 'x');
+  const old = c.leader!;
+  void c.raftOf(old)!.handOver();
+  const took = await c.until(() => c.leader !== undefined && c.leader !== old, 500);
+  assert.notEqual(took, undefined);
+});
+
+test('a log is formed only once every named voter answers', async () => {
+  const c = LogCluster.create({ seed: 13, nodes: names.slice(0, 3), initial: names.slice(0, 3) });
+  await c.start(names[0]!);
+  await c.start(names[1]!);
+  await c.advance(5000);
+  assert.equal(c.leader, undefined);
+  await c.start(names[2]!);
+  await put(c, 'x');
+});
+
+test('proposals that wait for the disk share one sync', async () => {
+  const c = await formed(14, 1, { syncMs: 5 });
+  const disk = c.diskOf(names[0]!);
+  const before = disk.syncs;
+  for (const x of many(200)) void c.propose(names[0]!, x);
+  await c.advance(100);
+  assert.equal(c.acknowledged.length, 200);
+  assert.ok(disk.syncs - before <= 3);
+});
+
+test('proposals over the bound of the queue are refused', async () => {
+  const c = await formed(15, 1, { syncMs: 5, limits: { queueBytes: 10 } });
+  const one = c.raftOf(names[0]!)!.propose(Buffer.alloc(8));
+  const two = await c.raftOf(names[0]!)!.propose(Buffer.alloc(8));
+  assert.equal(two._unsafeUnwrapErr().kind, 'overloaded');
+  await c.advance(100);
+  assert.ok((await one).isOk());
 });
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -8,7 +8,8 @@
 import type { AccountId, Clock, Logger, Metrics, NodeId } from '@tanagercart/base';
 import { Dispatch, Orders } from '@tanagercart/dispatch';
 import { Door, createCallerServer, createOperatorServer } from '@tanagercart/entry';
-import { MemoryStore, Raft, defaultTiming } from '@tanagercart/log';
+import { DiskStore, FileDisk, Raft, defaultLimits, defaultTiming } from '@tanagercart/log';
+import type { Disk, Machine } from '@tanagercart/log';
 import {
   ConfigurationLease,
   Feed,
@@ -19,8 +20,8 @@
   keepNodes,
   ownerOf,
 } from '@tanagercart/membership';
-import { TcpTransport, encode } from '@tanagercart/protocol';
-import type { NodeAddress } from '@tanagercart/protocol';
+import { TcpTransport, decode, encode } from '@tanagercart/protocol';
+import type { NodeAddress, StateSnapshot } from '@tanagercart/protocol';
 import type { Model } from '@tanagercart/release';
 import { keepPlans } from '@tanagercart/routing';
 import { Owner } from '@tanagercart/scheduling';
@@ -43,6 +44,8 @@
   readonly operatorKey: string;
   readonly clock: Clock;
   readonly logger: Logger;
+  /** Takes the place of the data folder; a disk in memory forgets with the process. */
+  readonly disk?: Disk;
   /** Receives a broken invariant. */
   readonly onBroken: (error: unknown) => void;
 }
@@ -109,7 +112,9 @@
   static async start(options: NodeOptions): Promise<Result<Node, StartError>> {
     const node = new Node(options);
     const opened = await node.open();
-    return opened.map(() => node);
+    if (opened.isOk()) return ok(node);
+    await node.stop();
+    return err(opened.error);
   }
 
   get id(): NodeId {
@@ -139,6 +144,7 @@
     this.logger.info('Draining.');
     this.draining = true;
     while (this.inProgress > 0 || this.owner.inUse > 0) await this.o.clock.sleep(drainPauseMs);
+    if (this.raft?.role === 'leader') await this.raft.handOver();
     await this.stop();
   }
 
@@ -168,6 +174,8 @@
     }
     this.address = { ...this.address, peer: peer.value, entry: `http://${entry.value}` };
     this.operatorUrl = `http://${operator.value}`;
+    const stored = await this.openLog();
+    if (stored.isErr()) return err(stored.error);
     this.begin();
     this.logger.info('Serving.', { entry: this.address.entry });
     return ok(undefined);
@@ -185,7 +193,6 @@
 
   private begin(): void {
     const { signal } = this.stopping;
-    if (this.o.settings.voters.includes(this.id)) this.raft = this.createRaft();
     this.servePropose();
     this.serveProgress();
     this.tasks.start(() => follow(this.followOptions(), signal));
@@ -194,25 +201,55 @@
     this.tasks.start(() => this.upstreams.watch(signal));
   }
 
-  private createRaft(): Raft {
+  /** Starts the replicated log on a node that has a disk. */
+  private async openLog(): Promise<Result<void, StartError>> {
     const { clock, settings, onBroken } = this.o;
-    return Raft.create({
+    const disk = await this.openDisk();
+    if (disk.isErr()) return err(disk.error);
+    if (!disk.value) return ok(undefined);
+    const logger = this.logger.part('log');
+    const random = systemRandom;
+    const store = await DiskStore.open({ disk: disk.value, random, logger });
+    if (store.isErr()) return err({ detail: `data folder: ${store.error.detail}` });
+    this.raft = Raft.create({
       self: this.id,
-      voters: settings.voters,
+      initial: settings.voters,
       transport: this.transport,
-      store: MemoryStore.create(),
-      machine: {
-        apply: (index, bytes) => {
-          this.commitTimes.note(index, clock.now());
-          return encode(this.history.apply(index, bytes));
-        },
-      },
+      store: store.value,
+      machine: this.machine(),
       clock,
-      random: systemRandom,
+      random,
       timing: defaultTiming,
-      logger: this.logger.part('log'),
+      limits: defaultLimits,
+      logger,
       onBroken,
     });
+    return ok(undefined);
+  }
+
+  private async openDisk(): Promise<Result<Disk | undefined, StartError>> {
+    const { disk, settings } = this.o;
+    if (disk) return ok(disk);
+    if (settings.node.data) {
+      const opened = await FileDisk.create(settings.node.data);
+      return opened.mapErr((e) => ({ detail: `data folder: ${e.file}: ${e.detail}` }));
+    }
+    if (!settings.voters.includes(this.id)) return ok(undefined);
+    return err({ detail: `node.data: a voter needs a data folder, and ${this.id} is a voter` });
+  }
+
+  private machine(): Machine {
+    return {
+      apply: (index, bytes) => {
+        this.commitTimes.note(index, this.o.clock.now());
+        return encode(this.history.apply(index, bytes));
+      },
+      snapshot: () => {
+        const { state } = this.history;
+        return encode({ index: state.index, bytes: state.snapshot() });
+      },
+      restore: (data) => this.history.restore(decode<StateSnapshot>(data)),
+    };
   }
 
   private createUpstreams(): Upstreams {
@@ -305,7 +342,8 @@
       release: state.release.number,
       index: state.index,
       leader: this.raft?.leader,
-      voters: this.o.settings.voters,
+      voters: this.raft?.voters ?? this.o.settings.voters,
+      logFailed: this.raft?.failed ?? false,
       nodes: [...state.nodes.values()].map((n) => n.address),
       replicas: [...state.replicas.values()].map((r) => ({ ...r, owner: this.ownerOfReplica(r) })),
       upstreams: [...state.upstreams.values()],
@@ -355,6 +393,9 @@
       const applied = await this.raft.propose(call.bytes);
       if (applied.isOk()) return { kind: 'applied', ...applied.value };
       if (applied.error.kind === 'not-leader') return applied.error;
+      if (applied.error.kind === 'overloaded') {
+        return { kind: 'unavailable', reason: 'too many proposals wait' };
+      }
       return { kind: 'unknown', reason: 'leadership was lost' };
     });
   }
--- a/packages/protocol/src/logmessage.ts
+++ b/packages/protocol/src/logmessage.ts
@@ -9,14 +9,23 @@
   readonly payload: LogPayload;
 }
 
+/** A node together with the disk on which it keeps the log; another disk is another member. */
+export interface Member {
+  readonly id: NodeId;
+  /** The name that was drawn when the disk was empty. */
+  readonly disk: string;
+}
+
+/** Who votes in the replicated log, and who only receives it. */
+export interface VoterConfig {
+  readonly voters: readonly Member[];
+  readonly learners: readonly Member[];
+}
+
 /** What a log entry carries. */
 export type LogPayload =
   | { readonly kind: 'noop' }
-  | {
-      readonly kind: 'voters';
-      readonly voters: readonly NodeId[];
-      readonly learners: readonly NodeId[];
-    }
+  | { readonly kind: 'voters'; readonly config: VoterConfig }
   | { readonly kind: 'command'; readonly bytes: Uint8Array };
 
 /** Asks for a vote, or (`pre`) whether one would be given. */
@@ -32,6 +41,8 @@
 
 export interface VoteReply {
   readonly term: number;
+  /** The voter's disk; a vote from another disk than the voter set names does not count. */
+  readonly disk: string;
   readonly granted: boolean;
 }
 
@@ -39,6 +50,8 @@
 export interface AppendCall {
   readonly term: number;
   readonly leader: NodeId;
+  /** The disk that the entries are meant for. */
+  readonly disk: string;
   readonly prevIndex: number;
   readonly prevTerm: number;
   readonly entries: readonly LogEntry[];
@@ -47,6 +60,7 @@
 
 export interface AppendReply {
   readonly term: number;
+  readonly disk: string;
   readonly ok: boolean;
   /** The last index known to match, or a hint where to try next. */
   readonly lastIndex: number;
@@ -56,10 +70,10 @@
 export interface SnapshotCall {
   readonly term: number;
   readonly leader: NodeId;
+  readonly disk: string;
   readonly index: number;
   readonly indexTerm: number;
-  readonly voters: readonly NodeId[];
-  readonly learners: readonly NodeId[];
+  readonly config: VoterConfig;
   readonly offset: number;
   readonly data: Uint8Array;
   readonly done: boolean;
@@ -67,6 +81,7 @@
 
 export interface SnapshotReply {
   readonly term: number;
+  readonly disk: string;
   /** Bytes held so far; the next part starts here. */
   readonly held: number;
 }
@@ -80,6 +95,31 @@
   readonly ok: boolean;
 }
 
+/** Asks a node about its disk, before it is made a voter. */
+export interface InspectCall {
+  readonly from: NodeId;
+}
+
+export interface InspectReply {
+  readonly disk: string;
+  /** Whether the disk holds neither entries nor a snapshot. */
+  readonly empty: boolean;
+  readonly term: number;
+}
+
+/** Changes the voter set, by way of the leader. */
+export interface VotersCall {
+  readonly action: 'add' | 'remove';
+  readonly node: NodeId;
+}
+
+export type VotersReply =
+  | { readonly kind: 'changed'; readonly config: VoterConfig }
+  | { readonly kind: 'not-leader'; readonly leader: NodeId | undefined }
+  | { readonly kind: 'refused'; readonly reason: string }
+  /** The change may or may not come into force. */
+  | { readonly kind: 'unknown'; readonly reason: string };
+
 /** Proposes a command to the leader; the reply comes once it is committed and applied. */
 export interface ProposeCall {
   readonly bytes: Uint8Array;
--- a/packages/protocol/src/message.ts
+++ b/packages/protocol/src/message.ts
@@ -13,6 +13,8 @@
 import type {
   AppendCall,
   AppendReply,
+  InspectCall,
+  InspectReply,
   ProposeCall,
   ProposeReply,
   SnapshotCall,
@@ -21,6 +23,8 @@
   TransferReply,
   VoteCall,
   VoteReply,
+  VotersCall,
+  VotersReply,
 } from './logmessage.js';
 
 /** Every kind of exchange with its call and its reply. */
@@ -29,6 +33,8 @@
   append: { call: AppendCall; reply: AppendReply };
   snapshot: { call: SnapshotCall; reply: SnapshotReply };
   transfer: { call: TransferCall; reply: TransferReply };
+  inspect: { call: InspectCall; reply: InspectReply };
+  voters: { call: VotersCall; reply: VotersReply };
   propose: { call: ProposeCall; reply: ProposeReply };
   follow: { call: FollowCall; reply: FollowReply };
   progress: { call: ProgressCall; reply: ProgressReply };
