--- a/packages/protocol/src/followmessage.ts
+++ b/packages/protocol/src/followmessage.ts
@@ -14,6 +14,8 @@
   readonly floor: number;
   /** Some of the nodes below the caller that have applied no more than `floor`. */
   readonly behind: readonly NodeId[];
+  /** Milliseconds left of the caller's lease. */
+  readonly leaseLeftMs: number;
   /** Whether the caller refuses new work because it is shutting down. */
   readonly draining: boolean;
   /** Counts the calls of the caller; a gap means that a report was lost. */
--- a/packages/protocol/src/message.ts
+++ b/packages/protocol/src/message.ts
@@ -15,6 +15,8 @@
 import type {
   AppendCall,
   AppendReply,
+  InspectCall,
+  InspectReply,
   ProposeCall,
   ProposeReply,
   SnapshotCall,
@@ -23,6 +25,8 @@
   TransferReply,
   VoteCall,
   VoteReply,
+  VotersCall,
+  VotersReply,
 } from './logmessage.js';
 
 /** Every kind of exchange with its call and its reply. */
@@ -31,6 +35,8 @@
   append: { call: AppendCall; reply: AppendReply };
   snapshot: { call: SnapshotCall; reply: SnapshotReply };
   transfer: { call: TransferCall; reply: TransferReply };
+  inspect: { call: InspectCall; reply: InspectReply };
+  voters: { call: VotersCall; reply: VotersReply };
   propose: { call: ProposeCall; reply: ProposeReply };
   follow: { call: FollowCall; reply: FollowReply };
   progress: { call: ProgressCall; reply: ProgressReply };
