--- /dev/null
+++ b/packages/bench/src/log.ts
@@ -0,0 +1,185 @@
+/** The replicated log: recovery, catch-up, group commit, and the cost of records and snapshots. */
+
+import { mkdtemp, rm } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { NodeId, SeededRandom, silentLogger } from '@tanagercart/base';
+import { DiskStore, FileDisk, LogCluster, defaultLimits } from '@tanagercart/log';
+import type { Disk, Limits, Store } from '@tanagercart/log';
+import type { Figure, Report } from './report.js';
+
+const voters = ['a', 'b', 'c', 'd', 'e'].map(NodeId);
+
+/** Leaders killed. */
+const deaths = 200;
+
+/** Changes missed by the voter that catches up. */
+const missed = 500;
+
+/** Proposals in the comparison of group commit. */
+const proposals = 400;
+
+/** Time of one sync in virtual time, in milliseconds. */
+const syncMs = 2;
+
+/** Records written for the cost of one. */
+const records = 200;
+
+const recordSizes = [100, 1000, 10_000];
+const snapshotSizes = [100_000, 1_000_000, 10_000_000];
+
+/** Runs the measurement. */
+export async function run(seed: number): Promise<Report> {
+  const figures = [
+    ...(await recovery(seed)),
+    ...(await catchUp(seed)),
+    ...(await groupCommit(seed)),
+    ...(await onDisk(recordCost)),
+    ...(await onDisk(snapshotCost)),
+  ];
+  return { bench: 'log', seed, figures };
+}
+
+async function formed(seed: number, nodes: readonly NodeId[], limits: Partial<Limits> = {}) {
+  const cluster = LogCluster.create({ seed, nodes, initial: nodes, limits, syncMs });
+  await cluster.startAll();
+  await cluster.until(() => cluster.leader !== undefined, 10_000);
+  return cluster;
+}
+
+/** Virtual time from the death of a leader to the next command that is accepted. */
+async function recovery(seed: number): Promise<readonly Figure[]> {
+  const times: number[] = [];
+  for (let i = 0; i < deaths; i += 1) {
+    const cluster = await formed(seed * deaths + i, voters);
+    cluster.crash(cluster.leader!);
+    const took = await cluster.until(() => {
+      if (cluster.leader) void cluster.propose(cluster.leader, 'x');
+      return cluster.acknowledged.length > 0;
+    }, 30_000);
+    times.push(took ?? Infinity);
+  }
+  times.sort((a, b) => a - b);
+  const at = (share: number) => times[Math.ceil(times.length * share) - 1]!;
+  const target = { kind: 'at-most', value: 2000 } as const;
+  return [
+    {
+      name: `leader death to accepted command, median of ${deaths}`,
+      value: at(0.5),
+      unit: 'ms',
+      target,
+    },
+    { name: 'the same, 99 in 100', value: at(0.99), unit: 'ms', target },
+    { name: 'the same, longest', value: at(1), unit: 'ms', target },
+  ];
+}
+
+/** Virtual time for a restarted voter to catch up after many changes, by log and by snapshot. */
+async function catchUp(seed: number): Promise<readonly Figure[]> {
+  const byLog = await catchUpOnce(seed, defaultLimits);
+  const bySnapshot = await catchUpOnce(seed, { ...defaultLimits, snapshotEveryBytes: 10_000 });
+  return [
+    { name: `catch-up after ${missed} changes, log only`, value: byLog, unit: 'ms' },
+    { name: 'the same with snapshots', value: bySnapshot, unit: 'ms' },
+  ];
+}
+
+async function catchUpOnce(seed: number, limits: Limits): Promise<number> {
+  const cluster = await formed(seed, voters, limits);
+  const away = cluster.running.find((n) => n !== cluster.leader)!;
+  cluster.crash(away);
+  for (let i = 0; i < missed; i += 1) {
+    void cluster.propose(cluster.leader!, `change ${i}`);
+    await cluster.advance(10);
+  }
+  await cluster.advance(500);
+  void cluster.start(away);
+  const took = await cluster.until(() => cluster.stateOf(away).length === missed, 60_000);
+  return took ?? Infinity;
+}
+
+/** Virtual throughput of proposals made at once, with a batch for each sync and without. */
+async function groupCommit(seed: number): Promise<readonly Figure[]> {
+  const batched = await throughput(seed, defaultLimits.batchEntries);
+  const single = await throughput(seed, 1);
+  return [
+    {
+      name: 'records a second with group commit, of those without',
+      value: batched / single,
+      unit: 'x',
+    },
+  ];
+}
+
+async function throughput(seed: number, batchEntries: number): Promise<number> {
+  const cluster = await formed(seed, voters.slice(0, 3), { batchEntries });
+  for (let i = 0; i < proposals; i += 1) void cluster.propose(cluster.leader!, `x${i}`);
+  const took = await cluster.until(() => cluster.acknowledged.length === proposals, 60_000);
+  return proposals / ((took ?? Infinity) / 1000);
+}
+
+async function onDisk(
+  measure: (open: () => Promise<Store>, disk: Disk) => Promise<readonly Figure[]>,
+): Promise<readonly Figure[]> {
+  const folder = await mkdtemp(join(tmpdir(), 'tanagercart-'));
+  const disk = (await FileDisk.create(folder))._unsafeUnwrap();
+  const random = SeededRandom.create(1);
+  const open = async () =>
+    (await DiskStore.open({ disk, random, logger: silentLogger }))._unsafeUnwrap();
+  const figures = await measure(open, disk);
+  await rm(folder, { recursive: true });
+  return figures;
+}
+
+/** Bytes and time of one synced record, on the machine's own disk. */
+async function recordCost(open: () => Promise<Store>, disk: Disk): Promise<readonly Figure[]> {
+  const store = await open();
+  const figures: Figure[] = [];
+  for (const size of recordSizes) {
+    const before = await bytesOf(disk, 'log-');
+    const from = performance.now();
+    for (let i = 0; i < records; i += 1) {
+      const payload = { kind: 'command', bytes: new Uint8Array(size) } as const;
+      await store.append([{ index: store.lastIndex + 1, term: 1, payload }]);
+    }
+    const took = performance.now() - from;
+    const bytes = (await bytesOf(disk, 'log-')) - before;
+    figures.push(
+      { name: `log for a command of ${size} bytes`, value: bytes / records, unit: 'bytes' },
+      { name: `synced append of ${size} bytes`, value: took / records, unit: 'ms' },
+    );
+  }
+  return figures;
+}
+
+/** Size and times of a snapshot, on the machine's own disk. */
+async function snapshotCost(open: () => Promise<Store>, disk: Disk): Promise<readonly Figure[]> {
+  const config = { voters: [], learners: [] };
+  const figures: Figure[] = [];
+  for (const [i, size] of snapshotSizes.entries()) {
+    const store = await open();
+    const from = performance.now();
+    await store.saveSnapshot({ index: i + 1, term: 1, config, data: new Uint8Array(size) }, i + 2);
+    const written = performance.now();
+    await open();
+    const loaded = performance.now();
+    figures.push(
+      {
+        name: `file of a state of ${size} bytes`,
+        value: await bytesOf(disk, 'snapshot-'),
+        unit: 'bytes',
+      },
+      { name: `snapshot of ${size} bytes, written`, value: written - from, unit: 'ms' },
+      { name: `snapshot of ${size} bytes, loaded`, value: loaded - written, unit: 'ms' },
+    );
+  }
+  return figures;
+}
+
+async function bytesOf(disk: Disk, prefix: string): Promise<number> {
+  const names = (await disk.list())._unsafeUnwrap().filter((n) => n.startsWith(prefix));
+  const sizes = await Promise.all(
+    names.map(async (n) => (await disk.read(n))._unsafeUnwrap().length),
+  );
+  return sizes.reduce((a, b) => a + b, 0);
+}
--- a/packages/cli/src/commands.ts
+++ b/packages/cli/src/commands.ts
@@ -133,6 +133,40 @@
   }
 }
 
+/** `tanagercart voters show`: shows the voters of the replicated log. */
+export class VotersShowCommand extends OperatorCommand {
+  static override paths = [['voters', 'show']];
+
+  static override usage = Command.Usage({ description: 'Show the voters of the replicated log' });
+
+  execute(): Promise<number> {
+    return this.send('GET', '/operators/v1/voters');
+  }
+}
+
+/** `tanagercart voters add|remove`: changes the voters by one. */
+export class VotersChangeCommand extends OperatorCommand {
+  static override paths = [
+    ['voters', 'add'],
+    ['voters', 'remove'],
+  ];
+
+  static override usage = Command.Usage({
+    description: 'Add or remove a voter of the replicated log',
+    examples: [
+      ['Add a node, or add it anew after its disk was lost', 'tanagercart voters add n4'],
+      ['Remove a node', 'tanagercart voters remove n2'],
+    ],
+  });
+
+  node = Option.String();
+
+  execute(): Promise<number> {
+    const [, action] = this.path;
+    return this.send('POST', '/operators/v1/voters', JSON.stringify({ action, node: this.node }));
+  }
+}
+
 /** `tanagercart demo`: runs nodes and stand-ins in one process. */
 export class DemoCommand extends Command {
   static override paths = [['demo']];
@@ -144,8 +178,14 @@
 
   nodes = Option.String('--nodes', '2');
 
+  data = Option.String('--data', { description: 'Folder for durable state; in memory otherwise' });
+
   async execute(): Promise<number> {
-    const demo = await runDemo({ nodes: Number(this.nodes), clock: SystemClock.create() });
+    const demo = await runDemo({
+      nodes: Number(this.nodes),
+      clock: SystemClock.create(),
+      ...(this.data === undefined ? {} : { data: this.data }),
+    });
     this.context.stdout.write(`${JSON.stringify(demo.ready)}\n`);
     await signalled();
     await demo.stop();
--- a/packages/cli/src/demo.ts
+++ b/packages/cli/src/demo.ts
@@ -1,5 +1,6 @@
 /** The demo: nodes, stand-in engines and an order desk in one process. */
 
+import { join } from 'node:path';
 import { BunyanLogger, digestOf } from '@tanagercart/base';
 import type { Clock } from '@tanagercart/base';
 import { MemoryDisk } from '@tanagercart/log';
@@ -19,6 +20,8 @@
 export interface DemoOptions {
   readonly nodes: number;
   readonly clock: Clock;
+  /** Folder with one folder for each node; without it the demo forgets with its process. */
+  readonly data?: string;
 }
 
 /** What the demo says once it serves. */
@@ -89,7 +92,7 @@
   const names = ports.map((_, i) => `n${i + 1}`);
   const started: Node[] = [];
   for (const [i, id] of names.entries()) {
-    const settings = parseSettings(settingsOf(id, names, ports), `${id}.toml`);
+    const settings = parseSettings(settingsOf(id, names, ports, o.data), `${id}.toml`);
     if (settings.isErr()) throw new Error(JSON.stringify(settings.error));
     const logger = BunyanLogger.create(id, 'warn');
     const node = await Node.start({
@@ -97,7 +100,7 @@
       operatorKey,
       clock: o.clock,
       logger: logger.part('node'),
-      disk: MemoryDisk.create(),
+      ...(o.data === undefined ? { disk: MemoryDisk.create() } : {}),
       onBroken: (error) => {
         throw error;
       },
@@ -108,7 +111,12 @@
   return started;
 }
 
-function settingsOf(id: string, names: readonly string[], ports: readonly number[]): string {
+function settingsOf(
+  id: string,
+  names: readonly string[],
+  ports: readonly number[],
+  data: string | undefined,
+): string {
   const i = names.indexOf(id);
   const peers = names
     .map(
@@ -124,7 +132,7 @@
 peer = "127.0.0.1:${ports[i]}"
 entry = "127.0.0.1:0"
 operator = "127.0.0.1:0"
-${peers}`;
+${data === undefined ? '' : `data = ${JSON.stringify(join(data, id))}\n`}${peers}`;
 }
 
 function note(): string {
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -7,6 +7,8 @@
   NodeCommand,
   StatusCommand,
   SubmitCommand,
+  VotersChangeCommand,
+  VotersShowCommand,
 } from './commands.js';
 
 export * from './demo.js';
@@ -18,7 +20,16 @@
     binaryLabel: 'Tanagercart',
     binaryVersion: '0.1.0',
   });
-  for (const command of [NodeCommand, CheckCommand, SubmitCommand, StatusCommand, DemoCommand]) {
+  const commands = [
+    NodeCommand,
+    CheckCommand,
+    SubmitCommand,
+    StatusCommand,
+    VotersShowCommand,
+    VotersChangeCommand,
+    DemoCommand,
+  ];
+  for (const command of commands) {
     cli.register(command);
   }
   cli.register(Builtins.HelpCommand);
--- a/packages/entry/src/operators.ts
+++ b/packages/entry/src/operators.ts
@@ -9,6 +9,7 @@
 import { digestOfNote, parseNote } from '@tanagercart/release';
 import type { Proposer, SharedState } from '@tanagercart/state';
 import { readBody, sendJson } from './body.js';
+import { changeVoters, showVoters } from './voters.js';
 
 /** How long accepting a note may take, in milliseconds. */
 const acceptTimeoutMs: Millis = 5000;
@@ -70,6 +71,12 @@
     case 'GET /operators/v1/status':
       sendJson(res, 200, o.status());
       return;
+    case 'GET /operators/v1/voters':
+      await showVoters(o, res);
+      return;
+    case 'POST /operators/v1/voters':
+      await changeVoters(o, req, res);
+      return;
     case 'POST /operators/v1/drain':
       o.drain();
       sendJson(res, 202, { draining: true });
--- a/packages/log/src/changes.ts
+++ b/packages/log/src/changes.ts
@@ -50,6 +50,7 @@
   async change(call: VotersCall): Promise<VotersReply> {
     const { core } = this;
     if (core.role !== 'leader') return this.notLeader();
+    if (call.action === 'show') return { kind: 'changed', config: core.voters.config };
     if (this.busy) return refused('another change is under way');
     this.busy = true;
     const done = call.action === 'add' ? await this.add(call.node) : await this.remove(call.node);
--- a/packages/log/src/cluster.ts
+++ b/packages/log/src/cluster.ts
@@ -38,6 +38,8 @@
   /** Commands applied by the process, by their index. */
   state: Map<number, string>;
   lives: number;
+  /** The life whose process is reading its disk. */
+  starting: number | undefined;
 }
 
 /** A replicated log whose every fault is at hand; checks its invariants as it goes. */
@@ -64,6 +66,7 @@
         refused: undefined,
         state: new Map(),
         lives: 0,
+        starting: undefined,
       });
     }
   }
@@ -82,14 +85,16 @@
   /** Starts the process of a node; it runs as soon as it has read its disk. */
   async start(id: NodeId): Promise<void> {
     const it = this.at(id);
-    if (it.raft) return;
+    if (it.raft || it.starting === it.lives) return;
     it.lives += 1;
     const { lives } = it;
+    it.starting = lives;
     const logger = this.o.logger ?? silentLogger;
     const { disk } = it;
     const segment = this.o.segmentBytes ? { segmentBytes: this.o.segmentBytes } : {};
     const store = await DiskStore.open({ disk, random: this.random, logger, ...segment });
     if (it.lives !== lives) return;
+    it.starting = undefined;
     it.refused = store.isErr() ? store.error.detail : undefined;
     if (store.isErr()) return;
     it.state = new Map();
--- a/packages/log/src/core.ts
+++ b/packages/log/src/core.ts
@@ -28,7 +28,7 @@
   readonly tasks: TaskGroup;
   readonly voters: VoterSet;
   /** Called when leadership is lost. */
-  onDeposed: () => void = () => undefined;
+  onDeposed: (() => void) | undefined;
   private readonly startedAt: Millis;
   private writing: Promise<unknown> = Promise.resolve();
 
@@ -85,7 +85,7 @@
     this.role = 'follower';
     this.leader = leader;
     this.heardAt = this.o.clock.now();
-    if (led) this.onDeposed();
+    if (led) this.onDeposed?.();
     this.changed.ring();
   }
 
--- a/packages/log/src/election.ts
+++ b/packages/log/src/election.ts
@@ -100,8 +100,8 @@
     const reply = await transport.call(peer, 'vote', call, options);
     if (reply.isErr() || core.stopped) return undefined;
     if (reply.value.term > core.term && !reply.value.granted) {
- await core.learnTerm(reply.value.term);
-}
+      await core.learnTerm(reply.value.term);
+    }
     return reply.value;
   }
 
--- a/packages/log/src/voterset.ts
+++ b/packages/log/src/voterset.ts
@@ -13,25 +13,20 @@
 
 /** Every voter set since the snapshot. */
 export class VoterSet {
-  private held: Placed[] = [];
+  private held: Placed[];
 
-  private constructor() {}
+  private constructor(store: Store) {
+    this.held = placedIn(store);
+  }
 
   /** The voter sets in a store. */
   static create(store: Store): VoterSet {
-    const set = new VoterSet();
-    set.reload(store);
-    return set;
+    return new VoterSet(store);
   }
 
   /** Reads the store again, after a snapshot has replaced its log. */
   reload(store: Store): void {
-    const { snapshot } = store;
-    const base = snapshot
-      ? { index: snapshot.index, config: snapshot.config }
-      : { index: 0, config: nobody };
-    this.held = [base];
-    this.append(store.slice(base.index + 1, Infinity, Infinity));
+    this.held = placedIn(store);
   }
 
   /** Follows entries that were appended, and cut off what stood in their place. */
@@ -39,9 +34,7 @@
     const [first] = entries;
     if (!first) return;
     this.held = this.held.filter((p) => p.index < first.index || p.index === 0);
-    for (const { index, payload } of entries) {
-      if (payload.kind === 'voters') this.held.push({ index, config: payload.config });
-    }
+    this.held.push(...changesIn(entries));
   }
 
   /** The voter set in use. */
@@ -91,6 +84,19 @@
   }
 }
 
+function placedIn(store: Store): Placed[] {
+  const { snapshot } = store;
+  const base = snapshot ?? { index: 0, config: nobody };
+  const later = store.slice(base.index + 1, Infinity, Infinity);
+  return [{ index: base.index, config: base.config }, ...changesIn(later)];
+}
+
+function changesIn(entries: readonly LogEntry[]): readonly Placed[] {
+  return entries.flatMap(({ index, payload }) =>
+    payload.kind === 'voters' ? [{ index, config: payload.config }] : [],
+  );
+}
+
 /** How many voters are a majority. */
 export function quorumOf(config: VoterConfig): number {
   return Math.floor(config.voters.length / 2) + 1;
--- a/packages/log/test/raft.test.ts
+++ b/packages/log/test/raft.test.ts
@@ -90,7 +90,7 @@
   const { leader } = c;
   c.partition([others(c)[0]!]);
   await c.advance(60_000);
-  const { term } = (c.raftOf(leader!)!);
+  const { term } = c.raftOf(leader!)!;
   c.network.heal();
   await c.advance(3000);
   assert.deepEqual([c.leader, c.raftOf(leader!)!.term], [leader, term]);
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -412,8 +412,8 @@
   }
 
   private resolve(node: NodeId): string | undefined {
-    const known = this.history.state.nodes.get(node)?.address.peer;
-    return known ?? this.o.settings.peers.find((p) => p.id === node)?.peer;
+    const set = this.o.settings.peers.find((p) => p.id === node)?.peer;
+    return set ?? this.history.state.nodes.get(node)?.address.peer;
   }
 
   private ownerOfReplica(replica: Replica): NodeId | undefined {
--- a/packages/protocol/src/logmessage.ts
+++ b/packages/protocol/src/logmessage.ts
@@ -107,11 +107,9 @@
   readonly term: number;
 }
 
-/** Changes the voter set, by way of the leader. */
-export interface VotersCall {
-  readonly action: 'add' | 'remove';
-  readonly node: NodeId;
-}
+/** Changes or shows the voter set, by way of the leader. */
+export type VotersCall =
+  { readonly action: 'add' | 'remove'; readonly node: NodeId } | { readonly action: 'show' };
 
 export type VotersReply =
   | { readonly kind: 'changed'; readonly config: VoterConfig }
