--- a/packages/bench/src/log.ts
+++ b/packages/bench/src/log.ts
@@ -104,7 +104,7 @@
   const single = await throughput(seed, 1);
   return [
     {
-      name: 'records a second with group commit, of those without',
+      name: 'records a second with batches, of those one at a time',
       value: batched / single,
       unit: 'x',
     },
