--- /dev/null
+++ b/packages/cli/src/voters.ts
@@ -0,0 +1,38 @@
+/** The commands that show and change the voters of the replicated log. */
+
+import { Command, Option } from 'clipanion';
+import { OperatorCommand } from './commands.js';
+
+/** `tanagercart voters show`: shows the voters of the replicated log. */
+export class VotersShowCommand extends OperatorCommand {
+  static override paths = [['voters', 'show']];
+
+  static override usage = Command.Usage({ description: 'Show the voters of the replicated log' });
+
+  execute(): Promise<number> {
+    return this.send('GET', '/operators/v1/voters');
+  }
+}
+
+/** `tanagercart voters add|remove`: changes the voters by one. */
+export class VotersChangeCommand extends OperatorCommand {
+  static override paths = [
+    ['voters', 'add'],
+    ['voters', 'remove'],
+  ];
+
+  static override usage = Command.Usage({
+    description: 'Add or remove a voter of the replicated log',
+    examples: [
+      ['Add a node, or add it anew after its disk was lost', 'tanagercart voters add n4'],
+      ['Remove a node', 'tanagercart voters remove n2'],
+    ],
+  });
+
+  node = Option.String();
+
+  execute(): Promise<number> {
+    const [, action] = this.path;
+    return this.send('POST', '/operators/v1/voters', JSON.stringify({ action, node: this.node }));
+  }
+}
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -4,44 +4,35 @@
 import type { Server } from 'node:http';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
-import { Bell, StatsdMetrics, TaskGroup, rendezvous, systemRandom } from '@tanagercart/base';
-import type { AccountId, Clock, Logger, Metrics, NodeId } from '@tanagercart/base';
-import { Dispatch, Orders } from '@tanagercart/dispatch';
-import { Door, createCallerServer, createOperatorServer } from '@tanagercart/entry';
-import { DiskStore, FileDisk, Raft, defaultLimits, defaultTiming } from '@tanagercart/log';
-import type { Disk, Machine } from '@tanagercart/log';
-import {
-  ConfigurationLease,
-  Feed,
-  History,
-  Upstreams,
-  defaultLeaseTiming,
-  follow,
-  keepNodes,
-  ownerOf,
-} from '@tanagercart/membership';
-import { TcpTransport, decode, encode } from '@tanagercart/protocol';
-import type { NodeAddress, StateSnapshot } from '@tanagercart/protocol';
-import type { Model } from '@tanagercart/release';
-import { keepPlans } from '@tanagercart/routing';
+import { Bell, StatsdMetrics, TaskGroup } from '@tanagercart/base';
+import type { Clock, Logger, Metrics, NodeId } from '@tanagercart/base';
+import { createCallerServer, createOperatorServer } from '@tanagercart/entry';
+import type { Door } from '@tanagercart/entry';
+import { History, Ownership, Progress, Upstreams } from '@tanagercart/membership';
+import type { ConfigurationLease } from '@tanagercart/membership';
+import type { Disk } from '@tanagercart/log';
+import { TcpTransport } from '@tanagercart/protocol';
+import type { NodeAddress } from '@tanagercart/protocol';
 import { Owner } from '@tanagercart/scheduling';
 import type { Settings } from '@tanagercart/settings';
 import { Proposer } from '@tanagercart/state';
-import type { Replica, Upstream } from '@tanagercart/state';
-import { HttpEngines, HttpServices, createPool } from '@tanagercart/upstream';
-import { CommitTimes } from './incoming.js';
+import { createPool } from '@tanagercart/upstream';
+import { addressOf, hostPortOf, withPort } from './address.js';
+import { ControlPlane } from './controlplane.js';
+import { Directory } from './directory.js';
+import { createDoor, statusOf } from './listeners.js';
+import type { Parts } from './listeners.js';
 import { close, listen } from './server.js';
 
-/** Entries that a caller is told of at most. */
-const entriesTold = 3;
-
-/** Pause between two looks at whether the work in progress has ended, in milliseconds. */
-const drainPauseMs = 20;
+/** Longest wait for the leader to take a draining node out, in milliseconds. */
+const takeOutLimitMs = 5000;
 
 /** What a node needs besides its settings. */
 export interface NodeOptions {
   readonly settings: Settings;
   readonly operatorKey: string;
+  /** Key that upstreams must send; none is asked for where it is left out. */
+  readonly upstreamKey?: string;
   readonly clock: Clock;
   readonly logger: Logger;
   /** Takes the place of the data folder; a disk in memory forgets with the process. */
@@ -59,68 +50,84 @@
 export class Node {
   readonly metrics: Metrics;
   readonly history = History.create();
-  readonly lease: ConfigurationLease;
   readonly transport: TcpTransport;
   private readonly pool = createPool();
   private readonly stopping = new AbortController();
   private readonly tasks: TaskGroup;
   private readonly proposer: Proposer;
-  private readonly commitTimes = CommitTimes.create();
   private readonly logger: Logger;
+  private readonly upstreams: Upstreams;
+  private readonly directory: Directory;
+  private readonly control: ControlPlane;
+  private readonly ownership: Ownership;
+  private readonly progress: Progress;
+  private readonly incarnation = randomUUID();
+  private readonly owner: Owner;
+  private readonly door: Door;
   private readonly callers: Server;
   private readonly operators: Server;
-  private readonly owner: Owner;
-  private readonly upstreams: Upstreams;
-  private readonly feed: Feed;
-  private raft: Raft | undefined;
-  private address: NodeAddress;
+  /** Addresses of the node, as it tells the others. */
+  address: NodeAddress;
   private draining = false;
-  private inProgress = 0;
   private readonly drainAsked = Bell.create();
 
   private constructor(private readonly o: NodeOptions) {
     const { settings, clock, onBroken } = o;
-    const self = settings.node.id;
     this.logger = o.logger;
     this.metrics = StatsdMetrics.create(statsdOf(settings));
     this.tasks = TaskGroup.create(onBroken);
-    this.lease = ConfigurationLease.create(clock);
     this.address = addressOf(settings);
-    this.transport = TcpTransport.create({
-      self,
-      cluster: settings.cluster,
-      resolve: (node) => this.resolve(node),
-      clock,
-      logger: o.logger.part('peers'),
-      onBroken,
-    });
+    this.transport = this.createTransport();
     this.proposer = Proposer.create(this.transport, clock, () => settings.voters);
+    this.progress = Progress.create(this.transport, clock, () => settings.voters);
     this.upstreams = this.createUpstreams();
-    this.feed = this.createFeed();
+    this.ownership = this.createOwnership();
+    this.directory = this.createDirectory();
+    this.control = this.createControl();
     this.owner = this.createOwner();
-    this.callers = createCallerServer(this.createDoor(), settings.limits.requestMs, onBroken);
-    this.callers.on('request', (_, res) => {
-      this.inProgress += 1;
-      res.on('close', () => {
-        this.inProgress -= 1;
-      });
-    });
-    this.operators = createOperatorServer(this.operatorOptions(), onBroken);
+    const parts = this.parts();
+    this.door = createDoor(parts);
+    this.callers = createCallerServer(this.door, onBroken);
+    this.operators = createOperatorServer(this.operatorOptions(parts), onBroken);
   }
 
   /** Starts a node: opens its listeners and begins to follow the cluster. */
   static async start(options: NodeOptions): Promise<Result<Node, StartError>> {
+    const opened = await Node.open(options);
+    return opened.map((node) => {
+      node.begin();
+      return node;
+    });
+  }
+
+  /** Opens the listeners of a node, which takes part in the cluster only once it begins. */
+  static async open(options: NodeOptions): Promise<Result<Node, StartError>> {
     const node = new Node(options);
-    const opened = await node.open();
+    const opened = await node.openAll();
     if (opened.isOk()) return ok(node);
     await node.stop();
     return err(opened.error);
   }
 
+  /** Begins to take part; `peers` are reached at these addresses rather than those in the settings. */
+  begin(peers: readonly NodeAddress[] = []): void {
+    const { signal } = this.stopping;
+    for (const p of peers) this.directory.learn(p.id, p.peer);
+    this.control.begin(this.tasks, signal);
+    this.tasks.start(() => this.ownership.watch(signal));
+    this.tasks.start(() => this.upstreams.watch(signal));
+    this.logger.info('Serving.', { entry: this.address.entry });
+  }
+
   get id(): NodeId {
     return this.o.settings.node.id;
   }
 
+  /** The lease under which this node takes new work. */
+  get lease(): ConfigurationLease {
+    return this.control.lease;
+  }
+
   /** Base URL for callers. */
   get entryUrl(): string {
     return this.address.entry;
@@ -143,24 +150,43 @@
   async drain(): Promise<void> {
     this.logger.info('Draining.');
     this.draining = true;
-    while (this.inProgress > 0 || this.owner.inUse > 0) await this.o.clock.sleep(drainPauseMs);
-    if (this.raft?.role === 'leader') await this.raft.handOver();
+    await this.untilTakenOut();
+    await this.door.inProgress.untilIdle();
+    await this.control.handOver();
+    this.logger.info('Drained.', { grantsLeft: this.owner.inUse });
     await this.stop();
   }
 
+  /**
+   * Resolves once the shared state no longer lists this node, so that others own what it owned.
+   * Streams under its grants go on: entries read them from the engines, not through this node.
+   */
+  private async untilTakenOut(): Promise<void> {
+    const { clock } = this.o;
+    const deadline = clock.now() + takeOutLimitMs;
+    while (this.history.state.nodes.has(this.id) && clock.now() < deadline) {
+      await this.history.changed.waitUpTo(deadline - clock.now(), clock);
+    }
+  }
+
   /** Ends at once; what is in progress is cut. */
   async stop(): Promise<void> {
     this.stopping.abort();
     this.callers.closeAllConnections();
     this.operators.closeAllConnections();
-    await Promise.all([close(this.callers), close(this.operators), this.raft?.stop()]);
+    await Promise.all([close(this.callers), close(this.operators), this.control.stop()]);
     await this.transport.close();
     await this.tasks.join();
     await this.pool.destroy();
     this.metrics.close();
   }
 
-  private async open(): Promise<Result<void, StartError>> {
+  private async openAll(): Promise<Result<void, StartError>> {
+    const listening = await this.openListeners();
+    return listening.isOk() ? this.control.open() : listening;
+  }
+
+  private async openListeners(): Promise<Result<void, StartError>> {
     const { node } = this.o.settings;
     const peer = await this.listenPeers(node.peer);
     if (peer.isErr()) return err({ detail: `peer address ${node.peer}: ${peer.error.message}` });
@@ -174,82 +200,25 @@
     }
     this.address = { ...this.address, peer: peer.value, entry: `http://${entry.value}` };
     this.operatorUrl = `http://${operator.value}`;
-    const stored = await this.openLog();
-    if (stored.isErr()) return err(stored.error);
-    this.begin();
-    this.logger.info('Serving.', { entry: this.address.entry });
     return ok(undefined);
   }
 
   private async listenPeers(address: string): Promise<Result<string, Error>> {
-    const colon = address.lastIndexOf(':');
-    const host = address.slice(0, colon);
-    const port = await this.transport.listen(
-      host.replace(/[[\]]/g, ''),
-      Number(address.slice(colon + 1)),
-    );
-    return port.map((p) => `${host}:${p}`);
-  }
-
-  private begin(): void {
-    const { signal } = this.stopping;
-    this.servePropose();
-    this.serveProgress();
-    this.tasks.start(() => follow(this.followOptions(), signal));
-    this.tasks.start(() => keepNodes(this.registrarOptions(), signal));
-    this.tasks.start(() => keepPlans(this.plannerOptions(), signal));
-    this.tasks.start(() => this.upstreams.watch(signal));
+    const { host, port } = hostPortOf(address);
+    const opened = await this.transport.listen(host, port);
+    return opened.map((p) => withPort(address, p));
   }
 
-  /** Starts the replicated log on a node that has a disk. */
-  private async openLog(): Promise<Result<void, StartError>> {
-    const { clock, settings, onBroken } = this.o;
-    const disk = await this.openDisk();
-    if (disk.isErr()) return err(disk.error);
-    if (!disk.value) return ok(undefined);
-    const logger = this.logger.part('log');
-    const random = systemRandom;
-    const store = await DiskStore.open({ disk: disk.value, random, logger });
-    if (store.isErr()) return err({ detail: `data folder: ${store.error.detail}` });
-    this.raft = Raft.create({
-      self: this.id,
-      initial: settings.voters,
-      transport: this.transport,
-      store: store.value,
-      machine: this.machine(),
+  private createTransport(): TcpTransport {
+    const { settings, clock, logger, onBroken } = this.o;
+    return TcpTransport.create({
+      self: settings.node.id,
+      cluster: settings.cluster,
+      resolve: (node) => this.directory.peerAddress(node),
       clock,
-      random,
-      timing: defaultTiming,
-      limits: defaultLimits,
-      logger,
+      logger: logger.part('peers'),
       onBroken,
     });
-    return ok(undefined);
-  }
-
-  private async openDisk(): Promise<Result<Disk | undefined, StartError>> {
-    const { disk, settings } = this.o;
-    if (disk) return ok(disk);
-    if (settings.node.data) {
-      const opened = await FileDisk.create(settings.node.data);
-      return opened.mapErr((e) => ({ detail: `data folder: ${e.file}: ${e.detail}` }));
-    }
-    if (!settings.voters.includes(this.id)) return ok(undefined);
-    return err({ detail: `node.data: a voter needs a data folder, and ${this.id} is a voter` });
-  }
-
-  private machine(): Machine {
-    return {
-      apply: (index, bytes) => {
-        this.commitTimes.note(index, this.o.clock.now());
-        return encode(this.history.apply(index, bytes));
-      },
-      snapshot: () => {
-        const { state } = this.history;
-        return encode({ index: state.index, bytes: state.snapshot() });
-      },
-      restore: (data) => this.history.restore(decode<StateSnapshot>(data)),
-    };
   }
 
   private createUpstreams(): Upstreams {
@@ -263,198 +232,97 @@
     });
   }
 
-  private createFeed(): Feed {
-    const source = {
-      leaseMs: () => (this.leads() ? defaultLeaseTiming.leaseMs : 0),
-      upTo: () => this.history.state.index,
-      parent: () => this.raft?.leader,
-    };
-    return Feed.create(this.transport, this.history, source, this.o.clock, defaultLeaseTiming);
-  }
-
-  private createOwner(): Owner {
-    return Owner.create({
-      self: this.id,
+  private createDirectory(): Directory {
+    return Directory.create({
+      settings: this.o.settings,
       state: this.history.state,
-      clock: this.o.clock,
-      transport: this.transport,
-      mayGrant: () => this.lease.valid,
-      owns: (replica) => this.ownerOfReplica(replica) === this.id,
-      isLeaving: (upstream) => this.upstreams.isLeaving(upstream.id),
+      upstreams: this.upstreams,
+      ownership: this.ownership,
+      closed: () => !this.ready,
     });
   }
 
-  private createDoor(): Door {
+  private createOwnership(): Ownership {
     const { clock, settings } = this.o;
-    const dispatch = Dispatch.create({
-      clock,
-      logger: this.logger.part('dispatch'),
-      metrics: this.metrics,
-      transport: this.transport,
-      engines: HttpEngines.create(this.pool),
-      proposer: this.proposer,
-      owners: (model) => this.ownersOf(model),
-    });
-    const orders = Orders.create({
-      self: this.id,
+    const { id: self, incarnation, history, transport } = this;
+    return Ownership.create({
+      self,
+      incarnation,
+      history,
+      transport,
       clock,
-      logger: this.logger.part('orders'),
-      metrics: this.metrics,
-      proposer: this.proposer,
-      services: HttpServices.create(this.pool),
-      upstreams: (service) => this.upstreamsOf(service),
+      timing: settings.timing,
     });
-    return Door.create({
-      self: this.id,
-      state: this.history.state,
-      lease: this.lease,
-      dispatch,
-      orders,
-      upstreams: this.upstreams,
+  }
+
+  private createControl(): ControlPlane {
+    const { settings, clock, logger, onBroken } = this.o;
+    const { incarnation, transport, history, proposer } = this;
+    return ControlPlane.create({
+      settings,
+      address: () => this.address,
+      incarnation,
+      transport,
+      history,
+      proposer,
       clock,
-      logger: this.logger.part('entry'),
-      metrics: this.metrics,
-      limits: settings.limits,
-      entries: (account) => this.entriesFor(account),
+      logger,
       draining: () => this.draining,
+      disk: this.o.disk,
+      onBroken,
     });
   }
 
-  private operatorOptions() {
-    return {
-      key: this.o.operatorKey,
+  private createOwner(): Owner {
+    return Owner.create({
+      self: this.id,
       state: this.history.state,
-      proposer: this.proposer,
-      transport: this.transport,
       clock: this.o.clock,
-      leader: () => this.raft?.leader ?? this.o.settings.voters[0],
-      status: () => this.status(),
-      drain: () => this.drainAsked.ring(),
-    };
-  }
-
-  private status() {
-    const { state } = this.history;
-    return {
-      node: this.id,
-      draining: this.draining,
-      leaseMs: Math.round(this.lease.leftMs),
-      release: state.release.number,
-      index: state.index,
-      leader: this.raft?.leader,
-      voters: this.raft?.voters ?? this.o.settings.voters,
-      logFailed: this.raft?.failed ?? false,
-      nodes: [...state.nodes.values()].map((n) => n.address),
-      replicas: [...state.replicas.values()].map((r) => ({ ...r, owner: this.ownerOfReplica(r) })),
-      upstreams: [...state.upstreams.values()],
-    };
-  }
-
-  private followOptions() {
-    return {
-      self: this.address,
-      incarnation: randomUUID(),
       transport: this.transport,
-      history: this.history,
-      lease: this.lease,
-      clock: this.o.clock,
-      timing: defaultLeaseTiming,
-      logger: this.logger.part('follow'),
-      draining: () => this.draining,
-      seeds: () => this.o.settings.voters,
-    };
+      mayGrant: () => this.ready,
+      owns: (replica) => this.ownership.mayGrant(replica),
+      isLeaving: (upstream) => this.upstreams.isLeaving(upstream.id),
+    });
   }
 
-  private registrarOptions() {
+  private parts(): Parts {
+    const { settings, clock, logger } = this.o;
+    const { lease, proposer, transport, directory, upstreams, control, pool, metrics } = this;
     return {
-      feed: this.feed,
-      history: this.history,
-      proposer: this.proposer,
-      clock: this.o.clock,
-      timing: defaultLeaseTiming,
-      logger: this.logger.part('nodes'),
-      leads: () => this.leads(),
+      settings,
+      state: this.history.state,
+      lease,
+      proposer,
+      transport,
+      directory,
+      upstreams,
+      control,
+      pool,
+      clock,
+      logger,
+      metrics,
+      upstreamKey: this.o.upstreamKey,
+      draining: () => this.draining,
     };
   }
 
-  private plannerOptions() {
+  private operatorOptions(parts: Parts) {
+    const { proposer, progress } = this;
     return {
+      key: this.o.operatorKey,
       state: this.history.state,
-      proposer: this.proposer,
+      proposer,
+      progress,
+      transport: this.transport,
+      leader: () => this.control.leader,
       clock: this.o.clock,
-      logger: this.logger.part('planner'),
-      leads: () => this.leads(),
+      status: () => statusOf(parts),
+      drain: () => this.drainAsked.ring(),
     };
   }
-
-  private servePropose(): void {
-    this.transport.serve('propose', async (_, call) => {
-      if (!this.raft) return { kind: 'not-leader', leader: undefined };
-      const applied = await this.raft.propose(call.bytes);
-      if (applied.isOk()) return { kind: 'applied', ...applied.value };
-      if (applied.error.kind === 'not-leader') return applied.error;
-      if (applied.error.kind === 'overloaded') {
-        return { kind: 'unavailable', reason: 'too many proposals wait' };
-      }
-      return { kind: 'unknown', reason: 'leadership was lost' };
-    });
-  }
-
-  private serveProgress(): void {
-    this.transport.serve('progress', async (_, call) => {
-      if (!this.leads()) return { kind: 'not-leader', leader: this.raft?.leader };
-      return this.feed.progress(call.index, this.commitTimes.at(call.index));
-    });
-  }
-
-  private leads(): boolean {
-    return this.raft?.holdsLease === true;
-  }
-
-  private resolve(node: NodeId): string | undefined {
-    const set = this.o.settings.peers.find((p) => p.id === node)?.peer;
-    return set ?? this.history.state.nodes.get(node)?.address.peer;
-  }
-
-  private ownerOfReplica(replica: Replica): NodeId | undefined {
-    const [first] = replica.stages;
-    const dataCentre = first && this.history.state.upstreams.get(first)?.dataCentre;
-    return ownerOf(this.history.state, replica.id, dataCentre ?? '');
-  }
-
-  private ownersOf(model: Model): readonly NodeId[] {
-    const owners = new Set<NodeId>();
-    for (const replica of this.history.state.replicas.values()) {
-      const owner = replica.model === model.id && this.ownerOfReplica(replica);
-      if (owner) owners.add(owner);
-    }
-    return rendezvous(randomUUID(), [...owners]);
-  }
-
-  private upstreamsOf(service: string): readonly Upstream[] {
-    const all = [...this.history.state.upstreams.values()];
-    return all.filter(
-      (u) =>
-        u.role.kind === 'service' && u.role.service === service && !this.upstreams.isLeaving(u.id),
-    );
-  }
-
-  private entriesFor(account: AccountId | undefined): readonly string[] {
-    const { nodes } = this.history.state;
-    const ranked = rendezvous(account ?? randomUUID(), [...nodes.keys()]);
-    const told = this.draining ? ranked.filter((n) => n !== this.id) : ranked;
-    return told.slice(0, entriesTold).map((n) => nodes.get(n)!.address.entry);
-  }
-}
-
-function addressOf(settings: Settings): NodeAddress {
-  const { id, dataCentre, peer, entry } = settings.node;
-  return { id, dataCentre, peer, entry: `http://${entry}` };
 }
 
 function statsdOf(settings: Settings) {
   const { statsd } = settings.metrics;
-  if (!statsd) return undefined;
-  const colon = statsd.lastIndexOf(':');
-  return { host: statsd.slice(0, colon), port: Number(statsd.slice(colon + 1)) };
+  return statsd === undefined ? undefined : hostPortOf(statsd);
 }
--- a/packages/protocol/src/message.ts
+++ b/packages/protocol/src/message.ts
@@ -1,5 +1,6 @@
 /** Every exchange between the nodes: one call and one reply. */
 
+import type { LimitCall, LimitReply } from './limitmessage.js';
 import type { AnnounceCall, AnnounceReply } from './announcemessage.js';
 import type { FollowCall, FollowReply, ProgressCall, ProgressReply } from './followmessage.js';
 import type {
@@ -10,6 +11,7 @@
   ReleaseCall,
   ReleaseReply,
 } from './grantmessage.js';
+import type { HandoverCall, HandoverReply } from './ownermessage.js';
 import type {
   AppendCall,
   AppendReply,
@@ -41,6 +43,8 @@
   acquire: { call: AcquireCall; reply: AcquireReply };
   release: { call: ReleaseCall; reply: ReleaseReply };
   preempt: { call: PreemptCall; reply: PreemptReply };
+  limit: { call: LimitCall; reply: LimitReply };
+  handover: { call: HandoverCall; reply: HandoverReply };
   announce: { call: AnnounceCall; reply: AnnounceReply };
 }
 
