--- a/packages/cli/src/demo.ts
+++ b/packages/cli/src/demo.ts
@@ -93,9 +93,7 @@
       operatorKey,
       clock: o.clock,
       logger: BunyanLogger.create(settings.node.id, o.logLevel ?? 'warn').part('node'),
-      ...(o.data === undefined && settings.voters.includes(settings.node.id)
-        ? { disk: MemoryDisk.create() }
-        : {}),
+      ...(o.data === undefined ? { disk: MemoryDisk.create() } : {}),
       onBroken: (error) => {
         throw error;
       },
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -3,6 +3,7 @@
 import { Builtins, Cli, UsageError } from 'clipanion';
 import { CheckCommand, DemoCommand, NodeCommand, StatusCommand } from './commands.js';
 import { HistoryCommand, ShowReleaseCommand, SubmitCommand } from './release.js';
+import { VotersChangeCommand, VotersShowCommand } from './voters.js';
 
 /** Exit code of wrong usage. */
 const wrongUsage = 2;
@@ -14,6 +15,8 @@
   ShowReleaseCommand,
   HistoryCommand,
   StatusCommand,
+  VotersShowCommand,
+  VotersChangeCommand,
   DemoCommand,
 ];
 
--- a/packages/entry/src/operators.ts
+++ b/packages/entry/src/operators.ts
@@ -7,6 +7,8 @@
 import { sendJson } from './body.js';
 import { listReleases, showRelease, submitRelease, tryRelease } from './releases.js';
 import type { ReleaseDesk } from './releases.js';
+import { changeVoters, showVoters } from './voters.js';
+import type { VoterChangeOptions } from './voters.js';
 
 /** Path of the releases. */
 const releasesPath = '/operators/v1/releases';
@@ -18,7 +20,7 @@
 }
 
 /** What the operators' listener needs. */
-export interface OperatorOptions extends ReleaseDesk {
+export interface OperatorOptions extends ReleaseDesk, VoterChangeOptions {
   readonly key: string;
   readonly status: () => StatusReport;
   readonly drain: () => void;
@@ -63,6 +65,12 @@
     case 'GET /operators/v1/status':
       sendJson(res, 200, o.status());
       return;
+    case 'GET /operators/v1/voters':
+      await showVoters(o, res);
+      return;
+    case 'POST /operators/v1/voters':
+      await changeVoters(o, req, res);
+      return;
     case 'POST /operators/v1/drain':
       o.drain();
       sendJson(res, 202, { draining: true });
--- a/packages/log/src/core.ts
+++ b/packages/log/src/core.ts
@@ -7,8 +7,6 @@
 import type { Store, StoreError } from './store.js';
 import { VoterSet } from './voterset.js';
 
-const nothing = (): void => undefined;
-
 /** What a voter is at the moment. */
 export type Role = 'follower' | 'candidate' | 'leader';
 
@@ -30,7 +28,7 @@
   readonly tasks: TaskGroup;
   readonly voters: VoterSet;
   /** Called when leadership is lost. */
-  onDeposed: () => void = nothing;
+  onDeposed: (() => void) | undefined;
   private readonly startedAt: Millis;
   private writing: Promise<unknown> = Promise.resolve();
 
@@ -87,7 +85,7 @@
     this.role = 'follower';
     this.leader = leader;
     this.heardAt = this.o.clock.now();
-    if (led) this.onDeposed();
+    if (led) this.onDeposed?.();
     this.changed.ring();
   }
 
--- a/packages/membership/test/cluster.ts
+++ b/packages/membership/test/cluster.ts
@@ -33,7 +33,13 @@
   throw error;
 };
 
-function startMember(net: MemoryNetwork, clock: HeldClock, name: string, o: ClusterOptions) {
+function startMember(
+  net: MemoryNetwork,
+  clock: HeldClock,
+  name: string,
+  o: ClusterOptions,
+  disks: Map<string, MemoryDisk>,
+) {
   const id = NodeId(name);
   const transport = net.attach(id);
   const history = History.create();
@@ -59,14 +65,16 @@
     draining: () => member.draining,
     seeds: () => voters,
   });
-  const startVoter = async () => {
-    const options = { disk: MemoryDisk.create(), random: net.random, logger: silentLogger };
-    const store = (await DiskStore.open(options))._unsafeUnwrap();
-    return Raft.create({
+  const vote = async () => {
+    const disk = disks.get(name)?.crash(net.random) ?? MemoryDisk.create();
+    disks.set(name, disk);
+    const opened = await DiskStore.open({ disk, random: net.random, logger: silentLogger });
+    if (stop.signal.aborted) return;
+    member.raft = Raft.create({
       self: id,
       initial: voters,
       transport,
-      store,
+      store: opened._unsafeUnwrap(),
       machine: {
         apply: (index, bytes) => {
           control.commitTimes.note(index, clock.now());
@@ -83,19 +91,13 @@
       onBroken: broken,
     });
   };
-  if (voters.includes(id)) {
-    tasks.start(async () => {
-      member.raft = await startVoter();
-    });
-  }
+  if (voters.includes(id)) tasks.start(vote);
   transport.serve('propose', async (_, { bytes }) => {
     if (!member.raft) return { kind: 'not-leader', leader: undefined };
     const applied = await member.raft.propose(bytes);
     if (applied.isOk()) return { kind: 'applied', ...applied.value };
     if (applied.error.kind === 'not-leader') return applied.error;
-    if (applied.error.kind === 'overloaded') {
-      return { kind: 'unavailable', reason: 'too many proposals wait' };
-    }
+    if (applied.error.kind === 'overloaded') return { kind: 'unavailable', reason: 'overloaded' };
     return { kind: 'unknown', reason: 'leadership was lost' };
   });
   control.start(tasks, stop.signal);
@@ -131,7 +133,8 @@
 export async function startCluster(o: ClusterOptions) {
   const clock = HeldClock.create();
   const net = MemoryNetwork.create(clock, SeededRandom.create(o.seed ?? 1));
-  const start = (name: string) => startMember(net, clock, name, o);
+  const disks = new Map<string, MemoryDisk>();
+  const start = (name: string) => startMember(net, clock, name, o, disks);
   const members = new Map(o.names.map((name) => [name, start(name)]));
   await clock.advance(5000);
   const all = () => [...members.values()];
--- a/packages/node/src/controlplane.ts
+++ b/packages/node/src/controlplane.ts
@@ -4,8 +4,8 @@
 import type { Result } from 'neverthrow';
 import { systemRandom } from '@tanagercart/base';
 import type { Clock, Logger, NodeId, TaskGroup } from '@tanagercart/base';
-import { Raft, defaultLimits } from '@tanagercart/log';
-import type { Disk, DiskStore, Machine } from '@tanagercart/log';
+import { DiskStore, FileDisk, Raft, defaultLimits } from '@tanagercart/log';
+import type { Disk, Machine, Store } from '@tanagercart/log';
 import { Control } from '@tanagercart/membership';
 import type { ConfigurationLease, History } from '@tanagercart/membership';
 import { decode, encode } from '@tanagercart/protocol';
@@ -13,13 +13,10 @@
 import { keepPlans } from '@tanagercart/routing';
 import type { Settings } from '@tanagercart/settings';
 import type { Proposer } from '@tanagercart/state';
-import { openStore } from './storage.js';
 
 /** What the control plane needs. */
 export interface ControlPlaneOptions {
   readonly settings: Settings;
-  /** Takes the place of the data folder. */
-  readonly disk: Disk | undefined;
   readonly address: () => NodeAddress;
   readonly incarnation: string;
   readonly transport: Transport;
@@ -28,14 +25,16 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly draining: () => boolean;
+  /** Takes the place of the data folder. */
+  readonly disk: Disk | undefined;
   readonly onBroken: (error: unknown) => void;
 }
 
 /** A node's part in the shared state. */
 export class ControlPlane {
   private readonly control: Control;
-  private store: DiskStore | undefined;
   private raft: Raft | undefined;
+  private store: Store | undefined;
 
   private constructor(private readonly o: ControlPlaneOptions) {
     this.control = this.createControl();
@@ -60,22 +59,19 @@
     return this.control.lease;
   }
 
-  /** The nodes that vote, as this node knows them. */
-  get voters(): readonly NodeId[] {
-    return this.raft?.voters.voters.map((m) => m.id) ?? this.o.settings.voters;
-  }
-
-  /** Whether this node is a voter whose disk has failed. */
-  get logFailed(): boolean {
-    return this.raft?.failed ?? false;
+  /** The voters as this node knows them, and whether its disk has failed. */
+  get log() {
+    return { voters: this.raft?.voters, failed: this.raft?.failed ?? false };
   }
 
-  /** Opens the durable state; the error tells what is wrong with it. */
-  async open(): Promise<Result<void, string>> {
-    const { settings, disk, logger } = this.o;
-    const options = { settings, disk, random: systemRandom, logger: logger.part('log') };
-    const opened = await openStore(options);
-    if (opened.isErr()) return err(opened.error);
+  /** Reads the disk of a node that has one. */
+  async open(): Promise<Result<void, { readonly detail: string }>> {
+    const disk = await this.openDisk();
+    if (disk.isErr()) return err(disk.error);
+    if (!disk.value) return ok(undefined);
+    const logger = this.o.logger.part('log');
+    const opened = await DiskStore.open({ disk: disk.value, random: systemRandom, logger });
+    if (opened.isErr()) return err({ detail: `data folder: ${opened.error.detail}` });
     this.store = opened.value;
     return ok(undefined);
   }
@@ -87,7 +83,8 @@
 
   /** Starts to vote and to follow. */
   begin(tasks: TaskGroup, signal: AbortSignal): void {
-    if (this.store) this.raft = this.createRaft(this.store);
+    const { id } = this.o.address();
+    if (this.store) this.raft = this.createRaft(id, this.store);
     this.servePropose();
     this.control.start(tasks, signal);
     tasks.start(() => keepPlans(this.plannerOptions(), signal));
@@ -98,18 +95,30 @@
     await this.raft?.stop();
   }
 
-  private createRaft(store: DiskStore): Raft {
-    const { address, clock, settings, onBroken, transport, logger } = this.o;
+  private async openDisk(): Promise<Result<Disk | undefined, { readonly detail: string }>> {
+    const { disk, settings } = this.o;
+    const { data, id } = settings.node;
+    if (disk) return ok(disk);
+    if (data) {
+      const opened = await FileDisk.create(data);
+      return opened.mapErr((e) => ({ detail: `data folder: ${e.file}: ${e.detail}` }));
+    }
+    if (!settings.voters.includes(id)) return ok(undefined);
+    return err({ detail: `node.data: ${id} is a voter, and a voter needs a data folder` });
+  }
+
+  private createRaft(self: NodeId, store: Store): Raft {
+    const { clock, settings, onBroken, transport, logger } = this.o;
     return Raft.create({
-      self: address().id,
+      self,
       initial: settings.voters,
       transport,
       store,
       machine: this.machine(),
+      limits: defaultLimits,
       clock,
       random: systemRandom,
       timing: settings.timing,
-      limits: defaultLimits,
       logger: logger.part('log'),
       onBroken,
     });
@@ -122,10 +131,7 @@
         this.control.commitTimes.note(index, clock.now());
         return encode(history.apply(index, bytes));
       },
-      snapshot: () => {
-        const { state } = history;
-        return encode({ index: state.index, bytes: state.snapshot() });
-      },
+      snapshot: () => encode({ index: history.state.index, bytes: history.state.snapshot() }),
       restore: (data) => history.restore(decode<StateSnapshot>(data)),
     };
   }
--- a/packages/node/src/listeners.ts
+++ b/packages/node/src/listeners.ts
@@ -60,8 +60,8 @@
     release: state.release.number,
     index: state.index,
     leader: control.leader,
-    voters: control.voters,
-    logFailed: control.logFailed,
+    voters: p.control.log.voters ?? p.settings.voters,
+    logFailed: p.control.log.failed,
     nodes: [...state.nodes.values()].map((n) => n.address),
     replicas: [...state.replicas.values()].map((r) => ({
       ...r,
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -8,9 +8,9 @@
 import type { Clock, Logger, Metrics, NodeId } from '@tanagercart/base';
 import { createCallerServer, createOperatorServer } from '@tanagercart/entry';
 import type { Door } from '@tanagercart/entry';
-import type { Disk } from '@tanagercart/log';
 import { History, Ownership, Progress, Upstreams } from '@tanagercart/membership';
 import type { ConfigurationLease } from '@tanagercart/membership';
+import type { Disk } from '@tanagercart/log';
 import { TcpTransport } from '@tanagercart/protocol';
 import type { NodeAddress } from '@tanagercart/protocol';
 import { Owner } from '@tanagercart/scheduling';
@@ -103,7 +103,7 @@
   /** Opens the listeners of a node, which takes part in the cluster only once it begins. */
   static async open(options: NodeOptions): Promise<Result<Node, StartError>> {
     const node = new Node(options);
-    const opened = await node.openListeners();
+    const opened = await node.openAll();
     if (opened.isOk()) return ok(node);
     await node.stop();
     return err(opened.error);
@@ -151,8 +151,8 @@
     this.logger.info('Draining.');
     this.draining = true;
     await this.untilTakenOut();
-    await this.control.handOver();
     await this.door.inProgress.untilIdle();
+    await this.control.handOver();
     this.logger.info('Drained.', { grantsLeft: this.owner.inUse });
     await this.stop();
   }
@@ -181,6 +181,11 @@
     this.metrics.close();
   }
 
+  private async openAll(): Promise<Result<void, StartError>> {
+    const listening = await this.openListeners();
+    return listening.isOk() ? this.control.open() : listening;
+  }
+
   private async openListeners(): Promise<Result<void, StartError>> {
     const { node } = this.o.settings;
     const peer = await this.listenPeers(node.peer);
@@ -195,7 +200,7 @@
     }
     this.address = { ...this.address, peer: peer.value, entry: `http://${entry.value}` };
     this.operatorUrl = `http://${operator.value}`;
-    return (await this.control.open()).mapErr((detail) => ({ detail }));
+    return ok(undefined);
   }
 
   private async listenPeers(address: string): Promise<Result<string, Error>> {
@@ -255,7 +260,6 @@
     const { incarnation, transport, history, proposer } = this;
     return ControlPlane.create({
       settings,
-      disk: this.o.disk,
       address: () => this.address,
       incarnation,
       transport,
@@ -264,6 +268,7 @@
       clock,
       logger,
       draining: () => this.draining,
+      disk: this.o.disk,
       onBroken,
     });
   }
@@ -308,6 +313,8 @@
       state: this.history.state,
       proposer,
       progress,
+      transport: this.transport,
+      leader: () => this.control.leader,
       clock: this.o.clock,
       status: () => statusOf(parts),
       drain: () => this.drainAsked.ring(),
