--- a/packages/base/src/hash.ts
+++ b/packages/base/src/hash.ts
@@ -23,6 +23,14 @@
   return h >>> 0;
 }
 
+/** Mixes two hashes into a weight; cheaper than hashing the joined names. */
+export function mixHashes(a: number, b: number): number {
+  let h = Math.imul(a ^ Math.imul(b, 0x9e3779b1), 0x85ebca6b);
+  h ^= h >>> 15;
+  h = Math.imul(h, 0xc2b2ae35);
+  return (h ^ (h >>> 16)) >>> 0;
+}
+
 /** Orders `candidates` for `key` by rendezvous hashing, best first. */
 export function rendezvous<T extends string>(key: string, candidates: readonly T[]): readonly T[] {
   return candidates
--- a/packages/entry/src/callers.ts
+++ b/packages/entry/src/callers.ts
@@ -76,5 +76,7 @@
     door.refuse(res, notRun('malformed', message), sendRefusal);
     return;
   }
-  sendJson(res, 200, await door.o.upstreams.announced(parsed.value));
+  const reply = await door.o.upstreams.announced(parsed.value);
+  if (reply) sendJson(res, 200, reply);
+  else sendJson(res, 503, { error: { code: 'not-recorded', message: 'announce at another node' } });
 }
--- a/packages/membership/src/owner.ts
+++ b/packages/membership/src/owner.ts
@@ -1,16 +1,18 @@
-/** Which node owns a replica or watches an upstream. */
+/** Which node watches an upstream. */
 
-import { rendezvous } from '@tanagercart/base';
+import { hash32, mixHashes } from '@tanagercart/base';
 import type { NodeId } from '@tanagercart/base';
-import type { LiveNode, SharedState } from '@tanagercart/state';
+import type { SharedState } from '@tanagercart/state';
 
-/** The owner of `name`: the best live node by rendezvous hashing, those in `dataCentre` first. */
-export function ownerOf(state: SharedState, name: string, dataCentre: string): NodeId | undefined {
-  const near = live(state, (n) => n.address.dataCentre === dataCentre);
-  const candidates = near.length > 0 ? near : live(state, () => true);
-  return rendezvous(name, candidates)[0];
-}
-
-function live(state: SharedState, wanted: (node: LiveNode) => boolean): readonly NodeId[] {
-  return [...state.nodes.values()].filter(wanted).map((n) => n.address.id);
+/** The live nodes for `name` by rendezvous hashing, best first, those in `dataCentre` before others. */
+export function ownersOf(state: SharedState, name: string, dataCentre: string): readonly NodeId[] {
+  const hash = hash32(name);
+  return [...state.nodes.values()]
+    .map(({ address }) => ({
+      id: address.id,
+      near: address.dataCentre === dataCentre ? 1 : 0,
+      weight: mixHashes(hash, hash32(address.id)),
+    }))
+    .sort((a, b) => b.near - a.near || b.weight - a.weight || (a.id < b.id ? -1 : 1))
+    .map((n) => n.id);
 }
--- a/packages/membership/src/ownership.ts
+++ b/packages/membership/src/ownership.ts
@@ -1,6 +1,6 @@
 /** Who owns which replica, and from when a new owner may give grants. */
 
-import { hash32 } from '@tanagercart/base';
+import { hash32, mixHashes } from '@tanagercart/base';
 import type { Clock, Millis, NodeId, UpstreamId } from '@tanagercart/base';
 import type { Transport } from '@tanagercart/protocol';
 import type { LiveNode, Replica, SharedState } from '@tanagercart/state';
@@ -193,17 +193,9 @@
   for (const node of state.nodes.values()) {
     const near = node.address.dataCentre === dataCentre;
     if (bestNear && !near) continue;
-    const weight = mix(hash, hash32(node.address.id));
+    const weight = mixHashes(hash, hash32(node.address.id));
     if (near === bestNear && weight <= bestWeight) continue;
     [best, bestWeight, bestNear] = [node, weight, near];
   }
   return best && { node: best.address.id, incarnation: best.incarnation };
 }
-
-/** Mixes two hashes into a weight; cheaper than hashing the joined names. */
-function mix(a: number, b: number): number {
-  let h = Math.imul(a ^ Math.imul(b, 0x9e3779b1), 0x85ebca6b);
-  h ^= h >>> 15;
-  h = Math.imul(h, 0xc2b2ae35);
-  return (h ^ (h >>> 16)) >>> 0;
-}
--- a/packages/membership/test/cluster.ts
+++ b/packages/membership/test/cluster.ts
@@ -13,7 +13,14 @@
 import { MemoryNetwork, encode } from '@tanagercart/protocol';
 import { Proposer } from '@tanagercart/state';
 import type { ReleaseCommand } from '@tanagercart/state';
-import { Control, History, Ownership, Progress, defaultLeaseTiming } from '../src/index.js';
+import {
+  Control,
+  History,
+  Ownership,
+  Progress,
+  Upstreams,
+  defaultLeaseTiming,
+} from '../src/index.js';
 
 type ReleaseNote = ReleaseCommand['note'];
 
@@ -43,7 +50,7 @@
   const member = { draining: false, raft: undefined as Raft | undefined };
   const dataCentre = DataCentreId(o.dataCentreOf?.(name) ?? 'north');
   const control = Control.create({
-    self: () => ({ id, dataCentre, peer: '', entry: '' }),
+    self: () => ({ id, dataCentre, peer: '', entry: `http://${name}` }),
     incarnation: `${name}@${clock.now()}`,
     transport,
     history,
@@ -95,13 +102,23 @@
     timing: defaultLeaseTiming,
   });
   tasks.start(() => ownership.watch(stop.signal));
+  const upstreams = Upstreams.create({
+    self: id,
+    history,
+    proposer,
+    transport,
+    lease: control.lease,
+    clock,
+    logger: silentLogger,
+  });
+  tasks.start(() => upstreams.watch(stop.signal));
   const progress = Progress.create(transport, clock, () => voters);
   const kill = async () => {
     net.detach(id);
     stop.abort();
     await member.raft?.stop();
   };
-  return { id, member, control, history, ownership, proposer, progress, kill };
+  return { id, member, control, history, ownership, proposer, progress, upstreams, kill };
 }
 
 export type Member = ReturnType<typeof startMember>;
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -25,7 +25,7 @@
 import { Owner } from '@tanagercart/scheduling';
 import type { Settings } from '@tanagercart/settings';
 import { Proposer } from '@tanagercart/state';
-import type { Replica, Upstream } from '@tanagercart/state';
+import type { Upstream } from '@tanagercart/state';
 import { HttpEngines, HttpServices, createPool } from '@tanagercart/upstream';
 import { close, listen } from './server.js';
 
@@ -91,8 +91,8 @@
     });
     this.proposer = Proposer.create(this.transport, clock, () => settings.voters);
     this.progress = Progress.create(this.transport, clock, () => settings.voters);
-    this.upstreams = this.createUpstreams();
     this.control = this.createControl();
+    this.upstreams = this.createUpstreams();
     this.ownership = Ownership.create({
       self,
       incarnation: this.incarnation,
@@ -232,6 +232,7 @@
       history: this.history,
       proposer: this.proposer,
       transport: this.transport,
+      lease: this.lease,
       clock: this.o.clock,
       logger: this.logger.part('upstreams'),
     });
--- a/packages/state/src/upstreams.ts
+++ b/packages/state/src/upstreams.ts
@@ -49,6 +49,8 @@
       readonly kind: 'upstream-down';
       readonly upstream: UpstreamId;
       readonly incarnation: string;
+      /** Whether the upstream said that it leaves, which is final for this start of it. */
+      readonly left: boolean;
     }
   | { readonly kind: 'plan'; readonly model: ModelId; readonly replicas: readonly Replica[] };
 
@@ -59,12 +61,18 @@
 export interface UpstreamImage {
   readonly upstreams: readonly Upstream[];
   readonly replicas: readonly Replica[];
+  readonly left: readonly (readonly [UpstreamId, string])[];
 }
 
+/** Upstreams that left and are remembered. */
+const rememberedLeft = 4096;
+
 /** Keeps upstreams and replicas. A replica never outlives one of its stages. */
 export class UpstreamTable {
   private readonly roster = new Map<UpstreamId, Upstream>();
   private readonly chains = new Map<ReplicaId, Replica>();
+  /** The last start of each upstream that left. */
+  private readonly left = new Map<UpstreamId, string>();
   private changes = 0;
 
   static create(): UpstreamTable {
@@ -88,10 +96,9 @@
     this.changes += 1;
     switch (command.kind) {
       case 'upstream-up':
-        this.roster.set(command.upstream.id, command.upstream);
-        return { kind: 'done' };
+        return this.up(command.upstream);
       case 'upstream-down':
-        return this.down(command.upstream, command.incarnation);
+        return this.down(command.upstream, command.incarnation, command.left);
       case 'plan':
         return this.plan(command.model, command.replicas);
       default:
@@ -100,13 +107,21 @@
   }
 
   image(): UpstreamImage {
-    return { upstreams: [...this.roster.values()], replicas: [...this.chains.values()] };
+    return {
+      upstreams: [...this.roster.values()],
+      replicas: [...this.chains.values()],
+      left: [...this.left],
+    };
   }
 
   restore(image: UpstreamImage): void {
     this.changes += 1;
     this.roster.clear();
     this.chains.clear();
+    this.left.clear();
+    for (const [upstream, incarnation] of image.left) {
+      this.left.set(upstream, incarnation);
+    }
     for (const upstream of image.upstreams) {
       this.roster.set(upstream.id, upstream);
     }
@@ -115,7 +130,16 @@
     }
   }
 
-  private down(upstream: UpstreamId, incarnation: string): UpstreamOutcome {
+  private up(upstream: Upstream): UpstreamOutcome {
+    if (this.left.get(upstream.id) === upstream.incarnation) {
+      return { kind: 'stale' };
+    }
+    this.roster.set(upstream.id, upstream);
+    return { kind: 'done' };
+  }
+
+  private down(upstream: UpstreamId, incarnation: string, left: boolean): UpstreamOutcome {
+    if (left) this.rememberLeft(upstream, incarnation);
     if (this.roster.get(upstream)?.incarnation !== incarnation) {
       return { kind: 'stale' };
     }
@@ -128,6 +152,13 @@
     return { kind: 'done' };
   }
 
+  private rememberLeft(upstream: UpstreamId, incarnation: string): void {
+    this.left.delete(upstream);
+    this.left.set(upstream, incarnation);
+    const oldest = this.left.keys().next().value;
+    if (this.left.size > rememberedLeft && oldest) this.left.delete(oldest);
+  }
+
   private plan(model: ModelId, replicas: readonly Replica[]): UpstreamOutcome {
     const missing = replicas.some((r) => r.stages.some((s) => !this.roster.has(s)));
     if (missing) {
--- a/packages/upstream/src/announcement.ts
+++ b/packages/upstream/src/announcement.ts
@@ -21,6 +21,12 @@
 
 const serviceRole = z.object({ kind: z.literal('service'), service: name });
 
+const load = z.object({
+  queue: z.number().min(0).optional(),
+  stepMs: z.number().positive().optional(),
+  roundTripMs: z.record(name, z.number().positive()).optional(),
+});
+
 const announcement = z.object({
   id: name,
   incarnation: name,
@@ -28,6 +34,7 @@
   dataCentre: name,
   role: z.discriminatedUnion('kind', [stageRole, serviceRole]),
   leaving: z.boolean().default(false),
+  load: load.optional(),
 });
 
 /** An announcement; also the heartbeat when it is repeated. */
