Judge a request once its body has come

The lease was looked at and the account found before the body was read, the model after it. With a slow body a node could take work under an old release after its lease had lapsed, and judge one request under two releases. Both are now asked again after the body.

Two new tests: both requests were taken before, 503 and 401 now.

--- a/packages/entry/src/answers.ts
+++ b/packages/entry/src/answers.ts
@@ -49,17 +49,17 @@
   kind: AnswerKind,
   req: IncomingMessage,
 ): Promise<Result<Checked, Refusal>> {
-  const closed = door.closed();
-  if (closed) return err(closed);
-  const account = door.account(req);
-  if (!account) return err(notRun('unauthorised', 'no account has this key'));
+  const early = door.admit(req);
+  if (early.isErr()) return err(early.error);
   const body = await readBody(req, door.o.limits.bodyBytes);
   if (body.isErr()) {
     return err(notRun('too-large', `a body may have ${door.o.limits.bodyBytes} bytes`));
   }
   const asked = parseAnswerRequest(kind, parseJson(body.value));
   if (asked.isErr()) return err(notRun('malformed', asked.error));
-  const generation = judge(door, account, asked.value, req.headers[tierHeader]);
+  const account = door.admit(req);
+  if (account.isErr()) return err(account.error);
+  const generation = judge(door, account.value, asked.value, req.headers[tierHeader]);
   return generation.map((g) => ({ asked: asked.value, generation: g }));
 }
 
--- a/packages/entry/src/door.ts
+++ b/packages/entry/src/door.ts
@@ -1,6 +1,8 @@
 /** What every listener of a node shares: who may do what now, and how refusals are told. */
 
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
 import { digestOf } from '@tanagercart/base';
 import type { AccountId, Clock, Logger, Metrics, NodeId } from '@tanagercart/base';
 import { notRun } from '@tanagercart/dispatch';
@@ -57,6 +59,17 @@
     return undefined;
   }
 
+  /**
+   * The account of a request that may be taken now, else why not. Whoever waited since must ask
+   * again: the lease may have lapsed meanwhile, and another release may be in force.
+   */
+  admit(req: IncomingMessage): Result<ClientAccount, Refusal> {
+    const closed = this.closed();
+    if (closed) return err(closed);
+    const account = this.account(req);
+    return account ? ok(account) : err(notRun('unauthorised', 'no account has this key'));
+  }
+
   /** Sends and counts a refusal. */
   refuse(
     res: ServerResponse,
--- a/packages/entry/src/services.ts
+++ b/packages/entry/src/services.ts
@@ -51,10 +51,15 @@
 }
 
 async function check(door: Door, req: IncomingMessage): Promise<Result<Checked, Refusal>> {
-  const closed = door.closed();
-  if (closed) return err(closed);
-  const account = door.account(req);
-  if (!account) return err(notRun('unauthorised', 'no account has this key'));
+  const early = door.admit(req);
+  if (early.isErr()) return err(early.error);
+  const body = await readBody(req, door.o.limits.bodyBytes);
+  if (body.isErr()) {
+    return err(notRun('too-large', `a body may have ${door.o.limits.bodyBytes} bytes`));
+  }
+  const admitted = door.admit(req);
+  if (admitted.isErr()) return err(admitted.error);
+  const account = admitted.value;
   const rest = (req.url ?? '').slice(servicesPath.length);
   const [name = ''] = rest.split(/[/?]/, 1);
   const path = rest.slice(name.length) || '/';
@@ -63,10 +68,6 @@
   if (!call) {
     return err(notRun('unknown-service', `no call ${req.method} ${path} of service "${name}"`));
   }
-  const body = await readBody(req, door.o.limits.bodyBytes);
-  if (body.isErr()) {
-    return err(notRun('too-large', `a body may have ${door.o.limits.bodyBytes} bytes`));
-  }
   return ok({
     call,
     order: {
--- /dev/null
+++ b/packages/entry/test/late.test.ts
@@ -0,0 +1,114 @@
+import assert from 'node:assert/strict';
+import { request } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { test } from 'node:test';
+import {
+  AccountId,
+  HeldClock,
+  ModelId,
+  NodeId,
+  PriceListId,
+  TierId,
+  digestOf,
+  silentLogger,
+} from '@tanagercart/base';
+import { ConfigurationLease } from '@tanagercart/membership';
+import { SharedState } from '@tanagercart/state';
+import { Door, createCallerServer } from '../src/index.js';
+import type { DoorOptions } from '../src/index.js';
+
+const none = { priceLists: [], clientAccounts: [], models: [], services: [] };
+const tier = {
+  id: TierId('now'),
+  urgency: 0,
+  price: 1,
+  firstTokenMs: 500,
+  tokenGapMs: 80,
+  concurrency: 8,
+  requestsPerSecond: 10,
+  tokensPerSecond: 900,
+  retryBudget: 0.1,
+};
+const first = {
+  ...none,
+  priceLists: [{ id: PriceListId('trays'), tiers: [tier] }],
+  clientAccounts: [
+    {
+      id: AccountId('grower'),
+      priceList: PriceListId('trays'),
+      defaultTier: tier.id,
+      keyDigest: digestOf('key'),
+      weight: 1,
+    },
+  ],
+  models: [{ id: ModelId('fig'), layers: 8, versions: ['1'], adapters: [] }],
+};
+
+function fixture() {
+  const clock = HeldClock.create();
+  const state = SharedState.create();
+  const note = { number: 1, author: 'ops', added: first, changed: none, withdrawn: none };
+  state.apply(1, { kind: 'accept-release', note, digest: digestOf('1'), at: 0 });
+  const lease = ConfigurationLease.create(clock);
+  lease.renew(2000);
+  const door = Door.create({
+    self: NodeId('n1'),
+    state,
+    lease,
+    clock,
+    logger: silentLogger,
+    metrics: { count: () => undefined },
+    limits: { bodyBytes: 10_000, answerTokens: 100 },
+    entries: () => [],
+    draining: () => false,
+  } as unknown as DoorOptions);
+  const broken: unknown[] = [];
+  const server = createCallerServer(door, 60_000, (error) => broken.push(error));
+  return { broken, clock, server, state };
+}
+
+/** Sends a request whose body ends only once `meanwhile` has run. */
+async function slowly(path: string, f: ReturnType<typeof fixture>, meanwhile: () => Promise<void>) {
+  await new Promise<void>((resolve) => {
+    f.server.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = f.server.address() as AddressInfo;
+  const headers = { authorization: 'Bearer key', 'content-type': 'application/json' };
+  const taken = new Promise((resolve) => {
+    f.server.once('request', resolve);
+  });
+  const req = request({ port, host: '127.0.0.1', path, method: 'POST', headers });
+  req.write('{"model": "fig", ');
+  await taken;
+  await meanwhile();
+  const answer = new Promise<{ status: number | undefined; run: unknown }>((resolve) => {
+    req.on('response', (res) => {
+      res.resume();
+      resolve({ status: res.statusCode, run: res.headers['tanagercart-run'] });
+    });
+  });
+  req.end('"prompt": "?", "max_tokens": 4}');
+  const got = await answer;
+  f.server.closeAllConnections();
+  f.server.close();
+  assert.deepEqual(f.broken, []);
+  return got;
+}
+
+test('a request whose body ends after the lease has lapsed is not run', async () => {
+  for (const path of ['/v1/completions', '/v1/services/orders/orders']) {
+    const f = fixture();
+    const got = await slowly(path, f, () => f.clock.advance(3000));
+    assert.deepEqual(got, { status: 503, run: 'not-run' }, path);
+  }
+});
+
+test('an account withdrawn while its body is on the way is judged under the new release', async () => {
+  const f = fixture();
+  const got = await slowly('/v1/completions', f, async () => {
+    const withdrawn = { ...none, clientAccounts: [AccountId('grower')] };
+    const note = { number: 2, author: 'ops', added: none, changed: none, withdrawn };
+    f.state.apply(2, { kind: 'accept-release', note, digest: digestOf('2'), at: 0 });
+  });
+  assert.deepEqual(got, { status: 401, run: 'not-run' });
+});
