Send a note again when a voter keeps silent, and measure in force

A proposal that went to a silent voter waited out its whole time, and a first measurement then took the unknown outcome for in force. Nodes now ask the leader that their lease came from first, and a note is sent again after a second, as a resend gets its first answer.

--- /dev/null
+++ b/packages/bench/src/cluster.ts
@@ -0,0 +1,151 @@
+/** A cluster of real nodes' control parts over a network in memory with held time. */
+
+import {
+  DataCentreId,
+  HeldClock,
+  NodeId,
+  SeededRandom,
+  TaskGroup,
+  digestOf,
+  silentLogger,
+} from '@tanagercart/base';
+import { MemoryStore, Raft, defaultTiming } from '@tanagercart/log';
+import {
+  Control,
+  History,
+  Ownership,
+  Progress,
+  defaultLeaseTiming,
+  leaderFirst,
+  submitNote,
+} from '@tanagercart/membership';
+import { MemoryNetwork, encode } from '@tanagercart/protocol';
+import type { ReleaseNote } from '@tanagercart/release';
+import { Proposer } from '@tanagercart/state';
+
+const voterNames = ['n1', 'n2', 'n3', 'n4', 'n5'];
+
+/** Data centres over which the nodes are spread. */
+const dataCentres = ['north', 'east', 'west'];
+
+/** One node of the cluster. */
+export type Member = ReturnType<typeof startMember>;
+
+/** A cluster that is up. */
+export type Cluster = Awaited<ReturnType<typeof startCluster>>;
+
+/** Starts `count` nodes, five of them voters, and lets them come to rest. */
+export async function startCluster(count: number, seed: number) {
+  const clock = HeldClock.create();
+  const net = MemoryNetwork.create(clock, SeededRandom.create(seed));
+  net.setQuality({ delayMs: 0.5, jitterMs: 0.5, loss: 0 });
+  const names = Array.from({ length: count }, (_, i) => `n${i + 1}`);
+  const members = names.map((name, i) =>
+    startMember(net, clock, name, dataCentres[i % dataCentres.length]!),
+  );
+  await clock.advance(8000);
+  const leader = () => members.find((m) => m.control.position.leads)!;
+  const stop = async () => {
+    const stopped = Promise.all(members.map((m) => m.kill()));
+    await clock.advance(5000);
+    await stopped;
+  };
+  return { clock, net, members, leader, stop };
+}
+
+/** Submits a note through `from`; virtual milliseconds until it is known to be in force. */
+export async function submitAndWait(c: Cluster, from: Member, note: ReleaseNote): Promise<number> {
+  const start = c.clock.now();
+  let took: number | undefined;
+  const run = async () => {
+    const digest = digestOf(JSON.stringify(note));
+    const command = { kind: 'accept-release', note, digest, at: 0 } as const;
+    const committed = await submitNote(from.proposer, c.clock, command, 20_000);
+    const spread = committed.isOk()
+      ? await from.progress.untilInForce(committed.value.index, 20_000)
+      : undefined;
+    took = spread?.kind === 'in-force' ? c.clock.now() - start : Infinity;
+  };
+  const done = run();
+  while (took === undefined) await c.clock.advance(5);
+  await done;
+  return took;
+}
+
+function startMember(net: MemoryNetwork, clock: HeldClock, name: string, dataCentre: string) {
+  const id = NodeId(name);
+  const transport = net.attach(id);
+  const history = History.create();
+  const stop = new AbortController();
+  const tasks = TaskGroup.create(rethrow);
+  const voters = voterNames.map(NodeId);
+  const place = { leader: (): NodeId | undefined => undefined };
+  const toAsk = () => leaderFirst(voters, place.leader());
+  const proposer = Proposer.create(transport, clock, toAsk);
+  const log = { raft: undefined as Raft | undefined };
+  const incarnation = `${name}@${clock.now()}`;
+  const timing = defaultLeaseTiming;
+  const address = {
+    id,
+    dataCentre: DataCentreId(dataCentre),
+    peer: '10.0.0.1:9100',
+    entry: 'http://10.0.0.1:9000',
+  };
+  const control = Control.create({
+    self: () => address,
+    incarnation,
+    transport,
+    history,
+    proposer,
+    leadership: {
+      leads: () => log.raft?.holdsLease === true,
+      leader: () => log.raft?.leader,
+    },
+    clock,
+    timing,
+    logger: silentLogger,
+    draining: () => false,
+    seeds: () => voters,
+  });
+  const apply = (index: number, bytes: Uint8Array) => {
+    control.commitTimes.note(index, clock.now());
+    return encode(history.apply(index, bytes));
+  };
+  if (voters.includes(id)) {
+    log.raft = Raft.create({
+      self: id,
+      voters,
+      transport,
+      store: MemoryStore.create(),
+      machine: { apply },
+      clock,
+      random: net.random,
+      timing: defaultTiming,
+      logger: silentLogger,
+      onBroken: rethrow,
+    });
+  }
+  transport.serve('propose', async (_, { bytes }) => {
+    if (!log.raft) return { kind: 'not-leader', leader: undefined };
+    const applied = await log.raft.propose(bytes);
+    if (applied.isOk()) return { kind: 'applied', ...applied.value };
+    if (applied.error.kind === 'not-leader') return applied.error;
+    return { kind: 'unknown', reason: 'leadership was lost' };
+  });
+  const ownership = Ownership.create({ self: id, incarnation, history, transport, clock, timing });
+  tasks.start(() => ownership.watch(stop.signal));
+  place.leader = () => control.position.leader;
+  control.start(tasks, stop.signal);
+  const progress = Progress.create(transport, clock, toAsk);
+  const kill = async () => {
+    net.detach(id);
+    stop.abort();
+    await log.raft?.stop();
+  };
+  const votes = voters.includes(id);
+  return { id, votes, control, history, proposer, progress, kill };
+}
+
+function rethrow(error: unknown): never {
+  throw error;
+}
--- a/packages/entry/src/releases.ts
+++ b/packages/entry/src/releases.ts
@@ -5,6 +5,7 @@
 import type { Result } from 'neverthrow';
 import { unreachable } from '@tanagercart/base';
 import type { Clock, Digest, Millis } from '@tanagercart/base';
+import { submitNote } from '@tanagercart/membership';
 import type { Progress } from '@tanagercart/membership';
 import { applyNote, differenceOf, digestOfNote, parseNote, withLines } from '@tanagercart/release';
 import type { NoteProblem, ReleaseNote } from '@tanagercart/release';
@@ -44,7 +45,7 @@
   if (submitted.isErr()) return;
   const { digest, note } = submitted.value;
   const command = { kind: 'accept-release', note, digest, at: o.clock.wall() } as const;
-  const committed = await o.proposer.propose(command, acceptTimeoutMs);
+  const committed = await submitNote(o.proposer, o.clock, command, acceptTimeoutMs);
   if (committed.isErr()) {
     const { kind, detail } = committed.error;
     const message =
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -10,6 +10,7 @@
 export * from './owner.js';
 export * from './ownership.js';
 export * from './progress.js';
+export * from './submit.js';
 export * from './detector.js';
 export * from './health.js';
 export * from './damping.js';
--- a/packages/membership/test/cluster.ts
+++ b/packages/membership/test/cluster.ts
@@ -20,6 +20,8 @@
   Progress,
   Upstreams,
   defaultLeaseTiming,
+  leaderFirst,
+  submitNote,
 } from '../src/index.js';
 
 type ReleaseNote = ReleaseCommand['note'];
@@ -46,7 +48,9 @@
   const stop = new AbortController();
   const tasks = TaskGroup.create(broken);
   const voters = o.voters.map(NodeId);
-  const proposer = Proposer.create(transport, clock, () => voters);
+  const place = { leader: (): NodeId | undefined => undefined };
+  const toAsk = () => leaderFirst(voters, place.leader());
+  const proposer = Proposer.create(transport, clock, toAsk);
   const member = { draining: false, raft: undefined as Raft | undefined };
   const dataCentre = DataCentreId(o.dataCentreOf?.(name) ?? 'north');
   const control = Control.create({
@@ -91,6 +95,7 @@
     if (applied.error.kind === 'not-leader') return applied.error;
     return { kind: 'unknown', reason: 'leadership was lost' };
   });
+  place.leader = () => control.position.leader;
   control.start(tasks, stop.signal);
   const incarnation = `${name}@${clock.now()}`;
   const ownership = Ownership.create({
@@ -112,7 +117,7 @@
     logger: silentLogger,
   });
   tasks.start(() => upstreams.watch(stop.signal));
-  const progress = Progress.create(transport, clock, () => voters);
+  const progress = Progress.create(transport, clock, toAsk);
   const kill = async () => {
     net.detach(id);
     stop.abort();
@@ -146,7 +151,9 @@
     }
   };
   const submit = (m: Member, note: ReleaseNote) =>
-    m.proposer.propose(
+    submitNote(
+      m.proposer,
+      clock,
       { kind: 'accept-release', note, digest: digestOf(JSON.stringify(note)), at: 0 },
       5000,
     );
--- a/packages/membership/test/inforce.test.ts
+++ b/packages/membership/test/inforce.test.ts
@@ -120,3 +120,27 @@
   assert.equal(c.leader()!.history.state.isSuperseded(old.id, before), true);
   await c.stop();
 });
+
+test('a note submitted through any node gets past a voter that fell silent', async () => {
+  const c = await cluster();
+  const silent = c.all().find((m) => m.member.raft && m !== c.leader())!;
+  c.isolate(silent);
+  const [other] = c.all().filter((m) => !m.member.raft);
+  const from = c.clock.now();
+  const { index } = (await finish(c, c.submit(other!, emptyNote(1))))._unsafeUnwrap();
+  const spread = await finish(c, other!.progress.untilInForce(index, 6000));
+  assert.equal(spread.kind, 'in-force');
+  assert.ok(c.clock.now() - from < 6000);
+  await c.stop();
+});
+
+test('a note submitted while the leader is cut off is accepted once by the next one', async () => {
+  const c = await cluster();
+  c.isolate(c.leader()!);
+  const [other] = c.all().filter((m) => !m.member.raft);
+  const { outcome } = (await finish(c, c.submit(other!, emptyNote(1))))._unsafeUnwrap();
+  assert.equal(outcome.kind, 'release-accepted');
+  const again = (await finish(c, c.submit(other!, emptyNote(1))))._unsafeUnwrap().outcome;
+  assert.deepEqual(again, { ...outcome, resend: true });
+  await c.stop();
+});
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -16,6 +16,7 @@
   Progress,
   Upstreams,
   defaultLeaseTiming,
+  leaderFirst,
 } from '@tanagercart/membership';
 import type { ConfigurationLease } from '@tanagercart/membership';
 import { TcpTransport, encode } from '@tanagercart/protocol';
@@ -89,8 +90,8 @@
       logger: o.logger.part('peers'),
       onBroken,
     });
-    this.proposer = Proposer.create(this.transport, clock, () => settings.voters);
-    this.progress = Progress.create(this.transport, clock, () => settings.voters);
+    this.proposer = Proposer.create(this.transport, clock, () => this.votersToAsk());
+    this.progress = Progress.create(this.transport, clock, () => this.votersToAsk());
     this.control = this.createControl();
     this.upstreams = this.createUpstreams();
     this.ownership = Ownership.create({
@@ -353,6 +354,10 @@
     });
   }
 
+  private votersToAsk(): readonly NodeId[] {
+    return leaderFirst(this.o.settings.voters, this.control.position.leader);
+  }
+
   private leads(): boolean {
     return this.raft?.holdsLease === true;
   }
--- a/packages/protocol/src/memory.ts
+++ b/packages/protocol/src/memory.ts
@@ -26,6 +26,8 @@
   private quality: LinkQuality = fineLink;
   /** Bytes sent by each node. */
   readonly sentBytes = new Map<NodeId, number>();
+  /** Messages sent by all nodes. */
+  messages = 0;
 
   private constructor(
     readonly clock: Clock,
@@ -65,6 +67,7 @@
 
   /** Carries a message; false where it was lost. */
   async pass(from: NodeId, to: NodeId, bytes: number): Promise<boolean> {
+    this.messages += 1;
     this.sentBytes.set(from, (this.sentBytes.get(from) ?? 0) + bytes);
     const { delayMs, jitterMs, loss } = this.quality;
     const lost = this.random.next() < loss;
