End the late request tests when the server breaks

Trial with the entry as it was before the body was waited for: neither test ended within 15 s, as the request went on to the dispatch that the fixture lacks. With the fix both pass.

--- a/packages/entry/test/late.test.ts
+++ b/packages/entry/test/late.test.ts
@@ -63,7 +63,10 @@
     draining: () => false,
   } as unknown as DoorOptions);
   const broken: unknown[] = [];
-  const server = createCallerServer(door, 60_000, (error) => broken.push(error));
+  const server = createCallerServer(door, 60_000, (error) => {
+    broken.push(error);
+    server.closeAllConnections();
+  });
   return { broken, clock, server, state };
 }
 
@@ -81,16 +84,18 @@
   req.write('{"model": "fig", ');
   await taken;
   await meanwhile();
-  const answer = new Promise<{ status: number | undefined; run: unknown }>((resolve) => {
+  const answer = new Promise<{ status: number | undefined; run: unknown }>((resolve, reject) => {
+    req.on('error', reject);
     req.on('response', (res) => {
       res.resume();
       resolve({ status: res.statusCode, run: res.headers['tanagercart-run'] });
     });
   });
   req.end('"prompt": "?", "max_tokens": 4}');
-  const got = await answer;
-  f.server.closeAllConnections();
-  f.server.close();
+  const got = await answer.finally(() => {
+    f.server.closeAllConnections();
+    f.server.close();
+  });
   assert.deepEqual(f.broken, []);
   return got;
 }
