--- a/packages/base/src/hash.ts
+++ b/packages/base/src/hash.ts
@@ -23,8 +23,8 @@
   return h >>> 0;
 }
 
-/** Mixes two hashes into a third; cheaper than hashing the joined texts. */
-export function mix32(a: number, b: number): number {
+/** Mixes two hashes into a weight; cheaper than hashing the joined names. */
+export function mixHashes(a: number, b: number): number {
   let h = Math.imul(a ^ Math.imul(b, 0x9e3779b1), 0x85ebca6b);
   h ^= h >>> 15;
   h = Math.imul(h, 0xc2b2ae35);
--- a/packages/entry/src/callers.ts
+++ b/packages/entry/src/callers.ts
@@ -112,5 +112,7 @@
     door.refuse(res, notRun('malformed', message));
     return;
   }
-  sendJson(res, 200, await upstreams.announced(parsed.value));
+  const reply = await upstreams.announced(parsed.value);
+  if (reply) sendJson(res, 200, reply);
+  else sendJson(res, 503, { error: { code: 'not-recorded', message: 'announce at another node' } });
 }
--- a/packages/membership/src/ownership.ts
+++ b/packages/membership/src/ownership.ts
@@ -1,6 +1,6 @@
 /** Who owns which replica, and from when a new owner may give grants. */
 
-import { hash32, mix32 } from '@tanagercart/base';
+import { hash32, mixHashes } from '@tanagercart/base';
 import type { Clock, Millis, NodeId, UpstreamId } from '@tanagercart/base';
 import type { Transport } from '@tanagercart/protocol';
 import type { LiveNode, Replica, SharedState } from '@tanagercart/state';
@@ -193,7 +193,7 @@
   for (const node of state.nodes.values()) {
     const near = node.address.dataCentre === dataCentre;
     if (bestNear && !near) continue;
-    const weight = mix32(hash, hash32(node.address.id));
+    const weight = mixHashes(hash, hash32(node.address.id));
     if (near === bestNear && weight <= bestWeight) continue;
     [best, bestWeight, bestNear] = [node, weight, near];
   }
--- a/packages/membership/test/cluster.ts
+++ b/packages/membership/test/cluster.ts
@@ -14,7 +14,16 @@
 import type { StateSnapshot } from '@tanagercart/protocol';
 import { Proposer } from '@tanagercart/state';
 import type { ReleaseCommand } from '@tanagercart/state';
-import { Control, History, Ownership, Progress, defaultLeaseTiming } from '../src/index.js';
+import {
+  Control,
+  History,
+  Ownership,
+  Progress,
+  Upstreams,
+  defaultLeaseTiming,
+  leaderFirst,
+  submitNote,
+} from '../src/index.js';
 
 type ReleaseNote = ReleaseCommand['note'];
 
@@ -46,11 +55,13 @@
   const stop = new AbortController();
   const tasks = TaskGroup.create(broken);
   const voters = o.voters.map(NodeId);
-  const proposer = Proposer.create(transport, clock, () => voters);
+  const place = { leader: (): NodeId | undefined => undefined };
+  const toAsk = () => leaderFirst(voters, place.leader());
+  const proposer = Proposer.create(transport, clock, toAsk);
   const member = { draining: false, raft: undefined as Raft | undefined };
   const dataCentre = DataCentreId(o.dataCentreOf?.(name) ?? 'north');
   const control = Control.create({
-    self: () => ({ id, dataCentre, peer: '', entry: '' }),
+    self: () => ({ id, dataCentre, peer: '', entry: `http://${name}` }),
     incarnation: `${name}@${clock.now()}`,
     transport,
     history,
@@ -100,6 +111,7 @@
     if (applied.error.kind === 'overloaded') return { kind: 'unavailable', reason: 'overloaded' };
     return { kind: 'unknown', reason: 'leadership was lost' };
   });
+  place.leader = () => control.position.leader;
   control.start(tasks, stop.signal);
   const incarnation = `${name}@${clock.now()}`;
   const ownership = Ownership.create({
@@ -111,13 +123,23 @@
     timing: defaultLeaseTiming,
   });
   tasks.start(() => ownership.watch(stop.signal));
-  const progress = Progress.create(transport, clock, () => voters);
+  const upstreams = Upstreams.create({
+    self: id,
+    history,
+    proposer,
+    transport,
+    lease: control.lease,
+    clock,
+    logger: silentLogger,
+  });
+  tasks.start(() => upstreams.watch(stop.signal));
+  const progress = Progress.create(transport, clock, toAsk);
   const kill = async () => {
     net.detach(id);
     stop.abort();
     await member.raft?.stop();
   };
-  return { id, member, control, history, ownership, proposer, progress, kill };
+  return { id, member, control, history, ownership, proposer, progress, upstreams, kill };
 }
 
 export type Member = ReturnType<typeof startMember>;
@@ -146,7 +168,9 @@
     }
   };
   const submit = (m: Member, note: ReleaseNote) =>
-    m.proposer.propose(
+    submitNote(
+      m.proposer,
+      clock,
       { kind: 'accept-release', note, digest: digestOf(JSON.stringify(note)), at: 0 },
       5000,
     );
--- a/packages/node/src/controlplane.ts
+++ b/packages/node/src/controlplane.ts
@@ -49,6 +49,11 @@
     return this.raft?.leader;
   }
 
+  /** The leader as this node follows it, whether or not it votes. */
+  get followed(): NodeId | undefined {
+    return this.control.position.leader;
+  }
+
   /** Whether this node leads and holds the lease of a leader. */
   get leads(): boolean {
     return this.raft?.holdsLease === true;
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -8,7 +8,7 @@
 import type { Clock, Logger, Metrics, NodeId } from '@tanagercart/base';
 import { createCallerServer, createOperatorServer } from '@tanagercart/entry';
 import type { Door } from '@tanagercart/entry';
-import { History, Ownership, Progress, Upstreams } from '@tanagercart/membership';
+import { History, Ownership, Progress, Upstreams, leaderFirst } from '@tanagercart/membership';
 import type { ConfigurationLease } from '@tanagercart/membership';
 import type { Disk } from '@tanagercart/log';
 import { TcpTransport } from '@tanagercart/protocol';
@@ -78,12 +78,12 @@
     this.tasks = TaskGroup.create(onBroken);
     this.address = addressOf(settings);
     this.transport = this.createTransport();
-    this.proposer = Proposer.create(this.transport, clock, () => settings.voters);
-    this.progress = Progress.create(this.transport, clock, () => settings.voters);
+    this.proposer = Proposer.create(this.transport, clock, () => this.votersToAsk());
+    this.progress = Progress.create(this.transport, clock, () => this.votersToAsk());
+    this.control = this.createControl();
     this.upstreams = this.createUpstreams();
     this.ownership = this.createOwnership();
     this.directory = this.createDirectory();
-    this.control = this.createControl();
     this.owner = this.createOwner();
     const parts = this.parts();
     this.door = createDoor(parts);
@@ -221,12 +221,17 @@
     });
   }
 
+  private votersToAsk(): readonly NodeId[] {
+    return leaderFirst(this.o.settings.voters, this.control.followed);
+  }
+
   private createUpstreams(): Upstreams {
     return Upstreams.create({
       self: this.id,
       history: this.history,
       proposer: this.proposer,
       transport: this.transport,
+      lease: this.lease,
       clock: this.o.clock,
       logger: this.logger.part('upstreams'),
     });
