Bound attempts, retries and poison requests

Cause: attempts had no bound on silence, retries no budget, and strikes were recorded after a retry, so that copies of a poison request sent at once cost one upstream each.

Change: one cause union with its rules; adaptive stall bounds; the promise's clock through all attempts; retry budgets for account and node; replicas that failed are avoided; preempt is served; a gate for each fingerprint clears attempts; strikes are committed before a retry, in batches, and expire.

--- a/packages/dispatch/src/generate.ts
+++ b/packages/dispatch/src/generate.ts
@@ -1,126 +1,255 @@
 /** Runs one request as a series of attempts, and yields its answer as one stream. */
 
-import type { Clock, Logger, Metrics, Millis, NodeId, RequestId } from '@tanagercart/base';
-import { digestOf } from '@tanagercart/base';
-import { err, ok } from 'neverthrow';
-import type { Result } from 'neverthrow';
 import type {
-  AcquireCall,
-  AcquireReply,
-  AttemptEnd,
-  CallError,
-  Grant,
-  RefusalReason,
-  Transport,
-} from '@tanagercart/protocol';
-import type { ClientAccount, Model, Tier } from '@tanagercart/release';
-import type { Proposer } from '@tanagercart/state';
-import type { Engines, FinishReason, RunEvent, RunFailure, RunOrder } from '@tanagercart/upstream';
+  Clock,
+  Digest,
+  GrantId,
+  Logger,
+  Metrics,
+  Millis,
+  NodeId,
+  Random,
+} from '@tanagercart/base';
+import { Bell, unreachable } from '@tanagercart/base';
+import type { AttemptEnd, ClearedEnd, Grant, Transport } from '@tanagercart/protocol';
+import type { Model } from '@tanagercart/release';
+import type { Proposals, SharedState } from '@tanagercart/state';
+import type { Engines, FinishReason, RunOrder } from '@tanagercart/upstream';
+import { acquire } from './acquire.js';
+import type { Acquired } from './acquire.js';
 import { Assembly } from './assembly.js';
+import { Avoidance } from './avoidance.js';
+import { RetryBudgets } from './budget.js';
+import { causeOf, ruleOf } from './cause.js';
+import type { RetryCause } from './cause.js';
+import { Clearance } from './clearance.js';
+import { fingerprintOf } from './generation.js';
+import type { Generation, Piece } from './generation.js';
+import { Pace } from './pace.js';
+import { PromiseClock } from './promise.js';
 import type { Refusal } from './refusal.js';
-import { maybeRun, notRun } from './refusal.js';
+import { notRun } from './refusal.js';
+import { WatchedRun } from './watch.js';
+import type { WatchedEvent } from './watch.js';
 
-/** Attempts for one request at most. */
+/** Charged attempts for one request at most. */
 const attemptLimit = 4;
 
-/** How long an owner may take to answer, in milliseconds. */
-const acquireTimeoutMs: Millis = 1000;
+/** How long giving a grant back may take, in milliseconds. */
+const releaseTimeoutMs: Millis = 1000;
 
-/** How long recording a strike may take, in milliseconds. */
-const strikeTimeoutMs: Millis = 1000;
-
-/** A request for an answer, checked and judged under one release. */
-export interface Generation {
-  readonly id: RequestId;
-  readonly account: ClientAccount;
-  readonly tier: Tier;
-  readonly model: Model;
-  readonly version: string;
-  readonly adapter: string | undefined;
-  readonly release: number;
-  readonly prompt: string;
-  readonly seed: number;
-  readonly maxTokens: number;
-}
-
-/** What the caller is sent; `end` or `refused` comes last, and once. */
-export type Piece =
-  | { readonly kind: 'token'; readonly token: string; readonly index: number }
-  | { readonly kind: 'end'; readonly reason: FinishReason; readonly tokens: number }
-  | { readonly kind: 'refused'; readonly refusal: Refusal };
+/** Pause before the second attempt, in milliseconds; doubles with each and is spread by jitter. */
+const backoffMs: Millis = 20;
 
 /** What dispatch needs. */
 export interface DispatchOptions {
   readonly clock: Clock;
+  readonly random: Random;
   readonly logger: Logger;
   readonly metrics: Metrics;
   readonly transport: Transport;
   readonly engines: Engines;
-  readonly proposer: Proposer;
+  readonly proposals: Proposals;
+  readonly state: SharedState;
   /** Nodes that own replicas of a model, best first. */
   readonly owners: (model: Model) => readonly NodeId[];
+  /** Nodes that may be the gate of a fingerprint, first the one that is. */
+  readonly gates: (fingerprint: Digest) => readonly NodeId[];
+}
+
+/** One request while it is dispatched. */
+interface Dispatching {
+  readonly g: Generation;
+  readonly fingerprint: Digest;
+  readonly assembly: Assembly;
+  readonly promise: PromiseClock;
+  readonly signal: AbortSignal;
+  readonly failed: Grant[];
+  attempts: number;
+  charged: number;
+  mayHaveRun: boolean;
 }
 
 interface Attempt {
-  readonly order: RunOrder;
+  readonly run: WatchedRun;
   readonly grant: Grant;
+  readonly gate: NodeId;
   readonly startedAt: Millis;
+  readonly tokensBefore: number;
 }
 
-type AcquireOutcome =
-  | { readonly kind: 'granted'; readonly grant: Grant }
-  | { readonly kind: 'refused'; readonly refusal: Refusal };
+type Permitted =
+  | { readonly kind: 'permitted'; readonly grant: Grant; readonly gate: NodeId }
+  | Exclude<Acquired, { readonly kind: 'granted' }>;
 
-type Answer = Exclude<AcquireReply, { readonly kind: 'queued' }>;
+type AttemptOutcome =
+  | { readonly kind: 'answered'; readonly reason: FinishReason }
+  | { readonly kind: 'aborted' }
+  | { readonly kind: 'failed'; readonly cause: RetryCause };
 
 /** Runs requests on behalf of callers. */
 export class Dispatch {
-  private constructor(private readonly o: DispatchOptions) {}
+  private readonly avoidance: Avoidance;
+  private readonly budgets = RetryBudgets.create();
+  private readonly pace = Pace.create();
+  private readonly clearance: Clearance;
+  private readonly running = new Map<GrantId, WatchedRun>();
+  /** Rings at each end of an attempt. */
+  readonly ended = Bell.create();
+
+  private constructor(private readonly o: DispatchOptions) {
+    this.avoidance = Avoidance.create(o.clock, o.random);
+    this.clearance = Clearance.create(o);
+  }
 
   static create(options: DispatchOptions): Dispatch {
-    return new Dispatch(options);
+    const dispatch = new Dispatch(options);
+    options.transport.serve('preempt', async (_, call) => {
+      const run = dispatch.running.get(call.grant);
+      run?.preempt();
+      return { known: run !== undefined };
+    });
+    return dispatch;
+  }
+
+  /** Attempts in progress. */
+  get inProgress(): number {
+    return this.running.size;
   }
 
   /** Yields the answer to one request; aborting `signal` cancels it at the engines. */
   async *generate(g: Generation, signal: AbortSignal): AsyncGenerator<Piece> {
-    const assembly = Assembly.create(g.id);
-    const avoid: Grant[] = [];
-    let sent = false;
-    for (let n = 0; n < attemptLimit && !signal.aborted; n += 1) {
-      const acquired = await this.acquire(g, n, avoid);
-      if (acquired.kind === 'refused') {
-        yield {
-          kind: 'refused',
-          refusal: sent ? { ...acquired.refusal, run: 'unknown' } : acquired.refusal,
-        };
+    this.budgets.request(g.account.id, g.tier.retryBudget);
+    const d: Dispatching = {
+      g,
+      fingerprint: fingerprintOf(g),
+      assembly: Assembly.create(g.id, g.passed),
+      promise: PromiseClock.create(this.o.clock, g.tier),
+      signal,
+      failed: [],
+      attempts: 0,
+      charged: 0,
+      mayHaveRun: false,
+    };
+    while (!signal.aborted) {
+      const permitted = await this.permit(d);
+      if (permitted.kind === 'aborted') return;
+      if (permitted.kind === 'refused') {
+        yield refused(d, permitted.refusal);
+        return;
+      }
+      const outcome = yield* this.attempt(d, permitted.grant, permitted.gate);
+      if (outcome.kind === 'aborted') return;
+      if (outcome.kind === 'answered') {
+        yield { kind: 'end', reason: outcome.reason, tokens: d.assembly.passed.length };
+        return;
+      }
+      const refusal = await this.afterFailure(d, permitted.grant, outcome.cause);
+      if (refusal) {
+        yield refused(d, refusal);
         return;
       }
-      const attempt = this.begin(g, assembly, acquired.grant);
-      const failure = yield* this.runAttempt(attempt, assembly, signal);
-      if (!failure) return;
-      sent ||= failure.kind !== 'unreachable' && failure.kind !== 'refused';
-      avoid.push(acquired.grant);
-      this.o.metrics.count('retry', { reason: failure.kind });
-      this.o.logger.info('Attempt failed.', {
-        request: g.id,
-        reason: failure.kind,
-        detail: failure.detail,
-      });
-      if (failure.kind === 'broken') await this.strike(g, attempt, failure);
     }
-    if (signal.aborted) return;
-    const message = 'every attempt failed';
-    yield {
-      kind: 'refused',
-      refusal: sent ? maybeRun('upstream-failed', message) : notRun('upstream-failed', message),
-    };
   }
 
-  private begin(g: Generation, assembly: Assembly, grant: Grant): Attempt {
-    const attempt = assembly.begin(grant);
+  /** Acquires a grant and the gate's clearance for it. */
+  private async permit(d: Dispatching): Promise<Permitted> {
+    for (;;) {
+      const acquired = await this.acquire(d);
+      if (acquired.kind !== 'granted') return acquired;
+      const { grant } = acquired;
+      const cleared = await this.clearance.ask(d.fingerprint, grant);
+      if (cleared.kind === 'cleared') return { kind: 'permitted', grant, gate: cleared.gate };
+      this.giveBack(grant, 'cancelled', 0, undefined);
+      switch (cleared.kind) {
+        case 'quarantined':
+          return { kind: 'refused', refusal: quarantined() };
+        case 'unreachable':
+          return {
+            kind: 'refused',
+            refusal: notRun('owner-unreachable', 'no gate answered for the request', backoffMs),
+          };
+        case 'wait':
+          this.o.metrics.count('gate.wait');
+          await this.o.clock.sleep(cleared.againMs, d.signal);
+          break;
+        default:
+          unreachable(cleared);
+      }
+    }
+  }
+
+  private acquire(d: Dispatching): Promise<Acquired> {
+    const { g, promise, signal, assembly } = d;
+    const options = { ...this.o, owners: () => this.o.owners(g.model) };
+    d.attempts += 1;
+    return acquire(options, {
+      g,
+      attempt: d.attempts,
+      avoid: d.failed.map((grant) => grant.replica),
+      shun: this.avoidance.list(),
+      leftMs: () => promise.leftMs(assembly.passed.length),
+      signal,
+      patient: d.failed.length > 0 || assembly.passed.length > 0,
+    });
+  }
+
+  /** Runs one attempt, passes its tokens on, and gives its grant back. */
+  private async *attempt(
+    d: Dispatching,
+    grant: Grant,
+    gate: NodeId,
+  ): AsyncGenerator<Piece, AttemptOutcome> {
+    const attempt = this.begin(d, grant, gate);
+    this.running.set(grant.id, attempt.run);
+    let outcome: AttemptOutcome = { kind: 'aborted' };
+    let firstTokenMs: Millis | undefined;
+    try {
+      let last = attempt.startedAt;
+      const bound = () =>
+        firstTokenMs === undefined
+          ? this.pace.firstBoundMs(d.g.model.id, d.g.tier)
+          : this.pace.gapBoundMs(d.g.model.id, d.g.tier);
+      for await (const event of attempt.run.events(bound, d.signal)) {
+        const now = this.o.clock.now();
+        if (event.kind === 'token') {
+          const verdict = d.assembly.take(event.frame);
+          if (verdict.kind === 'drop') {
+            this.o.metrics.count('frame.dropped', { reason: verdict.why });
+            continue;
+          }
+          if (verdict.kind === 'fault') {
+            outcome = { kind: 'failed', cause: { kind: 'corrupt', detail: verdict.detail } };
+            break;
+          }
+          if (firstTokenMs === undefined) {
+            firstTokenMs = now - attempt.startedAt;
+            this.pace.observeFirst(d.g.model.id, d.g.tier, firstTokenMs);
+            this.avoidance.worked(grant.replica);
+          } else {
+            this.pace.observeGap(d.g.model.id, d.g.tier, now - last);
+          }
+          d.promise.resumed();
+          yield { kind: 'token', token: verdict.token, index: event.frame.index };
+          // A slow caller's time is not the engine's.
+          last = this.o.clock.now();
+          continue;
+        }
+        outcome = outcomeOf(event, d.assembly.passed.length - attempt.tokensBefore);
+        break;
+      }
+      return outcome;
+    } finally {
+      this.running.delete(grant.id);
+      await this.finish(d, attempt, outcome, firstTokenMs);
+    }
+  }
+
+  private begin(d: Dispatching, grant: Grant, gate: NodeId): Attempt {
+    const { g, assembly } = d;
     const order: RunOrder = {
       request: g.id,
-      attempt,
+      attempt: assembly.begin(grant),
       grant: grant.id,
       fence: grant.epoch,
       priority: grant.priority,
@@ -133,127 +262,127 @@
       maxTokens: g.maxTokens,
       chain: grant.stages,
     };
-    return { order, grant, startedAt: this.o.clock.now() };
+    const { engines, clock, metrics } = this.o;
+    return {
+      run: WatchedRun.create(engines, clock, metrics, order),
+      grant,
+      gate,
+      startedAt: clock.now(),
+      tokensBefore: assembly.passed.length,
+    };
   }
 
-  /** Runs one attempt; returns its failure, or nothing when the caller has been answered. */
-  private async *runAttempt(
+  /** Cancels what may still run, gives the grant back, and records a crash before anything is retried. */
+  private async finish(
+    d: Dispatching,
     attempt: Attempt,
-    assembly: Assembly,
-    signal: AbortSignal,
-  ): AsyncGenerator<Piece, RunFailure | undefined> {
-    let end: AttemptEnd = 'cancelled';
-    const before = assembly.passed.length;
-    try {
-      for await (const event of this.o.engines.run(attempt.order, signal)) {
-        const step = this.judge(event, assembly);
-        if (step.kind === 'failed') {
-          if (signal.aborted) return undefined;
-          end = 'failed';
-          return step.failure;
-        }
-        if (step.kind === 'end') end = 'complete';
-        if (step.kind !== 'skip') yield step;
-        if (step.kind === 'end') return undefined;
-      }
-      return undefined;
-    } finally {
-      this.finish(attempt, end, assembly.passed.length - before);
-    }
+    outcome: AttemptOutcome,
+    firstTokenMs: Millis | undefined,
+  ): Promise<void> {
+    const { grant, run } = attempt;
+    if (outcome.kind !== 'answered') void this.o.engines.cancel(run.order);
+    const tokens = d.assembly.passed.length - attempt.tokensBefore;
+    this.giveBack(grant, endOf(outcome), tokens, firstTokenMs);
+    const end = await this.clearedEnd(d, attempt, outcome);
+    const settled = this.clearance.settle(d.fingerprint, attempt.gate, grant.id, end);
+    if (end.kind === 'crashed') await settled;
+    this.ended.ring();
   }
 
-  private judge(
-    event: RunEvent,
-    assembly: Assembly,
-  ): Piece | { readonly kind: 'failed'; readonly failure: RunFailure } | { readonly kind: 'skip' } {
-    if (event.kind === 'failed') return event;
-    if (event.kind === 'end') {
-      return { kind: 'end', reason: event.reason, tokens: assembly.passed.length };
+  private async clearedEnd(
+    d: Dispatching,
+    attempt: Attempt,
+    outcome: AttemptOutcome,
+  ): Promise<ClearedEnd> {
+    if (outcome.kind === 'answered') {
+      void this.clearance.absolve(d.fingerprint);
+      return { kind: 'complete' };
     }
-    const verdict = assembly.take(event.frame);
-    if (verdict.kind === 'next') {
-      return { kind: 'token', token: verdict.token, index: event.frame.index };
+    if (outcome.kind === 'aborted') return { kind: 'ended' };
+    const { cause } = outcome;
+    if (!ruleOf(cause).strikes) return { kind: 'ended' };
+    const suspect = 'suspect' in cause ? cause.suspect : undefined;
+    const upstream = suspect ?? attempt.grant.stages[0]!.upstream;
+    return { kind: 'crashed', index: await this.clearance.strike(d.fingerprint, upstream) };
+  }
+
+  /** Decides on another attempt; yields the refusal where there is none. */
+  private async afterFailure(
+    d: Dispatching,
+    grant: Grant,
+    cause: RetryCause,
+  ): Promise<Refusal | undefined> {
+    const rule = ruleOf(cause);
+    const { g, assembly } = d;
+    d.promise.interrupted();
+    d.mayHaveRun ||= rule.mayHaveRun;
+    this.o.metrics.count('retry.cause', { reason: cause.kind });
+    this.o.logger.info('Attempt failed.', { request: g.id, reason: cause.kind });
+    if (rule.avoided) this.avoidance.failed(grant.replica);
+    if (!rule.charged) return undefined;
+    d.failed.push(grant);
+    d.charged += 1;
+    if (d.charged >= attemptLimit) return notRun('upstream-failed', 'every attempt failed');
+    if (d.promise.leftMs(assembly.passed.length) <= 0) {
+      return notRun('deadline', 'the promise ran out after a failed attempt');
     }
-    if (verdict.kind === 'drop') {
-      this.o.metrics.count('frame.dropped', { reason: verdict.why });
-      return { kind: 'skip' };
+    const urgency = assembly.passed.length > 0 ? 'resume' : 'restart';
+    if (!this.budgets.take(g.account.id, g.tier.retryBudget, urgency)) {
+      return notRun('retry-budget', 'the retry budget is used up', 1000);
     }
-    return {
-      kind: 'failed',
-      failure: { kind: 'broken', detail: verdict.detail, suspect: undefined },
-    };
+    this.o.metrics.count('retry', { reason: cause.kind });
+    // An interrupted stream goes on at once: another chain is asked, and its caller is waiting.
+    if (urgency === 'restart') await this.backOff(d);
+    return undefined;
   }
 
-  private finish(attempt: Attempt, end: AttemptEnd, tokens: number): void {
-    if (end !== 'complete') void this.o.engines.cancel(attempt.order);
-    const call = { grant: attempt.grant.id, end, tokens, firstTokenMs: undefined };
-    const options = { timeoutMs: acquireTimeoutMs };
-    void this.o.transport.call(attempt.grant.owner, 'release', call, options);
+  private backOff(d: Dispatching): Promise<void> {
+    const ms = backoffMs * 2 ** (d.charged - 1) * (0.5 + this.o.random.next());
+    return this.o.clock.sleep(ms, d.signal);
   }
 
-  private async acquire(
-    g: Generation,
-    attempt: number,
-    avoid: readonly Grant[],
-  ): Promise<AcquireOutcome> {
-    let reason: RefusalReason = 'no-replica';
-    let retryAfterMs: Millis | undefined;
-    for (const owner of this.o.owners(g.model)) {
-      const call = {
-        request: g.id,
-        attempt,
-        account: g.account.id,
-        tier: g.tier.id,
-        model: g.model.id,
-        version: g.version,
-        adapter: g.adapter,
-        release: g.release,
-        prefix: [],
-        promptTokens: g.prompt.length,
-        maxTokens: g.maxTokens,
-        budgetMs: g.tier.firstTokenMs,
-        avoid: avoid.map((a) => a.replica),
-      };
-      const reply = await this.ask(owner, call);
-      if (reply.isErr()) {
-        reason = 'owner-unreachable';
-        continue;
-      }
-      if (reply.value.kind === 'granted') return { kind: 'granted', grant: reply.value.grant };
-      reason = reply.value.reason;
-      retryAfterMs = reply.value.retryAfterMs;
-    }
-    return {
-      kind: 'refused',
-      refusal: notRun(reason, 'no replica can take the request now', retryAfterMs),
-    };
+  private giveBack(
+    grant: Grant,
+    end: AttemptEnd,
+    tokens: number,
+    firstTokenMs: Millis | undefined,
+  ): void {
+    const call = { grant: grant.id, end, tokens, firstTokenMs };
+    void this.o.transport.call(grant.owner, 'release', call, { timeoutMs: releaseTimeoutMs });
   }
+}
 
-  /** Asks one owner until it grants or refuses. */
-  private async ask(owner: NodeId, call: AcquireCall): Promise<Result<Answer, CallError>> {
-    for (;;) {
-      const options = { timeoutMs: acquireTimeoutMs };
-      const reply = await this.o.transport.call(owner, 'acquire', call, options);
-      if (reply.isErr()) {
-        return err(reply.error);
-      }
-      if (reply.value.kind !== 'queued') {
-        return ok(reply.value);
-      }
-      await this.o.clock.sleep(reply.value.againMs);
-    }
+function outcomeOf(
+  event: Exclude<WatchedEvent, { readonly kind: 'token' }>,
+  tokens: number,
+): AttemptOutcome {
+  switch (event.kind) {
+    case 'end':
+      return { kind: 'answered', reason: event.reason };
+    case 'failed':
+      return { kind: 'failed', cause: causeOf(event.failure, tokens) };
+    case 'preempted':
+      return { kind: 'failed', cause: event };
+    case 'aborted':
+      return event;
+    default:
+      return unreachable(event);
   }
+}
 
-  private async strike(g: Generation, attempt: Attempt, failure: RunFailure): Promise<void> {
-    const suspect = failure.kind === 'broken' ? failure.suspect : undefined;
-    const upstream = suspect ?? attempt.grant.stages[0]!.upstream;
-    const fingerprint = fingerprintOf(g);
-    const at = this.o.clock.wall();
-    await this.o.proposer.propose({ kind: 'strike', fingerprint, upstream, at }, strikeTimeoutMs);
-  }
+function endOf(outcome: AttemptOutcome): AttemptEnd {
+  if (outcome.kind === 'answered') return 'complete';
+  if (outcome.kind === 'aborted') return 'cancelled';
+  const { kind } = outcome.cause;
+  if (kind === 'preempted') return 'preempted';
+  return kind === 'refused' ? 'refused' : 'failed';
+}
+
+/** A refusal as the caller is told of it, given what was sent before. */
+function refused(d: Dispatching, refusal: Refusal): Piece {
+  return { kind: 'refused', refusal: d.mayHaveRun ? { ...refusal, run: 'unknown' } : refusal };
 }
 
-/** What makes two requests the same for quarantine: all that an engine sees of them. */
-export function fingerprintOf(g: Generation): ReturnType<typeof digestOf> {
-  return digestOf(JSON.stringify([g.model.id, g.version, g.adapter ?? null, g.prompt]));
+function quarantined(): Refusal {
+  return notRun('quarantined', 'this request has crashed the upstreams that ran it');
 }
--- a/packages/dispatch/src/order.ts
+++ b/packages/dispatch/src/order.ts
@@ -13,7 +13,7 @@
 } from '@tanagercart/base';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
-import type { OrderKey, OrderOutcome, Proposer, Upstream } from '@tanagercart/state';
+import type { OrderKey, OrderOutcome, Proposals, Upstream } from '@tanagercart/state';
 import type { ServiceAnswer, ServiceRequest, Services } from '@tanagercart/upstream';
 import type { Refusal } from './refusal.js';
 import { maybeRun, notRun } from './refusal.js';
@@ -41,7 +41,7 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: Metrics;
-  readonly proposer: Proposer;
+  readonly proposals: Proposals;
   readonly services: Services;
   /** Upstreams that stand for a service, best first. */
   readonly upstreams: (service: string) => readonly Upstream[];
@@ -89,7 +89,7 @@
   ): Promise<Result<OrderOutcome | undefined, Refusal>> {
     const at = this.o.clock.wall();
     const command = { kind: 'claim-order', order, digest, claimant, at } as const;
-    const claimed = await this.o.proposer.propose(command, claimTimeoutMs);
+    const claimed = await this.o.proposals.propose(command, claimTimeoutMs);
     // A claim that may have been committed is no permission to send: nothing was run here.
     if (claimed.isErr()) return err(notRun('shared-state-unavailable', claimed.error.detail, 1000));
     const { outcome } = claimed.value;
@@ -114,7 +114,7 @@
 
   private async settle(order: OrderKey, claimant: string, outcome: OrderOutcome): Promise<void> {
     const command = { kind: 'settle-order', order, claimant, outcome } as const;
-    const settled = await this.o.proposer.propose(command, claimTimeoutMs);
+    const settled = await this.o.proposals.propose(command, claimTimeoutMs);
     if (settled.isErr()) {
       this.o.logger.warn('Outcome of an order was not recorded.', { account: order.account });
     }
--- /dev/null
+++ b/packages/dispatch/test/fleet.ts
@@ -0,0 +1,235 @@
+/** Nodes, owners and engines in memory with held time, for tests of dispatch. */
+
+import { err, ok } from 'neverthrow';
+import {
+  AccountId,
+  GrantId,
+  HeldClock,
+  ModelId,
+  NodeId,
+  ReplicaId,
+  RequestId,
+  SeededRandom,
+  StatsdMetrics,
+  TierId,
+  UpstreamId,
+  rendezvous,
+  silentLogger,
+  unreachable,
+} from '@tanagercart/base';
+import type { Digest } from '@tanagercart/base';
+import { MemoryNetwork } from '@tanagercart/protocol';
+import type { Grant } from '@tanagercart/protocol';
+import { SharedState } from '@tanagercart/state';
+import type { Command, Proposals } from '@tanagercart/state';
+import type { Engines, RunEvent, RunOrder } from '@tanagercart/upstream';
+import { Dispatch, Gate } from '../src/index.js';
+import type { Generation, Piece } from '../src/index.js';
+
+/** What an engine does with a run before each token. */
+export type Fault = 'none' | 'unreachable' | 'refuse' | 'crash' | 'stall' | 'repeat' | 'cross';
+
+/** Tokens of the whole answer to a prompt. */
+export const answerOf = (prompt: string, tokens = 6): readonly string[] =>
+  Array.from({ length: tokens }, (_, i) => `${prompt}.${i}`);
+
+export type FaultPlan = (replica: string, order: RunOrder, index: number) => Fault;
+
+export interface FleetOptions {
+  readonly seed?: number;
+  readonly nodes?: number;
+  readonly replicas?: number;
+  readonly slots?: number;
+  readonly stateUp?: () => boolean;
+  /** What befalls a run on a replica at a token. */
+  readonly fault?: FaultPlan;
+}
+
+export function createFleet(options: FleetOptions = {}) {
+  const { seed = 1, nodes = 3, replicas = 4, slots = 4 } = options;
+  const clock = HeldClock.create();
+  const random = SeededRandom.create(seed);
+  const network = MemoryNetwork.create(clock, random);
+  const metrics = StatsdMetrics.create();
+  const state = SharedState.create();
+  const names = Array.from({ length: nodes }, (_, i) => NodeId(`n${i}`));
+  const crashed = new Set<string>();
+  const cancelled: string[] = [];
+  const fault = options.fault ?? (() => 'none');
+  const proposals = logOf(clock, state, options.stateUp ?? (() => true));
+  const engines = enginesOf(clock, fault, crashed, cancelled);
+  const held = new Map<GrantId, ReplicaId>();
+  serveOwner(network, names[0]!, replicas, slots, held, crashed);
+  const dispatches = names.map((self, i) => {
+    const transport = i === 0 ? network.at(self)! : network.attach(self);
+    Gate.create({ state, clock, transport, isUp: () => true });
+    return Dispatch.create({
+      clock,
+      random,
+      logger: silentLogger,
+      metrics,
+      transport,
+      engines,
+      proposals,
+      state,
+      owners: () => [names[0]!],
+      gates: (fingerprint: Digest) => rendezvous(fingerprint, names),
+    });
+  });
+  return {
+    clock,
+    random,
+    network,
+    metrics,
+    state,
+    dispatches,
+    crashed,
+    cancelled,
+    held,
+    proposals,
+  };
+}
+
+export type Fleet = ReturnType<typeof createFleet>;
+
+/** Commits commands after a millisecond while `up`. */
+function logOf(clock: HeldClock, state: SharedState, up: () => boolean): Proposals {
+  return {
+    async propose(command: Command) {
+      await clock.sleep(1);
+      if (!up()) return err({ kind: 'unavailable', detail: 'down' });
+      const index = state.index + 1;
+      return ok({ index, outcome: state.apply(index, command) });
+    },
+  };
+}
+
+function enginesOf(
+  clock: HeldClock,
+  fault: FaultPlan,
+  crashed: Set<string>,
+  cancelled: string[],
+): Engines {
+  return {
+    async *run(order, signal): AsyncGenerator<RunEvent> {
+      const replica = order.chain[0]!.upstream;
+      const whole = answerOf(order.prompt, order.maxTokens);
+      for (let index = order.passed.length; index < whole.length; index += 1) {
+        await clock.sleep(10);
+        const kind = crashed.has(replica) ? 'crash' : fault(replica, order, index);
+        const frame = frameOf(order, index, whole[index]!);
+        switch (kind) {
+          case 'unreachable':
+          case 'refuse':
+            if (index > order.passed.length) break;
+            yield failedOf(kind === 'refuse' ? 'refused' : 'unreachable');
+            return;
+          case 'crash':
+            yield failedOf(crashed.has(replica) ? 'unreachable' : 'broken');
+            crashed.add(replica);
+            return;
+          case 'stall':
+            await clock.sleep(100_000, signal);
+            break;
+          case 'repeat':
+            yield { kind: 'token', frame };
+            break;
+          case 'cross':
+            yield { kind: 'token', frame: { ...frame, request: RequestId('other') } };
+            break;
+          case 'none':
+            break;
+          default:
+            unreachable(kind);
+        }
+        yield { kind: 'token', frame };
+      }
+      yield { kind: 'end', reason: 'stop' };
+    },
+    async cancel(order) {
+      cancelled.push(`${order.request}/${order.attempt}`);
+    },
+  };
+}
+
+function frameOf(order: RunOrder, index: number, token: string) {
+  const { request, attempt, chain } = order;
+  return { request, attempt, index, token, receipts: chain };
+}
+
+function failedOf(kind: 'refused' | 'unreachable' | 'broken'): RunEvent {
+  return { kind: 'failed', failure: { kind, detail: 'fault', suspect: undefined } };
+}
+
+/** An owner that grants the emptiest replica; dead ones are granted too, as it learns late. */
+function serveOwner(
+  network: MemoryNetwork,
+  self: NodeId,
+  replicas: number,
+  slots: number,
+  held: Map<GrantId, ReplicaId>,
+  crashed: ReadonlySet<string>,
+): void {
+  const transport = network.attach(self);
+  const names = Array.from({ length: replicas }, (_, i) => ReplicaId(`r${i}`));
+  let seq = 0;
+  const used = (r: ReplicaId) => [...held.values()].filter((x) => x === r).length;
+  transport.serve('acquire', async (_, call) => {
+    const free = names
+      .filter((r) => !call.avoid.includes(r) && used(r) < slots)
+      .sort((a, b) => used(a) - used(b) || Number(crashed.has(a)) - Number(crashed.has(b)))[0];
+    if (!free) return { kind: 'queued', againMs: 20 };
+    seq += 1;
+    const id = GrantId(`g${seq}`);
+    held.set(id, free);
+    return { kind: 'granted', grant: grantOf(id, self, free) };
+  });
+  transport.serve('release', async (_, call) => ({ known: held.delete(call.grant) }));
+}
+
+function grantOf(id: GrantId, owner: NodeId, replica: ReplicaId): Grant {
+  const stages = [{ upstream: UpstreamId(replica), url: '', from: 0, to: 4 }];
+  return { id, replica, owner, epoch: 1, startWithinMs: 1000, priority: 0, stages };
+}
+
+/** A request of an account that may retry all of its requests. */
+export function generation(id: string, over: Partial<Generation> = {}): Generation {
+  return {
+    id: RequestId(id),
+    account: { id: AccountId('grower') } as Generation['account'],
+    tier: {
+      id: TierId('urgent'),
+      urgency: 0,
+      price: 1,
+      firstTokenMs: 1000,
+      tokenGapMs: 100,
+      concurrency: 100,
+      requestsPerSecond: 100,
+      tokensPerSecond: 1e6,
+      retryBudget: 1,
+    },
+    model: { id: ModelId('m'), layers: 4, versions: ['1'], adapters: [] },
+    version: '1',
+    adapter: undefined,
+    release: 1,
+    prompt: id,
+    seed: 0,
+    maxTokens: 6,
+    ...over,
+  };
+}
+
+/** Gathers an answer while time is advanced elsewhere. */
+export async function collect(
+  dispatch: Dispatch,
+  g: Generation,
+  signal: AbortSignal = new AbortController().signal,
+): Promise<readonly Piece[]> {
+  const pieces: Piece[] = [];
+  for await (const piece of dispatch.generate(g, signal)) pieces.push(piece);
+  return pieces;
+}
+
+/** The tokens of an answer. */
+export const tokensOf = (pieces: readonly Piece[]): readonly string[] =>
+  pieces.flatMap((p) => (p.kind === 'token' ? [p.token] : []));
--- a/packages/entry/src/answers.ts
+++ b/packages/entry/src/answers.ts
@@ -105,7 +105,7 @@
     seed: asked.seed,
     maxTokens: asked.maxTokens,
   };
-  if (state.quarantine.holds(fingerprintOf(generation))) {
+  if (state.quarantine.holds(fingerprintOf(generation), door.o.clock.wall())) {
     return err(notRun('quarantined', 'this request has crashed the upstreams that ran it'));
   }
   return ok(generation);
--- a/packages/entry/src/operators.ts
+++ b/packages/entry/src/operators.ts
@@ -124,6 +124,7 @@
     case 'order-claimed':
     case 'order-known':
     case 'order-conflict':
+    case 'batch':
       return sendJson(res, 500, { error: { code: 'unknown', message: outcome.kind } });
     default:
       return unreachable(outcome);
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -6,7 +6,7 @@
 import type { Result } from 'neverthrow';
 import { Bell, StatsdMetrics, TaskGroup, rendezvous, systemRandom } from '@tanagercart/base';
 import type { AccountId, Clock, Logger, Metrics, NodeId } from '@tanagercart/base';
-import { Dispatch, Orders } from '@tanagercart/dispatch';
+import { Dispatch, Gate, Orders } from '@tanagercart/dispatch';
 import { Door, createCallerServer, createOperatorServer } from '@tanagercart/entry';
 import { MemoryStore, Raft, defaultTiming } from '@tanagercart/log';
 import {
@@ -25,7 +25,7 @@
 import { keepPlans } from '@tanagercart/routing';
 import { Owner } from '@tanagercart/scheduling';
 import type { Settings } from '@tanagercart/settings';
-import { Proposer } from '@tanagercart/state';
+import { Batches, Proposer } from '@tanagercart/state';
 import type { Replica, Upstream } from '@tanagercart/state';
 import { HttpEngines, HttpServices, createPool } from '@tanagercart/upstream';
 import { CommitTimes } from './incoming.js';
@@ -249,21 +249,28 @@
 
   private createDoor(): Door {
     const { clock, settings } = this.o;
+    const { transport } = this;
+    const { state } = this.history;
+    const proposals = Batches.create(this.proposer, clock);
+    Gate.create({ state, clock, transport, isUp: (node) => state.nodes.has(node) });
     const dispatch = Dispatch.create({
       clock,
       logger: this.logger.part('dispatch'),
       metrics: this.metrics,
       transport: this.transport,
+      random: systemRandom,
       engines: HttpEngines.create(this.pool),
-      proposer: this.proposer,
+      proposals,
+      state,
       owners: (model) => this.ownersOf(model),
+      gates: (fingerprint) => rendezvous(fingerprint, [...state.nodes.keys()]),
     });
     const orders = Orders.create({
       self: this.id,
       clock,
       logger: this.logger.part('orders'),
       metrics: this.metrics,
-      proposer: this.proposer,
+      proposals,
       services: HttpServices.create(this.pool),
       upstreams: (service) => this.upstreamsOf(service),
     });
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -9,3 +9,4 @@
 export * from './frame.js';
 export * from './tcp.js';
 export * from './memory.js';
+export * from './gatemessage.js';
--- a/packages/protocol/src/message.ts
+++ b/packages/protocol/src/message.ts
@@ -2,6 +2,7 @@
 
 import type { AnnounceCall, AnnounceReply } from './announcemessage.js';
 import type { FollowCall, FollowReply, ProgressCall, ProgressReply } from './followmessage.js';
+import type { ClearCall, ClearReply, SettleCall, SettleReply } from './gatemessage.js';
 import type {
   PreemptCall,
   PreemptReply,
@@ -35,6 +36,8 @@
   acquire: { call: AcquireCall; reply: AcquireReply };
   release: { call: ReleaseCall; reply: ReleaseReply };
   preempt: { call: PreemptCall; reply: PreemptReply };
+  clear: { call: ClearCall; reply: ClearReply };
+  settle: { call: SettleCall; reply: SettleReply };
   announce: { call: AnnounceCall; reply: AnnounceReply };
 }
 
--- a/packages/standin/src/engine.ts
+++ b/packages/standin/src/engine.ts
@@ -62,6 +62,16 @@
 /** Largest body that is read, in bytes. */
 const bodyLimit = 8 * 1024 * 1024;
 
+/** A stage further along the chain could not be reached. */
+class LostStage extends Error {
+  constructor(
+    readonly stage: string,
+    detail: string,
+  ) {
+    super(detail);
+  }
+}
+
 /** A running stand-in stage. */
 export class EngineStandIn {
   private readonly server: Server;
@@ -131,8 +141,9 @@
       else if (req.url === '/v1/cancel') this.cancel(body as RunBody, res);
       else res.writeHead(404).end();
     } catch (error) {
-      if (!res.headersSent) res.writeHead(500);
-      res.end(String(error));
+      if (!res.headersSent) res.writeHead(500, { 'content-type': 'application/json' });
+      const lost = error instanceof LostStage ? error.stage : undefined;
+      res.end(JSON.stringify({ error: String(error), lost }));
     }
   }
 
@@ -149,7 +160,8 @@
     try {
       await this.generate(body, res, abort.signal);
     } catch (error) {
-      res.write(line({ t: 'failed', detail: String(error) }));
+      const suspect = error instanceof LostStage ? error.stage : undefined;
+      res.write(line({ t: 'failed', detail: String(error), suspect }));
     }
     this.runs.delete(key);
     res.end();
@@ -181,18 +193,25 @@
     const [, ...rest] = body.chain;
     const [next] = rest;
     if (!next) return { hidden, receipts: [own] };
-    const reply = await this.pass(next.url, { ...body, hidden, chain: rest });
+    const reply = await this.pass(next, { ...body, hidden, chain: rest });
     return { hidden: reply.hidden, receipts: [own, ...reply.receipts] };
   }
 
-  private async pass(url: string, body: LayersBody): Promise<LayersReply> {
-    const response = await request(`${url}/v1/layers`, {
-      method: 'POST',
-      dispatcher: this.pool,
-      body: JSON.stringify(body),
-    });
-    if (response.statusCode !== 200) throw new Error(await response.body.text());
-    return (await response.body.json()) as LayersReply;
+  private async pass(next: Link, body: LayersBody): Promise<LayersReply> {
+    let response;
+    try {
+      response = await request(`${next.url}/v1/layers`, {
+        method: 'POST',
+        dispatcher: this.pool,
+        body: JSON.stringify(body),
+      });
+    } catch (error) {
+      throw new LostStage(next.upstream, String(error));
+    }
+    const reply = (await response.body.json()) as LayersReply & { readonly lost?: string };
+    if (reply.lost) throw new LostStage(reply.lost, 'lost further along the chain');
+    if (response.statusCode !== 200) throw new Error(`stage ${next.upstream} refused`);
+    return reply;
   }
 
   private cancel(body: RunBody, res: ServerResponse): void {
--- a/packages/state/src/command.ts
+++ b/packages/state/src/command.ts
@@ -9,11 +9,22 @@
 
 /** One change of the replicated state. */
 export type Command =
-  ReleaseCommand | NodeCommand | UpstreamCommand | OrderCommand | QuarantineCommand;
+  | ReleaseCommand
+  | NodeCommand
+  | UpstreamCommand
+  | OrderCommand
+  | QuarantineCommand
+  /** Several changes in one entry of the log, applied in order. */
+  | { readonly kind: 'batch'; readonly commands: readonly Command[] };
 
 /** What a command came to. */
 export type Outcome =
-  ReleaseOutcome | NodeOutcome | UpstreamOutcome | OrderChange | QuarantineOutcome;
+  | ReleaseOutcome
+  | NodeOutcome
+  | UpstreamOutcome
+  | OrderChange
+  | QuarantineOutcome
+  | { readonly kind: 'batch'; readonly outcomes: readonly Outcome[] };
 
 /** Encodes a command for the log. */
 export function encodeCommand(command: Command): Uint8Array {
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -6,3 +6,4 @@
 export * from './command.js';
 export * from './state.js';
 export * from './proposer.js';
+export * from './batch.js';
--- a/packages/state/src/state.ts
+++ b/packages/state/src/state.ts
@@ -116,8 +116,11 @@
       case 'settle-order':
         return this.orders.apply(command);
       case 'strike':
+      case 'absolve':
       case 'lift-quarantine':
         return this.quarantine.apply(command);
+      case 'batch':
+        return { kind: 'batch', outcomes: command.commands.map((c) => this.change(index, c)) };
       default:
         return unreachable(command);
     }
--- a/packages/upstream/src/engine.ts
+++ b/packages/upstream/src/engine.ts
@@ -70,6 +70,6 @@
 export interface Engines {
   /** Runs an attempt; aborting `signal` ends the stream. Never throws. */
   run(order: RunOrder, signal: AbortSignal): AsyncIterable<RunEvent>;
-  /** Tells the head of a chain to drop an attempt; its failure is harmless. */
+  /** Tells every stage of a chain to drop an attempt; its failure is harmless. */
   cancel(order: RunOrder): Promise<void>;
 }
--- a/packages/upstream/src/http.ts
+++ b/packages/upstream/src/http.ts
@@ -20,6 +20,9 @@
 /** Longest time for opening a connection, in milliseconds. */
 const connectTimeoutMs = 1000;
 
+/** How long a stage may take to cancel an attempt, in milliseconds. */
+const cancelTimeoutMs = 2000;
+
 /** Codes of errors that arise before a request is written. */
 const unsentCodes: ReadonlySet<string> = new Set([
   'ECONNREFUSED',
@@ -76,11 +79,14 @@
   }
 
   async cancel(order: RunOrder): Promise<void> {
-    const [head] = order.chain;
-    if (!head) return;
+    await Promise.all(order.chain.map((link) => this.cancelAt(link.url, order)));
+  }
+
+  private async cancelAt(url: string, order: RunOrder): Promise<void> {
+    const { request: id, attempt } = order;
+    const signal = AbortSignal.timeout(cancelTimeoutMs);
     try {
-      const { request: id, attempt } = order;
-      const response = await this.post(`${head.url}/v1/cancel`, { request: id, attempt });
+      const response = await this.post(`${url}/v1/cancel`, { request: id, attempt }, signal);
       await response.body.dump();
     } catch {
       // An engine that cannot be reached has nothing left to cancel.
