Place orders at most once under lost claims, lapses and lost outcomes

Cause: a claim of unknown commit left its order in progress for ever, an outcome that was not recorded was lost, and a kept connection could close under an order that was already written.

--- a/packages/dispatch/src/order.ts
+++ b/packages/dispatch/src/order.ts
@@ -1,6 +1,6 @@
 /** Calls to plain services: repeatable ones are retried, the others are placed at most once. */
 
-import { digestOf, unreachable } from '@tanagercart/base';
+import { digestOf, invariant, unreachable } from '@tanagercart/base';
 import type {
   AccountId,
   Clock,
@@ -13,17 +13,34 @@
 } from '@tanagercart/base';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
-import type { OrderKey, OrderOutcome, Proposals, Upstream } from '@tanagercart/state';
-import type { ServiceAnswer, ServiceRequest, Services } from '@tanagercart/upstream';
+import { claimLapseMs, recordedBodyLimit } from '@tanagercart/state';
+import type { OrderKey, OrderOutcome, Outcome, Proposals, Upstream } from '@tanagercart/state';
+import type { SendError, ServiceAnswer, ServiceRequest, Services } from '@tanagercart/upstream';
+import { RetryBudgets } from './budget.js';
 import type { Refusal } from './refusal.js';
 import { maybeRun, notRun } from './refusal.js';
 
 /** How long recording a claim or an outcome may take, in milliseconds. */
 const claimTimeoutMs: Millis = 3000;
 
-/** Attempts of a repeatable call at most. */
+/** How long a call to a service may take, in milliseconds. */
+const callTimeoutMs: Millis = 30_000;
+
+/** Pause before an outcome that was not recorded is proposed again, in milliseconds. */
+const settlePauseMs: Millis = 500;
+
+/** Pause before a claim of unknown fate is proposed again, in milliseconds. */
+const claimAgainMs: Millis = 50;
+
+/** Attempts of a call at most. */
 const attemptLimit = 3;
 
+/** Share of an account's repeatable calls that may be retried. */
+const retryShare = 0.1;
+
+/** Form of an idempotency key: printable ASCII, no longer than this. */
+const keyForm = /^[\x21-\x7e]{1,200}$/;
+
 /** A call to a service, before an upstream is chosen. */
 export interface Order {
   readonly request: RequestId;
@@ -49,81 +66,169 @@
 
 /** Sends calls to services. */
 export class Orders {
+  private readonly budgets = RetryBudgets.create();
+  private open = 0;
+
   private constructor(private readonly o: OrdersOptions) {}
 
   static create(options: OrdersOptions): Orders {
     return new Orders(options);
   }
 
-  /** Sends an idempotent call; tries other upstreams when one fails. */
+  /** Orders that were claimed here and whose outcome is not recorded yet. */
+  get unsettled(): number {
+    return this.open;
+  }
+
+  /** Sends an idempotent call; tries other upstreams when one fails, within the retry budgets. */
   async repeatable(order: Order): Promise<Result<ServiceAnswer, Refusal>> {
+    this.budgets.request(order.account, retryShare);
     const upstreams = this.o.upstreams(order.service).slice(0, attemptLimit);
-    if (upstreams.length === 0) return err(noUpstream());
-    for (const upstream of upstreams) {
-      const answer = await this.o.services.send(requestOf(order, upstream));
+    let mayHaveRun = false;
+    for (const [attempt, upstream] of upstreams.entries()) {
+      if (attempt > 0 && !this.budgets.take(order.account, retryShare, 'restart')) break;
+      const answer = await this.send(order, upstream, false);
       if (answer.isOk()) return ok(answer.value);
+      mayHaveRun ||= answer.error.kind === 'lost';
       this.o.metrics.count('retry', { reason: answer.error.kind });
     }
-    return err(maybeRun('upstream-failed', 'every attempt failed'));
+    if (mayHaveRun) return err(maybeRun('upstream-failed', 'every attempt failed'));
+    return err(noUpstream());
   }
 
   /** Places an order at most once under its idempotency key. */
   async once(order: Order, key: string): Promise<Result<ServiceAnswer, Refusal>> {
-    const upstreams = this.o.upstreams(order.service);
-    if (upstreams.length === 0) return err(noUpstream());
+    if (!keyForm.test(key)) {
+      return err(notRun('malformed', 'an Idempotency-Key has 1 to 200 printable characters'));
+    }
     const name: OrderKey = { account: order.account, key };
     const claimant = `${this.o.self}/${order.request}`;
+    const startedAt = this.o.clock.now();
+    this.open += 1;
     const claimed = await this.claim(name, digestOfOrder(order), claimant);
-    if (claimed.isErr()) return err(claimed.error);
-    if (claimed.value) return answerOf(claimed.value);
-    const outcome = await this.place(order, upstreams);
-    await this.settle(name, claimant, outcome);
-    return answerOf(outcome);
+    if (claimed.kind !== 'claimed') {
+      if (claimed.kind === 'doubtful') void this.settle(name, claimant, { kind: 'not-run' });
+      else this.open -= 1;
+      return claimed.kind === 'known' ? answerOf(claimed.outcome) : err(claimed.refusal);
+    }
+    invariant(
+      this.o.clock.now() - startedAt < claimLapseMs,
+      'an order is sent before its claim lapses',
+    );
+    const placed = await this.place(order);
+    const settled = this.settle(name, claimant, placed.outcome);
+    // A caller that is told not-run may send again at once, so the claim is freed first.
+    if (placed.outcome.kind === 'not-run') await Promise.race([settled, this.patience()]);
+    return placed.answer;
   }
 
-  /** Claims the order; yields the recorded outcome where it was claimed before. */
-  private async claim(
-    order: OrderKey,
-    digest: Digest,
-    claimant: string,
-  ): Promise<Result<OrderOutcome | undefined, Refusal>> {
+  private patience(): Promise<void> {
+    return this.o.clock.sleep(claimTimeoutMs);
+  }
+
+  /** Claims the order, or learns what became of it. */
+  private async claim(order: OrderKey, digest: Digest, claimant: string): Promise<Claimed> {
     const at = this.o.clock.wall();
+    const deadline = this.o.clock.now() + claimTimeoutMs;
     const command = { kind: 'claim-order', order, digest, claimant, at } as const;
-    const claimed = await this.o.proposals.propose(command, claimTimeoutMs);
-    // A claim that may have been committed is no permission to send: nothing was run here.
-    if (claimed.isErr()) return err(notRun('shared-state-unavailable', claimed.error.detail, 1000));
-    const { outcome } = claimed.value;
-    if (outcome.kind === 'order-claimed') return ok(undefined);
-    if (outcome.kind === 'order-conflict') {
-      return err(notRun('key-conflict', 'the key was used for another order'));
+    let doubtful = false;
+    for (;;) {
+      const left = deadline - this.o.clock.now();
+      const claimed = left > 0 ? await this.o.proposals.propose(command, left) : undefined;
+      if (claimed?.isOk()) return claimedOf(claimed.value.outcome);
+      const unknown = claimed?.isErr() && claimed.error.kind === 'unknown';
+      doubtful ||= unknown === true;
+      // The same claimant may propose its claim again: the state knows it by name.
+      if (unknown) {
+        await this.o.clock.sleep(claimAgainMs);
+        continue;
+      }
+      return { kind: doubtful ? 'doubtful' : 'refused', refusal: unclaimed() };
     }
-    if (outcome.kind === 'order-known' && outcome.outcome) return ok(outcome.outcome);
-    return err(maybeRun('order-in-progress', 'an order with this key has no known outcome yet'));
   }
 
   /** Sends the order once; another upstream is tried only where none received it. */
-  private async place(order: Order, upstreams: readonly Upstream[]): Promise<OrderOutcome> {
-    for (const upstream of upstreams) {
-      const answer = await this.o.services.send(requestOf(order, upstream));
-      if (answer.isOk()) return { kind: 'answered', ...answer.value };
+  private async place(order: Order): Promise<Placed> {
+    for (const upstream of this.o.upstreams(order.service).slice(0, attemptLimit)) {
+      const answer = await this.send(order, upstream, true);
+      if (answer.isOk()) return { outcome: recordOf(answer.value), answer: ok(answer.value) };
       this.o.metrics.count('retry', { reason: answer.error.kind });
-      if (answer.error.kind === 'lost') return { kind: 'unknown' };
+      if (answer.error.kind === 'lost') return placedAs({ kind: 'unknown' });
     }
-    return { kind: 'not-run' };
+    return placedAs({ kind: 'not-run' });
+  }
+
+  private async send(
+    order: Order,
+    upstream: Upstream,
+    once: boolean,
+  ): Promise<Result<ServiceAnswer, SendError>> {
+    const { method, headers, body, path } = order;
+    const request = { url: upstream.url + path, method, headers, body, once };
+    const late = new AbortController();
+    const done = new AbortController();
+    void this.o.clock.sleep(callTimeoutMs, done.signal).then(() => late.abort());
+    const answer = await this.o.services.send(request, late.signal);
+    done.abort();
+    return answer;
   }
 
+  /** Records an outcome, again and again until it is recorded or the claim has lapsed. */
   private async settle(order: OrderKey, claimant: string, outcome: OrderOutcome): Promise<void> {
     const command = { kind: 'settle-order', order, claimant, outcome } as const;
-    const settled = await this.o.proposals.propose(command, claimTimeoutMs);
-    if (settled.isErr()) {
-      this.o.logger.warn('Outcome of an order was not recorded.', { account: order.account });
+    const until = this.o.clock.now() + claimLapseMs;
+    for (;;) {
+      const settled = await this.o.proposals.propose(command, claimTimeoutMs);
+      if (settled.isOk()) break;
+      this.o.metrics.count('order.settle-again');
+      if (this.o.clock.now() >= until) {
+        this.o.logger.warn('Outcome of an order was not recorded.', { account: order.account });
+        break;
+      }
+      await this.o.clock.sleep(settlePauseMs);
     }
+    this.open -= 1;
   }
 }
 
-function requestOf(order: Order, upstream: Upstream): ServiceRequest {
-  const { method, headers, body, path } = order;
-  return { url: upstream.url + path, method, headers, body };
+type Claimed =
+  | { readonly kind: 'claimed' }
+  | { readonly kind: 'known'; readonly outcome: OrderOutcome }
+  | { readonly kind: 'refused'; readonly refusal: Refusal }
+  /** The claim may be committed yet; nothing was sent, and nothing will be. */
+  | { readonly kind: 'doubtful'; readonly refusal: Refusal };
+
+interface Placed {
+  readonly outcome: OrderOutcome;
+  readonly answer: Result<ServiceAnswer, Refusal>;
+}
+
+function claimedOf(outcome: Outcome): Claimed {
+  if (outcome.kind === 'order-claimed') return { kind: 'claimed' };
+  if (outcome.kind === 'order-conflict') {
+    return {
+      kind: 'refused',
+      refusal: notRun('key-conflict', 'the key was used for another order'),
+    };
+  }
+  if (outcome.kind === 'order-known' && outcome.outcome) {
+    return { kind: 'known', outcome: outcome.outcome };
+  }
+  return {
+    kind: 'refused',
+    refusal: maybeRun('order-in-progress', 'an order with this key has no known outcome yet'),
+  };
+}
+
+function placedAs(outcome: OrderOutcome): Placed {
+  return { outcome, answer: answerOf(outcome) };
+}
+
+/** An answer as it is recorded. */
+function recordOf(answer: ServiceAnswer): OrderOutcome {
+  const { status, body } = answer;
+  if (body.length <= recordedBodyLimit) return { kind: 'answered', ...answer };
+  return { kind: 'answered-large', status, digest: digestOf(body), length: body.length };
 }
 
 function digestOfOrder(order: Order): Digest {
@@ -132,10 +237,16 @@
   );
 }
 
+/** What a caller is told of an outcome. */
 function answerOf(outcome: OrderOutcome): Result<ServiceAnswer, Refusal> {
   switch (outcome.kind) {
     case 'answered':
       return ok({ status: outcome.status, contentType: outcome.contentType, body: outcome.body });
+    case 'answered-large': {
+      const { status, digest, length } = outcome;
+      const body = JSON.stringify({ recorded: { status, digest, length } });
+      return ok({ status, contentType: 'application/json', body });
+    }
     case 'not-run':
       return err(notRun('upstream-failed', 'no upstream received the order', 1000));
     case 'unknown':
@@ -147,6 +258,12 @@
   }
 }
 
+/** Nothing was sent now, but whether an earlier copy of the order was cannot be learned. */
+function unclaimed(): Refusal {
+  const message = 'the order could not be claimed; an earlier copy of it may have been placed';
+  return { ...maybeRun('shared-state-unavailable', message), retryAfterMs: 1000 };
+}
+
 function noUpstream(): Refusal {
-  return notRun('no-replica', 'no upstream stands for this service', 1000);
+  return notRun('no-replica', 'no upstream of this service could be reached', 1000);
 }
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -69,6 +69,7 @@
   private readonly owner: Owner;
   private readonly upstreams: Upstreams;
   private readonly feed: Feed;
+  private orders: Orders | undefined;
   private raft: Raft | undefined;
   private address: NodeAddress;
   private draining = false;
@@ -129,6 +130,10 @@
     return this.lease.valid && !this.draining;
   }
 
+  private get busy(): boolean {
+    return this.inProgress > 0 || this.owner.inUse > 0 || (this.orders?.unsettled ?? 0) > 0;
+  }
+
   /** Resolves when an operator asks this node to drain. */
   untilDrainAsked(): Promise<void> {
     return this.drainAsked.wait();
@@ -138,7 +143,7 @@
   async drain(): Promise<void> {
     this.logger.info('Draining.');
     this.draining = true;
-    while (this.inProgress > 0 || this.owner.inUse > 0) await this.o.clock.sleep(drainPauseMs);
+    while (this.busy) await this.o.clock.sleep(drainPauseMs);
     await this.stop();
   }
 
@@ -265,7 +270,7 @@
       owners: (model) => this.ownersOf(model),
       gates: (fingerprint) => rendezvous(fingerprint, [...state.nodes.keys()]),
     });
-    const orders = Orders.create({
+    this.orders = Orders.create({
       self: this.id,
       clock,
       logger: this.logger.part('orders'),
@@ -279,7 +284,7 @@
       state: this.history.state,
       lease: this.lease,
       dispatch,
-      orders,
+      orders: this.orders,
       upstreams: this.upstreams,
       clock,
       logger: this.logger.part('entry'),
--- a/packages/state/src/orders.ts
+++ b/packages/state/src/orders.ts
@@ -1,7 +1,16 @@
 /** Orders that were claimed, each at most once. */
 
 import { unreachable } from '@tanagercart/base';
-import type { AccountId, Digest, Millis } from '@tanagercart/base';
+import type { AccountId, Digest, Millis, NodeId } from '@tanagercart/base';
+
+/** An order whose claim is this old and has no outcome becomes unknown, in milliseconds. */
+export const claimLapseMs: Millis = 60_000;
+
+/** Time for which an order is remembered after its claim, in milliseconds. */
+export const orderRetentionMs: Millis = 24 * 60 * 60_000;
+
+/** Longest body of an answer that is recorded, in characters. */
+export const recordedBodyLimit = 4096;
 
 /** Names an order: one idempotency key of one account. */
 export interface OrderKey {
@@ -17,6 +26,13 @@
       readonly contentType: string;
       readonly body: string;
     }
+  /** Answered with a body over the limit, of which only the digest is kept. */
+  | {
+      readonly kind: 'answered-large';
+      readonly status: number;
+      readonly digest: Digest;
+      readonly length: number;
+    }
   | { readonly kind: 'not-run' }
   | { readonly kind: 'unknown' };
 
@@ -57,11 +73,16 @@
 /** Orders as a snapshot holds them. */
 export interface OrderImage {
   readonly orders: readonly (readonly [string, Order])[];
+  readonly latest: Millis;
 }
 
-/** Keeps claims and outcomes of orders. */
+/** Keeps claims and outcomes of orders. Its time is the latest `at` of a claim. */
 export class OrderTable {
+  /** Orders by name, oldest claim first. */
   private readonly table = new Map<string, Order>();
+  /** Names of the orders without an outcome. */
+  private readonly open = new Set<string>();
+  private latest: Millis = 0;
 
   static create(): OrderTable {
     return new OrderTable();
@@ -86,37 +107,71 @@
     }
   }
 
+  /** Makes the open orders of a node that is gone unknown. */
+  abandon(node: NodeId): void {
+    for (const name of [...this.open]) {
+      const order = this.table.get(name)!;
+      if (order.claimant.startsWith(`${node}/`)) this.end(name, order, { kind: 'unknown' });
+    }
+  }
+
   image(): OrderImage {
-    return { orders: [...this.table] };
+    return { orders: [...this.table], latest: this.latest };
   }
 
   restore(image: OrderImage): void {
     this.table.clear();
+    this.open.clear();
+    this.latest = image.latest;
     for (const [name, order] of image.orders) {
       this.table.set(name, order);
+      if (!order.outcome) this.open.add(name);
     }
   }
 
   private claim(key: OrderKey, digest: Digest, claimant: string, at: Millis): OrderChange {
+    this.advance(at);
     const known = this.find(key);
-    if (known && known.digest !== digest) {
-      return { kind: 'order-conflict' };
-    }
+    if (known && known.digest !== digest) return { kind: 'order-conflict' };
+    // A claimant that lost the answer to its claim learns here that it holds it.
+    if (known?.claimant === claimant && !known.outcome) return { kind: 'order-claimed' };
     if (known && known.outcome?.kind !== 'not-run') {
       return { kind: 'order-known', outcome: known.outcome };
     }
-    this.table.set(nameOf(key), { digest, claimant, at, outcome: undefined });
+    const name = nameOf(key);
+    this.table.delete(name);
+    this.table.set(name, { digest, claimant, at: this.latest, outcome: undefined });
+    this.open.add(name);
     return { kind: 'order-claimed' };
   }
 
   private settle(key: OrderKey, claimant: string, outcome: OrderOutcome): OrderChange {
     const known = this.find(key);
-    if (!known || known.claimant !== claimant || known.outcome) {
-      return { kind: 'stale' };
-    }
-    this.table.set(nameOf(key), { ...known, outcome });
+    const settled = known?.outcome && known.outcome.kind !== 'unknown';
+    if (!known || known.claimant !== claimant || settled) return { kind: 'stale' };
+    this.end(nameOf(key), known, outcome);
     return { kind: 'done' };
   }
+
+  private end(name: string, order: Order, outcome: OrderOutcome): void {
+    this.table.set(name, { ...order, outcome });
+    this.open.delete(name);
+  }
+
+  /** Moves the time of the table forward; claims lapse and records expire by it. */
+  private advance(at: Millis): void {
+    this.latest = Math.max(this.latest, at);
+    for (const name of [...this.open]) {
+      const order = this.table.get(name)!;
+      if (order.at + claimLapseMs > this.latest) break;
+      this.end(name, order, { kind: 'unknown' });
+    }
+    for (const [name, order] of this.table) {
+      if (order.at + orderRetentionMs > this.latest) break;
+      this.table.delete(name);
+      this.open.delete(name);
+    }
+  }
 }
 
 function nameOf(key: OrderKey): string {
--- a/packages/state/src/state.ts
+++ b/packages/state/src/state.ts
@@ -106,8 +106,12 @@
       case 'accept-release':
         return this.releases.apply(index, command);
       case 'node-up':
-      case 'node-down':
         return this.nodeTable.apply(index, command);
+      case 'node-down': {
+        const outcome = this.nodeTable.apply(index, command);
+        if (!this.nodes.has(command.node)) this.orders.abandon(command.node);
+        return outcome;
+      }
       case 'upstream-up':
       case 'upstream-down':
       case 'plan':
--- /dev/null
+++ b/packages/state/test/orders.test.ts
@@ -0,0 +1,94 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { AccountId, NodeId, UpstreamId, digestOf } from '@tanagercart/base';
+import { SharedState, claimLapseMs, orderRetentionMs, quarantineMs } from '../src/index.js';
+import type { Command, OrderOutcome } from '../src/index.js';
+
+const name = (key: string) => ({ account: AccountId('grower'), key });
+
+const claim = (key: string, claimant: string, at = 0): Command => ({
+  kind: 'claim-order',
+  order: name(key),
+  digest: digestOf('trays'),
+  claimant,
+  at,
+});
+
+const settle = (key: string, claimant: string, outcome: OrderOutcome): Command => ({
+  kind: 'settle-order',
+  order: name(key),
+  claimant,
+  outcome,
+});
+
+const strike = (prompt: string, upstream: string, at: number): Command => ({
+  kind: 'strike',
+  fingerprint: digestOf(prompt),
+  upstream: UpstreamId(upstream),
+  at,
+});
+
+function applied(...commands: readonly Command[]) {
+  const state = SharedState.create();
+  const outcomes = commands.map((c, i) => state.apply(i + 1, c));
+  return { state, last: outcomes.at(-1)! };
+}
+
+test('a claimant learns again that it holds its claim, and nobody else does', () => {
+  assert.equal(applied(claim('k', 'a/1'), claim('k', 'a/1')).last.kind, 'order-claimed');
+  assert.equal(applied(claim('k', 'a/1'), claim('k', 'b/1')).last.kind, 'order-known');
+});
+
+test('a claim lapses into unknown by the time of a later claim, and its outcome may follow', () => {
+  const { state } = applied(claim('k', 'a/1'), claim('other', 'b/1', claimLapseMs));
+  assert.deepEqual(state.orders.find(name('k'))?.outcome, { kind: 'unknown' });
+  state.apply(3, settle('k', 'a/1', { kind: 'not-run' }));
+  assert.equal(state.apply(4, claim('k', 'b/1', claimLapseMs)).kind, 'order-claimed');
+});
+
+test('claims of a node that is gone become unknown', () => {
+  const node = NodeId('a');
+  const { state } = applied(claim('k', 'a/1'), claim('j', 'b/1'), {
+    kind: 'node-down',
+    node,
+    incarnation: '',
+  });
+  assert.deepEqual(state.orders.find(name('k'))?.outcome, { kind: 'unknown' });
+  assert.equal(state.orders.find(name('j'))?.outcome, undefined);
+});
+
+test('an order is forgotten after its retention', () => {
+  const { last } = applied(claim('k', 'a/1'), claim('k', 'b/1', orderRetentionMs));
+  assert.equal(last.kind, 'order-claimed');
+});
+
+test('a batch has one outcome for each of its commands', () => {
+  const commands = [claim('k', 'a/1'), claim('k', 'b/1')];
+  const { last } = applied({ kind: 'batch', commands });
+  assert.deepEqual(last.kind === 'batch' && last.outcomes.map((o) => o.kind), [
+    'order-claimed',
+    'order-known',
+  ]);
+});
+
+test('a quarantine expires by the time of later commands, and can be lifted', () => {
+  const two = [strike('p', 'u1', 0), strike('p', 'u2', 10)];
+  const { state } = applied(...two);
+  assert.equal(state.quarantine.list().length, 1);
+  assert.equal(state.quarantine.holds(digestOf('p'), quarantineMs + 10), false);
+  state.apply(3, strike('q', 'u3', quarantineMs + 10));
+  assert.equal(state.quarantine.list().length, 0);
+  const lifted = applied(...two, { kind: 'lift-quarantine', fingerprint: digestOf('p') });
+  assert.equal(lifted.state.quarantine.holds(digestOf('p')), false);
+});
+
+test('crashes of a bad upstream are not held against requests', () => {
+  const crashes = [0, 1, 2].map((i) => strike(`q${i}`, 'bad', i * 10_000));
+  const { state } = applied(...crashes, strike('p', 'bad', 30_000), strike('p', 'u1', 60_000));
+  assert.deepEqual(state.quarantine.strikesOf(digestOf('p')), [UpstreamId('u1')]);
+});
+
+test('crashes during the loss of a rack are not held against requests', () => {
+  const rack = [1, 2, 3, 4].map((i) => strike('p', `u${i}`, i * 100));
+  assert.equal(applied(...rack).state.quarantine.holds(digestOf('p')), false);
+});
--- a/packages/upstream/src/http.ts
+++ b/packages/upstream/src/http.ts
@@ -1,6 +1,6 @@
 /** Engines and services reached over HTTP with undici. */
 
-import { Agent, request } from 'undici';
+import { Agent, Client, request } from 'undici';
 import type { Dispatcher } from 'undici';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
@@ -116,10 +116,11 @@
     call: ServiceRequest,
     signal?: AbortSignal,
   ): Promise<Result<ServiceAnswer, SendError>> {
+    const own = call.once ? freshClient(call.url) : undefined;
     try {
       const response = await request(call.url, {
         method: call.method,
-        dispatcher: this.pool,
+        dispatcher: own ?? this.pool,
         headers: { ...call.headers },
         body: call.body.length > 0 ? call.body : null,
         ...(signal ? { signal } : {}),
@@ -130,10 +131,22 @@
     } catch (error) {
       const detail = detailOf(error);
       return err(wasSent(error) ? { kind: 'lost', detail } : { kind: 'unreachable', detail });
+    } finally {
+      void own?.destroy();
     }
   }
 }
 
+/** A client for one call: a kept connection may close under a request that was already written. */
+function freshClient(url: string): Client {
+  return new Client(new URL(url).origin, {
+    pipelining: 1,
+    connect: { timeout: connectTimeoutMs },
+    bodyTimeout: 0,
+    headersTimeout: 0,
+  });
+}
+
 async function* lines(chunks: AsyncIterable<Buffer>): AsyncGenerator<string> {
   let held = '';
   const decoder = new TextDecoder();
--- a/packages/upstream/src/service.ts
+++ b/packages/upstream/src/service.ts
@@ -8,6 +8,8 @@
   readonly method: 'GET' | 'POST' | 'PUT' | 'DELETE' | 'PATCH';
   readonly headers: Readonly<Record<string, string>>;
   readonly body: Buffer;
+  /** Whether the call goes out on a connection of its own, which nothing sends again. */
+  readonly once: boolean;
 }
 
 /** The whole answer of a service. */
