Count a crash that follows a hang-up or a stall

Change: a cancelled attempt is read until its engines have dropped it, for 2 s at most, and settles at the gate only then; an engine confirms a cancel. The request's own next attempt does not wait for it.

--- a/packages/dispatch/src/cause.ts
+++ b/packages/dispatch/src/cause.ts
@@ -68,6 +68,8 @@
     case 'unreachable':
     case 'stalled':
       return failure;
+    case 'cancelled':
+      return { kind: 'stalled', detail: failure.detail };
     case 'broken':
       return { ...failure, kind: tokens > 0 ? 'died-mid-stream' : 'died-before-first' };
     default:
--- a/packages/dispatch/src/clearance.ts
+++ b/packages/dispatch/src/clearance.ts
@@ -1,6 +1,15 @@
 /** The entry's side of the gate: clears attempts, and records crashes before anything is retried. */
 
-import type { Clock, Digest, Logger, Metrics, Millis, NodeId, UpstreamId } from '@tanagercart/base';
+import type {
+  Clock,
+  Digest,
+  Logger,
+  Metrics,
+  Millis,
+  NodeId,
+  RequestId,
+  UpstreamId,
+} from '@tanagercart/base';
 import type { ClearedEnd, ClearReply, Grant, Transport } from '@tanagercart/protocol';
 import type { Proposals, SharedState } from '@tanagercart/state';
 
@@ -43,11 +52,11 @@
   }
 
   /** Asks the gate of a fingerprint whether an attempt may run under `grant`. */
-  async ask(fingerprint: Digest, grant: Grant): Promise<Cleared> {
+  async ask(fingerprint: Digest, request: RequestId, grant: Grant): Promise<Cleared> {
     const holder = grant.id;
     const gates = this.o.gates(fingerprint).slice(0, gateLimit);
     for (const [place, gate] of gates.entries()) {
-      const call = { fingerprint, holder, replica: grant.replica, deputy: place > 0 };
+      const call = { fingerprint, request, holder, replica: grant.replica, deputy: place > 0 };
       const reply = await this.o.transport.call(gate, 'clear', call, { timeoutMs: gateTimeoutMs });
       if (reply.isErr()) {
         this.o.metrics.count('gate.unreachable');
--- a/packages/dispatch/src/gate.ts
+++ b/packages/dispatch/src/gate.ts
@@ -1,7 +1,7 @@
 /** Bounds how many replicas run equal requests that have not proved harmless. */
 
 import { unreachable } from '@tanagercart/base';
-import type { Clock, Digest, Millis, NodeId, ReplicaId } from '@tanagercart/base';
+import type { Clock, Digest, Millis, NodeId, ReplicaId, RequestId } from '@tanagercart/base';
 import type {
   ClearCall,
   ClearReply,
@@ -34,6 +34,7 @@
 
 interface Held {
   readonly node: NodeId;
+  readonly request: RequestId;
   readonly replica: ReplicaId;
   readonly since: Millis;
 }
@@ -60,20 +61,28 @@
   }
 
   private clear(node: NodeId, call: ClearCall): ClearReply {
-    const { fingerprint, holder, replica } = call;
+    const { fingerprint, request, holder, replica } = call;
     const struck = this.struck(fingerprint);
     if (struck >= strikeLimit) return { kind: 'quarantined' };
     if (struck === 0 && this.isProven(fingerprint)) return { kind: 'cleared' };
     // A deputy does not see what the first gate cleared: it lets no suspect run.
     if (call.deputy && struck > 0) return { kind: 'wait', againMs };
     const running = this.running(fingerprint);
-    const elsewhere = [...running.values()].some((h) => h.replica !== replica);
-    if (elsewhere) return { kind: 'wait', againMs };
-    running.set(holder, { node, replica, since: this.o.clock.now() });
+    if (!this.mayJoin(running, call, struck)) return { kind: 'wait', againMs };
+    running.set(holder, { node, request, replica, since: this.o.clock.now() });
     this.held.set(fingerprint, running);
     return { kind: 'cleared' };
   }
 
+  /** Whether one more attempt keeps the replicas at risk within the limit. */
+  private mayJoin(running: ReadonlyMap<string, Held>, call: ClearCall, struck: number): boolean {
+    const elsewhere = [...running.values()].filter((h) => h.replica !== call.replica);
+    // An attempt that is being cancelled does not hold up the next one of its own request.
+    if (elsewhere.some((h) => h.request !== call.request)) return false;
+    const replicas = new Set(elsewhere.map((h) => h.replica));
+    return struck + replicas.size < strikeLimit;
+  }
+
   private settle(call: SettleCall): SettleReply {
     const { fingerprint, holder, end } = call;
     const running = this.held.get(fingerprint);
--- a/packages/dispatch/src/generate.ts
+++ b/packages/dispatch/src/generate.ts
@@ -9,6 +9,7 @@
   Millis,
   NodeId,
   Random,
+  UpstreamId,
 } from '@tanagercart/base';
 import { Bell, unreachable } from '@tanagercart/base';
 import type { AttemptEnd, ClearedEnd, Grant, Transport } from '@tanagercart/protocol';
@@ -158,7 +159,7 @@
       const acquired = await this.acquire(d);
       if (acquired.kind !== 'granted') return acquired;
       const { grant } = acquired;
-      const cleared = await this.clearance.ask(d.fingerprint, grant);
+      const cleared = await this.clearance.ask(d.fingerprint, d.g.id, grant);
       if (cleared.kind === 'cleared') return { kind: 'permitted', grant, gate: cleared.gate };
       this.giveBack(grant, 'cancelled', 0, undefined);
       switch (cleared.kind) {
@@ -272,38 +273,47 @@
     };
   }
 
-  /** Cancels what may still run, gives the grant back, and records a crash before anything is retried. */
+  /** Gives the grant back, and records a crash before anything is retried. */
   private async finish(
     d: Dispatching,
     attempt: Attempt,
     outcome: AttemptOutcome,
     firstTokenMs: Millis | undefined,
   ): Promise<void> {
-    const { grant, run } = attempt;
-    if (outcome.kind !== 'answered') void this.o.engines.cancel(run.order);
+    const { grant } = attempt;
     const tokens = d.assembly.passed.length - attempt.tokensBefore;
     this.giveBack(grant, endOf(outcome), tokens, firstTokenMs);
-    const end = await this.clearedEnd(d, attempt, outcome);
-    const settled = this.clearance.settle(d.fingerprint, attempt.gate, grant.id, end);
-    if (end.kind === 'crashed') await settled;
+    if (outcome.kind === 'answered') {
+      void this.clearance.absolve(d.fingerprint);
+      void this.settle(d, attempt, { kind: 'complete' });
+    } else if (outcome.kind === 'failed' && ruleOf(outcome.cause).strikes) {
+      const suspect = 'suspect' in outcome.cause ? outcome.cause.suspect : undefined;
+      await this.settleCrash(d, attempt, suspect);
+    } else {
+      void this.windUp(d, attempt);
+    }
     this.ended.ring();
   }
 
-  private async clearedEnd(
+  /** Settles a cancelled attempt once its engines have dropped it, or crashed all the same. */
+  private async windUp(d: Dispatching, attempt: Attempt): Promise<void> {
+    const broken = await attempt.run.aftermath;
+    if (broken) await this.settleCrash(d, attempt, broken.suspect);
+    else await this.settle(d, attempt, { kind: 'ended' });
+  }
+
+  private async settleCrash(
     d: Dispatching,
     attempt: Attempt,
-    outcome: AttemptOutcome,
-  ): Promise<ClearedEnd> {
-    if (outcome.kind === 'answered') {
-      void this.clearance.absolve(d.fingerprint);
-      return { kind: 'complete' };
-    }
-    if (outcome.kind === 'aborted') return { kind: 'ended' };
-    const { cause } = outcome;
-    if (!ruleOf(cause).strikes) return { kind: 'ended' };
-    const suspect = 'suspect' in cause ? cause.suspect : undefined;
+    suspect: UpstreamId | undefined,
+  ): Promise<void> {
     const upstream = suspect ?? attempt.grant.stages[0]!.upstream;
-    return { kind: 'crashed', index: await this.clearance.strike(d.fingerprint, upstream) };
+    const index = await this.clearance.strike(d.fingerprint, upstream);
+    await this.settle(d, attempt, { kind: 'crashed', index });
+  }
+
+  private settle(d: Dispatching, attempt: Attempt, end: ClearedEnd): Promise<void> {
+    return this.clearance.settle(d.fingerprint, attempt.gate, attempt.grant.id, end);
   }
 
   /** Decides on another attempt; yields the refusal where there is none. */
--- a/packages/dispatch/src/watch.ts
+++ b/packages/dispatch/src/watch.ts
@@ -9,10 +9,18 @@
 /** How long the next event may take. */
 export type Bound = () => Millis;
 
+/** How a stream broke. */
+export type BrokenRun = Extract<RunFailure, { readonly kind: 'broken' }>;
+
+/** How long an attempt may take to end once it is cancelled, in milliseconds. */
+const windUpMs: Millis = 2000;
+
 /** One attempt in progress. */
 export class WatchedRun {
   private readonly stop = new AbortController();
   private readonly taken = new AbortController();
+  /** Settles when a cancelled attempt has ended: with how it broke, if it did. */
+  aftermath: Promise<BrokenRun | undefined> = Promise.resolve(undefined);
 
   private constructor(
     private readonly engines: Engines,
@@ -35,6 +43,7 @@
     const run = this.engines.run(this.order, this.stop.signal)[Symbol.asyncIterator]();
     const interrupt = AbortSignal.any([caller, this.taken.signal]);
     let pending: Promise<IteratorResult<RunEvent>> | undefined;
+    let over = false;
     try {
       for (;;) {
         pending = run.next();
@@ -48,19 +57,46 @@
           return;
         }
         pending = undefined;
-        if (next.done) {
-          yield failed({ kind: 'broken', detail: 'the stream ended early', suspect: undefined });
-          return;
-        }
-        yield next.value;
-        if (next.value.kind !== 'token') return;
+        over = next.done === true || next.value.kind !== 'token';
+        yield next.done
+          ? failed({ kind: 'broken', detail: 'the stream ended early', suspect: undefined })
+          : next.value;
+        if (over) return;
       }
     } finally {
-      this.stop.abort();
-      void this.discard(run, pending);
+      if (over) this.stop.abort();
+      else this.aftermath = this.windUp(run, pending);
     }
   }
 
+  /** Cancels the attempt at its engines, and yields how it broke where they crash all the same. */
+  private async windUp(
+    run: AsyncIterator<RunEvent>,
+    pending: Promise<IteratorResult<RunEvent>> | undefined,
+  ): Promise<BrokenRun | undefined> {
+    void this.engines.cancel(this.order);
+    const drained = this.drain(run, pending ?? run.next());
+    const patience = new AbortController();
+    const late = this.clock.sleep(windUpMs, patience.signal).then(() => undefined);
+    const broken = await Promise.race([drained, late]);
+    patience.abort();
+    this.stop.abort();
+    return broken;
+  }
+
+  /** Drops and counts what an ended attempt still sends. */
+  private async drain(
+    run: AsyncIterator<RunEvent>,
+    pending: Promise<IteratorResult<RunEvent>>,
+  ): Promise<BrokenRun | undefined> {
+    for (let next = await pending; !next.done; next = await run.next()) {
+      const { value } = next;
+      if (value.kind === 'token') this.metrics.count('frame.dropped', { reason: 'old-attempt' });
+      if (value.kind === 'failed' && value.failure.kind === 'broken') return value.failure;
+    }
+    return undefined;
+  }
+
   private async nextOf(
     pending: Promise<IteratorResult<RunEvent>>,
     boundMs: Millis,
@@ -75,20 +111,6 @@
     awake.abort();
     return next;
   }
-
-  /** Drops and counts what an ended attempt still sends. */
-  private async discard(
-    run: AsyncIterator<RunEvent>,
-    pending: Promise<IteratorResult<RunEvent>> | undefined,
-  ): Promise<void> {
-    let next = await (pending ?? run.next());
-    while (!next.done) {
-      if (next.value.kind === 'token') {
-        this.metrics.count('frame.dropped', { reason: 'old-attempt' });
-      }
-      next = await run.next();
-    }
-  }
 }
 
 function failed(failure: RunFailure): RunEvent {
--- a/packages/dispatch/test/fleet.ts
+++ b/packages/dispatch/test/fleet.ts
@@ -125,8 +125,12 @@
             yield failedOf(kind === 'refuse' ? 'refused' : 'unreachable');
             return;
           case 'crash':
-            yield failedOf(crashed.has(replica) ? 'unreachable' : 'broken');
+            if (crashed.has(replica)) {
+              yield failedOf(index > order.passed.length ? 'broken' : 'unreachable');
+              return;
+            }
             crashed.add(replica);
+            yield failedOf('broken');
             return;
           case 'stall':
             await clock.sleep(100_000, signal);
--- a/packages/protocol/src/gatemessage.ts
+++ b/packages/protocol/src/gatemessage.ts
@@ -1,10 +1,11 @@
 /** Messages between entries and the gate of a fingerprint. */
 
-import type { Digest, ReplicaId } from '@tanagercart/base';
+import type { Digest, ReplicaId, RequestId } from '@tanagercart/base';
 
 /** Asks the gate of a fingerprint whether an attempt may run now. */
 export interface ClearCall {
   readonly fingerprint: Digest;
+  readonly request: RequestId;
   /** Names the attempt among all of its fingerprint. */
   readonly holder: string;
   readonly replica: ReplicaId;
--- a/packages/standin/src/engine.ts
+++ b/packages/standin/src/engine.ts
@@ -175,7 +175,10 @@
       const hidden = embed(body, index, before);
       const { request: id, attempt, chain } = body;
       const reply = await this.layers({ request: id, attempt, index, hidden, chain });
-      if (signal.aborted) return;
+      if (signal.aborted) {
+        res.write(line({ t: 'cancelled' }));
+        return;
+      }
       before = tokenOf(reply.hidden);
       const { receipts } = reply;
       res.write(line({ t: 'token', request: id, attempt, index, token: before, receipts }));
--- a/packages/upstream/src/engine.ts
+++ b/packages/upstream/src/engine.ts
@@ -57,6 +57,8 @@
   | { readonly kind: 'refused'; readonly detail: string }
   /** The stream broke; `suspect` is the stage that the engines blame, if they know. */
   | { readonly kind: 'broken'; readonly detail: string; readonly suspect: UpstreamId | undefined }
+  /** The engine dropped the attempt, as it was told. */
+  | { readonly kind: 'cancelled'; readonly detail: string }
   /** No frame arrived in time. */
   | { readonly kind: 'stalled'; readonly detail: string };
 
--- a/packages/upstream/src/http.ts
+++ b/packages/upstream/src/http.ts
@@ -35,6 +35,7 @@
 type Line =
   | ({ readonly t: 'token' } & TokenFrame)
   | { readonly t: 'end'; readonly reason: FinishReason }
+  | { readonly t: 'cancelled' }
   | { readonly t: 'failed'; readonly detail: string; readonly suspect?: string };
 
 /** A pool of connections shared by all upstream clients of a node. */
@@ -167,6 +168,8 @@
       return { kind: 'token', frame: line };
     case 'end':
       return { kind: 'end', reason: line.reason };
+    case 'cancelled':
+      return failed({ kind: 'cancelled', detail: 'cancelled at the engine' });
     case 'failed':
       return failed({ kind: 'broken', detail: line.detail, suspect: line.suspect as never });
     default:
