--- a/packages/dispatch/src/gate.ts
+++ b/packages/dispatch/src/gate.ts
@@ -68,21 +68,12 @@
     // A deputy does not see what the first gate cleared: it lets no suspect run.
     if (call.deputy && struck > 0) return { kind: 'wait', againMs };
     const running = this.running(fingerprint);
-    if (!this.mayJoin(running, call, struck)) return { kind: 'wait', againMs };
+    if (!mayJoin(running, call, struck)) return { kind: 'wait', againMs };
     running.set(holder, { node, request, replica, since: this.o.clock.now() });
     this.held.set(fingerprint, running);
     return { kind: 'cleared' };
   }
 
-  /** Whether one more attempt keeps the replicas at risk within the limit. */
-  private mayJoin(running: ReadonlyMap<string, Held>, call: ClearCall, struck: number): boolean {
-    const elsewhere = [...running.values()].filter((h) => h.replica !== call.replica);
-    // An attempt that is being cancelled does not hold up the next one of its own request.
-    if (elsewhere.some((h) => h.request !== call.request)) return false;
-    const replicas = new Set(elsewhere.map((h) => h.replica));
-    return struck + replicas.size < strikeLimit;
-  }
-
   private settle(call: SettleCall): SettleReply {
     const { fingerprint, holder, end } = call;
     const running = this.held.get(fingerprint);
@@ -142,3 +133,12 @@
     return (this.proven.get(fingerprint) ?? 0) > this.o.clock.now();
   }
 }
+
+/** Whether one more attempt keeps the replicas at risk within the limit. */
+function mayJoin(running: ReadonlyMap<string, Held>, call: ClearCall, struck: number): boolean {
+  const elsewhere = [...running.values()].filter((h) => h.replica !== call.replica);
+  // An attempt that is being cancelled does not hold up the next one of its own request.
+  if (elsewhere.some((h) => h.request !== call.request)) return false;
+  const replicas = new Set(elsewhere.map((h) => h.replica));
+  return struck + replicas.size < strikeLimit;
+}
