Keep retries a small share, resume cut streams unpaid, list and lift the quarantine

Change: a share of 6 % and a burst of 3; the first resume of a stream is not charged; replicas that failed are shunned for 2 s and longer; crashes of one upstream more than 2 s apart count each; operators list and lift quarantines.

--- /dev/null
+++ b/packages/bench/src/fleet.ts
@@ -0,0 +1,183 @@
+/** Entries, an owner and engines in memory with held time, for measurements of dispatch. */
+
+import { ok } from 'neverthrow';
+import {
+  AccountId,
+  GrantId,
+  HeldClock,
+  ModelId,
+  NodeId,
+  ReplicaId,
+  RequestId,
+  SeededRandom,
+  StatsdMetrics,
+  TierId,
+  UpstreamId,
+  rendezvous,
+  silentLogger,
+} from '@tanagercart/base';
+import type { Millis } from '@tanagercart/base';
+import { Dispatch, Gate } from '@tanagercart/dispatch';
+import type { Generation, Piece } from '@tanagercart/dispatch';
+import { MemoryNetwork } from '@tanagercart/protocol';
+import { SharedState } from '@tanagercart/state';
+import type { Proposals } from '@tanagercart/state';
+import type { Engines, RunEvent, RunOrder } from '@tanagercart/upstream';
+
+/** Time for one token, in milliseconds. */
+const tokenMs: Millis = 40;
+
+/** Time to commit a command, in milliseconds. */
+const commitMs: Millis = 2;
+
+/** What a fleet is made of. */
+export interface FleetOptions {
+  readonly seed: number;
+  readonly nodes: number;
+  readonly replicas: number;
+  readonly slots: number;
+  /** Whether a request crashes the upstream that runs it. */
+  readonly crashes: (order: RunOrder) => boolean;
+  /** State of an earlier fleet, as after a restart of all nodes. */
+  readonly snapshot?: Uint8Array;
+  /** Whether gates clear everything, as a baseline. */
+  readonly open?: boolean;
+}
+
+/** A fleet in memory. */
+export class BenchFleet {
+  readonly clock = HeldClock.create();
+  readonly metrics = StatsdMetrics.create();
+  readonly state = SharedState.create();
+  /** Replicas that are down. */
+  readonly dead = new Set<string>();
+  /** Replicas that the owner does not grant. */
+  readonly known = new Set<string>();
+  readonly dispatches: readonly Dispatch[];
+  private readonly network: MemoryNetwork;
+  private readonly used = new Map<GrantId, ReplicaId>();
+  private readonly names: readonly ReplicaId[];
+  private seq = 0;
+
+  private constructor(private readonly o: FleetOptions) {
+    const random = SeededRandom.create(o.seed);
+    this.network = MemoryNetwork.create(this.clock, random);
+    if (o.snapshot) this.state.restore(1, o.snapshot);
+    this.names = Array.from({ length: o.replicas }, (_, i) => ReplicaId(`r${i}`));
+    const nodes = Array.from({ length: o.nodes }, (_, i) => NodeId(`n${i}`));
+    this.dispatches = nodes.map((self) => this.createNode(self, nodes, random));
+    this.serveOwner(nodes[0]!);
+  }
+
+  static create(options: FleetOptions): BenchFleet {
+    return new BenchFleet(options);
+  }
+
+  /** Sends a request through a node; yields its last piece. */
+  async send(node: number, g: Generation): Promise<Piece | undefined> {
+    const dispatch = this.dispatches[node % this.dispatches.length]!;
+    let last: Piece | undefined;
+    for await (const piece of dispatch.generate(g, new AbortController().signal)) last = piece;
+    return last;
+  }
+
+  private createNode(self: NodeId, nodes: readonly NodeId[], random: SeededRandom): Dispatch {
+    const { clock, state, metrics } = this;
+    const transport = this.network.attach(self);
+    if (this.o.open) {
+      transport.serve('clear', async () => ({ kind: 'cleared' }));
+      transport.serve('settle', async () => ({ known: true }));
+    } else Gate.create({ state, clock, transport, isUp: () => true });
+    return Dispatch.create({
+      clock,
+      random,
+      logger: silentLogger,
+      metrics,
+      transport,
+      engines: this.engines(),
+      proposals: this.proposals(),
+      state,
+      owners: () => [nodes[0]!],
+      gates: (fingerprint) => rendezvous(fingerprint, nodes),
+    });
+  }
+
+  private proposals(): Proposals {
+    return {
+      propose: async (command) => {
+        await this.clock.sleep(commitMs);
+        const index = this.state.index + 1;
+        return ok({ index, outcome: this.state.apply(index, command) });
+      },
+    };
+  }
+
+  private engines(): Engines {
+    return { run: (order) => this.run(order), cancel: async () => undefined };
+  }
+
+  private async *run(order: RunOrder): AsyncGenerator<RunEvent> {
+    const [{ upstream }] = order.chain as [RunOrder['chain'][0]];
+    if (this.dead.has(upstream)) {
+      yield { kind: 'failed', failure: { kind: 'unreachable', detail: 'down' } };
+      return;
+    }
+    const { request, attempt, chain: receipts } = order;
+    for (let index = order.passed.length; index < order.maxTokens; index += 1) {
+      await this.clock.sleep(tokenMs);
+      if (this.o.crashes(order)) this.dead.add(upstream);
+      if (this.dead.has(upstream)) {
+        yield { kind: 'failed', failure: { kind: 'broken', detail: 'died', suspect: undefined } };
+        return;
+      }
+      yield { kind: 'token', frame: { request, attempt, index, token: `t${index}`, receipts } };
+    }
+    yield { kind: 'end', reason: 'stop' };
+  }
+
+  private serveOwner(self: NodeId): void {
+    const transport = this.network.at(self)!;
+    const running = (r: ReplicaId) => [...this.used.values()].filter((u) => u === r).length;
+    transport.serve('acquire', async (_, call) => {
+      const free = this.names
+        .map((r) => ({ r, n: running(r) }))
+        .filter(({ r, n }) => n < this.o.slots && !this.known.has(r) && !call.avoid.includes(r))
+        .sort((a, b) => a.n - b.n)[0]?.r;
+      if (!free) return { kind: 'queued', againMs: 50 };
+      this.seq += 1;
+      const id = GrantId(`g${this.seq}`);
+      this.used.set(id, free);
+      const stages = [{ upstream: UpstreamId(free), url: '', from: 0, to: 1 }];
+      const terms = { epoch: 1, startWithinMs: 1000, priority: 0 };
+      return { kind: 'granted', grant: { id, replica: free, owner: self, stages, ...terms } };
+    });
+    transport.serve('release', async (_, call) => ({ known: this.used.delete(call.grant) }));
+  }
+}
+
+/** A request of an account that may retry a tenth of its requests. */
+export function benchGeneration(id: string, over: Partial<Generation> = {}): Generation {
+  return {
+    id: RequestId(id),
+    account: { id: AccountId('grower') } as Generation['account'],
+    tier: {
+      id: TierId('urgent'),
+      urgency: 0,
+      price: 1,
+      firstTokenMs: 690,
+      tokenGapMs: 78,
+      concurrency: 1000,
+      requestsPerSecond: 1000,
+      tokensPerSecond: 1e6,
+      retryBudget: 0.1,
+    },
+    model: { id: ModelId('m'), layers: 1 } as Generation['model'],
+    version: '1',
+    adapter: undefined,
+    release: 1,
+    prompt: id,
+    seed: 0,
+    maxTokens: 25,
+    ...over,
+  };
+}
--- /dev/null
+++ b/packages/bench/src/orders.ts
@@ -0,0 +1,166 @@
+/** What a claim adds to a call, and what batches save of it. */
+
+import {
+  AccountId,
+  HeldClock,
+  NodeId,
+  RequestId,
+  SeededRandom,
+  ServiceId,
+  StatsdMetrics,
+  UpstreamId,
+  silentLogger,
+} from '@tanagercart/base';
+import type { Millis } from '@tanagercart/base';
+import { Orders } from '@tanagercart/dispatch';
+import type { Order } from '@tanagercart/dispatch';
+import { MemoryStore, Raft, defaultTiming } from '@tanagercart/log';
+import { MemoryNetwork, encode } from '@tanagercart/protocol';
+import { Batches, Proposer, SharedState, decodeCommand } from '@tanagercart/state';
+import type { Proposals, Upstream } from '@tanagercart/state';
+import { ok } from 'neverthrow';
+import type { Report } from './report.js';
+
+const voters = ['a', 'b', 'c'].map(NodeId);
+const entry = NodeId('entry');
+const orders = 2000;
+const ordersPerSecond = 1000;
+
+/** Time that the desk takes for a call, in milliseconds. */
+const deskMs: Millis = 20;
+
+interface Trial {
+  readonly p50: Millis;
+  readonly p95: Millis;
+  /** Entries of the log for one order. */
+  readonly entries: number;
+  /** Processor time for one order, in milliseconds. */
+  readonly cpuMs: number;
+}
+
+type Mode = 'unclaimed' | 'single' | 'batched';
+
+/** Measures the same calls unclaimed, claimed one by one, and claimed in batches. */
+export async function run(seed: number): Promise<Report> {
+  const plain = await trial(seed, 'unclaimed');
+  const single = await trial(seed, 'single');
+  const batched = await trial(seed, 'batched');
+  const ratio = (name: string, value: number) => ({ name, value, unit: 'of unclaimed' });
+  return {
+    bench: 'orders',
+    seed,
+    figures: [
+      { name: 'unclaimed call, p50', value: plain.p50, unit: 'ms' },
+      ratio('claimed in batches, p50', batched.p50 / plain.p50),
+      ratio('claimed in batches, p95', batched.p95 / plain.p95),
+      ratio('claimed one by one, p50', single.p50 / plain.p50),
+      ratio('claimed one by one, p95', single.p95 / plain.p95),
+      { name: 'log entries, in batches', value: batched.entries, unit: 'per order' },
+      { name: 'log entries, one by one', value: single.entries, unit: 'per order' },
+      { name: 'processor time, in batches', value: batched.cpuMs, unit: 'ms per order' },
+      { name: 'processor time, one by one', value: single.cpuMs, unit: 'ms per order' },
+      { name: 'processor time, unclaimed', value: plain.cpuMs, unit: 'ms per order' },
+    ],
+  };
+}
+
+async function trial(seed: number, mode: Mode): Promise<Trial> {
+  const clock = HeldClock.create();
+  const random = SeededRandom.create(seed);
+  const network = MemoryNetwork.create(clock, random);
+  const state = createVoters(clock, network, random);
+  const proposer = Proposer.create(network.attach(entry), clock, () => voters);
+  await clock.advance(5000);
+  const sender = createOrders(
+    clock,
+    mode === 'batched' ? Batches.create(proposer, clock) : proposer,
+  );
+  const times: Millis[] = [];
+  const before = state.index;
+  const cpu = process.cpuUsage();
+  for (let i = 0; i < orders; i += 1) {
+    const from = clock.now();
+    const call =
+      mode === 'unclaimed' ? sender.repeatable(order(i)) : sender.once(order(i), `k${i}`);
+    void call.then((answer) => {
+      if (answer.isOk()) times.push(clock.now() - from);
+    });
+    await clock.advance((1000 / ordersPerSecond) * 2 * random.next());
+  }
+  await clock.advance(10_000);
+  const { user, system } = process.cpuUsage(cpu);
+  if (times.length !== orders) throw new Error(`${times.length} of ${orders} calls were answered`);
+  times.sort((a, b) => a - b);
+  return {
+    p50: times[Math.floor(orders * 0.5)]!,
+    p95: times[Math.floor(orders * 0.95)]!,
+    entries: (state.index - before) / orders,
+    cpuMs: (user + system) / 1000 / orders,
+  };
+}
+
+/** Starts three voters on a network in memory; returns the state of one of them. */
+function createVoters(clock: HeldClock, network: MemoryNetwork, random: SeededRandom): SharedState {
+  const states = voters.map((self) => {
+    const state = SharedState.create();
+    const transport = network.attach(self);
+    const raft = Raft.create({
+      self,
+      voters,
+      transport,
+      store: MemoryStore.create(),
+      machine: { apply: (index, bytes) => encode(state.apply(index, decodeCommand(bytes))) },
+      clock,
+      random,
+      timing: defaultTiming,
+      logger: silentLogger,
+      onBroken: (error) => {
+        throw error;
+      },
+    });
+    transport.serve('propose', async (_, call) => {
+      const applied = await raft.propose(call.bytes);
+      if (applied.isOk()) return { kind: 'applied', ...applied.value };
+      if (applied.error.kind === 'not-leader') return applied.error;
+      return { kind: 'unknown', reason: 'leadership was lost' };
+    });
+    return state;
+  });
+  return states[0]!;
+}
+
+function createOrders(clock: HeldClock, proposals: Proposals): Orders {
+  const desk: Upstream = {
+    id: UpstreamId('desk'),
+    incarnation: '1',
+    url: 'http://desk',
+    dataCentre: 'dc',
+    role: { kind: 'service', service: ServiceId('desk') },
+  };
+  return Orders.create({
+    self: entry,
+    clock,
+    logger: silentLogger,
+    metrics: StatsdMetrics.create(),
+    proposals,
+    services: {
+      async send() {
+        await clock.sleep(deskMs);
+        return ok({ status: 201, contentType: 'text/plain', body: 'placed' });
+      },
+    },
+    upstreams: () => [desk],
+  });
+}
+
+function order(i: number): Order {
+  return {
+    request: RequestId(`q${i}`),
+    account: AccountId('grower'),
+    service: 'desk',
+    path: '/orders',
+    method: 'POST',
+    headers: {},
+    body: Buffer.from(`{"trays":${i}}`),
+  };
+}
--- /dev/null
+++ b/packages/bench/src/poison.ts
@@ -0,0 +1,84 @@
+/** Upstreams that a poison request costs, however its caller repeats it. */
+
+import { BenchFleet, benchGeneration } from './fleet.js';
+import type { Figure, Report } from './report.js';
+
+const nodes = 8;
+const replicas = 40;
+const copies = 32;
+
+/** Pause between copies that are sent slightly late, in milliseconds. */
+const lateMs = 30;
+
+/** Time for which a fleet runs, in milliseconds. */
+const runMs = 60_000;
+
+/** Most upstreams that one poison request may cost. */
+const limit = 2;
+
+const prompt = 'poison';
+
+/** Measures each way of repeating the request. */
+export async function run(seed: number): Promise<Report> {
+  const figures: Figure[] = [
+    lost('at once, through every node', await atOnce(seed, false)),
+    lost('slightly late', await late(seed)),
+    lost('again after each refusal', await again(seed)),
+    lost('again after a restart of all nodes', await restarted(seed)),
+  ];
+  const value = await atOnce(seed, true);
+  figures.push({ name: 'at once, without gates (baseline)', value, unit: 'upstreams' });
+  return { bench: 'poison', seed, figures };
+}
+
+function lost(name: string, value: number): Figure {
+  return { name, value, unit: 'upstreams', target: { kind: 'at-most', value: limit } };
+}
+
+function create(seed: number, over: { open?: boolean; snapshot?: Uint8Array } = {}): BenchFleet {
+  const crashes = (order: { readonly prompt: string }) => order.prompt === prompt;
+  return BenchFleet.create({ seed, nodes, replicas, slots: 8, crashes, ...over });
+}
+
+const copy = (i: number) => benchGeneration(`q${i}`, { prompt });
+
+async function atOnce(seed: number, open: boolean): Promise<number> {
+  const fleet = create(seed, { open });
+  const done = Array.from({ length: copies }, (_, i) => fleet.send(i, copy(i)));
+  await fleet.clock.advance(runMs);
+  await Promise.all(done);
+  return fleet.dead.size;
+}
+
+async function late(seed: number): Promise<number> {
+  const fleet = create(seed);
+  const done: Promise<unknown>[] = [];
+  for (let i = 0; i < copies; i += 1) {
+    done.push(fleet.send(i, copy(i)));
+    await fleet.clock.advance(lateMs);
+  }
+  await fleet.clock.advance(runMs);
+  await Promise.all(done);
+  return fleet.dead.size;
+}
+
+async function again(seed: number, fleet = create(seed)): Promise<number> {
+  for (let i = 0; i < copies; i += 1) {
+    const done = fleet.send(i, copy(i));
+    await fleet.clock.advance(2000);
+    await done;
+  }
+  return fleet.dead.size;
+}
+
+async function restarted(seed: number): Promise<number> {
+  const first = create(seed);
+  const done = first.send(0, copy(0));
+  await first.clock.advance(50);
+  const second = create(seed, { snapshot: first.state.snapshot() });
+  await first.clock.advance(runMs);
+  await done;
+  await second.clock.advance(runMs);
+  const before = Math.min(first.dead.size, 1);
+  return before + (await again(seed, second));
+}
--- /dev/null
+++ b/packages/bench/src/retries.ts
@@ -0,0 +1,77 @@
+/** The share of retries while half of the fleet fails, and what is answered meanwhile. */
+
+import { SeededRandom } from '@tanagercart/base';
+import { BenchFleet, benchGeneration } from './fleet.js';
+import type { Report } from './report.js';
+
+const nodes = 8;
+const replicas = 40;
+const requestsPerSecond = 80;
+
+/** Time before half of the replicas fail, in milliseconds. */
+const beforeMs = 20_000;
+
+/** Time until the owner learns of the failures, in milliseconds. */
+const learnMs = 3000;
+
+/** Time that is measured from the failure on, in milliseconds. */
+const afterMs = 10_000;
+
+/** Largest share of retries, of the issue. */
+const shareLimit = 0.1;
+
+/** Measures one failure of half of the fleet. */
+export async function run(seed: number): Promise<Report> {
+  const fleet = BenchFleet.create({ seed, nodes, replicas, slots: 8, crashes: () => false });
+  const random = SeededRandom.create(seed);
+  const tally = { sent: 0, answered: 0, notRun: 0 };
+  await load(fleet, random, beforeMs, tally);
+  const retriesBefore = fleet.metrics.read('retry');
+  const resumedBefore = fleet.metrics.read('resume');
+  const failedBefore = fleet.metrics.read('retry.cause');
+  const after = { sent: 0, answered: 0, notRun: 0 };
+  for (let i = 0; i < replicas / 2; i += 1) fleet.dead.add(`r${i}`);
+  await load(fleet, random, learnMs, after);
+  for (const replica of fleet.dead) fleet.known.add(replica);
+  await load(fleet, random, afterMs - learnMs, after);
+  await fleet.clock.advance(60_000);
+  const retries = fleet.metrics.read('retry') - retriesBefore;
+  const failures = fleet.metrics.read('retry.cause') - failedBefore;
+  const resumes = fleet.metrics.read('resume') - resumedBefore;
+  const share = (n: number) => n / after.sent;
+  return {
+    bench: 'retries',
+    seed,
+    figures: [
+      { name: 'requests after the failure', value: after.sent, unit: '' },
+      { name: 'failed attempts', value: share(failures), unit: 'of requests' },
+      {
+        name: 'retries',
+        value: share(retries),
+        unit: 'of requests',
+        target: { kind: 'at-most', value: shareLimit },
+      },
+      { name: 'interrupted streams resumed', value: share(resumes), unit: 'of requests' },
+      { name: 'answered whole', value: share(after.answered), unit: 'of requests' },
+      { name: 'refused not-run', value: share(after.notRun), unit: 'of requests' },
+    ],
+  };
+}
+
+async function load(
+  fleet: BenchFleet,
+  random: SeededRandom,
+  ms: number,
+  tally: { sent: number; answered: number; notRun: number },
+): Promise<void> {
+  const end = fleet.clock.now() + ms;
+  while (fleet.clock.now() < end) {
+    const g = benchGeneration(`q${fleet.clock.now()}-${tally.sent}`);
+    tally.sent += 1;
+    void fleet.send(Math.floor(random.next() * nodes), g).then((last) => {
+      if (last?.kind === 'end') tally.answered += 1;
+      if (last?.kind === 'refused' && last.refusal.run === 'not-run') tally.notRun += 1;
+    });
+    await fleet.clock.advance((1000 / requestsPerSecond) * 2 * random.next());
+  }
+}
--- a/packages/cli/src/commands.ts
+++ b/packages/cli/src/commands.ts
@@ -11,7 +11,8 @@
 const success = 0;
 const refusal = 1;
 
-abstract class OperatorCommand extends Command {
+/** A command that calls a node's listener for operators. */
+export abstract class OperatorCommand extends Command {
   url = Option.String('--url', 'http://127.0.0.1:9101', {
     description: "Base URL of a node's operator listener",
   });
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -8,6 +8,7 @@
   StatusCommand,
   SubmitCommand,
 } from './commands.js';
+import { LiftCommand, QuarantineCommand } from './quarantine.js';
 
 export * from './demo.js';
 
@@ -21,6 +22,8 @@
   for (const command of [NodeCommand, CheckCommand, SubmitCommand, StatusCommand, DemoCommand]) {
     cli.register(command);
   }
+  cli.register(QuarantineCommand);
+  cli.register(LiftCommand);
   cli.register(Builtins.HelpCommand);
   cli.register(Builtins.VersionCommand);
   process.exitCode = await cli.run([...args]);
--- a/packages/cli/test/path.test.ts
+++ b/packages/cli/test/path.test.ts
@@ -83,3 +83,13 @@
   const body = (await (await answer).json()) as { choices: { text: string }[] };
   assert.equal(body.choices[0]!.text, expected().join(''));
 });
+
+test('operators list and lift quarantined requests', async () => {
+  const headers = { authorization: `Bearer ${demo.ready.operatorKey}` };
+  const url = `${demo.ready.operators[0]}/operators/v1/quarantine`;
+  const list = await fetch(url, { headers });
+  assert.deepEqual(await list.json(), { quarantined: [] });
+  const lift = (body: string) => fetch(`${url}/lift`, { method: 'POST', headers, body });
+  assert.equal((await lift('fig')).status, 422);
+  assert.deepEqual(await (await lift('0'.repeat(64))).json(), { lifted: false });
+});
--- a/packages/dispatch/src/avoidance.ts
+++ b/packages/dispatch/src/avoidance.ts
@@ -3,10 +3,10 @@
 import type { Clock, Millis, Random, ReplicaId } from '@tanagercart/base';
 
 /** Time for which a replica is avoided after its first failure, in milliseconds. */
-const firstMs: Millis = 500;
+const firstMs: Millis = 2000;
 
 /** Longest time for which a replica is avoided, in milliseconds. */
-const mostMs: Millis = 8000;
+const mostMs: Millis = 16_000;
 
 interface Failing {
   readonly failures: number;
--- a/packages/dispatch/src/budget.ts
+++ b/packages/dispatch/src/budget.ts
@@ -3,10 +3,10 @@
 import type { AccountId } from '@tanagercart/base';
 
 /** Share of all requests of this node that may be retried. */
-const nodeShare = 0.08;
+const nodeShare = 0.06;
 
 /** Retries that a node may save up. */
-const nodeBurst = 64;
+const nodeBurst = 3;
 
 /** Retries that a client account may save up. */
 const accountBurst = 8;
@@ -14,9 +14,6 @@
 /** Accounts whose budgets are kept at most. */
 const accountLimit = 20_000;
 
-/** Retries that a new budget starts with. */
-const startingRetries = 8;
-
 /** A token bucket that is filled by requests and emptied by retries. */
 export class RetryBudget {
   private saved: number;
@@ -25,7 +22,7 @@
     private readonly share: number,
     private readonly burst: number,
   ) {
-    this.saved = Math.min(startingRetries, burst);
+    this.saved = burst;
   }
 
   /** `share` of requests may be retried, and up to `burst` retries are saved up. */
@@ -38,9 +35,9 @@
     this.saved = Math.min(this.burst, this.saved + this.share);
   }
 
-  /** Whether a retry is paid for while `reserve` retries stay untouched. */
-  affords(reserve: number): boolean {
-    return this.saved >= 1 + reserve;
+  /** Whether a retry is paid for. */
+  get affords(): boolean {
+    return this.saved >= 1;
   }
 
   /** Pays for one retry. */
@@ -49,16 +46,6 @@
   }
 }
 
-/** Which retries go first when the budget runs low. */
-export type RetryUrgency =
-  /** A stream whose caller has tokens already. */
-  | 'resume'
-  /** A request that has not begun to be answered. */
-  | 'restart';
-
-/** Retries of a node that are kept for streams that were interrupted. */
-const resumeReserve = 4;
-
 /** The budgets of one node: one for each client account, and one for the node's part of the fleet. */
 export class RetryBudgets {
   private readonly node = RetryBudget.create(nodeShare, nodeBurst);
@@ -75,10 +62,9 @@
   }
 
   /** Takes one retry out of both budgets, or neither. */
-  take(account: AccountId, share: number, urgency: RetryUrgency): boolean {
+  take(account: AccountId, share: number): boolean {
     const own = this.of(account, share);
-    const reserve = urgency === 'resume' ? 0 : resumeReserve;
-    if (!this.node.affords(reserve) || !own.affords(0)) return false;
+    if (!this.node.affords || !own.affords) return false;
     this.node.withdraw();
     own.withdraw();
     return true;
--- a/packages/dispatch/src/generate.ts
+++ b/packages/dispatch/src/generate.ts
@@ -18,29 +18,24 @@
 import type { Engines, FinishReason, RunOrder } from '@tanagercart/upstream';
 import { acquire } from './acquire.js';
 import type { Acquired } from './acquire.js';
-import { Assembly } from './assembly.js';
-import { Avoidance } from './avoidance.js';
-import { RetryBudgets } from './budget.js';
 import { causeOf, ruleOf } from './cause.js';
 import type { RetryCause } from './cause.js';
 import { Clearance } from './clearance.js';
-import { fingerprintOf } from './generation.js';
+import { dispatchingOf } from './dispatching.js';
+import type { Dispatching } from './dispatching.js';
 import type { Generation, Piece } from './generation.js';
 import { Pace } from './pace.js';
-import { PromiseClock } from './promise.js';
 import type { Refusal } from './refusal.js';
 import { notRun } from './refusal.js';
+import { Retries } from './retry.js';
 import { WatchedRun } from './watch.js';
 import type { WatchedEvent } from './watch.js';
 
-/** Charged attempts for one request at most. */
-const attemptLimit = 4;
-
 /** How long giving a grant back may take, in milliseconds. */
 const releaseTimeoutMs: Millis = 1000;
 
-/** Pause before the second attempt, in milliseconds; doubles with each and is spread by jitter. */
-const backoffMs: Millis = 20;
+/** When a request that no gate answered for is told to come again, in milliseconds. */
+const gateAgainMs: Millis = 1000;
 
 /** What dispatch needs. */
 export interface DispatchOptions {
@@ -58,19 +53,6 @@
   readonly gates: (fingerprint: Digest) => readonly NodeId[];
 }
 
-/** One request while it is dispatched. */
-interface Dispatching {
-  readonly g: Generation;
-  readonly fingerprint: Digest;
-  readonly assembly: Assembly;
-  readonly promise: PromiseClock;
-  readonly signal: AbortSignal;
-  readonly failed: Grant[];
-  attempts: number;
-  charged: number;
-  mayHaveRun: boolean;
-}
-
 interface Attempt {
   readonly run: WatchedRun;
   readonly grant: Grant;
@@ -90,8 +72,7 @@
 
 /** Runs requests on behalf of callers. */
 export class Dispatch {
-  private readonly avoidance: Avoidance;
-  private readonly budgets = RetryBudgets.create();
+  private readonly retries: Retries;
   private readonly pace = Pace.create();
   private readonly clearance: Clearance;
   private readonly running = new Map<GrantId, WatchedRun>();
@@ -99,7 +80,7 @@
   readonly ended = Bell.create();
 
   private constructor(private readonly o: DispatchOptions) {
-    this.avoidance = Avoidance.create(o.clock, o.random);
+    this.retries = Retries.create(o);
     this.clearance = Clearance.create(o);
   }
 
@@ -120,18 +101,8 @@
 
   /** Yields the answer to one request; aborting `signal` cancels it at the engines. */
   async *generate(g: Generation, signal: AbortSignal): AsyncGenerator<Piece> {
-    this.budgets.request(g.account.id, g.tier.retryBudget);
-    const d: Dispatching = {
-      g,
-      fingerprint: fingerprintOf(g),
-      assembly: Assembly.create(g.id, g.passed),
-      promise: PromiseClock.create(this.o.clock, g.tier),
-      signal,
-      failed: [],
-      attempts: 0,
-      charged: 0,
-      mayHaveRun: false,
-    };
+    this.retries.request(g.account.id, g.tier.retryBudget);
+    const d = dispatchingOf(g, signal, this.o.clock);
     while (!signal.aborted) {
       const permitted = await this.permit(d);
       if (permitted.kind === 'aborted') return;
@@ -145,7 +116,7 @@
         yield { kind: 'end', reason: outcome.reason, tokens: d.assembly.passed.length };
         return;
       }
-      const refusal = await this.afterFailure(d, permitted.grant, outcome.cause);
+      const refusal = await this.retries.decide(d, permitted.grant, outcome.cause);
       if (refusal) {
         yield refused(d, refusal);
         return;
@@ -168,7 +139,7 @@
         case 'unreachable':
           return {
             kind: 'refused',
-            refusal: notRun('owner-unreachable', 'no gate answered for the request', backoffMs),
+            refusal: notRun('owner-unreachable', 'no gate answered for the request', gateAgainMs),
           };
         case 'wait':
           this.o.metrics.count('gate.wait');
@@ -188,7 +159,7 @@
       g,
       attempt: d.attempts,
       avoid: d.failed.map((grant) => grant.replica),
-      shun: this.avoidance.list(),
+      shun: this.retries.shunned,
       leftMs: () => promise.leftMs(assembly.passed.length),
       signal,
       patient: d.failed.length > 0 || assembly.passed.length > 0,
@@ -226,7 +197,7 @@
           if (firstTokenMs === undefined) {
             firstTokenMs = now - attempt.startedAt;
             this.pace.observeFirst(d.g.model.id, d.g.tier, firstTokenMs);
-            this.avoidance.worked(grant.replica);
+            this.retries.worked(grant.replica);
           } else {
             this.pace.observeGap(d.g.model.id, d.g.tier, now - last);
           }
@@ -316,41 +287,6 @@
     return this.clearance.settle(d.fingerprint, attempt.gate, attempt.grant.id, end);
   }
 
-  /** Decides on another attempt; yields the refusal where there is none. */
-  private async afterFailure(
-    d: Dispatching,
-    grant: Grant,
-    cause: RetryCause,
-  ): Promise<Refusal | undefined> {
-    const rule = ruleOf(cause);
-    const { g, assembly } = d;
-    d.promise.interrupted();
-    d.mayHaveRun ||= rule.mayHaveRun;
-    this.o.metrics.count('retry.cause', { reason: cause.kind });
-    this.o.logger.info('Attempt failed.', { request: g.id, reason: cause.kind });
-    if (rule.avoided) this.avoidance.failed(grant.replica);
-    if (!rule.charged) return undefined;
-    d.failed.push(grant);
-    d.charged += 1;
-    if (d.charged >= attemptLimit) return notRun('upstream-failed', 'every attempt failed');
-    if (d.promise.leftMs(assembly.passed.length) <= 0) {
-      return notRun('deadline', 'the promise ran out after a failed attempt');
-    }
-    const urgency = assembly.passed.length > 0 ? 'resume' : 'restart';
-    if (!this.budgets.take(g.account.id, g.tier.retryBudget, urgency)) {
-      return notRun('retry-budget', 'the retry budget is used up', 1000);
-    }
-    this.o.metrics.count('retry', { reason: cause.kind });
-    // An interrupted stream goes on at once: another chain is asked, and its caller is waiting.
-    if (urgency === 'restart') await this.backOff(d);
-    return undefined;
-  }
-
-  private backOff(d: Dispatching): Promise<void> {
-    const ms = backoffMs * 2 ** (d.charged - 1) * (0.5 + this.o.random.next());
-    return this.o.clock.sleep(ms, d.signal);
-  }
-
   private giveBack(
     grant: Grant,
     end: AttemptEnd,
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -10,5 +10,7 @@
 export * from './acquire.js';
 export * from './gate.js';
 export * from './clearance.js';
+export * from './dispatching.js';
+export * from './retry.js';
 export * from './generate.js';
 export * from './order.js';
--- a/packages/dispatch/src/order.ts
+++ b/packages/dispatch/src/order.ts
@@ -86,7 +86,7 @@
     const upstreams = this.o.upstreams(order.service).slice(0, attemptLimit);
     let mayHaveRun = false;
     for (const [attempt, upstream] of upstreams.entries()) {
-      if (attempt > 0 && !this.budgets.take(order.account, retryShare, 'restart')) break;
+      if (attempt > 0 && !this.budgets.take(order.account, retryShare)) break;
       const answer = await this.send(order, upstream, false);
       if (answer.isOk()) return ok(answer.value);
       mayHaveRun ||= answer.error.kind === 'lost';
--- a/packages/entry/src/operators.ts
+++ b/packages/entry/src/operators.ts
@@ -4,7 +4,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { timingSafeEqual } from 'node:crypto';
 import { digestOf, unreachable } from '@tanagercart/base';
-import type { Clock, Millis, NodeId } from '@tanagercart/base';
+import type { Clock, Digest, Millis, NodeId } from '@tanagercart/base';
 import type { Transport } from '@tanagercart/protocol';
 import { digestOfNote, parseNote } from '@tanagercart/release';
 import type { Proposer, SharedState } from '@tanagercart/state';
@@ -22,6 +22,12 @@
 /** Largest note, in bytes. */
 const noteBytes = 8 * 1024 * 1024;
 
+/** Largest body that names a fingerprint, in bytes. */
+const digestBytes = 128;
+
+/** Form of a fingerprint. */
+const digestForm = /^[0-9a-f]{64}$/;
+
 /** What a status reports. */
 export interface StatusReport {
   readonly node: NodeId;
@@ -70,6 +76,12 @@
     case 'GET /operators/v1/status':
       sendJson(res, 200, o.status());
       return;
+    case 'GET /operators/v1/quarantine':
+      sendJson(res, 200, { quarantined: o.state.quarantine.list(o.clock.wall()) });
+      return;
+    case 'POST /operators/v1/quarantine/lift':
+      await lift(o, req, res);
+      return;
     case 'POST /operators/v1/drain':
       o.drain();
       sendJson(res, 202, { draining: true });
@@ -131,6 +143,24 @@
   }
 }
 
+/** Lifts the quarantine of one fingerprint. */
+async function lift(o: OperatorOptions, req: IncomingMessage, res: ServerResponse): Promise<void> {
+  const body = await readBody(req, digestBytes);
+  const text = body.isOk() ? body.value.toString().trim() : '';
+  if (!digestForm.test(text)) {
+    sendJson(res, 422, { error: { code: 'malformed', message: 'a fingerprint is expected' } });
+    return;
+  }
+  const command = { kind: 'lift-quarantine', fingerprint: text as Digest } as const;
+  const committed = await o.proposer.propose(command, acceptTimeoutMs);
+  if (committed.isErr()) {
+    const { kind, detail } = committed.error;
+    sendJson(res, 503, { error: { code: kind, message: detail } });
+    return;
+  }
+  sendJson(res, 200, { lifted: committed.value.outcome.kind === 'done' });
+}
+
 function sendInvalid(res: ServerResponse, problems: readonly unknown[]): void {
   sendJson(res, 422, {
     error: { code: 'invalid-note', message: 'the note is not valid', problems },
--- a/packages/state/src/quarantine.ts
+++ b/packages/state/src/quarantine.ts
@@ -124,7 +124,9 @@
     this.advance(at);
     this.noteCrash(upstream, at);
     const known = this.table.get(fingerprint) ?? [];
-    if (known.some((s) => s.upstream === upstream)) return { kind: 'stale' };
+    // An upstream that came back and crashed again is one more loss.
+    const same = (s: Strike) => s.upstream === upstream && Math.abs(s.at - at) < oneCrashMs;
+    if (known.some(same)) return { kind: 'stale' };
     this.table.set(fingerprint, [...known, { upstream, at }]);
     return { kind: 'done' };
   }
--- a/packages/state/test/orders.test.ts
+++ b/packages/state/test/orders.test.ts
@@ -92,3 +92,10 @@
   const rack = [1, 2, 3, 4].map((i) => strike('p', `u${i}`, i * 100));
   assert.equal(applied(...rack).state.quarantine.holds(digestOf('p')), false);
 });
+
+test('an upstream that came back and crashed again counts twice, copies in one batch once', () => {
+  const batch = [strike('p', 'u1', 0), strike('p', 'u1', 5)];
+  assert.equal(applied(...batch).state.quarantine.strikesOf(digestOf('p')).length, 1);
+  const back = applied(...batch, strike('p', 'u1', 60_000));
+  assert.equal(back.state.quarantine.holds(digestOf('p')), true);
+});
