Resume an answer at another entry from the tokens that the caller names

Cause: a stream whose entry died had to start anew. Change: answers name model, version and adapter; a request with resume goes on after the tokens it lists. No state is shared for it.

--- a/packages/cli/test/path.test.ts
+++ b/packages/cli/test/path.test.ts
@@ -93,3 +93,19 @@
   assert.equal((await lift('fig')).status, 422);
   assert.deepEqual(await (await lift('0'.repeat(64))).json(), { lifted: false });
 });
+
+test('another entry goes on after the tokens that the caller names', async () => {
+  const first = await post('/v1/completions', { ...asked, stream: true });
+  await first.text();
+  const model = first.headers.get('tanagercart-model');
+  const resume = expected().slice(0, 5);
+  const answer = await post('/v1/completions', { ...asked, model, resume });
+  const body = (await answer.json()) as { choices: { text: string }[] };
+  assert.equal(body.choices[0]!.text, expected().slice(5).join(''));
+});
+
+test('a resume under a version that is not held is refused not-run', async () => {
+  const answer = await post('/v1/completions', { ...asked, model: 'fig-advisor:0', resume: ['a'] });
+  assert.equal(answer.status, 404);
+  assert.equal(answer.headers.get('tanagercart-run'), 'not-run');
+});
--- a/packages/entry/src/answers.ts
+++ b/packages/entry/src/answers.ts
@@ -14,6 +14,9 @@
 import type { Door } from './door.js';
 import { refusalBody, sendRefusal } from './refuse.js';
 
+/** Header that names model, version and adapter of an answer, for a resume at another entry. */
+const modelHeader = 'tanagercart-model';
+
 /** Header that names the tier. */
 const tierHeader = 'tanagercart-tier';
 
@@ -34,6 +37,7 @@
   res.on('close', () => hangUp.abort());
   const created = Math.floor(door.o.clock.wall() / 1000);
   const writer = AnswerWriter.create(kind, generation.id, asked.model, created);
+  res.setHeader(modelHeader, modelOf(generation));
   const pieces = door.o.dispatch.generate(generation, hangUp.signal);
   if (asked.stream) await sendStream(door, res, writer, pieces);
   else await sendWhole(door, res, writer, generation, pieces);
@@ -93,6 +97,9 @@
   if (asked.maxTokens > limits.answerTokens) {
     return err(notRun('too-large', `an answer may have ${limits.answerTokens} tokens`));
   }
+  if (asked.resume.length >= asked.maxTokens) {
+    return err(notRun('malformed', 'resume: the answer already has all of its tokens'));
+  }
   const generation: Generation = {
     id: RequestId(randomUUID()),
     account,
@@ -104,6 +111,7 @@
     prompt: asked.prompt,
     seed: asked.seed,
     maxTokens: asked.maxTokens,
+    passed: asked.resume,
   };
   if (state.quarantine.holds(fingerprintOf(generation), door.o.clock.wall())) {
     return err(notRun('quarantined', 'this request has crashed the upstreams that ran it'));
@@ -111,6 +119,11 @@
   return ok(generation);
 }
 
+/** A model's name with the version and adapter that answer. */
+function modelOf({ model, version, adapter }: Generation): string {
+  return [model.id, version, ...(adapter ? [adapter] : [])].join(':');
+}
+
 async function sendStream(
   door: Door,
   res: ServerResponse,
--- a/packages/entry/src/chat.ts
+++ b/packages/entry/src/chat.ts
@@ -20,6 +20,7 @@
   stream: z.boolean().nullish(),
   seed: z.int().nullish(),
   max_tokens: z.int().positive().nullish(),
+  resume: z.array(z.string()).nullish(),
 };
 
 const chat = z.object({
@@ -41,6 +42,8 @@
   readonly stream: boolean;
   readonly seed: number;
   readonly maxTokens: number;
+  /** Tokens that the caller has of the answer already. */
+  readonly resume: readonly string[];
 }
 
 /** Parses the body of a request; the error names the key. */
@@ -59,6 +62,7 @@
     stream: b.stream ?? false,
     seed: b.seed ?? 0,
     maxTokens: most ?? b.max_tokens ?? defaultMaxTokens,
+    resume: b.resume ?? [],
   });
 }
 
