--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -10,15 +10,14 @@
 import { Door, createCallerServer, createOperatorServer } from '@tanagercart/entry';
 import { MemoryStore, Raft, defaultTiming } from '@tanagercart/log';
 import {
-  ConfigurationLease,
-  Feed,
+  Control,
   History,
+  Ownership,
+  Progress,
   Upstreams,
   defaultLeaseTiming,
-  follow,
-  keepNodes,
-  ownerOf,
 } from '@tanagercart/membership';
+import type { ConfigurationLease } from '@tanagercart/membership';
 import { TcpTransport, encode } from '@tanagercart/protocol';
 import type { NodeAddress } from '@tanagercart/protocol';
 import type { Model } from '@tanagercart/release';
@@ -28,7 +27,6 @@
 import { Batches, Proposer } from '@tanagercart/state';
 import type { Replica, Upstream } from '@tanagercart/state';
 import { HttpEngines, HttpServices, createPool } from '@tanagercart/upstream';
-import { CommitTimes } from './incoming.js';
 import { close, listen } from './server.js';
 
 /** Entries that a caller is told of at most. */
@@ -56,19 +54,20 @@
 export class Node {
   readonly metrics: Metrics;
   readonly history = History.create();
-  readonly lease: ConfigurationLease;
   readonly transport: TcpTransport;
   private readonly pool = createPool();
   private readonly stopping = new AbortController();
   private readonly tasks: TaskGroup;
   private readonly proposer: Proposer;
-  private readonly commitTimes = CommitTimes.create();
+  private readonly progress: Progress;
+  private readonly control: Control;
   private readonly logger: Logger;
   private readonly callers: Server;
   private readonly operators: Server;
   private readonly owner: Owner;
+  private readonly ownership: Ownership;
+  private readonly incarnation = randomUUID();
   private readonly upstreams: Upstreams;
-  private readonly feed: Feed;
   private orders: Orders | undefined;
   private raft: Raft | undefined;
   private address: NodeAddress;
@@ -82,7 +81,6 @@
     this.logger = o.logger;
     this.metrics = StatsdMetrics.create(statsdOf(settings));
     this.tasks = TaskGroup.create(onBroken);
-    this.lease = ConfigurationLease.create(clock);
     this.address = addressOf(settings);
     this.transport = TcpTransport.create({
       self,
@@ -93,8 +91,17 @@
       onBroken,
     });
     this.proposer = Proposer.create(this.transport, clock, () => settings.voters);
+    this.progress = Progress.create(this.transport, clock, () => settings.voters);
     this.upstreams = this.createUpstreams();
-    this.feed = this.createFeed();
+    this.control = this.createControl();
+    this.ownership = Ownership.create({
+      self,
+      incarnation: this.incarnation,
+      history: this.history,
+      transport: this.transport,
+      clock,
+      timing: defaultLeaseTiming,
+    });
     this.owner = this.createOwner();
     this.callers = createCallerServer(this.createDoor(), settings.limits.requestMs, onBroken);
     this.callers.on('request', (_, res) => {
@@ -125,6 +132,11 @@
   /** Base URL for operators. */
   operatorUrl = '';
 
+  /** How long this node may take new work under the state that it holds. */
+  get lease(): ConfigurationLease {
+    return this.control.lease;
+  }
+
   /** Whether this node may take new work now. */
   get ready(): boolean {
     return this.lease.valid && !this.draining;
@@ -192,11 +204,10 @@
     const { signal } = this.stopping;
     if (this.o.settings.voters.includes(this.id)) this.raft = this.createRaft();
     this.servePropose();
-    this.serveProgress();
-    this.tasks.start(() => follow(this.followOptions(), signal));
-    this.tasks.start(() => keepNodes(this.registrarOptions(), signal));
+    this.control.start(this.tasks, signal);
     this.tasks.start(() => keepPlans(this.plannerOptions(), signal));
     this.tasks.start(() => this.upstreams.watch(signal));
+    this.tasks.start(() => this.ownership.watch(signal));
   }
 
   private createRaft(): Raft {
@@ -208,7 +219,7 @@
       store: MemoryStore.create(),
       machine: {
         apply: (index, bytes) => {
-          this.commitTimes.note(index, clock.now());
+          this.control.commitTimes.note(index, clock.now());
           return encode(this.history.apply(index, bytes));
         },
       },
@@ -231,13 +242,20 @@
     });
   }
 
-  private createFeed(): Feed {
-    const source = {
-      leaseMs: () => (this.leads() ? defaultLeaseTiming.leaseMs : 0),
-      upTo: () => this.history.state.index,
-      parent: () => this.raft?.leader,
-    };
-    return Feed.create(this.transport, this.history, source, this.o.clock, defaultLeaseTiming);
+  private createControl(): Control {
+    return Control.create({
+      self: () => this.address,
+      incarnation: this.incarnation,
+      transport: this.transport,
+      history: this.history,
+      proposer: this.proposer,
+      leadership: { leads: () => this.leads(), leader: () => this.raft?.leader },
+      clock: this.o.clock,
+      timing: defaultLeaseTiming,
+      logger: this.logger.part('control'),
+      draining: () => this.draining,
+      seeds: () => this.o.settings.voters,
+    });
   }
 
   private createOwner(): Owner {
@@ -246,8 +264,8 @@
       state: this.history.state,
       clock: this.o.clock,
       transport: this.transport,
-      mayGrant: () => this.lease.valid,
-      owns: (replica) => this.ownerOfReplica(replica) === this.id,
+      mayGrant: () => this.ready,
+      owns: (replica) => this.ownership.mayGrant(replica),
       isLeaving: (upstream) => this.upstreams.isLeaving(upstream.id),
     });
   }
@@ -300,9 +318,8 @@
       key: this.o.operatorKey,
       state: this.history.state,
       proposer: this.proposer,
-      transport: this.transport,
+      progress: this.progress,
       clock: this.o.clock,
-      leader: () => this.raft?.leader ?? this.o.settings.voters[0],
       status: () => this.status(),
       drain: () => this.drainAsked.ring(),
     };
@@ -319,38 +336,14 @@
       leader: this.raft?.leader,
       voters: this.o.settings.voters,
       nodes: [...state.nodes.values()].map((n) => n.address),
-      replicas: [...state.replicas.values()].map((r) => ({ ...r, owner: this.ownerOfReplica(r) })),
+      replicas: [...state.replicas.values()].map((r) => ({
+        ...r,
+        owner: this.ownership.ownerOf(r),
+      })),
       upstreams: [...state.upstreams.values()],
     };
   }
 
-  private followOptions() {
-    return {
-      self: this.address,
-      incarnation: randomUUID(),
-      transport: this.transport,
-      history: this.history,
-      lease: this.lease,
-      clock: this.o.clock,
-      timing: defaultLeaseTiming,
-      logger: this.logger.part('follow'),
-      draining: () => this.draining,
-      seeds: () => this.o.settings.voters,
-    };
-  }
-
-  private registrarOptions() {
-    return {
-      feed: this.feed,
-      history: this.history,
-      proposer: this.proposer,
-      clock: this.o.clock,
-      timing: defaultLeaseTiming,
-      logger: this.logger.part('nodes'),
-      leads: () => this.leads(),
-    };
-  }
-
   private plannerOptions() {
     return {
       state: this.history.state,
@@ -371,13 +364,6 @@
     });
   }
 
-  private serveProgress(): void {
-    this.transport.serve('progress', async (_, call) => {
-      if (!this.leads()) return { kind: 'not-leader', leader: this.raft?.leader };
-      return this.feed.progress(call.index, this.commitTimes.at(call.index));
-    });
-  }
-
   private leads(): boolean {
     return this.raft?.holdsLease === true;
   }
@@ -387,16 +373,10 @@
     return known ?? this.o.settings.peers.find((p) => p.id === node)?.peer;
   }
 
-  private ownerOfReplica(replica: Replica): NodeId | undefined {
-    const [first] = replica.stages;
-    const dataCentre = first && this.history.state.upstreams.get(first)?.dataCentre;
-    return ownerOf(this.history.state, replica.id, dataCentre ?? '');
-  }
-
   private ownersOf(model: Model): readonly NodeId[] {
     const owners = new Set<NodeId>();
     for (const replica of this.history.state.replicas.values()) {
-      const owner = replica.model === model.id && this.ownerOfReplica(replica);
+      const owner = replica.model === model.id && this.ownership.ownerOf(replica);
       if (owner) owners.add(owner);
     }
     return rendezvous(randomUUID(), [...owners]);
--- a/packages/protocol/src/message.ts
+++ b/packages/protocol/src/message.ts
@@ -1,5 +1,6 @@
 /** Every exchange between the nodes: one call and one reply. */
 
+import type { LimitCall, LimitReply } from './limitmessage.js';
 import type { AnnounceCall, AnnounceReply } from './announcemessage.js';
 import type { FollowCall, FollowReply, ProgressCall, ProgressReply } from './followmessage.js';
 import type { ClearCall, ClearReply, SettleCall, SettleReply } from './gatemessage.js';
@@ -11,6 +12,7 @@
   ReleaseCall,
   ReleaseReply,
 } from './grantmessage.js';
+import type { HandoverCall, HandoverReply } from './ownermessage.js';
 import type {
   AppendCall,
   AppendReply,
@@ -38,6 +40,8 @@
   preempt: { call: PreemptCall; reply: PreemptReply };
   clear: { call: ClearCall; reply: ClearReply };
   settle: { call: SettleCall; reply: SettleReply };
+  limit: { call: LimitCall; reply: LimitReply };
+  handover: { call: HandoverCall; reply: HandoverReply };
   announce: { call: AnnounceCall; reply: AnnounceReply };
 }
 
--- a/packages/state/src/command.ts
+++ b/packages/state/src/command.ts
@@ -5,12 +5,14 @@
 import type { OrderChange, OrderCommand } from './orders.js';
 import type { QuarantineCommand, QuarantineOutcome } from './quarantine.js';
 import type { ReleaseCommand, ReleaseOutcome } from './releases.js';
+import type { RosterCommand, RosterOutcome } from './roster.js';
 import type { UpstreamCommand, UpstreamOutcome } from './upstreams.js';
 
 /** One change of the replicated state. */
 export type Command =
   | ReleaseCommand
   | NodeCommand
+  | RosterCommand
   | UpstreamCommand
   | OrderCommand
   | QuarantineCommand
@@ -21,6 +23,7 @@
 export type Outcome =
   | ReleaseOutcome
   | NodeOutcome
+  | RosterOutcome
   | UpstreamOutcome
   | OrderChange
   | QuarantineOutcome
--- a/packages/state/test/orders.test.ts
+++ b/packages/state/test/orders.test.ts
@@ -52,6 +52,7 @@
     kind: 'node-down',
     node,
     incarnation: '',
+    stopped: false,
   });
   assert.deepEqual(state.orders.find(name('k'))?.outcome, { kind: 'unknown' });
   assert.equal(state.orders.find(name('j'))?.outcome, undefined);
