--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -25,7 +25,7 @@
 import { Owner } from '@tanagercart/scheduling';
 import type { Settings } from '@tanagercart/settings';
 import { Batches, Proposer } from '@tanagercart/state';
-import type { Replica, Upstream } from '@tanagercart/state';
+import type { Upstream } from '@tanagercart/state';
 import { HttpEngines, HttpServices, createPool } from '@tanagercart/upstream';
 import { close, listen } from './server.js';
 
