--- a/packages/dispatch/src/order.ts
+++ b/packages/dispatch/src/order.ts
@@ -1,6 +1,6 @@
 /** Calls to plain services: repeatable ones are retried, the others are placed at most once. */
 
-import { digestOf, invariant, unreachable } from '@tanagercart/base';
+import { Bell, digestOf, invariant, unreachable } from '@tanagercart/base';
 import type {
   AccountId,
   Clock,
@@ -68,6 +68,7 @@
 export class Orders {
   private readonly budgets = RetryBudgets.create();
   private open = 0;
+  private readonly settled = Bell.create();
 
   private constructor(private readonly o: OrdersOptions) {}
 
@@ -80,15 +81,26 @@
     return this.open;
   }
 
+  /** Resolves once every outcome is recorded, or given up. */
+  async untilSettled(): Promise<void> {
+    while (this.open > 0) await this.settled.wait();
+  }
+
+  private close(): void {
+    this.open -= 1;
+    this.settled.ring();
+  }
+
   /** Sends an idempotent call; tries other upstreams when one fails, within the retry budgets. */
-  async repeatable(order: Order): Promise<Result<ServiceAnswer, Refusal>> {
+  async repeatable(order: Order, signal?: AbortSignal): Promise<Result<ServiceAnswer, Refusal>> {
     this.budgets.request(order.account, retryShare);
     const upstreams = this.o.upstreams(order.service).slice(0, attemptLimit);
     let mayHaveRun = false;
     for (const [attempt, upstream] of upstreams.entries()) {
       if (attempt > 0 && !this.budgets.take(order.account, retryShare)) break;
-      const answer = await this.send(order, upstream, false);
+      const answer = await this.send(order, upstream, false, signal);
       if (answer.isOk()) return ok(answer.value);
+      if (signal?.aborted) break;
       mayHaveRun ||= answer.error.kind === 'lost';
       this.o.metrics.count('retry', { reason: answer.error.kind });
     }
@@ -108,7 +120,7 @@
     const claimed = await this.claim(name, digestOfOrder(order), claimant);
     if (claimed.kind !== 'claimed') {
       if (claimed.kind === 'doubtful') void this.settle(name, claimant, { kind: 'not-run' });
-      else this.open -= 1;
+      else this.close();
       return claimed.kind === 'known' ? answerOf(claimed.outcome) : err(claimed.refusal);
     }
     invariant(
@@ -162,13 +174,17 @@
     order: Order,
     upstream: Upstream,
     once: boolean,
+    hangUp?: AbortSignal,
   ): Promise<Result<ServiceAnswer, SendError>> {
     const { method, headers, body, path } = order;
     const request = { url: upstream.url + path, method, headers, body, once };
     const late = new AbortController();
     const done = new AbortController();
     void this.o.clock.sleep(callTimeoutMs, done.signal).then(() => late.abort());
-    const answer = await this.o.services.send(request, late.signal);
+    const answer = await this.o.services.send(
+      request,
+      hangUp ? AbortSignal.any([hangUp, late.signal]) : late.signal,
+    );
     done.abort();
     return answer;
   }
@@ -187,7 +203,7 @@
       }
       await this.o.clock.sleep(settlePauseMs);
     }
-    this.open -= 1;
+    this.close();
   }
 }
 
