--- a/packages/cli/src/demo.ts
+++ b/packages/cli/src/demo.ts
@@ -3,6 +3,7 @@
 import { join } from 'node:path';
 import { BunyanLogger } from '@tanagercart/base';
 import type { Clock, LogLevel } from '@tanagercart/base';
+import { MemoryDisk } from '@tanagercart/log';
 import { Node } from '@tanagercart/node';
 import type { Settings } from '@tanagercart/settings';
 import { EngineStandIn, OrderDesk } from '@tanagercart/standin';
@@ -92,6 +93,9 @@
       operatorKey,
       clock: o.clock,
       logger: BunyanLogger.create(settings.node.id, o.logLevel ?? 'warn').part('node'),
+      ...(o.data === undefined && settings.voters.includes(settings.node.id)
+        ? { disk: MemoryDisk.create() }
+        : {}),
       onBroken: (error) => {
         throw error;
       },
--- a/packages/membership/src/feed.ts
+++ b/packages/membership/src/feed.ts
@@ -92,6 +92,8 @@
   private async hold(call: FollowCall): Promise<void> {
     const { clock, history, lease, position, timing } = this.o;
     if (history.state.index > call.applied) return;
+    // A caller that was cut off from its parent is not kept waiting.
+    if (this.leaseMs() > call.leaseLeftMs + timing.holdMs * 2) return;
     const holdMs = call.floor < history.state.index ? catchUpHoldMs : timing.holdMs;
     const bell = position.leads ? history.changed : lease.renewed;
     await bell.waitUpTo(holdMs, clock);
--- a/packages/membership/src/follow.ts
+++ b/packages/membership/src/follow.ts
@@ -22,7 +22,7 @@
 const replyMarginMs = 300;
 
 /** Share of a lease below which a parent that does not renew it is passed over. */
-const leastLeaseShare = 0.4;
+const leastLeaseShare = 0.7;
 
 /** What a follower needs. */
 export interface FollowOptions {
@@ -110,6 +110,7 @@
       floor,
       behind: floor < applied ? subtree.behind(floor + 1) : [],
       draining: this.o.draining(),
+      leaseLeftMs: this.o.lease.leftMs,
       ...this.reporter.next(),
     };
   }
@@ -154,7 +155,9 @@
     if (hint && hint !== own) return hint;
     const others = seeds().filter((n) => n !== own);
     this.turn += 1;
-    return others[this.turn % Math.max(1, others.length)];
+    const fresh = others.filter((n) => !this.isAvoided(n));
+    const from = fresh.length > 0 ? fresh : others;
+    return from[this.turn % Math.max(1, from.length)];
   }
 
   private isAvoided(node: NodeId): boolean {
--- a/packages/membership/test/cluster.ts
+++ b/packages/membership/test/cluster.ts
@@ -9,8 +9,9 @@
   digestOf,
   silentLogger,
 } from '@tanagercart/base';
-import { MemoryStore, Raft, defaultTiming } from '@tanagercart/log';
-import { MemoryNetwork, encode } from '@tanagercart/protocol';
+import { DiskStore, MemoryDisk, Raft, defaultLimits, defaultTiming } from '@tanagercart/log';
+import { MemoryNetwork, decode, encode } from '@tanagercart/protocol';
+import type { StateSnapshot } from '@tanagercart/protocol';
 import { Proposer } from '@tanagercart/state';
 import type { ReleaseCommand } from '@tanagercart/state';
 import { Control, History, Ownership, Progress, defaultLeaseTiming } from '../src/index.js';
@@ -58,30 +59,43 @@
     draining: () => member.draining,
     seeds: () => voters,
   });
-  if (voters.includes(id)) {
-    member.raft = Raft.create({
+  const startVoter = async () => {
+    const options = { disk: MemoryDisk.create(), random: net.random, logger: silentLogger };
+    const store = (await DiskStore.open(options))._unsafeUnwrap();
+    return Raft.create({
       self: id,
-      voters,
+      initial: voters,
       transport,
-      store: MemoryStore.create(),
+      store,
       machine: {
         apply: (index, bytes) => {
           control.commitTimes.note(index, clock.now());
           return encode(history.apply(index, bytes));
         },
+        snapshot: () => encode({ index: history.state.index, bytes: history.state.snapshot() }),
+        restore: (data) => history.restore(decode<StateSnapshot>(data)),
       },
       clock,
       random: net.random,
       timing: defaultTiming,
+      limits: defaultLimits,
       logger: silentLogger,
       onBroken: broken,
     });
+  };
+  if (voters.includes(id)) {
+    tasks.start(async () => {
+      member.raft = await startVoter();
+    });
   }
   transport.serve('propose', async (_, { bytes }) => {
     if (!member.raft) return { kind: 'not-leader', leader: undefined };
     const applied = await member.raft.propose(bytes);
     if (applied.isOk()) return { kind: 'applied', ...applied.value };
     if (applied.error.kind === 'not-leader') return applied.error;
+    if (applied.error.kind === 'overloaded') {
+      return { kind: 'unavailable', reason: 'too many proposals wait' };
+    }
     return { kind: 'unknown', reason: 'leadership was lost' };
   });
   control.start(tasks, stop.signal);
--- a/packages/node/src/listeners.ts
+++ b/packages/node/src/listeners.ts
@@ -65,7 +65,8 @@
     release: state.release.number,
     index: state.index,
     leader: control.leader,
-    voters: p.settings.voters,
+    voters: control.voters,
+    logFailed: control.logFailed,
     nodes: [...state.nodes.values()].map((n) => n.address),
     replicas: [...state.replicas.values()].map((r) => ({
       ...r,
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -8,6 +8,7 @@
 import type { Clock, Logger, Metrics, NodeId } from '@tanagercart/base';
 import { createCallerServer, createOperatorServer } from '@tanagercart/entry';
 import type { Door } from '@tanagercart/entry';
+import type { Disk } from '@tanagercart/log';
 import { History, Ownership, Progress, Upstreams } from '@tanagercart/membership';
 import type { ConfigurationLease } from '@tanagercart/membership';
 import { TcpTransport } from '@tanagercart/protocol';
@@ -34,6 +35,8 @@
   readonly upstreamKey?: string;
   readonly clock: Clock;
   readonly logger: Logger;
+  /** Takes the place of the data folder; a disk in memory forgets with the process. */
+  readonly disk?: Disk;
   /** Receives a broken invariant. */
   readonly onBroken: (error: unknown) => void;
 }
@@ -101,7 +104,9 @@
   static async open(options: NodeOptions): Promise<Result<Node, StartError>> {
     const node = new Node(options);
     const opened = await node.openListeners();
-    return opened.map(() => node);
+    if (opened.isOk()) return ok(node);
+    await node.stop();
+    return err(opened.error);
   }
 
   /** Begins to take part; `peers` are reached at these addresses rather than those in the settings. */
@@ -146,6 +151,7 @@
     this.logger.info('Draining.');
     this.draining = true;
     await this.untilTakenOut();
+    await this.control.handOver();
     await this.door.inProgress.untilIdle();
     await this.door.o.orders.untilSettled();
     this.logger.info('Drained.', { grantsLeft: this.owner.inUse });
@@ -190,7 +196,7 @@
     }
     this.address = { ...this.address, peer: peer.value, entry: `http://${entry.value}` };
     this.operatorUrl = `http://${operator.value}`;
-    return ok(undefined);
+    return (await this.control.open()).mapErr((detail) => ({ detail }));
   }
 
   private async listenPeers(address: string): Promise<Result<string, Error>> {
@@ -250,6 +256,7 @@
     const { incarnation, transport, history, proposer } = this;
     return ControlPlane.create({
       settings,
+      disk: this.o.disk,
       address: () => this.address,
       incarnation,
       transport,
--- a/packages/protocol/src/message.ts
+++ b/packages/protocol/src/message.ts
@@ -16,6 +16,8 @@
 import type {
   AppendCall,
   AppendReply,
+  InspectCall,
+  InspectReply,
   ProposeCall,
   ProposeReply,
   SnapshotCall,
@@ -24,6 +26,8 @@
   TransferReply,
   VoteCall,
   VoteReply,
+  VotersCall,
+  VotersReply,
 } from './logmessage.js';
 
 /** Every kind of exchange with its call and its reply. */
@@ -32,6 +36,8 @@
   append: { call: AppendCall; reply: AppendReply };
   snapshot: { call: SnapshotCall; reply: SnapshotReply };
   transfer: { call: TransferCall; reply: TransferReply };
+  inspect: { call: InspectCall; reply: InspectReply };
+  voters: { call: VotersCall; reply: VotersReply };
   propose: { call: ProposeCall; reply: ProposeReply };
   follow: { call: FollowCall; reply: FollowReply };
   progress: { call: ProgressCall; reply: ProgressReply };
