--- a/packages/bench/src/orders.ts
+++ b/packages/bench/src/orders.ts
@@ -14,7 +14,7 @@
 import type { Millis } from '@tanagercart/base';
 import { Orders } from '@tanagercart/dispatch';
 import type { Order } from '@tanagercart/dispatch';
-import { MemoryStore, Raft, defaultTiming } from '@tanagercart/log';
+import { DiskStore, MemoryDisk, Raft, defaultLimits, defaultTiming } from '@tanagercart/log';
 import { MemoryNetwork, encode } from '@tanagercart/protocol';
 import { Batches, Proposer, SharedState, decodeCommand } from '@tanagercart/state';
 import type { Proposals, Upstream } from '@tanagercart/state';
@@ -29,6 +29,9 @@
 /** Time that the desk takes for a call, in milliseconds. */
 const deskMs: Millis = 20;
 
+/** Time that a disk takes to sync, in milliseconds. */
+const syncMs: Millis = 1;
+
 interface Trial {
   readonly p50: Millis;
   readonly p95: Millis;
@@ -68,9 +71,10 @@
   const clock = HeldClock.create();
   const random = SeededRandom.create(seed);
   const network = MemoryNetwork.create(clock, random);
-  const state = createVoters(clock, network, random);
+  const starting = createVoters(clock, network, random);
   const proposer = Proposer.create(network.attach(entry), clock, () => voters);
-  await clock.advance(5000);
+  await clock.advance(10_000);
+  const state = await starting;
   const sender = createOrders(
     clock,
     mode === 'batched' ? Batches.create(proposer, clock) : proposer,
@@ -100,19 +104,30 @@
 }
 
 /** Starts three voters on a network in memory; returns the state of one of them. */
-function createVoters(clock: HeldClock, network: MemoryNetwork, random: SeededRandom): SharedState {
-  const states = voters.map((self) => {
+async function createVoters(
+  clock: HeldClock,
+  network: MemoryNetwork,
+  random: SeededRandom,
+): Promise<SharedState> {
+  const starting = voters.map(async (self) => {
     const state = SharedState.create();
     const transport = network.attach(self);
+    const disk = MemoryDisk.create(clock, syncMs);
+    const opened = await DiskStore.open({ disk, random, logger: silentLogger });
     const raft = Raft.create({
       self,
-      voters,
+      initial: voters,
       transport,
-      store: MemoryStore.create(),
-      machine: { apply: (index, bytes) => encode(state.apply(index, decodeCommand(bytes))) },
+      store: opened._unsafeUnwrap(),
+      machine: {
+        apply: (index, bytes) => encode(state.apply(index, decodeCommand(bytes))),
+        snapshot: () => state.snapshot(),
+        restore: (data) => state.restore(state.index + 1, data),
+      },
       clock,
       random,
       timing: defaultTiming,
+      limits: defaultLimits,
       logger: silentLogger,
       onBroken: (error) => {
         throw error;
@@ -126,7 +141,7 @@
     });
     return state;
   });
-  return states[0]!;
+  return (await Promise.all(starting))[0]!;
 }
 
 function createOrders(clock: HeldClock, proposals: Proposals): Orders {
