--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -11,7 +11,15 @@
 const defaultSeed = 1;
 
 /** Every measurement, loaded on demand from the module of its name. */
-const benches: readonly string[] = ['limits', 'log', 'inforce', 'control'];
+const benches: readonly string[] = [
+  'limits',
+  'log',
+  'inforce',
+  'control',
+  'orders',
+  'poison',
+  'retries',
+];
 
 async function main(args: readonly string[]): Promise<number> {
   const names = args.filter((a) => benches.includes(a));
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -2,6 +2,7 @@
 
 import { Builtins, Cli, UsageError } from 'clipanion';
 import { CheckCommand, DemoCommand, NodeCommand, StatusCommand } from './commands.js';
+import { LiftCommand, QuarantineCommand } from './quarantine.js';
 import { HistoryCommand, ShowReleaseCommand, SubmitCommand } from './release.js';
 import { VotersChangeCommand, VotersShowCommand } from './voters.js';
 
@@ -17,6 +18,8 @@
   StatusCommand,
   VotersShowCommand,
   VotersChangeCommand,
+  QuarantineCommand,
+  LiftCommand,
   DemoCommand,
 ];
 
--- a/packages/cli/test/path.test.ts
+++ b/packages/cli/test/path.test.ts
@@ -83,3 +83,29 @@
   const body = (await (await answer).json()) as { choices: { text: string }[] };
   assert.equal(body.choices[0]!.text, expected().join(''));
 });
+
+test('operators list and lift quarantined requests', async () => {
+  const headers = { authorization: `Bearer ${demo.ready.operatorKey}` };
+  const url = `${demo.ready.operators[0]}/operators/v1/quarantine`;
+  const list = await fetch(url, { headers });
+  assert.deepEqual(await list.json(), { quarantined: [] });
+  const lift = (body: string) => fetch(`${url}/lift`, { method: 'POST', headers, body });
+  assert.equal((await lift('fig')).status, 422);
+  assert.deepEqual(await (await lift('0'.repeat(64))).json(), { lifted: false });
+});
+
+test('another entry goes on after the tokens that the caller names', async () => {
+  const first = await post('/v1/completions', { ...asked, stream: true });
+  await first.text();
+  const model = first.headers.get('tanagercart-model');
+  const resume = expected().slice(0, 5);
+  const answer = await post('/v1/completions', { ...asked, model, resume });
+  const body = (await answer.json()) as { choices: { text: string }[] };
+  assert.equal(body.choices[0]!.text, expected().slice(5).join(''));
+});
+
+test('a resume under a version that is not held is refused not-run', async () => {
+  const answer = await post('/v1/completions', { ...asked, model: 'fig-advisor:0', resume: ['a'] });
+  assert.equal(answer.status, 404);
+  assert.equal(answer.headers.get('tanagercart-run'), 'not-run');
+});
--- a/packages/entry/src/answers.ts
+++ b/packages/entry/src/answers.ts
@@ -18,6 +18,9 @@
 /** Answer tokens where the caller names no limit. */
 const defaultMaxTokens = 1024;
 
+/** Header that names model, version and adapter of an answer, for a resume at another entry. */
+const modelHeader = 'tanagercart-model';
+
 /** Header that names the tier. */
 const tierHeader = 'tanagercart-tier';
 
@@ -38,6 +41,7 @@
   res.on('close', () => hangUp.abort());
   const created = Math.floor(door.o.clock.wall() / 1000);
   const writer = AnswerWriter.create(kind, generation.id, asked.model, created);
+  res.setHeader(modelHeader, modelOf(generation));
   const pieces = door.o.dispatch.generate(generation, hangUp.signal);
   const delivery = Delivery.create({ door, res, writer, asked, generation });
   await (asked.stream ? delivery.stream(pieces) : delivery.whole(pieces));
@@ -101,6 +105,9 @@
   if (Buffer.byteLength(asked.prompt) > limits.promptBytes) {
     return err(notRun('prompt-too-large', `a prompt may have ${limits.promptBytes} bytes`));
   }
+  if (asked.resume.length >= maxTokens) {
+    return err(notRun('malformed', 'resume: the answer already has all of its tokens'));
+  }
   const generation: Generation = {
     id: RequestId(randomUUID()),
     account,
@@ -112,9 +119,15 @@
     prompt: asked.prompt,
     seed: asked.seed,
     maxTokens,
+    passed: asked.resume,
   };
-  if (state.quarantine.holds(fingerprintOf(generation))) {
+  if (state.quarantine.holds(fingerprintOf(generation), door.o.clock.wall())) {
     return err(notRun('quarantined', 'this request has crashed the upstreams that ran it'));
   }
   return ok(generation);
 }
+
+/** A model's name with the version and adapter that answer. */
+function modelOf({ model, version, adapter }: Generation): string {
+  return [model.id, version, ...(adapter ? [adapter] : [])].join(':');
+}
--- a/packages/entry/src/chat.ts
+++ b/packages/entry/src/chat.ts
@@ -16,6 +16,7 @@
   stream: z.boolean().nullish(),
   seed: z.int().nullish(),
   max_tokens: z.int().positive().nullish(),
+  resume: z.array(z.string()).nullish(),
   n: z.literal(1, 'only one answer for a request is supported').nullish(),
   stop: z.union([z.string(), z.array(z.string()).max(4)]).nullish(),
   stream_options: z.object({ include_usage: z.boolean().nullish() }).nullish(),
@@ -45,6 +46,8 @@
   readonly stop: readonly string[];
   /** Whether a streamed answer ends with its numbers of tokens. */
   readonly includeUsage: boolean;
+  /** Tokens that the caller has of the answer already. */
+  readonly resume: readonly string[];
 }
 
 /** What is wrong with a request. */
@@ -74,6 +77,7 @@
     maxTokens: most ?? b.max_tokens ?? undefined,
     stop: stopOf(b.stop),
     includeUsage: b.stream_options?.include_usage ?? false,
+    resume: b.resume ?? [],
   });
 }
 
--- a/packages/entry/src/operators.ts
+++ b/packages/entry/src/operators.ts
@@ -5,6 +5,7 @@
 import type { NodeId } from '@tanagercart/base';
 import { carriesKey } from './bearer.js';
 import { sendJson } from './body.js';
+import { liftQuarantine, listQuarantine } from './quarantine.js';
 import { listReleases, showRelease, submitRelease, tryRelease } from './releases.js';
 import type { ReleaseDesk } from './releases.js';
 import { changeVoters, showVoters } from './voters.js';
@@ -71,6 +72,12 @@
     case 'POST /operators/v1/voters':
       await changeVoters(o, req, res);
       return;
+    case 'GET /operators/v1/quarantine':
+      listQuarantine(o, res);
+      return;
+    case 'POST /operators/v1/quarantine/lift':
+      await liftQuarantine(o, req, res);
+      return;
     case 'POST /operators/v1/drain':
       o.drain();
       sendJson(res, 202, { draining: true });
--- a/packages/node/src/listeners.ts
+++ b/packages/node/src/listeners.ts
@@ -1,13 +1,15 @@
 /** What the listeners for callers and operators are made of. */
 
+import { rendezvous, systemRandom } from '@tanagercart/base';
 import type { Clock, Logger, Metrics } from '@tanagercart/base';
-import { Dispatch, Orders } from '@tanagercart/dispatch';
+import { Dispatch, Gate, Orders } from '@tanagercart/dispatch';
 import { Door } from '@tanagercart/entry';
 import type { StatusReport } from '@tanagercart/entry';
 import type { ConfigurationLease, Upstreams } from '@tanagercart/membership';
 import type { Transport } from '@tanagercart/protocol';
 import type { Settings } from '@tanagercart/settings';
-import type { Proposer, SharedState } from '@tanagercart/state';
+import { Batches } from '@tanagercart/state';
+import type { Proposals, Proposer, SharedState } from '@tanagercart/state';
 import { HttpEngines, HttpServices } from '@tanagercart/upstream';
 import type { createPool } from '@tanagercart/upstream';
 import type { ControlPlane } from './controlplane.js';
@@ -33,12 +35,15 @@
 
 /** Creates what callers reach. */
 export function createDoor(p: Parts): Door {
+  const { state, clock, transport } = p;
+  Gate.create({ state, clock, transport, isUp: (node) => state.nodes.has(node) });
+  const proposals = Batches.create(p.proposer, clock);
   return Door.create({
     self: p.settings.node.id,
     state: p.state,
     lease: p.lease,
-    dispatch: createDispatch(p),
-    orders: createOrders(p),
+    dispatch: createDispatch(p, proposals),
+    orders: createOrders(p, proposals),
     upstreams: p.upstreams,
     clock: p.clock,
     logger: p.logger.part('entry'),
@@ -71,25 +76,28 @@
   };
 }
 
-function createDispatch(p: Parts): Dispatch {
+function createDispatch(p: Parts, proposals: Proposals): Dispatch {
   return Dispatch.create({
     clock: p.clock,
     logger: p.logger.part('dispatch'),
     metrics: p.metrics,
     transport: p.transport,
     engines: HttpEngines.create(p.pool),
-    proposer: p.proposer,
+    random: systemRandom,
+    proposals,
+    state: p.state,
     owners: (model) => p.directory.ownersOf(model),
+    gates: (fingerprint) => rendezvous(fingerprint, [...p.state.nodes.keys()]),
   });
 }
 
-function createOrders(p: Parts): Orders {
+function createOrders(p: Parts, proposals: Proposals): Orders {
   return Orders.create({
     self: p.settings.node.id,
     clock: p.clock,
     logger: p.logger.part('orders'),
     metrics: p.metrics,
-    proposer: p.proposer,
+    proposals,
     services: HttpServices.create(p.pool),
     upstreams: (service) => p.directory.upstreamsOf(service),
   });
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -152,6 +152,7 @@
     this.draining = true;
     await this.untilTakenOut();
     await this.door.inProgress.untilIdle();
+    await this.door.o.orders.untilSettled();
     await this.control.handOver();
     this.logger.info('Drained.', { grantsLeft: this.owner.inUse });
     await this.stop();
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -10,4 +10,5 @@
 export * from './frame.js';
 export * from './tcp.js';
 export * from './memory.js';
+export * from './gatemessage.js';
 export * from './limitmessage.js';
--- a/packages/protocol/src/message.ts
+++ b/packages/protocol/src/message.ts
@@ -3,6 +3,7 @@
 import type { LimitCall, LimitReply } from './limitmessage.js';
 import type { AnnounceCall, AnnounceReply } from './announcemessage.js';
 import type { FollowCall, FollowReply, ProgressCall, ProgressReply } from './followmessage.js';
+import type { ClearCall, ClearReply, SettleCall, SettleReply } from './gatemessage.js';
 import type {
   PreemptCall,
   PreemptReply,
@@ -43,6 +44,8 @@
   acquire: { call: AcquireCall; reply: AcquireReply };
   release: { call: ReleaseCall; reply: ReleaseReply };
   preempt: { call: PreemptCall; reply: PreemptReply };
+  clear: { call: ClearCall; reply: ClearReply };
+  settle: { call: SettleCall; reply: SettleReply };
   limit: { call: LimitCall; reply: LimitReply };
   handover: { call: HandoverCall; reply: HandoverReply };
   announce: { call: AnnounceCall; reply: AnnounceReply };
--- a/packages/state/src/state.ts
+++ b/packages/state/src/state.ts
@@ -123,8 +123,12 @@
       case 'accept-release':
         return this.releases.apply(index, command);
       case 'node-up':
-      case 'node-down':
         return this.nodeTable.apply(index, command);
+      case 'node-down': {
+        const outcome = this.nodeTable.apply(index, command);
+        if (!this.nodes.has(command.node)) this.orders.abandon(command.node);
+        return outcome;
+      }
       case 'upstream-up':
       case 'upstream-down':
       case 'plan':
@@ -135,8 +139,11 @@
       case 'settle-order':
         return this.orders.apply(command);
       case 'strike':
+      case 'absolve':
       case 'lift-quarantine':
         return this.quarantine.apply(command);
+      case 'batch':
+        return { kind: 'batch', outcomes: command.commands.map((c) => this.change(index, c)) };
       default:
         return unreachable(command);
     }
--- a/packages/upstream/src/engine.ts
+++ b/packages/upstream/src/engine.ts
@@ -57,6 +57,8 @@
   | { readonly kind: 'refused'; readonly detail: string }
   /** The stream broke; `suspect` is the stage that the engines blame, if they know. */
   | { readonly kind: 'broken'; readonly detail: string; readonly suspect: UpstreamId | undefined }
+  /** The engine dropped the attempt, as it was told. */
+  | { readonly kind: 'cancelled'; readonly detail: string }
   /** No frame arrived in time. */
   | { readonly kind: 'stalled'; readonly detail: string };
 
@@ -70,6 +72,6 @@
 export interface Engines {
   /** Runs an attempt; aborting `signal` ends the stream. Never throws. */
   run(order: RunOrder, signal: AbortSignal): AsyncIterable<RunEvent>;
-  /** Tells the head of a chain to drop an attempt; its failure is harmless. */
+  /** Tells every stage of a chain to drop an attempt; its failure is harmless. */
   cancel(order: RunOrder): Promise<void>;
 }
--- a/packages/upstream/src/http.ts
+++ b/packages/upstream/src/http.ts
@@ -1,6 +1,6 @@
 /** Engines and services reached over HTTP with undici. */
 
-import { Agent, request } from 'undici';
+import { Agent, Client, request } from 'undici';
 import type { Dispatcher } from 'undici';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
@@ -20,6 +20,9 @@
 /** Longest time for opening a connection, in milliseconds. */
 const connectTimeoutMs = 1000;
 
+/** How long a stage may take to cancel an attempt, in milliseconds. */
+const cancelTimeoutMs = 2000;
+
 /** Codes of errors that arise before a request is written. */
 const unsentCodes: ReadonlySet<string> = new Set([
   'ECONNREFUSED',
@@ -32,6 +35,7 @@
 type Line =
   | ({ readonly t: 'token' } & TokenFrame)
   | { readonly t: 'end'; readonly reason: FinishReason }
+  | { readonly t: 'cancelled' }
   | { readonly t: 'failed'; readonly detail: string; readonly suspect?: string };
 
 /** A pool of connections shared by all upstream clients of a node. */
@@ -76,11 +80,14 @@
   }
 
   async cancel(order: RunOrder): Promise<void> {
-    const [head] = order.chain;
-    if (!head) return;
+    await Promise.all(order.chain.map((link) => this.cancelAt(link.url, order)));
+  }
+
+  private async cancelAt(url: string, order: RunOrder): Promise<void> {
+    const { request: id, attempt } = order;
+    const signal = AbortSignal.timeout(cancelTimeoutMs);
     try {
-      const { request: id, attempt } = order;
-      const response = await this.post(`${head.url}/v1/cancel`, { request: id, attempt });
+      const response = await this.post(`${url}/v1/cancel`, { request: id, attempt }, signal);
       await response.body.dump();
     } catch {
       // An engine that cannot be reached has nothing left to cancel.
@@ -110,10 +117,11 @@
     call: ServiceRequest,
     signal?: AbortSignal,
   ): Promise<Result<ServiceAnswer, SendError>> {
+    const own = call.once ? freshClient(call.url) : undefined;
     try {
       const response = await request(call.url, {
         method: call.method,
-        dispatcher: this.pool,
+        dispatcher: own ?? this.pool,
         headers: { ...call.headers },
         body: call.body.length > 0 ? call.body : null,
         ...(signal ? { signal } : {}),
@@ -124,10 +132,22 @@
     } catch (error) {
       const detail = detailOf(error);
       return err(wasSent(error) ? { kind: 'lost', detail } : { kind: 'unreachable', detail });
+    } finally {
+      void own?.destroy();
     }
   }
 }
 
+/** A client for one call: a kept connection may close under a request that was already written. */
+function freshClient(url: string): Client {
+  return new Client(new URL(url).origin, {
+    pipelining: 1,
+    connect: { timeout: connectTimeoutMs },
+    bodyTimeout: 0,
+    headersTimeout: 0,
+  });
+}
+
 async function* lines(chunks: AsyncIterable<Buffer>): AsyncGenerator<string> {
   let held = '';
   const decoder = new TextDecoder();
@@ -148,6 +168,8 @@
       return { kind: 'token', frame: line };
     case 'end':
       return { kind: 'end', reason: line.reason };
+    case 'cancelled':
+      return failed({ kind: 'cancelled', detail: 'cancelled at the engine' });
     case 'failed':
       return failed({ kind: 'broken', detail: line.detail, suspect: line.suspect as never });
     default:
