--- /dev/null
+++ b/packages/bench/src/demand.ts
@@ -0,0 +1,76 @@
+/** Requests that arrive at random, at a rate that follows the time. */
+
+import { AccountId, TierId } from '@tanagercart/base';
+import type { Millis, Random } from '@tanagercart/base';
+
+/** A request to come. */
+export interface Demand {
+  readonly at: Millis;
+  readonly account: AccountId;
+  readonly tier: TierId;
+  readonly promptTokens: number;
+  readonly tokens: number;
+  readonly maxTokens: number;
+}
+
+/** One kind of work. */
+export interface Work {
+  readonly tier: TierId;
+  /** Share of all generated tokens that is of this kind. */
+  readonly share: number;
+  readonly promptTokens: number;
+  readonly meanTokens: number;
+  /** Standard deviation of the logarithm of the length. */
+  readonly spread: number;
+}
+
+/** Accounts, the first ones larger than the rest. */
+export const accounts: readonly AccountId[] = Array.from({ length: 10 }, (_, i) =>
+  AccountId(`account-${i}`),
+);
+
+/** Share of the requests that each account sends. */
+const accountShares = [0.3, 0.25, 0.15, 0.06, 0.05, 0.05, 0.05, 0.04, 0.03, 0.02];
+
+export const urgent = TierId('urgent');
+export const standard = TierId('standard');
+export const patient = TierId('patient');
+
+/** Arrivals of `work` until `endMs`, at `tokensPerSecond(t)` generated tokens a second in all. */
+export function arrivals(
+  work: Work,
+  tokensPerSecond: (at: Millis) => number,
+  endMs: Millis,
+  random: Random,
+): readonly Demand[] {
+  const out: Demand[] = [];
+  let at = 0;
+  for (;;) {
+    const rate = (tokensPerSecond(at) * work.share) / work.meanTokens;
+    at += (-Math.log(1 - random.next()) * 1000) / Math.max(rate, 0.001);
+    if (at >= endMs) return out;
+    out.push(demandOf(work, at, random));
+  }
+}
+
+function demandOf(work: Work, at: Millis, random: Random): Demand {
+  const scale = Math.exp(work.spread * gauss(random) - work.spread ** 2 / 2);
+  const tokens = Math.max(1, Math.round(work.meanTokens * scale));
+  const promptTokens = Math.max(8, Math.round(work.promptTokens * (0.5 + random.next())));
+  const maxTokens = Math.max(tokens, work.meanTokens * 8);
+  return { at, account: accountOf(random), tier: work.tier, promptTokens, tokens, maxTokens };
+}
+
+function accountOf(random: Random): AccountId {
+  let left = random.next();
+  const at = accountShares.findIndex((share) => {
+    left -= share;
+    return left < 0;
+  });
+  return accounts[Math.max(0, at)]!;
+}
+
+function gauss(random: Random): number {
+  const radius = Math.sqrt(-2 * Math.log(1 - random.next()));
+  return radius * Math.cos(2 * Math.PI * random.next());
+}
--- /dev/null
+++ b/packages/bench/src/fakeengine.ts
@@ -0,0 +1,154 @@
+/** An engine that batches continuously, in held time. */
+
+import { Bell } from '@tanagercart/base';
+import type { Clock, Millis } from '@tanagercart/base';
+
+/** How fast an accelerator of one kind steps. */
+export interface EngineKind {
+  readonly name: string;
+  readonly slots: number;
+  /** Time of a step with an empty batch, in milliseconds. */
+  readonly baseMs: Millis;
+  /** Time that each sequence adds to a step, in milliseconds. */
+  readonly sequenceMs: Millis;
+  /** Time that each prompt token adds to a step, in milliseconds. */
+  readonly promptTokenMs: Millis;
+}
+
+/** Prompt tokens that one step reads at most. */
+const chunkTokens = 512;
+
+/** A sequence to run. */
+export interface Job {
+  readonly promptTokens: number;
+  readonly tokens: number;
+  /** Lower runs first. */
+  readonly priority: number;
+  readonly signal: AbortSignal;
+}
+
+/** What became of a job. */
+export interface JobResult {
+  readonly firstTokenAt: Millis | undefined;
+  readonly endAt: Millis;
+  readonly tokens: number;
+}
+
+interface Sequence {
+  readonly job: Job;
+  unread: number;
+  tokens: number;
+  firstTokenAt: Millis | undefined;
+  readonly done: (result: JobResult) => void;
+}
+
+/** Output tokens a second of a full batch, where each brings `promptPerToken` prompt tokens. */
+export function boundOf(kind: EngineKind, promptPerToken: number): number {
+  const tokenMs = kind.baseMs / kind.slots + kind.sequenceMs;
+  return 1000 / (tokenMs + promptPerToken * kind.promptTokenMs);
+}
+
+/** One replica: a batch of at most `slots` sequences; the rest wait in order of arrival. */
+export class FakeEngine {
+  private batch: Sequence[] = [];
+  private waiting: Sequence[] = [];
+  private readonly work = Bell.create();
+  private dead = false;
+
+  private constructor(
+    readonly kind: EngineKind,
+    private readonly clock: Clock,
+  ) {}
+
+  static create(kind: EngineKind, clock: Clock): FakeEngine {
+    const engine = new FakeEngine(kind, clock);
+    void engine.loop();
+    return engine;
+  }
+
+  /** Sequences that run or wait. */
+  get load(): number {
+    return this.batch.length + this.waiting.length;
+  }
+
+  get alive(): boolean {
+    return !this.dead;
+  }
+
+  /** Runs a job to its end, its cancellation or the death of the engine. */
+  run(job: Job): Promise<JobResult> {
+    return new Promise((done) => {
+      const unread = job.promptTokens;
+      const sequence = { job, unread, tokens: 0, firstTokenAt: undefined, done };
+      if (this.dead) {
+        done(this.resultOf(sequence));
+        return;
+      }
+      this.waiting.push(sequence);
+      this.work.ring();
+    });
+  }
+
+  /** Ends every job, as when the machine dies. */
+  die(): void {
+    this.dead = true;
+    for (const s of [...this.batch, ...this.waiting]) s.done(this.resultOf(s));
+    this.batch = [];
+    this.waiting = [];
+  }
+
+  private async loop(): Promise<void> {
+    while (!this.dead) {
+      this.fill();
+      if (this.batch.length === 0) {
+        await this.work.wait();
+        continue;
+      }
+      const read = this.readPrompts();
+      const decoding = this.batch.filter((s) => s.unread === 0).length;
+      const { baseMs, sequenceMs, promptTokenMs } = this.kind;
+      await this.clock.sleep(baseMs + sequenceMs * decoding + promptTokenMs * read);
+      if (!this.dead) this.emit();
+    }
+  }
+
+  private fill(): void {
+    this.waiting = this.waiting.filter((s) => !this.endIfCancelled(s));
+    const room = this.kind.slots - this.batch.length;
+    if (room > 0) this.batch.push(...this.waiting.splice(0, room));
+  }
+
+  private readPrompts(): number {
+    let left = chunkTokens;
+    const unread = this.batch.filter((s) => s.unread > 0);
+    for (const s of unread.sort((a, b) => a.job.priority - b.job.priority)) {
+      const read = Math.min(left, s.unread);
+      s.unread -= read;
+      left -= read;
+    }
+    return chunkTokens - left;
+  }
+
+  private emit(): void {
+    const now = this.clock.now();
+    this.batch = this.batch.filter((s) => {
+      if (this.endIfCancelled(s)) return false;
+      if (s.unread > 0) return true;
+      s.tokens += 1;
+      s.firstTokenAt ??= now;
+      if (s.tokens < s.job.tokens) return true;
+      s.done(this.resultOf(s));
+      return false;
+    });
+  }
+
+  private endIfCancelled(s: Sequence): boolean {
+    if (!s.job.signal.aborted) return false;
+    s.done(this.resultOf(s));
+    return true;
+  }
+
+  private resultOf(s: Sequence): JobResult {
+    return { firstTokenAt: s.firstTokenAt, endAt: this.clock.now(), tokens: s.tokens };
+  }
+}
--- a/packages/protocol/src/grantmessage.ts
+++ b/packages/protocol/src/grantmessage.ts
@@ -32,13 +32,23 @@
   readonly budgetMs: number;
   /** Replicas not to use, as earlier attempts failed there. */
   readonly avoid: readonly ReplicaId[];
+  /** How often an owner has already taken a grant of this request back. */
+  readonly preemptions?: number;
 }
 
 /** An owner's answer. A queued caller asks again with the same request and attempt. */
-export type AcquireReply =
+export type AcquireReply = (
   | { readonly kind: 'queued'; readonly againMs: number }
   | { readonly kind: 'granted'; readonly grant: Grant }
-  | { readonly kind: 'refused'; readonly reason: RefusalReason; readonly retryAfterMs: number };
+  | { readonly kind: 'refused'; readonly reason: RefusalReason; readonly retryAfterMs: number }
+) &
+  RoomHint;
+
+/** What an owner tells of its load with each reply. */
+export interface RoomHint {
+  /** Free slots on its replicas of the model, less the requests that wait for one. */
+  readonly room?: number;
+}
 
 /** Permission to run one attempt on one replica. */
 export interface Grant {
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,2 +1,3 @@
 export * from './chain.js';
 export * from './planner.js';
+export * from './chooser.js';
--- /dev/null
+++ b/packages/scheduling/src/admission.ts
@@ -0,0 +1,48 @@
+/** Decides whether a request fits on a replica without breaking a promise. */
+
+import type { Millis } from '@tanagercart/base';
+import type { AcquireCall } from '@tanagercart/protocol';
+import type { Candidate } from './candidates.js';
+
+/** What admission needs to know of a request. */
+export interface Wish {
+  readonly call: AcquireCall;
+  readonly gapMs: Millis;
+  /** Slots that must stay free on all candidates together. */
+  readonly reserve: number;
+}
+
+/** A replica for a request, with its predicted time to the first token. */
+export interface Placement {
+  readonly candidate: Candidate;
+  readonly firstTokenMs: Millis;
+}
+
+/** The replica with the earliest first token among those where every gap promise still holds. */
+export function placementOf(
+  wish: Wish,
+  candidates: readonly Candidate[],
+  now: Millis,
+): Placement | undefined {
+  let free = 0;
+  let best: Placement | undefined;
+  for (const candidate of candidates) {
+    const { load } = candidate;
+    free += Math.max(0, load.free);
+    if (load.free <= 0 || !gapHolds(candidate, wish.gapMs)) continue;
+    const firstTokenMs = firstTokenOn(candidate, wish.call, now);
+    if (!best || firstTokenMs < best.firstTokenMs) best = { candidate, firstTokenMs };
+  }
+  return free > wish.reserve ? best : undefined;
+}
+
+/** Predicted time from a grant now to the first token. */
+export function firstTokenOn(c: Candidate, call: AcquireCall, now: Millis): Millis {
+  const prefill = call.promptTokens + c.load.unreadTokens(now);
+  return c.load.model.firstTokenMs(c.load.running + 1, prefill);
+}
+
+function gapHolds(c: Candidate, gapMs: Millis): boolean {
+  const { load } = c;
+  return load.model.stepMs(load.running + 1) <= Math.min(gapMs, load.tightestGapMs);
+}
--- /dev/null
+++ b/packages/scheduling/src/forecast.ts
@@ -0,0 +1,42 @@
+/** Forecasts urgent arrivals from their recent rate. */
+
+import type { Clock, Millis } from '@tanagercart/base';
+
+/** Time over which the rate of arrivals is averaged, in milliseconds. */
+const windowMs: Millis = 500;
+
+/** Standard deviations of a Poisson count that a forecast covers. */
+const deviations = 2;
+
+/** An exponentially decaying rate of arrivals. */
+export class Forecast {
+  private weight = 0;
+  private at: Millis;
+
+  private constructor(private readonly clock: Clock) {
+    this.at = clock.now();
+  }
+
+  static create(clock: Clock): Forecast {
+    return new Forecast(clock);
+  }
+
+  /** Counts one arrival. */
+  arrived(): void {
+    this.decay();
+    this.weight += 1;
+  }
+
+  /** Arrivals to be ready for within `ms`. */
+  within(ms: Millis): number {
+    this.decay();
+    const expected = (this.weight * ms) / windowMs;
+    return Math.ceil(expected + deviations * Math.sqrt(expected));
+  }
+
+  private decay(): void {
+    const now = this.clock.now();
+    this.weight *= Math.exp((this.at - now) / windowMs);
+    this.at = now;
+  }
+}
--- a/packages/scheduling/src/owner.ts
+++ b/packages/scheduling/src/owner.ts
@@ -1,23 +1,52 @@
 /** Grants slots on the replicas that this node owns. */
 
 import { GrantId } from '@tanagercart/base';
-import type { Clock, Millis, NodeId, ReplicaId } from '@tanagercart/base';
+import type { Clock, Millis, NodeId } from '@tanagercart/base';
 import type {
   AcquireCall,
   AcquireReply,
   Grant,
-  GrantedStage,
   ReleaseCall,
   ReleaseReply,
   Transport,
 } from '@tanagercart/protocol';
-import type { Replica, SharedState, Stage, Upstream } from '@tanagercart/state';
+import type { Tier } from '@tanagercart/release';
+import type { Replica, SharedState, Upstream } from '@tanagercart/state';
+import { firstTokenOn, placementOf } from './admission.js';
+import type { Placement } from './admission.js';
+import { Candidates } from './candidates.js';
+import type { Candidate } from './candidates.js';
+import { Forecast } from './forecast.js';
+import { Lengths } from './lengths.js';
+import { preemptible, victimFor } from './preemption.js';
+import type { Victim } from './preemption.js';
+import { FairQueue, rank } from './queue.js';
+import type { Ticket } from './queue.js';
+import type { HeldGrant, ReplicaLoad } from './replica.js';
 
 /** A grant that was not used for this long has lapsed, in milliseconds. */
 const startWithinMs: Millis = 1000;
 
-/** What a refused caller is told to wait, in milliseconds. */
-const retryAfterMs: Millis = 500;
+/** How long a call is held for a slot to come free, in milliseconds. */
+const holdMs: Millis = 250;
+
+/** Pause before a queued entry asks again, in milliseconds. */
+const againMs: Millis = 5;
+
+/** A ticket that was not asked for during this time lapses, in milliseconds. */
+const ticketLapseMs: Millis = 1000;
+
+/** Time from asking for a grant back to its slot being free, in milliseconds. */
+const preemptLeadMs: Millis = 50;
+
+/** Tickets that are passed over before a look at the queue ends. */
+const scanLimit = 16;
+
+/** How long an entry may take to answer a preemption, in milliseconds. */
+const preemptTimeoutMs: Millis = 500;
+
+/** Least wait that a refused caller is told, in milliseconds. */
+const leastRetryAfterMs: Millis = 100;
 
 /** What an owner needs. */
 export interface OwnerOptions {
@@ -31,111 +60,252 @@
   readonly isLeaving: (upstream: Upstream) => boolean;
 }
 
-interface Held {
-  readonly replica: ReplicaId;
-  readonly givenAt: Millis;
-}
-
-interface Candidate {
-  readonly replica: Replica;
-  readonly stages: readonly (Upstream & { readonly stage: Stage })[];
-}
+type RefusedFor = 'no-lease' | 'no-replica' | 'promise-unreachable';
 
 /** The owner's side of admission for the replicas of one node. */
 export class Owner {
-  private readonly held = new Map<GrantId, Held>();
+  private readonly candidates: Candidates;
+  private readonly queue = FairQueue.create();
+  private readonly lengths = Lengths.create();
+  private readonly forecast: Forecast;
+  private readonly grants = new Map<GrantId, ReplicaLoad>();
+  private readonly granted = new Map<string, Grant>();
   private seq = 0;
+  /** Whether a ticket was passed over because its entry was not asking. */
+  private skipped = false;
 
-  private constructor(private readonly o: OwnerOptions) {}
+  private constructor(private readonly o: OwnerOptions) {
+    this.candidates = Candidates.create(o);
+    this.forecast = Forecast.create(o.clock);
+  }
 
   static create(options: OwnerOptions): Owner {
     const owner = new Owner(options);
-    options.transport.serve('acquire', async (_, call) => owner.acquire(call));
+    options.transport.serve('acquire', (from, call) => owner.acquire(from, call));
     options.transport.serve('release', async (_, call) => owner.release(call));
     return owner;
   }
 
   /** Grants in use. */
   get inUse(): number {
-    return this.held.size;
+    return this.grants.size;
   }
 
-  private acquire(call: AcquireCall): AcquireReply {
-    if (!this.o.mayGrant()) return refused('no-lease');
-    const candidates = this.candidates(call);
-    if (candidates.length === 0) return refused('no-replica');
-    const free = candidates
-      .map((c) => ({ c, room: slotsOf(c) - this.runningOn(c.replica.id) }))
-      .filter((x) => x.room > 0)
-      .sort((a, b) => b.room - a.room)[0];
-    if (!free) return refused('promise-unreachable');
-    return { kind: 'granted', grant: this.grant(call, free.c) };
+  /** Requests that wait. */
+  get waiting(): number {
+    return this.queue.size;
   }
 
-  private release(call: ReleaseCall): ReleaseReply {
-    return { known: this.held.delete(call.grant) };
+  private async acquire(from: NodeId, call: AcquireCall): Promise<AcquireReply> {
+    if (!this.o.mayGrant()) return refused('no-lease', leastRetryAfterMs);
+    const key = `${call.request}|${call.attempt}`;
+    const again = this.granted.get(key);
+    if (again) return { kind: 'granted', grant: again };
+    const candidates = this.candidates.of(call);
+    if (candidates.length === 0) return refused('no-replica', leastRetryAfterMs);
+    const known = this.queue.get(key);
+    const ticket = known ?? this.ticketFor(key, from, call);
+    const lateMs = this.latenessOf(ticket, candidates);
+    if (lateMs > 0) {
+      this.queue.remove(key);
+      const room = this.roomOf(candidates);
+      return { ...refused('promise-unreachable', lateMs), room };
+    }
+    return this.hold(ticket, known === undefined || this.skipped);
   }
 
-  private grant(call: AcquireCall, c: Candidate): Grant {
+  private ticketFor(key: string, entry: NodeId, call: AcquireCall): Ticket {
+    const { clock, state } = this.o;
+    const account = state.release.clientAccounts.get(call.account);
+    const tier = account && state.release.tierOf(account, call.tier);
+    const now = clock.now();
+    const estimate = this.lengths.estimate(call.account, call.tier, call.maxTokens);
+    const urgency = urgencyOf(tier);
+    if (urgency === 0) this.forecast.arrived();
+    const ticket: Ticket = {
+      key,
+      call,
+      entry,
+      urgency,
+      firstTokenMs: tier?.firstTokenMs ?? call.budgetMs,
+      gapMs: tier?.tokenGapMs ?? Infinity,
+      arrivedAt: now,
+      dueAt: now + call.budgetMs,
+      estimate,
+      tag: this.queue.tagOf(call.account, urgency, estimate, account?.weight ?? 1),
+      polledAt: now,
+      answer: undefined,
+    };
+    this.queue.add(ticket);
+    return ticket;
+  }
+
+  /** Holds a call until its ticket is granted, or for a while. */
+  private async hold(ticket: Ticket, pump: boolean): Promise<AcquireReply> {
+    const stop = new AbortController();
+    const answered = new Promise<AcquireReply>((resolve) => {
+      ticket.answer = resolve;
+    });
+    ticket.polledAt = this.o.clock.now();
+    if (pump) this.pump();
+    const late = this.o.clock
+      .sleep(holdMs, stop.signal)
+      .then((): AcquireReply => ({ kind: 'queued', againMs }));
+    const reply = await Promise.race([answered, late]);
+    stop.abort();
+    ticket.answer = undefined;
+    return reply;
+  }
+
+  /** How much too late the first token of a ticket would come; 0 where its promise can be met. */
+  private latenessOf(ticket: Ticket, candidates: readonly Candidate[]): Millis {
+    const now = this.o.clock.now();
+    const firstMs = Math.min(...candidates.map((c) => firstTokenOn(c, ticket.call, now)));
+    const startMs = this.waitOf(ticket, candidates, now);
+    return Math.max(0, now + startMs + firstMs - ticket.dueAt);
+  }
+
+  private waitOf(ticket: Ticket, candidates: readonly Candidate[], now: Millis): Millis {
+    const mine = rank(ticket, now);
+    const ahead = this.queue
+      .ahead(mine, now)
+      .filter((t) => t !== ticket && (rank(t, now) < mine || t.tag <= ticket.tag));
+    const free = sum(candidates, (c) => Math.max(0, c.load.soonFree));
+    if (ahead.length < free) return 0;
+    const yielding = preemptible(ticket.urgency, candidates, now);
+    if (ahead.length < free + yielding) return preemptLeadMs;
+    const tokens = sum(ahead, (t) => t.estimate) + ticket.estimate;
+    const rate = sum(candidates, (c) => c.load.model.fullRate);
+    return (tokens * 1000) / rate;
+  }
+
+  /** Gives grants to waiting tickets, first to be served first. */
+  private pump(): void {
+    if (!this.o.mayGrant()) return;
+    const now = this.o.clock.now();
+    this.skipped = false;
+    let missed = 0;
+    for (const ticket of [...this.queue.ordered(now)]) {
+      if (missed >= scanLimit) return;
+      if (!ticket.answer) {
+        this.skipped = true;
+        this.lapse(ticket, now);
+        continue;
+      }
+      const candidates = this.candidates.of(ticket.call);
+      const reserve = rank(ticket, now) > 0 ? this.forecast.within(preemptLeadMs) : 0;
+      const wish = { call: ticket.call, gapMs: ticket.gapMs, reserve };
+      const placement = placementOf(wish, candidates, now);
+      if (placement) {
+        this.grant(ticket, placement, now);
+        continue;
+      }
+      this.makeRoom(ticket, candidates, missed, now);
+      missed += 1;
+    }
+  }
+
+  private lapse(ticket: Ticket, now: Millis): void {
+    if (now - ticket.polledAt > ticketLapseMs) this.queue.remove(ticket.key);
+  }
+
+  private grant(ticket: Ticket, { candidate, firstTokenMs }: Placement, now: Millis): void {
+    const { load } = candidate;
+    const prefill = ticket.call.promptTokens + load.unreadTokens(now);
     this.seq += 1;
-    const id = GrantId(`${this.o.self}-${this.o.state.view}-${this.seq}`);
-    this.held.set(id, { replica: c.replica.id, givenAt: this.o.clock.now() });
-    const { state, self } = this.o;
-    return {
-      id,
-      replica: c.replica.id,
-      owner: self,
-      epoch: state.view,
+    const grant: Grant = {
+      id: GrantId(`${this.o.self}-${this.o.state.view}-${this.seq}`),
+      replica: candidate.replica.id,
+      owner: this.o.self,
+      epoch: this.o.state.view,
       startWithinMs,
-      priority: 0,
-      stages: c.stages.map(grantedStage),
+      priority: ticket.urgency,
+      stages: candidate.stages,
     };
+    load.add({
+      grant,
+      key: ticket.key,
+      entry: ticket.entry,
+      call: ticket.call,
+      urgency: ticket.urgency,
+      gapMs: ticket.gapMs,
+      givenAt: now,
+      estimate: ticket.estimate,
+      runningAtStart: load.running + 1,
+      prefillAtStart: prefill,
+      readAt: now + firstTokenMs,
+      preempting: false,
+    });
+    this.grants.set(grant.id, load);
+    this.granted.set(ticket.key, grant);
+    this.queue.remove(ticket.key);
+    this.queue.advance(ticket);
+    const room = load.free;
+    ticket.answer?.({ kind: 'granted', grant, room });
   }
 
-  private runningOn(replica: ReplicaId): number {
-    let n = 0;
-    for (const held of this.held.values()) if (held.replica === replica) n += 1;
-    return n;
+  /** Takes a grant back for a ticket, unless a slot is on its way already. */
+  private makeRoom(
+    ticket: Ticket,
+    candidates: readonly Candidate[],
+    before: number,
+    now: Millis,
+  ): void {
+    const coming = sum(candidates, (c) => c.load.soonFree - c.load.free);
+    if (coming > before) return;
+    const victim = victimFor(ticket.urgency, candidates, now);
+    if (victim) void this.preempt(victim);
   }
 
-  private candidates(call: AcquireCall): readonly Candidate[] {
-    const out: Candidate[] = [];
-    for (const replica of this.o.state.replicas.values()) {
-      if (replica.model !== call.model || call.avoid.includes(replica.id)) continue;
-      if (!this.o.owns(replica)) continue;
-      const candidate = this.candidate(replica);
-      if (candidate && serves(candidate, call)) out.push(candidate);
-    }
-    return out;
+  private async preempt({ held }: Victim): Promise<void> {
+    held.preempting = true;
+    const options = { timeoutMs: preemptTimeoutMs };
+    const call = { grant: held.grant.id };
+    const reply = await this.o.transport.call(held.entry, 'preempt', call, options);
+    if (reply.isOk() && !reply.value.known) this.drop(held.grant.id);
+    if (reply.isErr()) held.preempting = false;
   }
 
-  private candidate(replica: Replica): Candidate | undefined {
-    const stages: (Upstream & { readonly stage: Stage })[] = [];
-    for (const id of replica.stages) {
-      const upstream = this.o.state.upstreams.get(id);
-      if (upstream?.role.kind !== 'stage' || this.o.isLeaving(upstream)) return undefined;
-      stages.push({ ...upstream, stage: upstream.role.stage });
-    }
-    return { replica, stages };
+  private release(call: ReleaseCall): ReleaseReply {
+    const load = this.grants.get(call.grant);
+    const held = this.drop(call.grant);
+    if (load && held) this.learn(load, held, call);
+    return { known: held !== undefined };
+  }
+
+  private drop(id: GrantId): HeldGrant | undefined {
+    const held = this.grants.get(id)?.remove(id);
+    this.grants.delete(id);
+    if (!held) return undefined;
+    this.granted.delete(held.key);
+    this.candidates.prune();
+    this.pump();
+    return held;
+  }
+
+  private learn(load: ReplicaLoad, held: HeldGrant, call: ReleaseCall): void {
+    if (call.firstTokenMs === undefined) return;
+    load.model.observeFirst(held.runningAtStart, held.prefillAtStart, call.firstTokenMs);
+    if (call.end !== 'complete') return;
+    const ranMs = this.o.clock.now() - held.givenAt - call.firstTokenMs;
+    this.lengths.observe(held.call.account, held.call.tier, call.tokens);
+    if (call.tokens > 1) load.model.observe(load.running + 1, ranMs / (call.tokens - 1));
   }
-}
 
-function serves(c: Candidate, call: AcquireCall): boolean {
-  return c.stages.every(
-    ({ stage }) =>
-      (call.version === undefined || stage.versions.includes(call.version)) &&
-      (call.adapter === undefined || stage.adapters.includes(call.adapter)),
-  );
+  private roomOf(candidates: readonly Candidate[]): number {
+    return sum(candidates, (c) => c.load.free) - this.queue.size;
+  }
 }
 
-function slotsOf(c: Candidate): number {
-  return Math.min(...c.stages.map((s) => s.stage.slots));
+/** Urgency of a tier; work of an unknown tier goes last. */
+function urgencyOf(tier: Tier | undefined): number {
+  return tier?.urgency ?? Number.MAX_SAFE_INTEGER;
 }
 
-function grantedStage(s: Upstream & { readonly stage: Stage }): GrantedStage {
-  return { upstream: s.id, url: s.url, from: s.stage.from, to: s.stage.to };
+function sum<T>(items: readonly T[], of: (item: T) => number): number {
+  return items.reduce((n, item) => n + of(item), 0);
 }
 
-function refused(reason: 'no-lease' | 'no-replica' | 'promise-unreachable'): AcquireReply {
-  return { kind: 'refused', reason, retryAfterMs };
+function refused(reason: RefusedFor, retryAfterMs: Millis): AcquireReply {
+  return { kind: 'refused', reason, retryAfterMs: Math.max(leastRetryAfterMs, retryAfterMs) };
 }
