Tell room by tier, and draw owners by their replicas

Owners are of unequal size, and the room they reported counted patient grants as taken, so entries spread urgent work evenly over unequal owners. Room now counts what work of the tier may take back, and the two owners compared are drawn by their number of replicas.

--- a/packages/bench/src/serve.ts
+++ b/packages/bench/src/serve.ts
@@ -155,12 +155,12 @@
       avoid: a.avoid,
       preemptions: a.preemptions,
     };
-    const owners = node.chooser.order(this.owners(node), []).slice(0, ownersAsked);
+    const owners = node.chooser.order(this.owners(node), demand.tier, []).slice(0, ownersAsked);
     for (const owner of owners) {
-      node.chooser.asked(owner);
+      node.chooser.asked(owner, demand.tier);
       const reply = await this.ask(node, owner, call);
       const refusedMs = reply?.kind === 'refused' ? reply.retryAfterMs : undefined;
-      node.chooser.replied(owner, { room: reply?.room, retryAfterMs: refusedMs });
+      node.chooser.replied(owner, demand.tier, { room: reply?.room, retryAfterMs: refusedMs });
       if (reply?.kind === 'granted') return reply.grant;
     }
     return undefined;
--- a/packages/protocol/src/grantmessage.ts
+++ b/packages/protocol/src/grantmessage.ts
@@ -46,7 +46,7 @@
 
 /** What an owner tells of its load with each reply. */
 export interface RoomHint {
-  /** Free slots on its replicas of the model, less the requests that wait for one. */
+  /** Slots that work of the call's tier may have now, less the requests that wait before it. */
   readonly room?: number;
 }
 
--- a/packages/routing/src/chooser.ts
+++ b/packages/routing/src/chooser.ts
@@ -1,6 +1,6 @@
 /** Chooses the owners that an entry asks for a slot, and their order. */
 
-import type { Clock, Digest, Millis, NodeId, Random } from '@tanagercart/base';
+import type { Clock, Digest, Millis, NodeId, Random, TierId } from '@tanagercart/base';
 
 /** Time after which a reported room counts half, in milliseconds. */
 const roomHalfLifeMs: Millis = 500;
@@ -38,6 +38,10 @@
   readonly retryAfterMs: Millis | undefined;
 }
 
+interface Scored extends OwnerOption {
+  readonly score: number;
+}
+
 interface Known {
   room: number;
   at: Millis;
@@ -51,7 +55,7 @@
 
 /** What an entry knows of the owners' load and caches. */
 export class Chooser {
-  private readonly known = new Map<NodeId, Known>();
+  private readonly known = new Map<string, Known>();
   private readonly prefixes = new Map<Digest, CachedPrefix>();
 
   private constructor(
@@ -63,29 +67,34 @@
     return new Chooser(clock, random);
   }
 
-  /** The owners in the order in which to ask them. */
-  order(options: readonly OwnerOption[], prefix: readonly Digest[]): readonly NodeId[] {
-    const scored = options.map((o) => ({ ...o, score: this.score(o, prefix) }));
-    const open = scored.filter((o) => !this.avoids(o.node));
-    const avoided = scored.filter((o) => this.avoids(o.node));
+  /** The owners in the order in which to ask them for work of a tier. */
+  order(
+    options: readonly OwnerOption[],
+    tier: TierId,
+    prefix: readonly Digest[],
+  ): readonly NodeId[] {
+    const scored = options.map((o) => ({ ...o, score: this.score(o, tier, prefix) }));
+    const open = scored.filter((o) => !this.avoids(o.node, tier));
+    const avoided = scored.filter((o) => this.avoids(o.node, tier));
     const first = this.betterOfTwo(open);
     const rest = open.filter((o) => o !== first).sort(byScore);
     return [...(first ? [first] : []), ...rest, ...avoided.sort(byScore)].map((o) => o.node);
   }
 
   /** Notes that a request goes to `owner`, before its reply. */
-  asked(owner: NodeId): void {
-    const known = this.known.get(owner);
+  asked(owner: NodeId, tier: TierId): void {
+    const known = this.known.get(keyOf(owner, tier));
     if (known) known.room -= 1;
   }
 
   /** Learns from an owner's reply. */
-  replied(owner: NodeId, news: OwnerNews): void {
+  replied(owner: NodeId, tier: TierId, news: OwnerNews): void {
     const now = this.clock.now();
-    const before = this.known.get(owner);
+    const key = keyOf(owner, tier);
+    const before = this.known.get(key);
     const avoidMs = Math.min(avoidLimitMs, news.retryAfterMs ?? 0);
     const room = news.room ?? before?.room ?? 0;
-    this.known.set(owner, { room, at: now, avoidUntil: now + avoidMs });
+    this.known.set(key, { room, at: now, avoidUntil: now + avoidMs });
   }
 
   /** Notes that replicas of `owner` hold a prompt's prefix, as told or as just sent there. */
@@ -106,25 +115,31 @@
     if (this.prefixes.get(digest)?.owner === owner) this.prefixes.delete(digest);
   }
 
-  private betterOfTwo<T extends { readonly score: number }>(options: readonly T[]): T | undefined {
-    if (options.length < 2) return options[0];
-    const i = Math.floor(this.random.next() * options.length);
-    const j = Math.floor(this.random.next() * (options.length - 1));
-    const a = options[i]!;
-    const b = options[j < i ? j : j + 1]!;
-    return b.score > a.score ? b : a;
+  /** The better of two owners that are drawn by their number of replicas. */
+  private betterOfTwo(options: readonly Scored[]): Scored | undefined {
+    const a = this.draw(options);
+    const b = this.draw(options.filter((o) => o !== a));
+    return a && b && b.score > a.score ? b : a;
   }
 
-  private score(o: OwnerOption, prefix: readonly Digest[]): number {
-    const room = this.roomOf(o);
+  private draw(options: readonly Scored[]): Scored | undefined {
+    let left = this.random.next() * options.reduce((n, o) => n + o.replicas, 0);
+    return options.find((o) => {
+      left -= o.replicas;
+      return left < 0;
+    });
+  }
+
+  private score(o: OwnerOption, tier: TierId, prefix: readonly Digest[]): number {
+    const room = this.roomOf(o, tier);
     if (room <= 0) return room;
     return room + (o.near ? nearWorth : 0) + prefixWorth * this.prefixShare(o.node, prefix);
   }
 
   /** Last reported room, drawn towards the assumed one as it ages. */
-  private roomOf(o: OwnerOption): number {
+  private roomOf(o: OwnerOption, tier: TierId): number {
     const assumed = unknownRoom * o.replicas;
-    const known = this.known.get(o.node);
+    const known = this.known.get(keyOf(o.node, tier));
     if (!known) return assumed;
     const trust = 0.5 ** ((this.clock.now() - known.at) / roomHalfLifeMs);
     return known.room * trust + assumed * (1 - trust);
@@ -140,11 +155,15 @@
     return held.length / prefix.length;
   }
 
-  private avoids(owner: NodeId): boolean {
-    return (this.known.get(owner)?.avoidUntil ?? 0) > this.clock.now();
+  private avoids(owner: NodeId, tier: TierId): boolean {
+    return (this.known.get(keyOf(owner, tier))?.avoidUntil ?? 0) > this.clock.now();
   }
 }
 
-function byScore(a: { readonly score: number }, b: { readonly score: number }): number {
+function keyOf(owner: NodeId, tier: TierId): string {
+  return `${owner}|${tier}`;
+}
+
+function byScore(a: Scored, b: Scored): number {
   return b.score - a.score;
 }
--- a/packages/scheduling/src/owner.ts
+++ b/packages/scheduling/src/owner.ts
@@ -108,7 +108,7 @@
     const lateMs = this.latenessOf(ticket, candidates);
     if (lateMs > 0) {
       this.queue.remove(key);
-      const room = this.roomOf(candidates);
+      const room = this.roomOf(ticket, candidates);
       return { ...refused('promise-unreachable', lateMs), room };
     }
     return this.hold(ticket, known === undefined || this.skipped);
@@ -240,7 +240,7 @@
     this.granted.set(ticket.key, grant);
     this.queue.remove(ticket.key);
     this.queue.advance(ticket);
-    const room = load.free;
+    const room = this.roomOf(ticket, this.candidates.of(ticket.call));
     ticket.answer?.({ kind: 'granted', grant, room });
   }
 
@@ -292,8 +292,12 @@
     if (call.tokens > 1) load.model.observe(load.running + 1, ranMs / (call.tokens - 1));
   }
 
-  private roomOf(candidates: readonly Candidate[]): number {
-    return sum(candidates, (c) => c.load.free) - this.queue.size;
+  /** Slots that more work like `ticket` could have. */
+  private roomOf(ticket: Ticket, candidates: readonly Candidate[]): number {
+    const now = this.o.clock.now();
+    const free = sum(candidates, (c) => c.load.soonFree);
+    const waiting = this.queue.ahead(ticket.urgency, now).length;
+    return free + preemptible(ticket.urgency, candidates, now) - waiting;
   }
 }
 
