Build chains by the widest path, and hold them against a max-flow bound

Chains joined near stages first, so fast ones waited on slow ones, and nothing told what the hardware allows. The planner now takes the widest chain of the stages and links that are left, the nearest of equals, and keeps standing replicas unless a fresh plan gains a tenth. Owners rest a replica after a failed attempt, place work that yields on the slowest replicas, and count work that outlived its estimate as less urgent.

--- a/packages/bench/src/hol.ts
+++ b/packages/bench/src/hol.ts
@@ -68,7 +68,7 @@
   );
   return {
     served: served.filter((s) => arrived(s.demand)),
-    arrived: shorts.filter(arrived).length,
+    arrived: demand.filter(arrived).length,
     longs: longTokensServed.length,
   };
 }
--- a/packages/bench/src/serve.ts
+++ b/packages/bench/src/serve.ts
@@ -5,7 +5,7 @@
 import type { AcquireReply, AttemptEnd, Grant } from '@tanagercart/protocol';
 import type { OwnerOption } from '@tanagercart/routing';
 import type { Demand } from './demand.js';
-import type { FakeEngine, JobResult } from './fakeengine.js';
+import type { Cancellation, FakeEngine, JobResult } from './fakeengine.js';
 import { model, tiers } from './fleet.js';
 import type { BenchNode, Fleet } from './fleet.js';
 
@@ -36,11 +36,13 @@
 /** Runs demand against a fleet. */
 export class Run {
   readonly served: Served[] = [];
-  private readonly running = new Map<GrantId, AbortController>();
+  private readonly running = new Map<GrantId, Cancellation>();
   private reports = new Map<ReplicaId, number>();
   private readonly fifo: ((engine: FakeEngine) => void)[] = [];
   private readonly taken = new Map<FakeEngine, number>();
   private turn = 0;
+  private counts: ReadonlyMap<NodeId, number> = new Map();
+  private countedAt = -1;
   private ended = false;
 
   private constructor(
@@ -49,8 +51,9 @@
   ) {
     for (const node of fleet.nodes) {
       node.transport.serve('preempt', async (_, call) => {
-        this.running.get(call.grant)?.abort();
-        return { known: this.running.has(call.grant) };
+        const running = this.running.get(call.grant);
+        if (running) running.cancelled = true;
+        return { known: running !== undefined };
       });
     }
   }
@@ -102,20 +105,20 @@
         return { kind, firstTokenAt, endAt: this.fleet.clock.now(), preemptions };
       }
       const startedAt = this.fleet.clock.now();
-      const stop = new AbortController();
+      const stop: Cancellation = { cancelled: false };
       this.running.set(grant.id, stop);
       await clockHop(this.fleet);
       const result = await this.fleet.engines.get(grant.replica)!.run({
         promptTokens: demand.promptTokens + demand.tokens - left,
         tokens: left,
         priority: grant.priority,
-        signal: stop.signal,
+        cancellation: stop,
       });
       await clockHop(this.fleet);
       this.running.delete(grant.id);
       left -= result.tokens;
       firstTokenAt ??= result.firstTokenAt;
-      const end = endOf(left, stop.signal.aborted);
+      const end = endOf(left, stop.cancelled);
       release(node, grant, end, result, startedAt);
       if (end === 'complete') {
         return {
@@ -154,6 +157,7 @@
       budgetMs: first ? promise.firstTokenMs - 2 * this.fleet.site.clientMs : Infinity,
       avoid: a.avoid,
       preemptions: a.preemptions,
+      passedTokens: demand.tokens - a.left,
     };
     const owners = node.chooser.order(this.owners(node), demand.tier, []).slice(0, ownersAsked);
     for (const owner of owners) {
@@ -182,16 +186,23 @@
   }
 
   private owners(node: BenchNode): readonly OwnerOption[] {
+    const { state } = this.fleet;
+    if (this.countedAt !== state.index) this.counts = this.countOwned();
+    this.countedAt = state.index;
+    return [...this.counts].map(([id, replicas]) => ({
+      node: id,
+      replicas,
+      near: this.fleet.nodes.find((n) => n.id === id)?.dataCentre === node.dataCentre,
+    }));
+  }
+
+  private countOwned(): ReadonlyMap<NodeId, number> {
     const counts = new Map<NodeId, number>();
     for (const replica of this.fleet.state.replicas.values()) {
       const owner = this.fleet.ownerOf(replica);
       if (owner) counts.set(owner, (counts.get(owner) ?? 0) + 1);
     }
-    return [...counts].map(([id, replicas]) => ({
-      node: id,
-      replicas,
-      near: this.fleet.nodes.find((n) => n.id === id)?.dataCentre === node.dataCentre,
-    }));
+    return counts;
   }
 
   private async plain(demand: Demand) {
@@ -205,7 +216,7 @@
         promptTokens: demand.promptTokens + demand.tokens - left,
         tokens: left,
         priority: 0,
-        signal: new AbortController().signal,
+        cancellation: { cancelled: false },
       });
       await clockHop(this.fleet);
       this.freed(engine);
--- /dev/null
+++ b/packages/bench/src/throughput.ts
@@ -0,0 +1,176 @@
+/** Throughput as a share of the max-flow bound: of the plan, and of a saturated fleet. */
+
+import { ModelId, SeededRandom, UpstreamId } from '@tanagercart/base';
+import type { Random } from '@tanagercart/base';
+import type { Model } from '@tanagercart/release';
+import {
+  LinkTable,
+  planChains,
+  stagesOf,
+  throughputBound,
+  throughputOf,
+} from '@tanagercart/routing';
+import type { Replica, Upstream } from '@tanagercart/state';
+import { arrivals, patient } from './demand.js';
+import type { Work } from './demand.js';
+import { boundOf } from './fakeengine.js';
+import { Fleet, ramdenee } from './fleet.js';
+import type { Figure, Report } from './report.js';
+import { Run } from './serve.js';
+import type { Policy } from './serve.js';
+
+const target = { kind: 'at-least', value: 0.92 } as const;
+
+/** Links between three data centres that differ a hundredfold. */
+const links = LinkTable.create([
+  { between: ['dc1', 'dc2'], latencyMs: 0.5, tokensPerSecond: 100_000 },
+  { between: ['dc2', 'dc3'], latencyMs: 0.5, tokensPerSecond: 10_000 },
+  { between: ['dc1', 'dc3'], latencyMs: 0.5, tokensPerSecond: 1000 },
+]);
+
+/** Speed of each kind of accelerator for all layers, in tokens per second. */
+const speeds = [2400, 1300, 740, 290];
+
+/** Spread of the speed of accelerators of one kind. */
+const speedSpread = 0.1;
+
+const work: Work = { tier: patient, share: 1, promptTokens: 300, meanTokens: 150, spread: 0.6 };
+const promptPerToken = work.promptTokens / work.meanTokens;
+
+/** Demand as a share of the bound. */
+const saturation = 1.3;
+
+/** The measured window of a saturated fleet, in milliseconds. */
+const window = { fromMs: 6000, untilMs: 14_000 };
+
+const policies: readonly Policy[] = [
+  'owners',
+  'round-robin',
+  'least-loaded',
+  'power-of-two',
+  'fifo',
+];
+
+export async function run(seed: number): Promise<Report> {
+  const figures: Figure[] = [
+    ...plans('8 nodes, 1 model, 104 stages', 104, 1, seed),
+    ...plans('2,400 stages, 11 models', 2400, 11, seed),
+  ];
+  for (const policy of policies) {
+    figures.push({
+      name: `ramdenee ${policy}: tokens at saturation`,
+      value: await saturated(policy, seed),
+      unit: 'of bound',
+      ...(policy === 'owners' ? { target } : {}),
+    });
+  }
+  return { bench: 'throughput', seed, figures };
+}
+
+/** Throughput of plans, after the first announcements and after the loss of a stage in fifty. */
+function plans(name: string, stages: number, models: number, seed: number): readonly Figure[] {
+  const random = SeededRandom.create(seed);
+  let bound = 0;
+  let planned = 0;
+  let asAnnounced = 0;
+  let boundAfter = 0;
+  let after = 0;
+  let kept = 0;
+  let whole = 0;
+  let slowestMs = 0;
+  for (let m = 0; m < models; m += 1) {
+    const model = { id: ModelId(`m${m}`), layers: 32, versions: ['1'], adapters: [] };
+    const upstreams = stagesFor(model, Math.floor(stages / models), random);
+    const began = performance.now();
+    const first = planChains(model, upstreams, [], links);
+    slowestMs = Math.max(slowestMs, performance.now() - began);
+    bound += throughputBound(model, stagesOf(model, upstreams), links);
+    planned += total(model, upstreams, first);
+    asAnnounced += total(model, upstreams, inOrder(model, upstreams));
+    const left = upstreams.filter(() => random.next() >= 0.02);
+    const second = planChains(model, left, first, links);
+    boundAfter += throughputBound(model, stagesOf(model, left), links);
+    after += total(model, left, second);
+    const up = new Set(left.map((u) => u.id));
+    const standing = first.filter((r) => r.stages.every((s) => up.has(s)));
+    whole += standing.length;
+    kept += standing.filter((r) => second.some((s) => s.id === r.id)).length;
+  }
+  const share = (what: string, value: number, unit = 'of bound'): Figure => ({
+    name: `${name}: ${what}`,
+    value,
+    unit,
+  });
+  return [
+    { ...share('plan', planned / bound), target },
+    share('chains in order of announcement', asAnnounced / bound),
+    { ...share('plan after the loss of 2 % of the stages', after / boundAfter), target },
+    share('whole replicas kept through the loss', kept / whole, 'of all'),
+    share('longest plan of one model', slowestMs, 'ms'),
+  ];
+}
+
+function total(model: Model, upstreams: readonly Upstream[], plan: readonly Replica[]): number {
+  const stages = new Map(stagesOf(model, upstreams).map((s) => [s.upstream.id, s]));
+  return throughputOf(plan, stages, links);
+}
+
+/** Stages of thirds, halves and quarters of the layers, as kinds of accelerators hold them. */
+function stagesFor(model: Model, count: number, random: Random): readonly Upstream[] {
+  const out: Upstream[] = [];
+  for (let i = 0; out.length < count; i += 1) {
+    const kind = Math.floor(random.next() * speeds.length);
+    const cuts = random.next() < 0.5 ? [0, 16, 32] : [0, 8, 16, 32];
+    for (const [c, from] of cuts.slice(0, -1).entries()) {
+      const to = cuts[c + 1]!;
+      const spread = 1 + speedSpread * (2 * random.next() - 1);
+      const dataCentre = `dc${1 + Math.floor(random.next() * 3)}`;
+      const tokensPerSecond = speeds[kind]! * spread;
+      const held = { model: model.id, versions: ['1'], adapters: [], from, to };
+      const stage = { ...held, accelerator: `a${kind}`, tokensPerSecond, slots: 16 };
+      const id = UpstreamId(`${model.id}-${i}-${from}`);
+      const role = { kind: 'stage', stage } as const;
+      out.push({ id, incarnation: '1', url: `http://${id}`, dataCentre, role });
+    }
+  }
+  return out;
+}
+
+/** Baseline: each stage is joined with the first announced one that follows it. */
+function inOrder(model: Model, upstreams: readonly Upstream[]): readonly Replica[] {
+  const free = stagesOf(model, upstreams).slice();
+  const out: Replica[] = [];
+  for (;;) {
+    const chain: UpstreamId[] = [];
+    let layer = 0;
+    while (layer < model.layers) {
+      const wanted = layer;
+      const at = free.findIndex((s) => s.stage.from === wanted);
+      if (at < 0) return out;
+      const [next] = free.splice(at, 1);
+      chain.push(next!.upstream.id);
+      layer = next!.stage.to;
+    }
+    out.push({ id: chain.join('|') as Replica['id'], model: model.id, stages: chain });
+  }
+}
+
+async function saturated(policy: Policy, seed: number): Promise<number> {
+  const fleet = Fleet.create(ramdenee, seed);
+  const engines = [...fleet.engines.values()];
+  const bound = engines.reduce((n, e) => n + boundOf(e.kind, promptPerToken), 0);
+  const random = SeededRandom.create(seed + 1);
+  const demand = arrivals(work, () => bound * saturation, window.untilMs, random);
+  const { fromMs, untilMs } = window;
+  const generated = { before: 0, after: 0 };
+  const count = () => engines.reduce((n, e) => n + e.generated, 0);
+  await Run.of(fleet, policy, demand, 1000, (f) => {
+    void f.clock.sleep(fromMs).then(() => {
+      generated.before = count();
+    });
+    void f.clock.sleep(untilMs).then(() => {
+      generated.after = count();
+    });
+  });
+  return ((generated.after - generated.before) * 1000) / (bound * (untilMs - fromMs));
+}
--- a/packages/protocol/src/grantmessage.ts
+++ b/packages/protocol/src/grantmessage.ts
@@ -34,6 +34,8 @@
   readonly avoid: readonly ReplicaId[];
   /** How often an owner has already taken a grant of this request back. */
   readonly preemptions?: number;
+  /** Tokens that earlier attempts of the request generated. */
+  readonly passedTokens?: number;
 }
 
 /** An owner's answer. A queued caller asks again with the same request and attempt. */
--- a/packages/routing/src/chain.ts
+++ b/packages/routing/src/chain.ts
@@ -1,9 +1,11 @@
 /** Builds replicas: chains of stages that hold every layer of a model exactly once. */
 
 import { ReplicaId, digestOf } from '@tanagercart/base';
-import type { UpstreamId } from '@tanagercart/base';
+import type { Millis, UpstreamId } from '@tanagercart/base';
 import type { Model } from '@tanagercart/release';
 import type { Replica, Stage, Upstream } from '@tanagercart/state';
+import { LinkBudget, LinkTable } from './links.js';
+import { widestChain } from './widest.js';
 
 /** A stage that is free to join a chain. */
 export interface FreeStage {
@@ -11,30 +13,86 @@
   readonly stage: Stage;
 }
 
-/** Replicas of `model`: those of `standing` that are still whole, then new ones of the free stages. */
+/** What a fresh plan must gain over the standing one before standing replicas are moved. */
+const replanShare = 0.1;
+
+/** Time that the links of a chain may add to the gap between tokens, in milliseconds. */
+const chainLatencyLimitMs: Millis = 50;
+
+/**
+ * Replicas of `model`: those of `standing` that are still whole with new ones of the free stages,
+ * or a fresh plan where that gains enough.
+ */
 export function planChains(
   model: Model,
   upstreams: readonly Upstream[],
   standing: readonly Replica[],
+  links: LinkTable = LinkTable.create(),
 ): readonly Replica[] {
   const stages = new Map(stagesOf(model, upstreams).map((s) => [s.upstream.id, s]));
   const kept = standing.filter((r) => isWhole(model, r, stages));
-  for (const id of kept.flatMap((r) => r.stages)) stages.delete(id);
+  const taken = new Set(kept.flatMap((r) => r.stages));
+  const free = [...stages.values()].filter((s) => !taken.has(s.upstream.id));
+  const budget = LinkBudget.create(links);
+  for (const replica of kept) takeLinks(chainOf(replica, stages), budget);
+  const extended = [...kept, ...buildChains(model, free, budget)];
+  if (kept.length === 0) return extended;
+  const fresh = buildChains(model, [...stages.values()], LinkBudget.create(links));
+  const gains =
+    throughputOf(fresh, stages, links) > throughputOf(extended, stages, links) * (1 + replanShare);
+  return gains ? fresh : extended;
+}
+
+/** Tokens per second of `replicas` together: of each its narrowest stage, or what its links leave. */
+export function throughputOf(
+  replicas: readonly Replica[],
+  stages: ReadonlyMap<UpstreamId, FreeStage>,
+  links: LinkTable,
+): number {
+  const budget = LinkBudget.create(links);
+  return replicas.reduce((n, r) => n + takeLinks(chainOf(r, stages), budget), 0);
+}
+
+function chainOf(
+  replica: Replica,
+  stages: ReadonlyMap<UpstreamId, FreeStage>,
+): readonly FreeStage[] {
+  return replica.stages.flatMap((id) => stages.get(id) ?? []);
+}
+
+/** Takes from `budget` what a chain carries, and returns it. */
+function takeLinks(chain: readonly FreeStage[], budget: LinkBudget): number {
+  const hops = chain.slice(1).map((to, i) => ({
+    from: chain[i]!.upstream.dataCentre,
+    to: to.upstream.dataCentre,
+  }));
+  const width = Math.min(
+    ...chain.map((s) => s.stage.tokensPerSecond),
+    ...hops.map((h) => budget.between(h.from, h.to).tokensPerSecond),
+  );
+  for (const hop of hops) budget.use(hop.from, hop.to, width);
+  return width;
+}
+
+function buildChains(
+  model: Model,
+  free: readonly FreeStage[],
+  budget: LinkBudget,
+): readonly Replica[] {
+  const left = new Map(free.map((s) => [s.upstream.id, s]));
   const built: Replica[] = [];
   for (;;) {
-    const chain = buildChain(model, [...stages.values()]);
-    if (!chain) return [...kept, ...built];
-    for (const s of chain) stages.delete(s.upstream.id);
-    built.push(
-      replicaOf(
-        model,
-        chain.map((s) => s.upstream.id),
-      ),
-    );
+    const chain = widestChain(model, [...left.values()], budget, chainLatencyLimitMs);
+    if (!chain) return built;
+    const ids = chain.map((s) => s.upstream.id);
+    takeLinks(chain, budget);
+    for (const id of ids) left.delete(id);
+    built.push(replicaOf(model, ids));
   }
 }
 
-function stagesOf(model: Model, upstreams: readonly Upstream[]): readonly FreeStage[] {
+/** The stages of `model` among `upstreams`. */
+export function stagesOf(model: Model, upstreams: readonly Upstream[]): readonly FreeStage[] {
   const out: FreeStage[] = [];
   for (const upstream of upstreams) {
     const { role } = upstream;
@@ -59,32 +117,6 @@
   return layer === model.layers;
 }
 
-/** The chain of highest bottleneck throughput, preferring stages of one data centre. */
-function buildChain(model: Model, free: readonly FreeStage[]): readonly FreeStage[] | undefined {
-  const chain: FreeStage[] = [];
-  let layer = 0;
-  while (layer < model.layers) {
-    const next = bestNext(free, layer, chain.at(-1));
-    if (!next) return undefined;
-    chain.push(next);
-    layer = next.stage.to;
-  }
-  return layer === model.layers ? chain : undefined;
-}
-
-function bestNext(
-  free: readonly FreeStage[],
-  layer: number,
-  before?: FreeStage,
-): FreeStage | undefined {
-  const near = (s: FreeStage) => Number(s.upstream.dataCentre === before?.upstream.dataCentre);
-  const rank = (a: FreeStage, b: FreeStage) =>
-    near(b) - near(a) ||
-    b.stage.tokensPerSecond - a.stage.tokensPerSecond ||
-    (a.upstream.id < b.upstream.id ? -1 : 1);
-  return free.filter((s) => s.stage.from === layer).sort(rank)[0];
-}
-
 function replicaOf(model: Model, stages: readonly UpstreamId[]): Replica {
   const id = ReplicaId(`${model.id}-${digestOf(stages.join('|')).slice(0, 10)}`);
   return { id, model: model.id, stages };
--- /dev/null
+++ b/packages/routing/src/flow.ts
@@ -0,0 +1,79 @@
+/** Maximum flow by Dinic's algorithm. */
+
+interface Edge {
+  readonly to: number;
+  capacity: number;
+  /** Position of the opposite edge in the list of `to`. */
+  readonly back: number;
+}
+
+/** Least capacity that counts, against rounding. */
+const epsilon = 1e-9;
+
+/** A network of directed edges between numbered vertices. */
+export class FlowNetwork {
+  private readonly edges: Edge[][] = [];
+  private level: number[] = [];
+  private next: number[] = [];
+
+  static create(): FlowNetwork {
+    return new FlowNetwork();
+  }
+
+  /** Adds a vertex and returns its number. */
+  vertex(): number {
+    this.edges.push([]);
+    return this.edges.length - 1;
+  }
+
+  /** Adds an edge that carries up to `capacity`. */
+  edge(from: number, to: number, capacity: number): void {
+    const out = this.edges[from]!;
+    const back = this.edges[to]!;
+    out.push({ to, capacity, back: back.length });
+    back.push({ to: from, capacity: 0, back: out.length - 1 });
+  }
+
+  /** The greatest flow from `source` to `sink`; uses the capacities up. */
+  maxFlow(source: number, sink: number): number {
+    let total = 0;
+    while (this.layer(source, sink)) {
+      this.next = this.edges.map(() => 0);
+      for (;;) {
+        const pushed = this.push(source, sink, Infinity);
+        if (pushed <= epsilon) break;
+        total += pushed;
+      }
+    }
+    return total;
+  }
+
+  private layer(source: number, sink: number): boolean {
+    this.level = this.edges.map(() => -1);
+    this.level[source] = 0;
+    const queue = [source];
+    for (const at of queue) {
+      for (const e of this.edges[at]!) {
+        if (e.capacity <= epsilon || this.level[e.to]! >= 0) continue;
+        this.level[e.to] = this.level[at]! + 1;
+        queue.push(e.to);
+      }
+    }
+    return this.level[sink]! >= 0;
+  }
+
+  private push(at: number, sink: number, limit: number): number {
+    if (at === sink) return limit;
+    const out = this.edges[at]!;
+    for (; this.next[at]! < out.length; this.next[at]! += 1) {
+      const e = out[this.next[at]!]!;
+      if (e.capacity <= epsilon || this.level[e.to] !== this.level[at]! + 1) continue;
+      const pushed = this.push(e.to, sink, Math.min(limit, e.capacity));
+      if (pushed <= epsilon) continue;
+      e.capacity -= pushed;
+      this.edges[e.to]![e.back]!.capacity += pushed;
+      return pushed;
+    }
+    return 0;
+  }
+}
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,3 +1,6 @@
+export * from './bound.js';
 export * from './chain.js';
-export * from './planner.js';
 export * from './chooser.js';
+export * from './flow.js';
+export * from './links.js';
+export * from './planner.js';
--- a/packages/scheduling/src/admission.ts
+++ b/packages/scheduling/src/admission.ts
@@ -8,6 +8,8 @@
 export interface Wish {
   readonly call: AcquireCall;
   readonly gapMs: Millis;
+  /** Tokens that it is expected to generate. */
+  readonly estimate: number;
   /** Slots that must stay free on all candidates together. */
   readonly reserve: number;
 }
@@ -18,20 +20,25 @@
   readonly firstTokenMs: Millis;
 }
 
-/** The replica with the earliest first token among those where every gap promise still holds. */
+/**
+ * A replica where every gap promise still holds: the one that answers first, or for work that
+ * yields to others the slowest, so that the fast ones stay free for those.
+ */
 export function placementOf(
   wish: Wish,
   candidates: readonly Candidate[],
   now: Millis,
 ): Placement | undefined {
   let free = 0;
-  let best: Placement | undefined;
+  let best: (Placement & { readonly totalMs: Millis }) | undefined;
   for (const candidate of candidates) {
     const { load } = candidate;
     free += Math.max(0, load.free);
     if (load.free <= 0 || !gapHolds(candidate, wish.gapMs)) continue;
     const firstTokenMs = firstTokenOn(candidate, wish.call, now);
-    if (!best || firstTokenMs < best.firstTokenMs) best = { candidate, firstTokenMs };
+    const totalMs = firstTokenMs + wish.estimate * load.model.stepMs(load.running + 1);
+    const better = !best || (wish.reserve > 0 ? totalMs > best.totalMs : totalMs < best.totalMs);
+    if (better) best = { candidate, firstTokenMs, totalMs };
   }
   return free > wish.reserve ? best : undefined;
 }
--- a/packages/scheduling/src/forecast.ts
+++ b/packages/scheduling/src/forecast.ts
@@ -1,4 +1,4 @@
-/** Forecasts urgent arrivals from their recent rate. */
+/** Forecasts arrivals from their recent rate. */
 
 import type { Clock, Millis } from '@tanagercart/base';
 
@@ -40,3 +40,28 @@
     this.at = now;
   }
 }
+
+/** Forecasts of arrivals, one for each urgency. */
+export class Forecasts {
+  private readonly byUrgency = new Map<number, Forecast>();
+
+  private constructor(private readonly clock: Clock) {}
+
+  static create(clock: Clock): Forecasts {
+    return new Forecasts(clock);
+  }
+
+  /** Counts one arrival. */
+  arrived(urgency: number): void {
+    const known = this.byUrgency.get(urgency) ?? Forecast.create(this.clock);
+    known.arrived();
+    this.byUrgency.set(urgency, known);
+  }
+
+  /** Arrivals more urgent than `urgency` to be ready for within `ms`. */
+  before(urgency: number, ms: Millis): number {
+    let n = 0;
+    for (const [at, forecast] of this.byUrgency) if (at < urgency) n += forecast.within(ms);
+    return n;
+  }
+}
--- a/packages/scheduling/src/owner.ts
+++ b/packages/scheduling/src/owner.ts
@@ -16,12 +16,13 @@
 import type { Placement } from './admission.js';
 import { Candidates } from './candidates.js';
 import type { Candidate } from './candidates.js';
-import { Forecast } from './forecast.js';
+import { Forecasts } from './forecast.js';
 import { Lengths } from './lengths.js';
-import { preemptible, victimFor } from './preemption.js';
+import { outlivedPenalty, preemptible, victimFor } from './preemption.js';
 import type { Victim } from './preemption.js';
 import { FairQueue, rank } from './queue.js';
 import type { Ticket } from './queue.js';
+import { outlivedFactor } from './replica.js';
 import type { HeldGrant, ReplicaLoad } from './replica.js';
 
 /** A grant that was not used for this long has lapsed, in milliseconds. */
@@ -40,7 +41,7 @@
 const preemptLeadMs: Millis = 50;
 
 /** Tickets that are passed over before a look at the queue ends. */
-const scanLimit = 16;
+const scanLimit = 6;
 
 /** How long an entry may take to answer a preemption, in milliseconds. */
 const preemptTimeoutMs: Millis = 500;
@@ -67,7 +68,7 @@
   private readonly candidates: Candidates;
   private readonly queue = FairQueue.create();
   private readonly lengths = Lengths.create();
-  private readonly forecast: Forecast;
+  private readonly forecasts: Forecasts;
   private readonly grants = new Map<GrantId, ReplicaLoad>();
   private readonly granted = new Map<string, Grant>();
   private seq = 0;
@@ -76,7 +77,7 @@
 
   private constructor(private readonly o: OwnerOptions) {
     this.candidates = Candidates.create(o);
-    this.forecast = Forecast.create(o.clock);
+    this.forecasts = Forecasts.create(o.clock);
   }
 
   static create(options: OwnerOptions): Owner {
@@ -101,7 +102,7 @@
     const key = `${call.request}|${call.attempt}`;
     const again = this.granted.get(key);
     if (again) return { kind: 'granted', grant: again };
-    const candidates = this.candidates.of(call);
+    const candidates = this.candidatesOf(call);
     if (candidates.length === 0) return refused('no-replica', leastRetryAfterMs);
     const known = this.queue.get(key);
     const ticket = known ?? this.ticketFor(key, from, call);
@@ -114,14 +115,22 @@
     return this.hold(ticket, known === undefined || this.skipped);
   }
 
+  /** Replicas for a call; those that rest after a failure only where there are no others. */
+  private candidatesOf(call: AcquireCall): readonly Candidate[] {
+    const all = this.candidates.of(call);
+    const fit = all.filter((c) => !c.load.rests(this.o.clock.now()));
+    return fit.length > 0 ? fit : all;
+  }
+
   private ticketFor(key: string, entry: NodeId, call: AcquireCall): Ticket {
     const { clock, state } = this.o;
     const account = state.release.clientAccounts.get(call.account);
     const tier = account && state.release.tierOf(account, call.tier);
     const now = clock.now();
     const estimate = this.lengths.estimate(call.account, call.tier, call.maxTokens);
-    const urgency = urgencyOf(tier);
-    if (urgency === 0) this.forecast.arrived();
+    const long = (call.passedTokens ?? 0) > outlivedFactor * estimate;
+    const urgency = urgencyOf(tier) + (long ? outlivedPenalty : 0);
+    this.forecasts.arrived(urgency);
     const ticket: Ticket = {
       key,
       call,
@@ -192,9 +201,10 @@
         this.lapse(ticket, now);
         continue;
       }
-      const candidates = this.candidates.of(ticket.call);
-      const reserve = rank(ticket, now) > 0 ? this.forecast.within(preemptLeadMs) : 0;
-      const wish = { call: ticket.call, gapMs: ticket.gapMs, reserve };
+      const candidates = this.candidatesOf(ticket.call);
+      const reserve = this.forecasts.before(rank(ticket, now), preemptLeadMs);
+      const { call, gapMs, estimate } = ticket;
+      const wish = { call, gapMs, estimate, reserve };
       const placement = placementOf(wish, candidates, now);
       if (placement) {
         this.grant(ticket, placement, now);
@@ -240,7 +250,7 @@
     this.granted.set(ticket.key, grant);
     this.queue.remove(ticket.key);
     this.queue.advance(ticket);
-    const room = this.roomOf(ticket, this.candidates.of(ticket.call));
+    const room = this.roomOf(ticket, this.candidatesOf(ticket.call));
     ticket.answer?.({ kind: 'granted', grant, room });
   }
 
@@ -262,28 +272,33 @@
     const options = { timeoutMs: preemptTimeoutMs };
     const call = { grant: held.grant.id };
     const reply = await this.o.transport.call(held.entry, 'preempt', call, options);
-    if (reply.isOk() && !reply.value.known) this.drop(held.grant.id);
+    if (reply.isOk() && !reply.value.known) {
+      this.remove(held.grant.id);
+      this.pump();
+    }
     if (reply.isErr()) held.preempting = false;
   }
 
   private release(call: ReleaseCall): ReleaseReply {
     const load = this.grants.get(call.grant);
-    const held = this.drop(call.grant);
+    const held = this.remove(call.grant);
     if (load && held) this.learn(load, held, call);
+    this.pump();
     return { known: held !== undefined };
   }
 
-  private drop(id: GrantId): HeldGrant | undefined {
+  private remove(id: GrantId): HeldGrant | undefined {
     const held = this.grants.get(id)?.remove(id);
     this.grants.delete(id);
     if (!held) return undefined;
     this.granted.delete(held.key);
     this.candidates.prune();
-    this.pump();
     return held;
   }
 
   private learn(load: ReplicaLoad, held: HeldGrant, call: ReleaseCall): void {
+    if (call.end === 'failed') load.failed(this.o.clock.now());
+    if (call.end === 'complete') load.succeeded();
     if (call.firstTokenMs === undefined) return;
     load.model.observeFirst(held.runningAtStart, held.prefillAtStart, call.firstTokenMs);
     if (call.end !== 'complete') return;
--- a/packages/scheduling/src/preemption.ts
+++ b/packages/scheduling/src/preemption.ts
@@ -8,7 +8,7 @@
 export const preemptionLimit = 3;
 
 /** What a grant that outlived its estimate gives up of its urgency. */
-const outlivedPenalty = 0.5;
+export const outlivedPenalty = 0.5;
 
 /** A grant that may be taken back, and where it runs. */
 export interface Victim {
@@ -16,26 +16,29 @@
   readonly held: HeldGrant;
 }
 
+interface Ranked extends Victim {
+  readonly standing: number;
+}
+
 /** Urgency of a grant as others see it: less once it runs longer than foretold. */
 export function standing(load: ReplicaLoad, held: HeldGrant, now: Millis): number {
   return held.urgency + (load.outlived(held, now) ? outlivedPenalty : 0);
 }
 
-/** The least urgent grant, latest begun first, among those less urgent than `urgency`. */
+/** The least urgent grant, on the fastest replica, among those less urgent than `urgency`. */
 export function victimFor(
   urgency: number,
   candidates: readonly Candidate[],
   now: Millis,
 ): Victim | undefined {
-  let best: (Victim & { readonly standing: number }) | undefined;
+  let best: Ranked | undefined;
   for (const { load } of candidates) {
     for (const held of load.held) {
       if (!mayPreempt(held)) continue;
       const at = standing(load, held, now);
       if (at <= urgency) continue;
-      if (!best || at > best.standing || (at === best.standing && later(held, best.held))) {
-        best = { load, held, standing: at };
-      }
+      const victim = { load, held, standing: at };
+      if (!best || before(victim, best)) best = victim;
     }
   }
   return best;
@@ -60,6 +63,13 @@
   return !held.preempting && (held.call.preemptions ?? 0) < preemptionLimit;
 }
 
-function later(a: HeldGrant, b: HeldGrant): boolean {
-  return a.givenAt > b.givenAt;
+/** Least urgent first, then on the fastest replica, then the latest begun. */
+function before(a: Ranked, b: Ranked): boolean {
+  if (a.standing !== b.standing) return a.standing > b.standing;
+  if (a.load !== b.load) return speedOf(a.load) < speedOf(b.load);
+  return a.held.givenAt > b.held.givenAt;
+}
+
+function speedOf(load: ReplicaLoad): Millis {
+  return load.model.stepMs(load.running);
 }
--- a/packages/scheduling/src/replica.ts
+++ b/packages/scheduling/src/replica.ts
@@ -29,6 +29,9 @@
 export class ReplicaLoad {
   private readonly grants = new Map<GrantId, HeldGrant>();
 
+  private failures = 0;
+  private restsUntil: Millis = -Infinity;
+
   private constructor(
     readonly id: ReplicaId,
     readonly model: BatchModel,
@@ -68,6 +71,23 @@
     return held;
   }
 
+  /** Whether it failed lately and is given no work for a while. */
+  rests(now: Millis): boolean {
+    return now < this.restsUntil;
+  }
+
+  /** Notes a failed attempt; each one in a row doubles the rest. */
+  failed(now: Millis): void {
+    if (this.rests(now)) return;
+    this.restsUntil = now + Math.min(restLimitMs, firstRestMs * 2 ** this.failures);
+    this.failures += 1;
+  }
+
+  /** Notes an attempt that ran to its end. */
+  succeeded(): void {
+    this.failures = 0;
+  }
+
   /** Prompt tokens that are likely still unread at `now`. */
   unreadTokens(now: Millis): number {
     let sum = 0;
@@ -89,9 +109,16 @@
   /** Whether a grant has run for longer than its estimate foretold. */
   outlived(g: HeldGrant, now: Millis): boolean {
     const stepMs = this.model.stepMs(this.running);
-    return now - g.readAt > g.estimate * stepMs * outlivedFactor;
+    const passed = g.call.passedTokens ?? 0;
+    return passed + (now - g.readAt) / stepMs > g.estimate * outlivedFactor;
   }
 }
 
+/** Rest of a replica after its first failed attempt, in milliseconds. */
+const firstRestMs: Millis = 250;
+
+/** Longest rest of a replica, in milliseconds. */
+const restLimitMs: Millis = 4000;
+
 /** Multiple of its estimated time after which a grant counts as long. */
-const outlivedFactor = 2;
+export const outlivedFactor = 2;
