--- a/packages/routing/src/widest.ts
+++ b/packages/routing/src/widest.ts
@@ -24,29 +24,36 @@
   links: LinkBudget,
   latencyMs: Millis,
 ): readonly FreeStage[] | undefined {
-  const ends = new Map<number, Path[]>();
-  const whole: Path[] = [];
+  const ends = new Map<number, Map<string, Path>>();
+  let best: Path | undefined;
   for (const stage of [...free].sort(byLayer)) {
     const path = bestTo(stage, ends, links);
     if (!path || path.width <= 0 || path.latencyMs > latencyMs || stage.stage.to > model.layers) {
- continue;
-}
-    if (stage.stage.to === model.layers) whole.push(path);
-    else ends.set(stage.stage.to, [...(ends.get(stage.stage.to) ?? []), path]);
+      continue;
+    }
+    if (stage.stage.to === model.layers) best = better(best, path);
+    else keepBest(ends, path);
   }
-  const best = whole.reduce<Path | undefined>((a, b) => better(a, b), undefined);
   return best && stagesOf(best);
 }
 
+/** Keeps one path for each layer and data centre: what follows depends on nothing else. */
+function keepBest(ends: Map<number, Map<string, Path>>, path: Path): void {
+  const { stage, upstream } = path.last;
+  const there = ends.get(stage.to) ?? new Map<string, Path>();
+  there.set(upstream.dataCentre, better(there.get(upstream.dataCentre), path));
+  ends.set(stage.to, there);
+}
+
 function bestTo(
   stage: FreeStage,
-  ends: ReadonlyMap<number, readonly Path[]>,
+  ends: ReadonlyMap<number, ReadonlyMap<string, Path>>,
   links: LinkBudget,
 ): Path | undefined {
   const width = stage.stage.tokensPerSecond;
   if (stage.stage.from === 0) return { last: stage, before: undefined, width, latencyMs: 0 };
   let best: Path | undefined;
-  for (const before of ends.get(stage.stage.from) ?? []) {
+  for (const before of ends.get(stage.stage.from)?.values() ?? []) {
     const link = links.between(before.last.upstream.dataCentre, stage.upstream.dataCentre);
     best = better(best, {
       last: stage,
