--- a/packages/dispatch/src/generate.ts
+++ b/packages/dispatch/src/generate.ts
@@ -57,8 +57,10 @@
   readonly transport: Transport;
   readonly engines: Engines;
   readonly proposer: Proposer;
-  /** Nodes that own replicas of a model, best first. */
-  readonly owners: (model: Model) => readonly NodeId[];
+  /** Nodes that own replicas of a model, best first for work of a tier. */
+  readonly owners: (model: Model, tier: Tier) => readonly NodeId[];
+  /** Learns from an owner's answer. */
+  readonly heard: (owner: NodeId, tier: Tier, reply: AcquireReply) => void;
 }
 
 interface Attempt {
@@ -198,7 +200,7 @@
   ): Promise<AcquireOutcome> {
     let reason: RefusalReason = 'no-replica';
     let retryAfterMs: Millis | undefined;
-    for (const owner of this.o.owners(g.model)) {
+    for (const owner of this.o.owners(g.model, g.tier)) {
       const call = {
         request: g.id,
         attempt,
@@ -219,6 +221,7 @@
         reason = 'owner-unreachable';
         continue;
       }
+      this.o.heard(owner, g.tier, reply.value);
       if (reply.value.kind === 'granted') return { kind: 'granted', grant: reply.value.grant };
       reason = reply.value.reason;
       retryAfterMs = reply.value.retryAfterMs;
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -1,6 +1,7 @@
 export * from './address.js';
 export * from './logmessage.js';
 export * from './followmessage.js';
+export * from './ownermessage.js';
 export * from './grantmessage.js';
 export * from './announcemessage.js';
 export * from './refusal.js';
@@ -9,3 +10,4 @@
 export * from './frame.js';
 export * from './tcp.js';
 export * from './memory.js';
+export * from './limitmessage.js';
--- a/packages/scheduling/src/owner.ts
+++ b/packages/scheduling/src/owner.ts
@@ -46,6 +46,9 @@
 /** How long an entry may take to answer a preemption, in milliseconds. */
 const preemptTimeoutMs: Millis = 500;
 
+/** Pause before a grant whose entry did not answer is asked for again, in milliseconds. */
+const spareMs: Millis = 1000;
+
 /** Least wait that a refused caller is told, in milliseconds. */
 const leastRetryAfterMs: Millis = 100;
 
@@ -72,6 +75,7 @@
   private readonly grants = new Map<GrantId, ReplicaLoad>();
   private readonly granted = new Map<string, Grant>();
   private seq = 0;
+  private checkedView = -1;
   /** Whether a ticket was passed over because its entry was not asking. */
   private skipped = false;
 
@@ -192,6 +196,7 @@
   private pump(): void {
     if (!this.o.mayGrant()) return;
     const now = this.o.clock.now();
+    this.lapseOrphans();
     this.skipped = false;
     let missed = 0;
     for (const ticket of [...this.queue.ordered(now)]) {
@@ -215,6 +220,18 @@
     }
   }
 
+  /** Drops the grants of entries that are gone. */
+  private lapseOrphans(): void {
+    const { nodes, view } = this.o.state;
+    if (view === this.checkedView) return;
+    this.checkedView = view;
+    for (const load of this.candidates.known) {
+      for (const held of [...load.held]) {
+        if (nodes.get(held.entry)?.incarnation !== held.incarnation) this.remove(held.grant.id);
+      }
+    }
+  }
+
   private lapse(ticket: Ticket, now: Millis): void {
     if (now - ticket.polledAt > ticketLapseMs) this.queue.remove(ticket.key);
   }
@@ -245,6 +262,8 @@
       prefillAtStart: prefill,
       readAt: now + firstTokenMs,
       preempting: false,
+      sparedUntil: now,
+      incarnation: this.o.state.nodes.get(ticket.entry)?.incarnation,
     });
     this.grants.set(grant.id, load);
     this.granted.set(ticket.key, grant);
@@ -276,7 +295,10 @@
       this.remove(held.grant.id);
       this.pump();
     }
-    if (reply.isErr()) held.preempting = false;
+    if (reply.isErr()) {
+      held.preempting = false;
+      held.sparedUntil = this.o.clock.now() + spareMs;
+    }
   }
 
   private release(call: ReleaseCall): ReleaseReply {
--- a/packages/scheduling/src/preemption.ts
+++ b/packages/scheduling/src/preemption.ts
@@ -34,7 +34,7 @@
   let best: Ranked | undefined;
   for (const { load } of candidates) {
     for (const held of load.held) {
-      if (!mayPreempt(held)) continue;
+      if (!mayPreempt(held, now)) continue;
       const at = standing(load, held, now);
       if (at <= urgency) continue;
       const victim = { load, held, standing: at };
@@ -53,13 +53,14 @@
   let n = 0;
   for (const { load } of candidates) {
     for (const held of load.held) {
-      if (mayPreempt(held) && standing(load, held, now) > urgency) n += 1;
+      if (mayPreempt(held, now) && standing(load, held, now) > urgency) n += 1;
     }
   }
   return n;
 }
 
-function mayPreempt(held: HeldGrant): boolean {
+function mayPreempt(held: HeldGrant, now: Millis): boolean {
+  if (now < held.sparedUntil) return false;
   return !held.preempting && (held.call.preemptions ?? 0) < preemptionLimit;
 }
 
--- a/packages/scheduling/src/replica.ts
+++ b/packages/scheduling/src/replica.ts
@@ -23,6 +23,10 @@
   readonly readAt: Millis;
   /** Whether its entry was asked to give it back. */
   preempting: boolean;
+  /** Until when it is not asked for again, after its entry could not be reached. */
+  sparedUntil: Millis;
+  /** Incarnation of the entry when the grant was given. */
+  readonly incarnation: string | undefined;
 }
 
 /** Load and step model of one replica. */
--- a/packages/scheduling/test/owner.test.ts
+++ b/packages/scheduling/test/owner.test.ts
@@ -118,7 +118,7 @@
     void transport.call(self, 'release', call, { timeoutMs: 1000 });
     await clock.advance(2);
   };
-  return { clock, owner, ask, release, preempted, lease };
+  return { clock, owner, ask, release, preempted, lease, state };
 }
 
 const patient = { tier: TierId('patient') };
@@ -194,6 +194,17 @@
   assert.deepEqual([backlog[1], small[0]?.kind], [[], 'granted']);
 });
 
+test('the grants of an entry that is gone lapse', async () => {
+  const { clock, ask, owner, state } = setUp(1);
+  ask('a');
+  await clock.advance(2);
+  state.apply(6, { kind: 'node-down', node: entry, incarnation: '1', stopped: false });
+  const next = ask('b');
+  await clock.advance(2);
+  assert.equal(next[0]?.kind, 'granted');
+  assert.equal(owner.inUse, 1);
+});
+
 function grantOf(reply: AcquireReply | undefined): GrantId | undefined {
   return reply?.kind === 'granted' ? reply.grant.id : undefined;
 }
