--- a/packages/bench/src/fleet.ts
+++ b/packages/bench/src/fleet.ts
@@ -1,183 +1,192 @@
-/** Entries, an owner and engines in memory with held time, for measurements of dispatch. */
+/** Eight nodes with real owners and choosers before fake engines, in held time. */
 
-import { ok } from 'neverthrow';
 import {
-  AccountId,
-  GrantId,
+  DataCentreId,
   HeldClock,
   ModelId,
   NodeId,
-  ReplicaId,
-  RequestId,
+  PriceListId,
   SeededRandom,
-  StatsdMetrics,
-  TierId,
   UpstreamId,
-  rendezvous,
-  silentLogger,
+  digestOf,
 } from '@tanagercart/base';
-import type { Millis } from '@tanagercart/base';
-import { Dispatch, Gate } from '@tanagercart/dispatch';
-import type { Generation, Piece } from '@tanagercart/dispatch';
+import type { Millis, ReplicaId } from '@tanagercart/base';
+import { ownersOf } from '@tanagercart/membership';
 import { MemoryNetwork } from '@tanagercart/protocol';
+import type { MemoryTransport } from '@tanagercart/protocol';
+import type { Model, ReleaseParts, Tier } from '@tanagercart/release';
+import { Chooser, planChains } from '@tanagercart/routing';
+import { Owner } from '@tanagercart/scheduling';
 import { SharedState } from '@tanagercart/state';
-import type { Proposals } from '@tanagercart/state';
-import type { Engines, RunEvent, RunOrder } from '@tanagercart/upstream';
-
-/** Time for one token, in milliseconds. */
-const tokenMs: Millis = 40;
-
-/** Time to commit a command, in milliseconds. */
-const commitMs: Millis = 2;
-
-/** What a fleet is made of. */
-export interface FleetOptions {
-  readonly seed: number;
-  readonly nodes: number;
-  readonly replicas: number;
-  readonly slots: number;
-  /** Whether a request crashes the upstream that runs it. */
-  readonly crashes: (order: RunOrder) => boolean;
-  /** State of an earlier fleet, as after a restart of all nodes. */
-  readonly snapshot?: Uint8Array;
-  /** Whether gates clear everything, as a baseline. */
-  readonly open?: boolean;
+import type { Command, Replica, Upstream } from '@tanagercart/state';
+import { accounts, patient, standard, urgent } from './demand.js';
+import { FakeEngine } from './fakeengine.js';
+import type { EngineKind } from './fakeengine.js';
+
+/** Delays of one deployment, in milliseconds one way. */
+export interface Site {
+  readonly name: string;
+  readonly betweenMs: Millis;
+  readonly clientMs: Millis;
+}
+
+export const ramdenee: Site = { name: 'ramdenee', betweenMs: 0.5, clientMs: 1 };
+export const keswick: Site = { name: 'keswick', betweenMs: 0.5, clientMs: 3 };
+
+const dataCentres = ['dc1', 'dc2', 'dc3'];
+const nodeCount = 8;
+const layers = 32;
+
+/** Four kinds of accelerators, as chains of two stages. */
+export const engineKinds: readonly EngineKind[] = [
+  { name: 'a', slots: 48, baseMs: 14, sequenceMs: 0.12, promptTokenMs: 0.02 },
+  { name: 'b', slots: 32, baseMs: 18, sequenceMs: 0.2, promptTokenMs: 0.03 },
+  { name: 'c', slots: 24, baseMs: 24, sequenceMs: 0.35, promptTokenMs: 0.05 },
+  { name: 'd', slots: 12, baseMs: 32, sequenceMs: 0.8, promptTokenMs: 0.09 },
+];
+
+const replicasPerKind = 10;
+
+/** The tiers on offer. */
+export const tiers: readonly Tier[] = [
+  tier(urgent, 0, 690, 78),
+  tier(standard, 1, 2000, 150),
+  tier(patient, 2, 30_000, 1000),
+];
+
+function tier(id: Tier['id'], urgency: number, firstTokenMs: Millis, tokenGapMs: Millis): Tier {
+  const limits = { concurrency: 1000, requestsPerSecond: 1000, tokensPerSecond: 1e6 };
+  return { id, urgency, price: 1, firstTokenMs, tokenGapMs, retryBudget: 0.1, ...limits };
+}
+
+export const model: Model = { id: ModelId('fig'), layers, versions: ['1'], adapters: [] };
+
+/** One node's decisions. */
+export interface BenchNode {
+  readonly id: NodeId;
+  readonly dataCentre: string;
+  readonly transport: MemoryTransport;
+  readonly owner: Owner;
+  readonly chooser: Chooser;
 }
 
-/** A fleet in memory. */
-export class BenchFleet {
+/** A whole deployment. */
+export class Fleet {
   readonly clock = HeldClock.create();
-  readonly metrics = StatsdMetrics.create();
   readonly state = SharedState.create();
-  /** Replicas that are down. */
-  readonly dead = new Set<string>();
-  /** Replicas that the owner does not grant. */
-  readonly known = new Set<string>();
-  readonly dispatches: readonly Dispatch[];
-  private readonly network: MemoryNetwork;
-  private readonly used = new Map<GrantId, ReplicaId>();
-  private readonly names: readonly ReplicaId[];
-  private seq = 0;
-
-  private constructor(private readonly o: FleetOptions) {
-    const random = SeededRandom.create(o.seed);
-    this.network = MemoryNetwork.create(this.clock, random);
-    if (o.snapshot) this.state.restore(1, o.snapshot);
-    this.names = Array.from({ length: o.replicas }, (_, i) => ReplicaId(`r${i}`));
-    const nodes = Array.from({ length: o.nodes }, (_, i) => NodeId(`n${i}`));
-    this.dispatches = nodes.map((self) => this.createNode(self, nodes, random));
-    this.serveOwner(nodes[0]!);
+  readonly engines = new Map<ReplicaId, FakeEngine>();
+  readonly nodes: readonly BenchNode[];
+  private index = 0;
+
+  private constructor(
+    readonly site: Site,
+    readonly random: SeededRandom,
+  ) {
+    const network = MemoryNetwork.create(this.clock, random);
+    network.setQuality({ delayMs: site.betweenMs, jitterMs: 0.1, loss: 0 });
+    this.apply({ kind: 'accept-release', note: noteOf(), digest: digestOf('note'), at: 0 });
+    const names = Array.from({ length: nodeCount }, (_, i) => i);
+    for (const i of names) this.nodeUp(i);
+    for (const upstream of stages()) this.apply({ kind: 'upstream-up', upstream });
+    this.plan();
+    this.nodes = names.map((i) => this.node(network, i));
   }
 
-  static create(options: FleetOptions): BenchFleet {
-    return new BenchFleet(options);
+  static create(site: Site, seed: number): Fleet {
+    return new Fleet(site, SeededRandom.create(seed));
   }
 
-  /** Sends a request through a node; yields its last piece. */
-  async send(node: number, g: Generation): Promise<Piece | undefined> {
-    const dispatch = this.dispatches[node % this.dispatches.length]!;
-    let last: Piece | undefined;
-    for await (const piece of dispatch.generate(g, new AbortController().signal)) last = piece;
-    return last;
+  /** The owner of a replica. */
+  ownerOf(replica: Replica): NodeId | undefined {
+    const first = this.state.upstreams.get(replica.stages[0]!);
+    return ownersOf(this.state, replica.id, first?.dataCentre ?? '')[0];
   }
 
-  private createNode(self: NodeId, nodes: readonly NodeId[], random: SeededRandom): Dispatch {
-    const { clock, state, metrics } = this;
-    const transport = this.network.attach(self);
-    if (this.o.open) {
-      transport.serve('clear', async () => ({ kind: 'cleared' }));
-      transport.serve('settle', async () => ({ known: true }));
-    } else Gate.create({ state, clock, transport, isUp: () => true });
-    return Dispatch.create({
-      clock,
-      random,
-      logger: silentLogger,
-      metrics,
-      transport,
-      engines: this.engines(),
-      proposals: this.proposals(),
-      state,
-      owners: () => [nodes[0]!],
-      gates: (fingerprint) => rendezvous(fingerprint, nodes),
-    });
+  /** Kills the engine of one replica; the loss is known to every node after `detectMs`. */
+  async lose(replica: ReplicaId, detectMs: Millis): Promise<void> {
+    this.engines.get(replica)?.die();
+    await this.clock.sleep(detectMs);
+    const upstream = this.state.replicas.get(replica)?.stages[0];
+    if (upstream) this.apply({ kind: 'upstream-down', upstream, incarnation: '1', left: false });
   }
 
-  private proposals(): Proposals {
-    return {
-      propose: async (command) => {
-        await this.clock.sleep(commitMs);
-        const index = this.state.index + 1;
-        return ok({ index, outcome: this.state.apply(index, command) });
-      },
-    };
+  private plan(): void {
+    const replicas = planChains(model, [...this.state.upstreams.values()], []);
+    this.apply({ kind: 'plan', model: model.id, replicas });
+    for (const replica of this.state.replicas.values()) {
+      const kind = engineKinds.find((k) => replica.stages[0]!.startsWith(k.name))!;
+      this.engines.set(replica.id, FakeEngine.create(kind, this.clock));
+    }
   }
 
-  private engines(): Engines {
-    return { run: (order) => this.run(order), cancel: async () => undefined };
+  private apply(command: Command): void {
+    this.index += 1;
+    this.state.apply(this.index, command);
   }
 
-  private async *run(order: RunOrder): AsyncGenerator<RunEvent> {
-    const [{ upstream }] = order.chain as [RunOrder['chain'][0]];
-    if (this.dead.has(upstream)) {
-      yield { kind: 'failed', failure: { kind: 'unreachable', detail: 'down' } };
-      return;
-    }
-    const { request, attempt, chain: receipts } = order;
-    for (let index = order.passed.length; index < order.maxTokens; index += 1) {
-      await this.clock.sleep(tokenMs);
-      if (this.o.crashes(order)) this.dead.add(upstream);
-      if (this.dead.has(upstream)) {
-        yield { kind: 'failed', failure: { kind: 'broken', detail: 'died', suspect: undefined } };
-        return;
-      }
-      yield { kind: 'token', frame: { request, attempt, index, token: `t${index}`, receipts } };
-    }
-    yield { kind: 'end', reason: 'stop' };
+  private nodeUp(i: number): void {
+    const id = NodeId(`n${i}`);
+    const dataCentre = DataCentreId(dataCentres[i % dataCentres.length]!);
+    const address = { id, dataCentre, peer: `peer-${i}`, entry: `http://entry-${i}` };
+    this.apply({ kind: 'node-up', node: address, incarnation: '1' });
   }
 
-  private serveOwner(self: NodeId): void {
-    const transport = this.network.at(self)!;
-    const running = (r: ReplicaId) => [...this.used.values()].filter((u) => u === r).length;
-    transport.serve('acquire', async (_, call) => {
-      const free = this.names
-        .map((r) => ({ r, n: running(r) }))
-        .filter(({ r, n }) => n < this.o.slots && !this.known.has(r) && !call.avoid.includes(r))
-        .sort((a, b) => a.n - b.n)[0]?.r;
-      if (!free) return { kind: 'queued', againMs: 50 };
-      this.seq += 1;
-      const id = GrantId(`g${this.seq}`);
-      this.used.set(id, free);
-      const stages = [{ upstream: UpstreamId(free), url: '', from: 0, to: 1 }];
-      const terms = { epoch: 1, startWithinMs: 1000, priority: 0 };
-      return { kind: 'granted', grant: { id, replica: free, owner: self, stages, ...terms } };
+  private node(network: MemoryNetwork, i: number): BenchNode {
+    const id = NodeId(`n${i}`);
+    const transport = network.attach(id);
+    const owner = Owner.create({
+      self: id,
+      state: this.state,
+      clock: this.clock,
+      transport,
+      mayGrant: () => true,
+      owns: (replica) => this.ownerOf(replica) === id,
+      isLeaving: () => false,
     });
-    transport.serve('release', async (_, call) => ({ known: this.used.delete(call.grant) }));
+    const chooser = Chooser.create(this.clock, this.random);
+    return { id, dataCentre: dataCentres[i % dataCentres.length]!, transport, owner, chooser };
   }
 }
 
-/** A request of an account that may retry a tenth of its requests. */
-export function benchGeneration(id: string, over: Partial<Generation> = {}): Generation {
-  return {
-    id: RequestId(id),
-    account: { id: AccountId('grower') } as Generation['account'],
-    tier: {
-      id: TierId('urgent'),
-      urgency: 0,
-      price: 1,
-      firstTokenMs: 690,
-      tokenGapMs: 78,
-      concurrency: 1000,
-      requestsPerSecond: 1000,
-      tokensPerSecond: 1e6,
-      retryBudget: 0.1,
-    },
-    model: { id: ModelId('m'), layers: 1 } as Generation['model'],
-    version: '1',
-    adapter: undefined,
-    release: 1,
-    prompt: id,
-    seed: 0,
-    maxTokens: 25,
-    ...over,
+function stages(): readonly Upstream[] {
+  return engineKinds.flatMap((kind) =>
+    Array.from({ length: replicasPerKind }, (_, i) => [
+      stage(kind, i, 0, layers / 2),
+      stage(kind, i, layers / 2, layers),
+    ]).flat(),
+  );
+}
+
+function stage(kind: EngineKind, i: number, from: number, to: number): Upstream {
+  const id = UpstreamId(`${kind.name}-${i}-${from}`);
+  const stepMs = kind.baseMs + kind.sequenceMs * kind.slots;
+  const dataCentre = dataCentres[i % dataCentres.length]!;
+  const held = { model: model.id, versions: ['1'], adapters: [], from, to };
+  const speed = {
+    accelerator: kind.name,
+    tokensPerSecond: (kind.slots * 1000) / stepMs,
+    slots: kind.slots,
+  };
+  const role = { kind: 'stage', stage: { ...held, ...speed } } as const;
+  return { id, incarnation: '1', url: `http://${id}`, dataCentre, role };
+}
+
+function noteOf() {
+  const priceList = PriceListId('list');
+  const none: ReleaseParts = { priceLists: [], clientAccounts: [], models: [], services: [] };
+  const clientAccounts = accounts.map((id, i) => ({
+    id,
+    priceList,
+    defaultTier: standard,
+    keyDigest: digestOf(id),
+    weight: i < 3 ? 4 : 1,
+  }));
+  const added = {
+    ...none,
+    priceLists: [{ id: priceList, tiers }],
+    clientAccounts,
+    models: [model],
   };
+  const withdrawn = { priceLists: [], clientAccounts: [], models: [], services: [] };
+  return { number: 1, author: 'bench', added, changed: none, withdrawn };
 }
--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -12,6 +12,9 @@
 
 /** Every measurement, loaded on demand from the module of its name. */
 const benches: readonly string[] = [
+  'crest',
+  'hol',
+  'throughput',
   'limits',
   'log',
   'inforce',
--- a/packages/bench/src/poison.ts
+++ b/packages/bench/src/poison.ts
@@ -1,6 +1,6 @@
 /** Upstreams that a poison request costs, however its caller repeats it. */
 
-import { BenchFleet, benchGeneration } from './fleet.js';
+import { BenchFleet, benchGeneration } from './dispatchfleet.js';
 import type { Figure, Report } from './report.js';
 
 const nodes = 8;
--- a/packages/bench/src/retries.ts
+++ b/packages/bench/src/retries.ts
@@ -1,7 +1,7 @@
 /** The share of retries while half of the fleet fails, and what is answered meanwhile. */
 
 import { SeededRandom } from '@tanagercart/base';
-import { BenchFleet, benchGeneration } from './fleet.js';
+import { BenchFleet, benchGeneration } from './dispatchfleet.js';
 import type { Report } from './report.js';
 
 const nodes = 8;
--- a/packages/dispatch/src/acquire.ts
+++ b/packages/dispatch/src/acquire.ts
@@ -29,6 +29,8 @@
   readonly metrics: Metrics;
   readonly transport: Transport;
   readonly owners: (g: Generation) => readonly NodeId[];
+  /** Learns from an owner's answer. */
+  readonly heard: (owner: NodeId, reply: AcquireReply) => void;
 }
 
 /** One wish for a grant. */
@@ -129,6 +131,7 @@
     const call = callOf(wish, avoid, left);
     const reply = await o.transport.call(owner, 'acquire', call, { timeoutMs });
     if (reply.isErr()) return { kind: 'unreachable' };
+    o.heard(owner, reply.value);
     if (reply.value.kind !== 'queued') return reply.value;
     o.metrics.count('acquire.queued');
     await o.clock.sleep(Math.min(reply.value.againMs, left), wish.signal);
--- a/packages/dispatch/src/generate.ts
+++ b/packages/dispatch/src/generate.ts
@@ -12,8 +12,8 @@
   UpstreamId,
 } from '@tanagercart/base';
 import { Bell, unreachable } from '@tanagercart/base';
-import type { AttemptEnd, ClearedEnd, Grant, Transport } from '@tanagercart/protocol';
-import type { Model } from '@tanagercart/release';
+import type { AcquireReply, AttemptEnd, ClearedEnd, Grant, Transport } from '@tanagercart/protocol';
+import type { Model, Tier } from '@tanagercart/release';
 import type { Proposals, SharedState } from '@tanagercart/state';
 import type { Engines, FinishReason, RunOrder } from '@tanagercart/upstream';
 import { acquire } from './acquire.js';
@@ -47,8 +47,10 @@
   readonly engines: Engines;
   readonly proposals: Proposals;
   readonly state: SharedState;
-  /** Nodes that own replicas of a model, best first. */
-  readonly owners: (model: Model) => readonly NodeId[];
+  /** Nodes that own replicas of a model, best first for work of a tier. */
+  readonly owners: (model: Model, tier: Tier) => readonly NodeId[];
+  /** Learns from an owner's answer. */
+  readonly heard: (owner: NodeId, tier: Tier, reply: AcquireReply) => void;
   /** Nodes that may be the gate of a fingerprint, first the one that is. */
   readonly gates: (fingerprint: Digest) => readonly NodeId[];
 }
@@ -153,7 +155,11 @@
 
   private acquire(d: Dispatching): Promise<Acquired> {
     const { g, promise, signal, assembly } = d;
-    const options = { ...this.o, owners: () => this.o.owners(g.model) };
+    const options = {
+      ...this.o,
+      owners: () => this.o.owners(g.model, g.tier),
+      heard: (owner: NodeId, reply: AcquireReply) => this.o.heard(owner, g.tier, reply),
+    };
     d.attempts += 1;
     return acquire(options, {
       g,
--- a/packages/dispatch/test/fleet.ts
+++ b/packages/dispatch/test/fleet.ts
@@ -73,6 +73,7 @@
       proposals,
       state,
       owners: () => [names[0]!],
+      heard: () => undefined,
       gates: (fingerprint: Digest) => rendezvous(fingerprint, names),
     });
   });
--- a/packages/node/src/directory.ts
+++ b/packages/node/src/directory.ts
@@ -5,6 +5,7 @@
 import type { AccountId, NodeId } from '@tanagercart/base';
 import type { Ownership, Upstreams } from '@tanagercart/membership';
 import type { Model } from '@tanagercart/release';
+import type { OwnerOption } from '@tanagercart/routing';
 import type { Settings } from '@tanagercart/settings';
 import type { Replica, SharedState, Upstream } from '@tanagercart/state';
 
@@ -48,14 +49,20 @@
     return this.o.ownership.ownerOf(replica);
   }
 
-  /** Nodes that own replicas of `model`, in random order. */
-  ownersOf(model: Model): readonly NodeId[] {
-    const owners = new Set<NodeId>();
+  /** Nodes that own replicas of `model`, with what a choice among them needs. */
+  ownersOf(model: Model): readonly OwnerOption[] {
+    const owned = new Map<NodeId, number>();
     for (const replica of this.o.state.replicas.values()) {
       const owner = replica.model === model.id && this.ownerOfReplica(replica);
-      if (owner) owners.add(owner);
+      if (owner) owned.set(owner, (owned.get(owner) ?? 0) + 1);
     }
-    return rendezvous(randomUUID(), [...owners]);
+    const { nodes } = this.o.state;
+    const here = this.o.settings.node.dataCentre;
+    return [...owned].map(([node, replicas]) => ({
+      node,
+      replicas,
+      near: nodes.get(node)?.address.dataCentre === here,
+    }));
   }
 
   /** Upstreams that stand for `service` and do not leave. */
--- a/packages/node/src/listeners.ts
+++ b/packages/node/src/listeners.ts
@@ -12,6 +12,7 @@
 import type { Proposals, Proposer, SharedState } from '@tanagercart/state';
 import { HttpEngines, HttpServices } from '@tanagercart/upstream';
 import type { createPool } from '@tanagercart/upstream';
+import { Chooser } from '@tanagercart/routing';
 import type { ControlPlane } from './controlplane.js';
 import type { Directory } from './directory.js';
 
@@ -77,6 +78,7 @@
 }
 
 function createDispatch(p: Parts, proposals: Proposals): Dispatch {
+  const chooser = Chooser.create(p.clock, systemRandom);
   return Dispatch.create({
     clock: p.clock,
     logger: p.logger.part('dispatch'),
@@ -86,7 +88,11 @@
     random: systemRandom,
     proposals,
     state: p.state,
-    owners: (model) => p.directory.ownersOf(model),
+    owners: (model, tier) => chooser.order(p.directory.ownersOf(model), tier.id, []),
+    heard: (owner, tier, reply) => {
+      const retryAfterMs = reply.kind === 'refused' ? reply.retryAfterMs : undefined;
+      chooser.replied(owner, tier.id, { room: reply.room, retryAfterMs });
+    },
     gates: (fingerprint) => rendezvous(fingerprint, [...p.state.nodes.keys()]),
   });
 }
