--- a/packages/cli/src/commands.ts
+++ b/packages/cli/src/commands.ts
@@ -8,34 +8,12 @@
 import { readSecret } from '@tanagercart/settings';
 import type { Settings } from '@tanagercart/settings';
 import { readNote, readSettings, readText } from './files.js';
-import { callOperator } from './operator.js';
+import { refusal, success } from './exit.js';
+import { OperatorCommand } from './operatorcommand.js';
 import { runDemo } from './demo.js';
 import { readExample } from './demoplan.js';
 
-/** Exit codes: success, a refusal, wrong usage. */
-const success = 0;
-const refusal = 1;
-
-abstract class OperatorCommand extends Command {
-  url = Option.String('--url', 'http://127.0.0.1:9101', {
-    description: "Base URL of a node's operator listener",
-  });
-
-  keyEnv = Option.String('--key-env', 'TANAGERCART_OPERATOR_KEY', {
-    description: "Environment variable that holds the operators' key",
-  });
-
-  protected async send(method: 'GET' | 'POST', path: string, body?: string): Promise<number> {
-    const key = process.env[this.keyEnv] ?? '';
-    const answer = await callOperator(this.url, key, method, path, body);
-    if (answer.isErr()) {
-      this.context.stderr.write(`${answer.error}\n`);
-      return refusal;
-    }
-    this.context.stdout.write(`${JSON.stringify(answer.value.body, null, 2)}\n`);
-    return answer.value.status < 400 ? success : refusal;
-  }
-}
+export { OperatorCommand };
 
 /** `tanagercart node`: runs one node until it is told to stop. */
 export class NodeCommand extends Command {
@@ -125,17 +103,6 @@
   }
 }
 
-/** `tanagercart status`: shows what a node knows of the system. */
-export class StatusCommand extends OperatorCommand {
-  static override paths = [['status']];
-
-  static override usage = Command.Usage({ description: 'Show the state of the system' });
-
-  execute(): Promise<number> {
-    return this.send('GET', '/operators/v1/status');
-  }
-}
-
 /** `tanagercart demo`: runs nodes and stand-ins in one process. */
 export class DemoCommand extends Command {
   static override paths = [['demo']];
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -2,3 +2,5 @@
 export * from './demo.js';
 export * from './demoplan.js';
 export * from './files.js';
+export * from './operator.js';
+export * from './statustable.js';
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -1,16 +1,19 @@
 /** The command line of tanagercart. */
 
 import { Builtins, Cli, UsageError } from 'clipanion';
-import {
-  CheckCommand,
-  DemoCommand,
+import { CheckCommand, DemoCommand, NodeCommand, SubmitCommand } from './commands.js';
+import { wrongUsage } from './exit.js';
+import { DrainCommand, EntriesCommand, StatusCommand } from './systemcommands.js';
+
+const commands = [
   NodeCommand,
-  StatusCommand,
+  CheckCommand,
   SubmitCommand,
-} from './commands.js';
-
-/** Exit code of wrong usage. */
-const wrongUsage = 2;
+  EntriesCommand,
+  StatusCommand,
+  DrainCommand,
+  DemoCommand,
+];
 
 /** Runs one command line and leaves its exit code to the process. */
 export async function main(args: readonly string[]): Promise<void> {
@@ -19,9 +22,7 @@
     binaryLabel: 'Tanagercart',
     binaryVersion: '0.1.0',
   });
-  for (const command of [NodeCommand, CheckCommand, SubmitCommand, StatusCommand, DemoCommand]) {
-    cli.register(command);
-  }
+  for (const command of commands) cli.register(command);
   cli.register(Builtins.HelpCommand);
   cli.register(Builtins.VersionCommand);
   const input = [...args];
--- a/packages/entry/src/operators.ts
+++ b/packages/entry/src/operators.ts
@@ -2,8 +2,8 @@
 
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import { unreachable } from '@tanagercart/base';
-import type { Clock, Millis, NodeId } from '@tanagercart/base';
+import { NodeId, unreachable } from '@tanagercart/base';
+import type { Clock, Millis } from '@tanagercart/base';
 import type { Transport } from '@tanagercart/protocol';
 import { digestOfNote, parseNote } from '@tanagercart/release';
 import type { Proposer, SharedState } from '@tanagercart/state';
@@ -19,6 +19,12 @@
 /** Pause between two looks at the progress of a note, in milliseconds. */
 const progressPauseMs: Millis = 50;
 
+/** How long a node may take to begin to drain, in milliseconds. */
+const drainTimeoutMs: Millis = 2000;
+
+/** Path under which a node is asked to drain through another. */
+const drainPath = /^\/operators\/v1\/nodes\/([A-Za-z0-9._-]+)\/drain$/;
+
 /** Largest note, in bytes. */
 const noteBytes = 8 * 1024 * 1024;
 
@@ -30,6 +36,7 @@
 
 /** What the operators' listener needs. */
 export interface OperatorOptions {
+  readonly self: NodeId;
   readonly key: string;
   readonly state: SharedState;
   readonly proposer: Proposer;
@@ -72,13 +79,27 @@
       return;
     case 'POST /operators/v1/drain':
       o.drain();
-      sendJson(res, 202, { draining: true });
+      sendJson(res, 202, { node: o.self, draining: true });
       return;
     default:
+      if (req.method === 'POST' && drainPath.test(path)) {
+        await drainNode(o, path, res);
+        return;
+      }
       sendJson(res, 404, { error: { code: 'not-found', message: `no ${req.method} ${path}` } });
   }
 }
 
+/** Passes a drain on to the node that the path names. */
+async function drainNode(o: OperatorOptions, path: string, res: ServerResponse): Promise<void> {
+  const node = NodeId(drainPath.exec(path)?.[1] ?? '');
+  const call = { by: `operator at ${o.self}` };
+  const reply = await o.transport.call(node, 'drain', call, { timeoutMs: drainTimeoutMs });
+  if (reply.isOk()) return sendJson(res, 202, { node, ...reply.value });
+  const { kind } = reply.error;
+  return sendJson(res, 503, { error: { code: kind, message: `no answer from node "${node}"` } });
+}
+
 async function submit(
   o: OperatorOptions,
   req: IncomingMessage,
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -103,6 +103,11 @@
   begin(peers: readonly NodeAddress[] = []): void {
     const { signal } = this.stopping;
     for (const p of peers) this.directory.learn(p.id, p.peer);
+    this.transport.serve('drain', async (from, { by }) => {
+      this.logger.info('Asked to drain.', { by, from });
+      this.drainAsked.ring();
+      return { draining: true };
+    });
     this.control.begin(this.address, this.tasks, signal);
     this.tasks.start(() => this.upstreams.watch(signal));
     this.logger.info('Serving.', { entry: this.address.entry });
@@ -271,6 +276,7 @@
   private operatorOptions(parts: Parts) {
     const { control, proposer, transport } = this;
     return {
+      self: this.id,
       key: this.o.operatorKey,
       state: this.history.state,
       proposer,
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -3,6 +3,7 @@
 export * from './followmessage.js';
 export * from './grantmessage.js';
 export * from './announcemessage.js';
+export * from './drainmessage.js';
 export * from './refusal.js';
 export * from './message.js';
 export * from './transport.js';
--- a/packages/protocol/src/message.ts
+++ b/packages/protocol/src/message.ts
@@ -1,6 +1,7 @@
 /** Every exchange between the nodes: one call and one reply. */
 
 import type { AnnounceCall, AnnounceReply } from './announcemessage.js';
+import type { DrainCall, DrainReply } from './drainmessage.js';
 import type { FollowCall, FollowReply, ProgressCall, ProgressReply } from './followmessage.js';
 import type {
   PreemptCall,
@@ -35,6 +36,7 @@
   acquire: { call: AcquireCall; reply: AcquireReply };
   release: { call: ReleaseCall; reply: ReleaseReply };
   preempt: { call: PreemptCall; reply: PreemptReply };
+  drain: { call: DrainCall; reply: DrainReply };
   announce: { call: AnnounceCall; reply: AnnounceReply };
 }
 
