--- /dev/null
+++ b/packages/node/src/gauges.ts
@@ -0,0 +1,35 @@
+/** The gauges that a node reports again and again. */
+
+import type { Clock, Metrics, Millis } from '@tanagercart/base';
+import type { InProgress } from '@tanagercart/entry';
+import type { ConfigurationLease } from '@tanagercart/membership';
+import type { Owner } from '@tanagercart/scheduling';
+import type { SharedState } from '@tanagercart/state';
+
+/** Time between two reports, in milliseconds. */
+const reportMs: Millis = 1000;
+
+/** What the gauges show. */
+export interface GaugeSource {
+  readonly clock: Clock;
+  readonly metrics: Metrics;
+  readonly lease: ConfigurationLease;
+  readonly state: SharedState;
+  readonly owner: Owner;
+  readonly inProgress: InProgress;
+}
+
+/** Task: reports every gauge until `signal` aborts. */
+export async function reportGauges(s: GaugeSource, signal: AbortSignal): Promise<void> {
+  while (!signal.aborted) {
+    s.metrics.gauge('lease.ms', s.lease.leftMs);
+    s.metrics.gauge('requests.in-progress', s.inProgress.count);
+    s.metrics.gauge('grants.in-use', s.owner.inUse);
+    s.metrics.gauge('state.index', s.state.index);
+    s.metrics.gauge('state.release', s.state.release.number);
+    s.metrics.gauge('state.nodes', s.state.nodes.size);
+    s.metrics.gauge('state.upstreams', s.state.upstreams.size);
+    s.metrics.gauge('state.replicas', s.state.replicas.size);
+    await s.clock.sleep(reportMs, signal);
+  }
+}
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -17,6 +17,7 @@
 import { addressOf, hostPortOf, withPort } from './address.js';
 import { Control } from './control.js';
 import { Directory } from './directory.js';
+import { reportGauges } from './gauges.js';
 import { createDoor, statusOf } from './listeners.js';
 import type { Parts } from './listeners.js';
 import { close, listen } from './server.js';
@@ -110,6 +111,7 @@
     });
     this.control.begin(this.address, this.tasks, signal);
     this.tasks.start(() => this.upstreams.watch(signal));
+    this.tasks.start(() => reportGauges(this.gaugeSource(), signal));
     this.logger.info('Serving.', { entry: this.address.entry });
   }
 
@@ -252,6 +254,12 @@
     });
   }
 
+  private gaugeSource() {
+    const { metrics, lease, owner, door } = this;
+    const { state } = this.history;
+    return { clock: this.o.clock, metrics, lease, state, owner, inProgress: door.inProgress };
+  }
+
   private parts(): Parts {
     const { settings, clock, logger } = this.o;
     const { lease, proposer, transport, directory, upstreams, control, pool, metrics } = this;
