--- a/packages/cli/src/commands.ts
+++ b/packages/cli/src/commands.ts
@@ -135,6 +135,7 @@
       clock: SystemClock.create(),
     });
     this.context.stdout.write(`${JSON.stringify(demo.ready)}\n`);
+    for (const node of demo.nodes) void node.untilDrainAsked().then(() => node.drain());
     await signalled();
     await demo.drain();
     return success;
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -63,6 +63,8 @@
   /** Addresses of the node, as it tells the others. */
   address: NodeAddress;
   private draining = false;
+  private drained: Promise<void> | undefined;
+  private stopped: Promise<void> | undefined;
   private readonly drainAsked = Bell.create();
 
   private constructor(private readonly o: NodeOptions) {
@@ -138,7 +140,12 @@
   }
 
   /** Stops taking work, finishes what is in progress, and ends. */
-  async drain(): Promise<void> {
+  drain(): Promise<void> {
+    this.drained ??= this.finish();
+    return this.drained;
+  }
+
+  private async finish(): Promise<void> {
     this.logger.info('Draining.');
     this.draining = true;
     await this.untilTakenOut();
@@ -160,7 +167,12 @@
   }
 
   /** Ends at once; what is in progress is cut. */
-  async stop(): Promise<void> {
+  stop(): Promise<void> {
+    this.stopped ??= this.end();
+    return this.stopped;
+  }
+
+  private async end(): Promise<void> {
     this.stopping.abort();
     this.callers.closeAllConnections();
     this.operators.closeAllConnections();
