End a drain of all nodes at once

Cause: on SIGINT the demo drained and then hung. The last leader proposed to its own log after the log had stopped, and that proposal waited for ever, so the task that keeps the nodes never ended.

Change: a stopped node takes no more proposals and its proposer ends its waits; a draining node waits for the leader to take it out only while it holds a lease. A test drains four nodes at once: it hung before and ends now.

--- a/packages/cli/test/drain.test.ts
+++ b/packages/cli/test/drain.test.ts
@@ -73,3 +73,8 @@
   const answer = await callOperator(operators[0]!, operatorKey, 'POST', path);
   assert.equal(answer._unsafeUnwrap().status, 503);
 });
+
+test('all nodes drain at once', async () => {
+  await demo.drain();
+  assert.ok(demo.nodes.every((n) => !n.ready));
+});
--- a/packages/node/src/control.ts
+++ b/packages/node/src/control.ts
@@ -62,7 +62,10 @@
 
   /** Stops voting. */
   async stop(): Promise<void> {
-    await this.raft?.stop();
+    const { raft } = this;
+    // A proposal that came after this would wait for ever.
+    this.raft = undefined;
+    await raft?.stop();
   }
 
   private createRaft(self: NodeId): Raft {
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -161,8 +161,10 @@
   private async untilTakenOut(): Promise<void> {
     const { clock } = this.o;
     const deadline = clock.now() + takeOutLimitMs;
-    while (this.history.state.nodes.has(this.id) && clock.now() < deadline) {
-      await this.history.changed.waitUpTo(deadline - clock.now(), clock);
+    // Without a lease there is no leader that could take the node out.
+    while (this.history.state.nodes.has(this.id) && this.lease.valid && clock.now() < deadline) {
+      const leftMs = Math.min(deadline - clock.now(), this.lease.leftMs);
+      await this.history.changed.waitUpTo(leftMs, clock);
     }
   }
 
@@ -174,6 +176,7 @@
 
   private async end(): Promise<void> {
     this.stopping.abort();
+    this.proposer.stop();
     this.callers.closeAllConnections();
     this.operators.closeAllConnections();
     await Promise.all([close(this.callers), close(this.operators), this.control.stop()]);
--- a/packages/state/src/proposer.ts
+++ b/packages/state/src/proposer.ts
@@ -27,6 +27,7 @@
 /** Proposes commands on behalf of one node. */
 export class Proposer {
   private leader: NodeId | undefined;
+  private stopped = false;
 
   private constructor(
     private readonly transport: Transport,
@@ -44,7 +45,7 @@
     const bytes = encodeCommand(command);
     const deadline = this.clock.now() + timeoutMs;
     let turn = 0;
-    while (this.clock.now() < deadline) {
+    while (!this.stopped && this.clock.now() < deadline) {
       const target = this.leader ?? this.nextVoter(turn);
       if (!target) return err({ kind: 'unavailable', detail: 'no voter is known' });
       turn += 1;
@@ -78,6 +79,11 @@
     return err({ kind: 'unavailable', detail: 'no leader in time' });
   }
 
+  /** Ends every wait; later proposals fail at once. */
+  stop(): void {
+    this.stopped = true;
+  }
+
   private nextVoter(turn: number): NodeId | undefined {
     const voters = this.voters();
     return voters[turn % Math.max(1, voters.length)];
