--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -11,7 +11,7 @@
 const defaultSeed = 1;
 
 /** Every measurement, loaded on demand from the module of its name. */
-const benches: readonly string[] = [];
+const benches: readonly string[] = ['relay'];
 
 async function main(args: readonly string[]): Promise<number> {
   const names = args.filter((a) => benches.includes(a));
--- a/packages/upstream/src/http.ts
+++ b/packages/upstream/src/http.ts
@@ -15,7 +15,7 @@
 import type { SendError, ServiceAnswer, ServiceRequest, Services } from './service.js';
 
 /** Connections to one upstream at most. */
-const connectionLimit = 256;
+const connectionLimit = 2048;
 
 /** Longest time for opening a connection, in milliseconds. */
 const connectTimeoutMs = 1000;
