--- a/packages/entry/src/delivery.ts
+++ b/packages/entry/src/delivery.ts
@@ -108,7 +108,7 @@
   private writeToken(token: string): boolean {
     const { text, stopped } = this.pass(token);
     if (stopped) return this.writeEnd(text, 'stop');
-    if (text !== '') this.event(this.o.writer.chunk(text, null));
+    if (text !== '') this.o.res.write(this.o.writer.event(text));
     return false;
   }
 
--- a/packages/entry/src/writer.ts
+++ b/packages/entry/src/writer.ts
@@ -3,8 +3,14 @@
 import type { FinishReason } from '@tanagercart/upstream';
 import type { AnswerKind } from './chat.js';
 
+/** Stands for the token in the event that `around` is cut from; no caller can name it. */
+const mark = '\u0000token\u0000';
+
 /** Writes the objects of one answer. */
 export class AnswerWriter {
+  /** What stands before and after the token in the event of a chunk. */
+  private around: readonly string[] | undefined;
+
   private constructor(
     private readonly kind: AnswerKind,
     private readonly id: string,
@@ -52,6 +58,14 @@
     return { ...this.head(object), choices: [], usage: usageOf(promptTokens, tokens) };
   }
 
+  /** The event of a chunk with `token`: only the token is encoded anew for each. */
+  event(token: string): string {
+    this.around ??= `data: ${JSON.stringify(this.chunk(mark, null))}\n\n`.split(
+      JSON.stringify(mark),
+    );
+    return this.around[0]! + JSON.stringify(token) + this.around[1]!;
+  }
+
   private head(object: string) {
     return { id: this.id, object, created: this.created, model: this.model };
   }
