--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -22,6 +22,7 @@
   'orders',
   'poison',
   'retries',
+  'relay',
 ];
 
 async function main(args: readonly string[]): Promise<number> {
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -1,21 +1,22 @@
 /** The command line of tanagercart. */
 
 import { Builtins, Cli, UsageError } from 'clipanion';
-import { CheckCommand, DemoCommand, NodeCommand, StatusCommand } from './commands.js';
+import { CheckCommand, DemoCommand, NodeCommand } from './commands.js';
+import { wrongUsage } from './exit.js';
 import { LiftCommand, QuarantineCommand } from './quarantine.js';
 import { HistoryCommand, ShowReleaseCommand, SubmitCommand } from './release.js';
+import { DrainCommand, EntriesCommand, StatusCommand } from './systemcommands.js';
 import { VotersChangeCommand, VotersShowCommand } from './voters.js';
 
-/** Exit code of wrong usage. */
-const wrongUsage = 2;
-
 const commands = [
   NodeCommand,
   CheckCommand,
   SubmitCommand,
   ShowReleaseCommand,
   HistoryCommand,
+  EntriesCommand,
   StatusCommand,
+  DrainCommand,
   VotersShowCommand,
   VotersChangeCommand,
   QuarantineCommand,
@@ -30,9 +31,7 @@
     binaryLabel: 'Tanagercart',
     binaryVersion: '0.1.0',
   });
-  for (const command of commands) {
-    cli.register(command);
-  }
+  for (const command of commands) cli.register(command);
   cli.register(Builtins.HelpCommand);
   cli.register(Builtins.VersionCommand);
   const input = [...args];
--- a/packages/cli/src/quarantine.ts
+++ b/packages/cli/src/quarantine.ts
@@ -1,7 +1,7 @@
 /** The commands on quarantined requests. */
 
 import { Command, Option } from 'clipanion';
-import { OperatorCommand } from './commands.js';
+import { OperatorCommand } from './operatorcommand.js';
 
 /** `tanagercart quarantine list`: shows the quarantined requests. */
 export class QuarantineCommand extends OperatorCommand {
--- a/packages/cli/src/release.ts
+++ b/packages/cli/src/release.ts
@@ -2,7 +2,7 @@
 
 import { Command, Option } from 'clipanion';
 import { unreachable } from '@tanagercart/base';
-import { OperatorCommand } from './commands.js';
+import { OperatorCommand } from './operatorcommand.js';
 import { readText } from './files.js';
 import { callOperator } from './operator.js';
 import type { OperatorAnswer } from './operator.js';
--- a/packages/cli/src/voters.ts
+++ b/packages/cli/src/voters.ts
@@ -1,7 +1,7 @@
 /** The commands that show and change the voters of the replicated log. */
 
 import { Command, Option } from 'clipanion';
-import { OperatorCommand } from './commands.js';
+import { OperatorCommand } from './operatorcommand.js';
 
 /** `tanagercart voters show`: shows the voters of the replicated log. */
 export class VotersShowCommand extends OperatorCommand {
--- a/packages/entry/src/operators.ts
+++ b/packages/entry/src/operators.ts
@@ -2,7 +2,8 @@
 
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import type { NodeId } from '@tanagercart/base';
+import { NodeId } from '@tanagercart/base';
+import type { Millis } from '@tanagercart/base';
 import { carriesKey } from './bearer.js';
 import { sendJson } from './body.js';
 import { liftQuarantine, listQuarantine } from './quarantine.js';
@@ -14,6 +15,12 @@
 /** Path of the releases. */
 const releasesPath = '/operators/v1/releases';
 
+/** How long a node may take to begin to drain, in milliseconds. */
+const drainTimeoutMs: Millis = 2000;
+
+/** Path under which a node is asked to drain through another. */
+const drainPath = /^\/operators\/v1\/nodes\/([A-Za-z0-9._-]+)\/drain$/;
+
 /** What a status reports. */
 export interface StatusReport {
   readonly node: NodeId;
@@ -22,6 +29,7 @@
 
 /** What the operators' listener needs. */
 export interface OperatorOptions extends ReleaseDesk, VoterChangeOptions {
+  readonly self: NodeId;
   readonly key: string;
   readonly status: () => StatusReport;
   readonly drain: () => void;
@@ -80,9 +88,13 @@
       return;
     case 'POST /operators/v1/drain':
       o.drain();
-      sendJson(res, 202, { draining: true });
+      sendJson(res, 202, { node: o.self, draining: true });
       return;
     default:
+      if (req.method === 'POST' && drainPath.test(path)) {
+        await drainNode(o, path, res);
+        return;
+      }
       sendJson(res, 404, { error: { code: 'not-found', message: `no ${req.method} ${path}` } });
   }
 }
@@ -92,3 +104,13 @@
   const [, digits] = /^\/operators\/v1\/releases\/(\d+)$/.exec(path) ?? [];
   return digits === undefined ? undefined : Number(digits);
 }
+
+/** Passes a drain on to the node that the path names. */
+async function drainNode(o: OperatorOptions, path: string, res: ServerResponse): Promise<void> {
+  const node = NodeId(drainPath.exec(path)?.[1] ?? '');
+  const call = { by: `operator at ${o.self}` };
+  const reply = await o.transport.call(node, 'drain', call, { timeoutMs: drainTimeoutMs });
+  if (reply.isOk()) return sendJson(res, 202, { node, ...reply.value });
+  const { kind } = reply.error;
+  return sendJson(res, 503, { error: { code: kind, message: `no answer from node "${node}"` } });
+}
--- a/packages/node/src/controlplane.ts
+++ b/packages/node/src/controlplane.ts
@@ -97,7 +97,10 @@
 
   /** Stops voting. */
   async stop(): Promise<void> {
-    await this.raft?.stop();
+    const { raft } = this;
+    // A proposal that came after this would wait for ever.
+    this.raft = undefined;
+    await raft?.stop();
   }
 
   private async openDisk(): Promise<Result<Disk | undefined, { readonly detail: string }>> {
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -20,6 +20,7 @@
 import { addressOf, hostPortOf, withPort } from './address.js';
 import { ControlPlane } from './controlplane.js';
 import { Directory } from './directory.js';
+import { reportGauges } from './gauges.js';
 import { createDoor, statusOf } from './listeners.js';
 import type { Parts } from './listeners.js';
 import { close, listen } from './server.js';
@@ -69,6 +70,8 @@
   /** Addresses of the node, as it tells the others. */
   address: NodeAddress;
   private draining = false;
+  private drained: Promise<void> | undefined;
+  private stopped: Promise<void> | undefined;
   private readonly drainAsked = Bell.create();
 
   private constructor(private readonly o: NodeOptions) {
@@ -113,9 +116,15 @@
   begin(peers: readonly NodeAddress[] = []): void {
     const { signal } = this.stopping;
     for (const p of peers) this.directory.learn(p.id, p.peer);
+    this.transport.serve('drain', async (from, { by }) => {
+      this.logger.info('Asked to drain.', { by, from });
+      this.drainAsked.ring();
+      return { draining: true };
+    });
     this.control.begin(this.tasks, signal);
     this.tasks.start(() => this.ownership.watch(signal));
     this.tasks.start(() => this.upstreams.watch(signal));
+    this.tasks.start(() => reportGauges(this.gaugeSource(), signal));
     this.logger.info('Serving.', { entry: this.address.entry });
   }
 
@@ -147,7 +156,12 @@
   }
 
   /** Stops taking work, finishes what is in progress, and ends. */
-  async drain(): Promise<void> {
+  drain(): Promise<void> {
+    this.drained ??= this.finish();
+    return this.drained;
+  }
+
+  private async finish(): Promise<void> {
     this.logger.info('Draining.');
     this.draining = true;
     await this.untilTakenOut();
@@ -165,14 +179,22 @@
   private async untilTakenOut(): Promise<void> {
     const { clock } = this.o;
     const deadline = clock.now() + takeOutLimitMs;
-    while (this.history.state.nodes.has(this.id) && clock.now() < deadline) {
-      await this.history.changed.waitUpTo(deadline - clock.now(), clock);
+    // Without a lease there is no leader that could take the node out.
+    while (this.history.state.nodes.has(this.id) && this.lease.valid && clock.now() < deadline) {
+      const leftMs = Math.min(deadline - clock.now(), this.lease.leftMs);
+      await this.history.changed.waitUpTo(leftMs, clock);
     }
   }
 
   /** Ends at once; what is in progress is cut. */
-  async stop(): Promise<void> {
+  stop(): Promise<void> {
+    this.stopped ??= this.end();
+    return this.stopped;
+  }
+
+  private async end(): Promise<void> {
     this.stopping.abort();
+    this.proposer.stop();
     this.callers.closeAllConnections();
     this.operators.closeAllConnections();
     await Promise.all([close(this.callers), close(this.operators), this.control.stop()]);
@@ -291,6 +313,12 @@
     });
   }
 
+  private gaugeSource() {
+    const { metrics, lease, owner, door } = this;
+    const { state } = this.history;
+    return { clock: this.o.clock, metrics, lease, state, owner, inProgress: door.inProgress };
+  }
+
   private parts(): Parts {
     const { settings, clock, logger } = this.o;
     const { lease, proposer, transport, directory, upstreams, control, pool, metrics } = this;
@@ -315,6 +343,7 @@
   private operatorOptions(parts: Parts) {
     const { proposer, progress } = this;
     return {
+      self: this.id,
       key: this.o.operatorKey,
       state: this.history.state,
       proposer,
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -4,6 +4,7 @@
 export * from './ownermessage.js';
 export * from './grantmessage.js';
 export * from './announcemessage.js';
+export * from './drainmessage.js';
 export * from './refusal.js';
 export * from './message.js';
 export * from './transport.js';
--- a/packages/protocol/src/message.ts
+++ b/packages/protocol/src/message.ts
@@ -2,6 +2,7 @@
 
 import type { LimitCall, LimitReply } from './limitmessage.js';
 import type { AnnounceCall, AnnounceReply } from './announcemessage.js';
+import type { DrainCall, DrainReply } from './drainmessage.js';
 import type { FollowCall, FollowReply, ProgressCall, ProgressReply } from './followmessage.js';
 import type { ClearCall, ClearReply, SettleCall, SettleReply } from './gatemessage.js';
 import type {
@@ -48,6 +49,7 @@
   settle: { call: SettleCall; reply: SettleReply };
   limit: { call: LimitCall; reply: LimitReply };
   handover: { call: HandoverCall; reply: HandoverReply };
+  drain: { call: DrainCall; reply: DrainReply };
   announce: { call: AnnounceCall; reply: AnnounceReply };
 }
 
--- a/packages/protocol/src/refusal.ts
+++ b/packages/protocol/src/refusal.ts
@@ -37,7 +37,16 @@
 export type RefusalReason = (typeof refusalReasons)[number];
 
 /** Every reason for a further attempt; one counter stands for each. */
-export const retryReasons = ['unreachable', 'refused', 'broken', 'stalled', 'lost'] as const;
+export const retryReasons = [
+  'unreachable',
+  'refused',
+  'died-before-first',
+  'died-mid-stream',
+  'stalled',
+  'corrupt',
+  'preempted',
+  'lost',
+] as const;
 
 /** Why an attempt was followed by another. */
 export type RetryReason = (typeof retryReasons)[number];
