Apply the limits of accounts at the entries

Cause: limits were kept by a package that nothing called. Change: an entry admits a request within the concurrency, requests and tokens of its account and tier before it dispatches it, and settles the tokens when the answer has ended; calls of services count as requests. A request that waited is judged again if the release changed. While a keeper recovers, an idle account waits for it rather than being let in by each node.

--- a/packages/entry/src/answers.ts
+++ b/packages/entry/src/answers.ts
@@ -7,6 +7,7 @@
 import type { Result } from 'neverthrow';
 import { fingerprintOf, notRun } from '@tanagercart/dispatch';
 import type { Generation, Refusal } from '@tanagercart/dispatch';
+import type { Admission } from '@tanagercart/limits';
 import type { ClientAccount } from '@tanagercart/release';
 import { parseJson, readBody } from './body.js';
 import { parseAnswerRequest } from './chat.js';
@@ -36,7 +37,7 @@
     door.refuse(res, checked.error, { account: door.account(req)?.id });
     return;
   }
-  const { asked, generation } = checked.value;
+  const { asked, generation, admission } = checked.value;
   const hangUp = new AbortController();
   res.on('close', () => hangUp.abort());
   const created = Math.floor(door.o.clock.wall() / 1000);
@@ -44,12 +45,17 @@
   res.setHeader(modelHeader, modelOf(generation));
   const pieces = door.o.dispatch.generate(generation, hangUp.signal);
   const delivery = Delivery.create({ door, res, writer, asked, generation });
-  await (asked.stream ? delivery.stream(pieces) : delivery.whole(pieces));
+  try {
+    await (asked.stream ? delivery.stream(pieces) : delivery.whole(pieces));
+  } finally {
+    admission.settle(delivery.generated);
+  }
 }
 
 interface Checked {
   readonly asked: AnswerRequest;
   readonly generation: Generation;
+  readonly admission: Admission;
 }
 
 async function check(
@@ -65,10 +71,31 @@
   }
   const asked = parseAnswerRequest(kind, parseJson(body.value));
   if (asked.isErr()) return err(notRun(asked.error.reason, asked.error.message));
-  const account = door.admit(req);
-  if (account.isErr()) return err(account.error);
-  const generation = judge(door, account.value, asked.value, req.headers[tierHeader]);
-  return generation.map((g) => ({ asked: asked.value, generation: g }));
+  const admitted = await admit(door, req, asked.value);
+  return admitted.map((a) => ({ ...a, asked: asked.value }));
+}
+
+/** Judges a request, and admits it within its limits, under the release that is in force then. */
+async function admit(
+  door: Door,
+  req: IncomingMessage,
+  asked: AnswerRequest,
+): Promise<Result<Omit<Checked, 'asked'>, Refusal>> {
+  for (;;) {
+    const account = door.admit(req);
+    if (account.isErr()) return err(account.error);
+    const judged = judge(door, account.value, asked, req.headers[tierHeader]);
+    if (judged.isErr()) return err(judged.error);
+    const admitted = await door.o.accountLimits.answer(judged.value);
+    if (admitted.isErr()) return err(admitted.error);
+    const [generation, admission] = [judged.value, admitted.value];
+    const closed = door.closed();
+    if (!closed && door.o.state.release.number === generation.release) {
+      return ok({ generation, admission });
+    }
+    admission.settle(0);
+    if (closed) return err(closed);
+  }
 }
 
 /** Judges a request under the release in force. */
--- a/packages/entry/src/delivery.ts
+++ b/packages/entry/src/delivery.ts
@@ -26,7 +26,6 @@
 export class Delivery {
   private readonly filter: StopFilter;
   private readonly about: About;
-  /** Tokens of the answer so far, those that a stop sequence cuts off included. */
   private tokens = 0;
 
   private constructor(private readonly o: DeliveryOptions) {
@@ -34,6 +33,11 @@
     this.about = { request: o.generation.id, account: o.generation.account.id };
   }
 
+  /** Tokens of the answer so far, those that a stop sequence cuts off included. */
+  get generated(): number {
+    return this.tokens;
+  }
+
   static create(options: DeliveryOptions): Delivery {
     return new Delivery(options);
   }
--- a/packages/entry/src/door.ts
+++ b/packages/entry/src/door.ts
@@ -10,6 +10,7 @@
 import type { ConfigurationLease, Upstreams } from '@tanagercart/membership';
 import type { ClientAccount } from '@tanagercart/release';
 import type { SharedState } from '@tanagercart/state';
+import type { AccountLimits } from './accountlimits.js';
 import { bearerOf } from './bearer.js';
 import { InProgress } from './inprogress.js';
 import { entriesHelp, sendRefusal } from './refuse.js';
@@ -36,6 +37,7 @@
   readonly logger: Logger;
   readonly metrics: Metrics;
   readonly limits: CallerLimits;
+  readonly accountLimits: AccountLimits;
   /** Key that upstreams must send with their announcements. */
   readonly upstreamKey?: string | undefined;
   /** Base URLs of nodes for an account, best first. */
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,4 +1,5 @@
 export * from './door.js';
+export * from './accountlimits.js';
 export * from './inprogress.js';
 export * from './callers.js';
 export * from './operators.js';
--- a/packages/entry/src/services.ts
+++ b/packages/entry/src/services.ts
@@ -7,7 +7,7 @@
 import type { Result } from 'neverthrow';
 import { notRun } from '@tanagercart/dispatch';
 import type { Order, Refusal } from '@tanagercart/dispatch';
-import type { ServiceCall } from '@tanagercart/release';
+import type { ClientAccount, ServiceCall, Tier } from '@tanagercart/release';
 import type { ServiceAnswer } from '@tanagercart/upstream';
 import { readBody } from './body.js';
 import type { Door } from './door.js';
@@ -16,6 +16,8 @@
 export const servicesPath = '/v1/services/';
 
 interface Checked {
+  readonly account: ClientAccount;
+  readonly tier: Tier;
   readonly order: Order;
   readonly call: ServiceCall;
 }
@@ -39,7 +41,7 @@
     door.refuse(res, notRun('key-required', message), about);
     return;
   }
-  const answer = await send(door, res, checked.value, String(key));
+  const answer = await sendWithinLimits(door, res, checked.value, String(key));
   if (answer.isErr()) {
     door.refuse(res, answer.error, about);
     return;
@@ -48,6 +50,21 @@
   res.end(answer.value.body);
 }
 
+/** Sends a call once the limits of its account admit it. */
+async function sendWithinLimits(
+  door: Door,
+  res: ServerResponse,
+  checked: Checked,
+  key: string,
+): Promise<Result<ServiceAnswer, Refusal>> {
+  const admitted = await door.o.accountLimits.call(checked.account, checked.tier);
+  if (admitted.isErr()) return err(admitted.error);
+  const closed = door.closed();
+  const answer = closed ? err(closed) : await send(door, res, checked, key);
+  admitted.value.settle(0);
+  return answer;
+}
+
 /** Sends a call; a caller that hangs up cancels it, unless it is an order. */
 function send(
   door: Door,
@@ -72,6 +89,8 @@
   const admitted = door.admit(req);
   if (admitted.isErr()) return err(admitted.error);
   const account = admitted.value;
+  const tier = door.o.state.release.tierOf(account);
+  if (!tier) return err(notRun('unknown-tier', 'the default tier of the account does not stand'));
   const rest = (req.url ?? '').slice(servicesPath.length);
   const [name = ''] = rest.split(/[/?]/, 1);
   const path = rest.slice(name.length) || '/';
@@ -81,6 +100,8 @@
     return err(notRun('unknown-service', `no call ${req.method} ${path} of service "${name}"`));
   }
   return ok({
+    account,
+    tier,
     call,
     order: {
       request: RequestId(randomUUID()),
--- a/packages/entry/test/callers.test.ts
+++ b/packages/entry/test/callers.test.ts
@@ -20,6 +20,7 @@
 import { applyNote, parseNote, Release } from '@tanagercart/release';
 import { Door, createCallerServer } from '../src/index.js';
 import type { CallerLimits, DoorOptions } from '../src/index.js';
+import { unlimited } from './unlimited.js';
 
 const key = 'a-grower-key';
 
@@ -90,6 +91,7 @@
     logger: s.logger ?? silentLogger,
     limits: { ...small, ...s.limits },
     entries: () => ['http://other:1'],
+    accountLimits: unlimited,
     draining: () => false,
     ...s.more,
   } as unknown as DoorOptions);
--- a/packages/entry/test/late.test.ts
+++ b/packages/entry/test/late.test.ts
@@ -16,6 +16,7 @@
 import { SharedState } from '@tanagercart/state';
 import { Door, createCallerServer } from '../src/index.js';
 import type { DoorOptions } from '../src/index.js';
+import { unlimited } from './unlimited.js';
 
 const none = { priceLists: [], clientAccounts: [], models: [], services: [] };
 const tier = {
@@ -67,6 +68,7 @@
       unreadMs: 60_000,
     },
     entries: () => [],
+    accountLimits: unlimited,
     draining: () => false,
   } as unknown as DoorOptions);
   const broken: unknown[] = [];
--- /dev/null
+++ b/packages/entry/test/unlimited.ts
@@ -0,0 +1,6 @@
+import { ok } from 'neverthrow';
+
+const admit = async () => ok({ settle: () => undefined });
+
+/** Limits that admit everything. */
+export const unlimited = { answer: admit, call: admit };
--- a/packages/limits/src/fallback.ts
+++ b/packages/limits/src/fallback.ts
@@ -7,9 +7,17 @@
 /** Time over which the pace is averaged, in milliseconds. */
 const paceWindowMs: Millis = 1000;
 
-/** Requests that a node may run at once, and start per second, without any pace: an idle account is not shut out. */
-const leastRunning = 1;
-const leastPace = 1;
+/** What a node may admit without any pace. */
+export interface LeastPace {
+  readonly running: number;
+  readonly perSecond: number;
+}
+
+/** While the keeper is away, an idle account is not shut out. */
+export const awayPace: LeastPace = { running: 1, perSecond: 1 };
+
+/** While the keeper recovers, an idle account waits for it. */
+export const recoveringPace: LeastPace = { running: 0, perSecond: Number.EPSILON };
 
 /** The pace at which a node was admitted lately, and a bucket that keeps to it. */
 export class Fallback {
@@ -35,11 +43,11 @@
   }
 
   /** Whether one more request may run while the keeper is away. */
-  mayAdmit(running: number, contract: Contract, now: Millis): boolean {
-    if (running >= Math.min(Math.max(this.peak, leastRunning), contract.concurrency)) {
+  mayAdmit(running: number, contract: Contract, now: Millis, least: LeastPace): boolean {
+    if (running >= Math.min(Math.max(this.peak, least.running), contract.concurrency)) {
       return false;
     }
-    const pace = Math.max(this.paceAt(now), leastPace);
+    const pace = Math.max(this.paceAt(now), least.perSecond);
     const rate = Math.min(pace, contract.requestsPerSecond);
     this.bucket ??= Bucket.create(rate, 1, 1, now);
     if (this.bucket.levelAt(now) < 1) {
--- /dev/null
+++ b/packages/limits/src/keepers.ts
@@ -0,0 +1,68 @@
+/** Which node keeps which account, before and after the last change of the live nodes. */
+
+import { hash32, mixHashes } from '@tanagercart/base';
+import type { AccountId, NodeId } from '@tanagercart/base';
+
+/** Chosen keepers that are remembered at most. */
+const remembered = 20_000;
+
+/** One set of live nodes, with the keepers found among them. */
+class Choice {
+  private readonly found = new Map<AccountId, NodeId | undefined>();
+
+  constructor(readonly nodes: readonly NodeId[]) {}
+
+  of(account: AccountId): NodeId | undefined {
+    if (!this.found.has(account)) {
+      if (this.found.size >= remembered) this.found.clear();
+      this.found.set(account, this.choose(account));
+    }
+    return this.found.get(account);
+  }
+
+  /** The best node by rendezvous hashing. */
+  private choose(account: AccountId): NodeId | undefined {
+    const hash = hash32(account);
+    let best: NodeId | undefined;
+    let bestWeight = -1;
+    for (const node of this.nodes) {
+      const weight = mixHashes(hash, hash32(node));
+      if (weight > bestWeight) [best, bestWeight] = [node, weight];
+    }
+    return best;
+  }
+}
+
+/** Finds the keepers of accounts by rendezvous hashing, so that few accounts move with a node. */
+export class Keepers {
+  private now = new Choice([]);
+  private previous = new Choice([]);
+
+  static create(): Keepers {
+    return new Keepers();
+  }
+
+  /** Takes over the set of live nodes; whether it differs from the one before. */
+  update(nodes: readonly NodeId[]): boolean {
+    const same =
+      nodes.length === this.now.nodes.length && nodes.every((n, i) => n === this.now.nodes[i]);
+    if (same) return false;
+    this.previous = this.now;
+    this.now = new Choice([...nodes]);
+    return true;
+  }
+
+  isLive(node: NodeId): boolean {
+    return this.now.nodes.includes(node);
+  }
+
+  /** The keeper of an account. */
+  of(account: AccountId): NodeId | undefined {
+    return this.now.of(account);
+  }
+
+  /** The keeper of an account before the last change of the live nodes. */
+  before(account: AccountId): NodeId | undefined {
+    return this.previous.of(account);
+  }
+}
--- a/packages/limits/src/limiter.ts
+++ b/packages/limits/src/limiter.ts
@@ -5,7 +5,8 @@
 import type { AccountId, Clock, Millis, NodeId, TierId } from '@tanagercart/base';
 import type { LimitCall, LimitKind, LimitReply, Transport } from '@tanagercart/protocol';
 import type { Contract } from './contract.js';
-import { Fallback } from './fallback.js';
+import { Fallback, awayPace, recoveringPace } from './fallback.js';
+import type { LeastPace } from './fallback.js';
 import { Share, nothing } from './share.js';
 
 /** How long a keeper may take to answer, in milliseconds. */
@@ -96,7 +97,7 @@
       }
       const reply = await this.ask(held, r.expectedTokens);
       if (!reply || reply.kind === 'recovering' || reply.kind === 'elsewhere') {
-        const alone = this.admitAlone(held, r);
+        const alone = this.admitAlone(held, r, reply ? recoveringPace : awayPace);
         const mayWait = reply !== undefined && this.o.clock.now() < waitUntil;
         if (alone.isOk() || !mayWait) {
           return alone;
@@ -158,10 +159,14 @@
   }
 
   /** Goes on at the recent pace while the keeper cannot be asked. */
-  private admitAlone(held: Held, r: LimitedRequest): Result<Admission, OverLimit> {
+  private admitAlone(
+    held: Held,
+    r: LimitedRequest,
+    least: LeastPace,
+  ): Result<Admission, OverLimit> {
     const { share, fallback } = held;
     const now = this.o.clock.now();
-    if (!fallback.mayAdmit(share.running, r.contract, now)) {
+    if (!fallback.mayAdmit(share.running, r.contract, now, least)) {
       return err({ limit: 'requests', retryAfterMs: awayWaitMs });
     }
     share.overdraw(r.expectedTokens, now);
--- a/packages/limits/test/limits.test.ts
+++ b/packages/limits/test/limits.test.ts
@@ -138,3 +138,14 @@
   f.kill(user.self)();
   assert.ok((await admit(f, asking[1]!.limiter)).isOk());
 });
+
+test('an idle account waits for a new keeper, and is not let in beyond its limit', async () => {
+  const f = fleet(8);
+  f.kill(f.keeper)();
+  const asking = f.others(f.keeper).map((n) => n.limiter);
+  const request = { account, tier, contract, expectedTokens: 1 };
+  const all = Promise.all(asking.map((l) => l.admit(request)));
+  await f.clock.advance(1000);
+  // The new keeper starts with empty buckets, which hold 3 requests after 300 ms.
+  assert.equal((await all).filter((a) => a.isOk()).length, 3);
+});
--- a/packages/node/src/listeners.ts
+++ b/packages/node/src/listeners.ts
@@ -3,7 +3,7 @@
 import { rendezvous, systemRandom } from '@tanagercart/base';
 import type { Clock, Logger, Metrics } from '@tanagercart/base';
 import { Dispatch, Gate, Orders } from '@tanagercart/dispatch';
-import { Door } from '@tanagercart/entry';
+import { AccountLimits, Door } from '@tanagercart/entry';
 import type { StatusReport } from '@tanagercart/entry';
 import type { ConfigurationLease, Upstreams } from '@tanagercart/membership';
 import type { Transport } from '@tanagercart/protocol';
@@ -15,6 +15,7 @@
 import { Chooser } from '@tanagercart/routing';
 import type { ControlPlane } from './controlplane.js';
 import type { Directory } from './directory.js';
+import type { NodeLimits } from './limits.js';
 
 /** Parts of a node that its listeners use. */
 export interface Parts {
@@ -26,6 +27,7 @@
   readonly directory: Directory;
   readonly upstreams: Upstreams;
   readonly control: ControlPlane;
+  readonly limits: NodeLimits;
   readonly pool: ReturnType<typeof createPool>;
   readonly clock: Clock;
   readonly logger: Logger;
@@ -50,6 +52,7 @@
     logger: p.logger.part('entry'),
     metrics: p.metrics,
     limits: p.settings.limits,
+    accountLimits: AccountLimits.create(p.limits.limiter),
     upstreamKey: p.upstreamKey,
     entries: (account) => p.directory.entriesFor(account),
     draining: p.draining,
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -21,6 +21,7 @@
 import { ControlPlane } from './controlplane.js';
 import { Directory } from './directory.js';
 import { reportGauges } from './gauges.js';
+import { NodeLimits } from './limits.js';
 import { createDoor, statusOf } from './listeners.js';
 import type { Parts } from './listeners.js';
 import { close, listen } from './server.js';
@@ -64,6 +65,7 @@
   private readonly progress: Progress;
   private readonly incarnation = randomUUID();
   private readonly owner: Owner;
+  private readonly limits: NodeLimits;
   private readonly door: Door;
   private readonly callers: Server;
   private readonly operators: Server;
@@ -88,6 +90,7 @@
     this.ownership = this.createOwnership();
     this.directory = this.createDirectory();
     this.owner = this.createOwner();
+    this.limits = this.createLimits();
     const parts = this.parts();
     this.door = createDoor(parts);
     this.callers = createCallerServer(this.door, onBroken);
@@ -123,6 +126,7 @@
     });
     this.control.begin(this.tasks, signal);
     this.tasks.start(() => this.ownership.watch(signal));
+    this.limits.begin(this.tasks, signal);
     this.tasks.start(() => this.upstreams.watch(signal));
     this.tasks.start(() => reportGauges(this.gaugeSource(), signal));
     this.logger.info('Serving.', { entry: this.address.entry });
@@ -319,9 +323,15 @@
     return { clock: this.o.clock, metrics, lease, state, owner, inProgress: door.inProgress };
   }
 
+  private createLimits(): NodeLimits {
+    const { id: self, transport, history } = this;
+    return NodeLimits.create({ self, clock: this.o.clock, transport, history });
+  }
+
   private parts(): Parts {
     const { settings, clock, logger } = this.o;
-    const { lease, proposer, transport, directory, upstreams, control, pool, metrics } = this;
+    const { lease, proposer, transport, directory, upstreams, control, limits, pool, metrics } =
+      this;
     return {
       settings,
       state: this.history.state,
@@ -331,6 +341,7 @@
       directory,
       upstreams,
       control,
+      limits,
       pool,
       clock,
       logger,
