Measure slopes over nodes, accounts, replicas and streams

Cause: nothing told what a node needs at the planned size. Change: the measurement 'capacity' fits lines to heap, processor time, log and control traffic at three sizes or more, of the real code with small fakes; it starts 400 nodes in five data centres as its largest cluster.

--- /dev/null
+++ b/packages/bench/src/capacity.ts
@@ -0,0 +1,25 @@
+/** The slopes from which docs/CAPACITY.md works out the planned size. */
+
+import { controlSeries } from './capacitycontrol.js';
+import { heapSeries } from './capacityheap.js';
+import { logSeries } from './capacitylog.js';
+import { timeSeries } from './capacitytime.js';
+import { figuresOf } from './line.js';
+import { memory } from './meter.js';
+import type { Figure, Report } from './report.js';
+
+/** Runs the measurement. */
+export async function run(seed: number): Promise<Report> {
+  const base = memory();
+  const figures: Figure[] = [
+    { name: 'process with all modules loaded: resident', value: base.resident, unit: 'MB' },
+    { name: 'process with all modules loaded: heap', value: base.heap, unit: 'MB' },
+  ];
+  const series = [
+    ...(await heapSeries(seed)),
+    ...(await timeSeries(seed)),
+    ...(await logSeries()),
+    ...(await controlSeries(seed)),
+  ];
+  return { bench: 'capacity', seed, figures: [...figures, ...series.flatMap(figuresOf)] };
+}
--- /dev/null
+++ b/packages/bench/src/capacitystate.ts
@@ -0,0 +1,93 @@
+/** Shared states of a stated size. */
+
+import {
+  AccountId,
+  DataCentreId,
+  ModelId,
+  NodeId,
+  ReplicaId,
+  UpstreamId,
+  digestOf,
+} from '@tanagercart/base';
+import { SharedState } from '@tanagercart/state';
+import type { Command, Replica, Upstream } from '@tanagercart/state';
+import { firstNote } from './notes.js';
+
+/** Stages of a replica: four accelerators each, as planned. */
+const stagesOfReplica = 4;
+
+/** Crashes that quarantine a request, so far apart that no rack is suspected. */
+const strikes = 2;
+const strikeGapMs = 1200;
+
+const model = ModelId('fig');
+
+/** Changes a state by commands, at one index after another. */
+export function applyAll(state: SharedState, commands: readonly Command[]): SharedState {
+  for (const command of commands) state.apply(state.index + 1, command);
+  return state;
+}
+
+/** A state with these many accounts. */
+export function withAccounts(count: number): SharedState {
+  const note = firstNote(count);
+  const digest = digestOf(String(count));
+  return applyAll(SharedState.create(), [{ kind: 'accept-release', note, digest, at: 0 }]);
+}
+
+/** Commands that bring nodes up, spread over five data centres. */
+export function nodesUp(count: number): readonly Command[] {
+  return Array.from({ length: count }, (_, i): Command => {
+    const id = NodeId(`n${i + 1}`);
+    const place = { dataCentre: DataCentreId(`dc${i % 5}`), peer: `10.0.0.${i}:7100` };
+    const node = { id, ...place, entry: `http://10.0.0.${i}:8080` };
+    return { kind: 'node-up', node, incarnation: `${id}@0` };
+  });
+}
+
+/** Commands that bring upstreams up and plan replicas of them. */
+export function replicasUp(count: number): readonly Command[] {
+  const upstreams: Upstream[] = [];
+  const replicas: Replica[] = [];
+  for (let n = 0; n < count; n += 1) {
+    const stages = Array.from({ length: stagesOfReplica }, (_, s) => stageOf(n, s));
+    upstreams.push(...stages);
+    replicas.push({ id: ReplicaId(`replica-${n}`), model, stages: stages.map((u) => u.id) });
+  }
+  const ups = upstreams.map((upstream): Command => ({ kind: 'upstream-up', upstream }));
+  return [...ups, { kind: 'plan', model, replicas }];
+}
+
+function stageOf(replica: number, stage: number): Upstream {
+  const layers = { from: stage * 2, to: stage * 2 + 2 };
+  const fits = { model, versions: ['1'], adapters: [], accelerator: 'large' };
+  const speed = { tokensPerSecond: 2200, slots: 64 };
+  return {
+    id: UpstreamId(`upstream-${replica}-${stage}`),
+    incarnation: `${replica}-${stage}@0`,
+    url: `http://10.${stage}.${replica >> 8}.${replica & 255}:9000`,
+    dataCentre: `dc${replica % 5}`,
+    role: { kind: 'stage', stage: { ...fits, ...layers, ...speed } },
+  };
+}
+
+/** Commands that quarantine requests. */
+export function quarantined(count: number): readonly Command[] {
+  return Array.from({ length: count * strikes }, (_, i): Command => {
+    const fingerprint = digestOf(`prompt ${Math.floor(i / strikes)}`);
+    return { kind: 'strike', fingerprint, upstream: UpstreamId(`u${i}`), at: i * strikeGapMs };
+  });
+}
+
+/** Commands that claim orders and record their answers. */
+export function ordersPlaced(count: number): readonly Command[] {
+  return Array.from({ length: count }, (_, i): readonly Command[] => {
+    const order = { account: AccountId(`account-${i % 1000}`), key: `trays-${i}` };
+    const claimant = `n1@0|${i}`;
+    const answer = { status: 200, contentType: 'application/json', body: '{"placed":true}' };
+    return [
+      { kind: 'claim-order', order, digest: digestOf(String(i)), claimant, at: i },
+      { kind: 'settle-order', order, claimant, outcome: { kind: 'answered', ...answer } },
+    ];
+  }).flat();
+}
--- /dev/null
+++ b/packages/bench/src/capacitytime.ts
@@ -0,0 +1,211 @@
+/** Processor time of what nodes do often. */
+
+import {
+  AccountId,
+  HeldClock,
+  ModelId,
+  NodeId,
+  RequestId,
+  SeededRandom,
+  TierId,
+  UpstreamId,
+  digestOf,
+  silentLogger,
+} from '@tanagercart/base';
+import { AnswerWriter } from '@tanagercart/entry';
+import { ConfigurationLease, History, Upstreams, ownersOf } from '@tanagercart/membership';
+import { MemoryNetwork } from '@tanagercart/protocol';
+import type { AcquireCall } from '@tanagercart/protocol';
+import { Owner } from '@tanagercart/scheduling';
+import { Proposer, encodeCommand } from '@tanagercart/state';
+import { applyAll, nodesUp, replicasUp, withAccounts } from './capacitystate.js';
+import { BenchFleet, benchGeneration } from './dispatchfleet.js';
+import type { Point, Series } from './line.js';
+import { processorTimeOf } from './meter.js';
+import { account, noParts, note } from './notes.js';
+
+/** Sizes measured. */
+const tokens = [10, 40, 160];
+const accounts = [1000, 4000, 11_000];
+const replicas = [8, 32, 128];
+const waiting = [16, 64, 256];
+const nodes = [50, 100, 400];
+const watched = [400, 1200, 2400];
+
+/** Slots of a replica. */
+const slots = 64;
+
+/** Nodes of the plan. */
+const allNodes = 400;
+
+/** Repetitions for one figure. */
+const requests = 300;
+const writes = 20_000;
+const notes = 40;
+const grants = 100;
+const heartbeats = 2000;
+
+/** Virtual time in which every measured request ends, in milliseconds. */
+const answeredMs = 20_000;
+
+/** Virtual time over which a watch is measured, in milliseconds. */
+const watchMs = 1000;
+
+/** Measures each. */
+export async function timeSeries(seed: number): Promise<readonly Series[]> {
+  return [
+    await series('request through dispatch', 'tokens', tokens, (n) => requestTime(n, seed)),
+    await series('events written for callers', 'tokens', tokens, writeTime),
+    await series('note applied', 'accounts', accounts, noteTime),
+    await series('grant and release', 'replicas', replicas, (n) => grantTime(n, 0, seed)),
+    await series('grant with others waiting', 'waiting', waiting, (n) => grantTime(1, n, seed)),
+    await series('heartbeat of an upstream', 'nodes', nodes, (n) => heartbeatTime(n, seed)),
+    await series('a second of watching', 'upstreams', watched, (n) => watchTime(n, seed)),
+  ];
+}
+
+async function series(
+  name: string,
+  per: string,
+  sizes: readonly number[],
+  cost: (size: number) => number | Promise<number>,
+): Promise<Series> {
+  const points: Point[] = [];
+  // Code that runs often is compiled by then.
+  for (const size of sizes) await cost(size);
+  for (const size of sizes) points.push({ size, value: await cost(size) });
+  return { name: `processor time, ${name}`, per, unit: 'us', points };
+}
+
+/** One request with an answer of this length, through dispatch with a fake owner and engine. */
+async function requestTime(length: number, seed: number): Promise<number> {
+  const size = { nodes: 1, replicas: 1, slots: requests };
+  const fleet = BenchFleet.create({ seed, ...size, crashes: () => false, open: true });
+  const used = await processorTimeOf(async () => {
+    const sent = Array.from({ length: requests }, (_, i) =>
+      fleet.send(0, benchGeneration(`request ${i}`, { maxTokens: length })),
+    );
+    await fleet.clock.advance(answeredMs);
+    await Promise.all(sent);
+  });
+  return used / requests;
+}
+
+/** The events of one answer of this length. */
+async function writeTime(length: number): Promise<number> {
+  const used = await processorTimeOf(() => {
+    for (let done = 0; done < writes; done += length) {
+      const writer = AnswerWriter.create('chat', 'answer', 'fig', 0);
+      for (let n = 0; n < length; n += 1) Buffer.from(writer.event(` token${n}`));
+    }
+  });
+  return (used * length) / writes;
+}
+
+/** One note that changes one account, decoded and applied as on every node. */
+async function noteTime(count: number): Promise<number> {
+  const history = History.create();
+  history.restore({ index: 1, bytes: withAccounts(count).snapshot() });
+  const commands = Array.from({ length: notes }, (_, i) => {
+    const changed = { ...noParts, clientAccounts: [account(0, i + 2)] };
+    const command = { kind: 'accept-release', note: note(i + 2, { changed }) } as const;
+    return encodeCommand({ ...command, digest: digestOf(String(i)), at: 0 });
+  });
+  const used = await processorTimeOf(() => {
+    commands.forEach((bytes, i) => history.apply(i + 2, bytes));
+  });
+  return used / notes;
+}
+
+/** One grant and its release by the owner of `count` replicas while `queued` others wait. */
+async function grantTime(count: number, queued: number, seed: number): Promise<number> {
+  const clock = HeldClock.create();
+  const network = MemoryNetwork.create(clock, SeededRandom.create(seed));
+  const self = NodeId('n1');
+  const entry = NodeId('n2');
+  const state = applyAll(withAccounts(10), [...nodesUp(2), ...replicasUp(count)]);
+  const fixed = { owns: () => true, mayGrant: () => true, isLeaving: () => false };
+  Owner.create({ self, state, clock, transport: network.attach(self), ...fixed });
+  const transport = network.attach(entry);
+  transport.serve('preempt', async () => ({ known: true }));
+  const ask = (id: string) => transport.call(self, 'acquire', callOf(id), { timeoutMs: 1000 });
+  const release = async (asked: ReturnType<typeof ask>) => {
+    const reply = (await asked)._unsafeUnwrap();
+    if (reply.kind !== 'granted') throw new Error(`no grant: ${JSON.stringify(reply)}`);
+    const call = { grant: reply.grant.id, end: 'complete', tokens: 10 } as const;
+    void transport.call(self, 'release', { ...call, firstTokenMs: 20 }, { timeoutMs: 1000 });
+  };
+  // With every slot taken, each request waits for the release of one before it.
+  const first = queued > 0 ? slots * count : 1;
+  const asked = Array.from({ length: first + queued }, (_, i) => ask(`request ${i}`));
+  await clock.advance(2);
+  const used = await processorTimeOf(async () => {
+    for (let i = 0; i < grants; i += 1) {
+      const released = release(asked.shift()!);
+      asked.push(ask(`further ${i}`));
+      await clock.advance(2);
+      await released;
+    }
+  });
+  return used / grants;
+}
+
+function callOf(id: string): AcquireCall {
+  return {
+    request: RequestId(id),
+    attempt: 0,
+    account: AccountId('account-1'),
+    tier: TierId('now'),
+    model: ModelId('fig'),
+    version: '1',
+    adapter: undefined,
+    release: 1,
+    prefix: [],
+    promptTokens: 10,
+    maxTokens: 200,
+    budgetMs: 600_000,
+    avoid: [],
+  };
+}
+
+/** One announcement at the node that watches the upstream. */
+async function heartbeatTime(count: number, seed: number): Promise<number> {
+  const { registry } = watcher(count, 100, seed);
+  const announcement = {
+    id: UpstreamId('upstream-0-0'),
+    incarnation: '0-0@0',
+    url: 'http://10.0.0.0:9000',
+    dataCentre: 'dc0',
+    role: { kind: 'service', service: 'orders' },
+    leaving: false,
+  } as const;
+  const used = await processorTimeOf(async () => {
+    for (let i = 0; i < heartbeats; i += 1) await registry.announced(announcement);
+  });
+  return used / heartbeats;
+}
+
+/** A virtual second of the watch of one node in a system of `count` upstreams and all nodes. */
+async function watchTime(count: number, seed: number): Promise<number> {
+  const { registry, clock } = watcher(allNodes, count / 4, seed);
+  const stop = new AbortController();
+  const watch = registry.watch(stop.signal);
+  const used = await processorTimeOf(() => clock.advance(watchMs));
+  stop.abort();
+  await watch;
+  return (used * 1000) / watchMs;
+}
+
+function watcher(nodeCount: number, replicaCount: number, seed: number) {
+  const clock = HeldClock.create();
+  const history = History.create();
+  const state = applyAll(withAccounts(10), [...nodesUp(nodeCount), ...replicasUp(replicaCount)]);
+  history.restore({ index: state.index, bytes: state.snapshot() });
+  const first = ownersOf(history.state, 'upstream-0-0', 'dc0')[0]!;
+  const transport = MemoryNetwork.create(clock, SeededRandom.create(seed)).attach(first);
+  const lease = ConfigurationLease.create(clock);
+  lease.renew(Infinity);
+  const proposer = Proposer.create(transport, clock, () => []);
+  const parts = { history, proposer, transport, lease, clock, logger: silentLogger };
+  return { clock, registry: Upstreams.create({ self: first, ...parts }) };
+}
--- a/packages/bench/src/cluster.ts
+++ b/packages/bench/src/cluster.ts
@@ -26,8 +26,12 @@
 
 const voterNames = ['n1', 'n2', 'n3', 'n4', 'n5'];
 
-/** Data centres over which the nodes are spread. */
-const dataCentres = ['north', 'east', 'west'];
+/** Data centres over which the nodes are spread; the first three where no number is asked for. */
+const dataCentres = ['north', 'east', 'west', 'south', 'middle'];
+
+/** Longest virtual time in which a cluster comes to rest, and the pause between two looks. */
+const restMs = 8000;
+const lookMs = 100;
 
 /** One node of the cluster. */
 export type Member = ReturnType<typeof startMember>;
@@ -35,23 +39,27 @@
 /** A cluster that is up. */
 export type Cluster = Awaited<ReturnType<typeof startCluster>>;
 
-/** Starts `count` nodes, five of them voters, and lets them come to rest. */
-export async function startCluster(count: number, seed: number) {
+/** Starts `count` nodes at once, five of them voters, and lets them come to rest. */
+export async function startCluster(count: number, seed: number, centres = 3) {
   const clock = HeldClock.create();
   const net = MemoryNetwork.create(clock, SeededRandom.create(seed));
   net.setQuality({ delayMs: 0.5, jitterMs: 0.5, loss: 0 });
   const names = Array.from({ length: count }, (_, i) => `n${i + 1}`);
-  const members = names.map((name, i) =>
-    startMember(net, clock, name, dataCentres[i % dataCentres.length]!),
-  );
-  await clock.advance(8000);
+  const members = names.map((name, i) => startMember(net, clock, name, dataCentres[i % centres]!));
+  const knowsAll = (m: Member) => m.history.state.nodes.size === count && m.control.lease.valid;
+  /** Virtual time after which every node knew all and held a lease. */
+  let upMs = Infinity;
+  for (let at = lookMs; at <= restMs; at += lookMs) {
+    await clock.advance(lookMs);
+    if (upMs === Infinity && members.every(knowsAll)) upMs = at;
+  }
   const leader = () => members.find((m) => m.control.position.leads)!;
   const stop = async () => {
     const stopped = Promise.all(members.map((m) => m.kill()));
     await clock.advance(5000);
     await stopped;
   };
-  return { clock, net, members, leader, stop };
+  return { clock, net, members, upMs, leader, stop };
 }
 
 /** Submits a note through `from`; virtual milliseconds until it is known to be in force. */
--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -23,6 +23,7 @@
   'poison',
   'retries',
   'relay',
+  'capacity',
 ];
 
 async function main(args: readonly string[]): Promise<number> {
