--- a/packages/bench/src/capacitycontrol.ts
+++ b/packages/bench/src/capacitycontrol.ts
@@ -48,10 +48,11 @@
 async function plan(c: Cluster, count: number): Promise<void> {
   const command = { kind: 'batch', commands: replicasUp(count) } as const;
   let done = false;
-  void c
-    .leader()
-    .proposer.propose(command, spanMs)
-    .then(() => (done = true));
+  const propose = async () => {
+    await c.leader().proposer.propose(command, spanMs);
+    done = true;
+  };
+  void propose();
   while (!done) await c.clock.advance(5);
 }
 
--- a/packages/bench/src/capacitylog.ts
+++ b/packages/bench/src/capacitylog.ts
@@ -86,11 +86,11 @@
     const data = state.snapshot();
     const index = store.lastIndex + size;
     await store.saveSnapshot({ index, term: 1, config: noVoters, data }, index + 1);
-    const saved = performance.now();
+    const done = performance.now();
     await open();
     SharedState.create().restore(1, data);
-    written.push({ size, value: saved - from });
-    loaded.push({ size, value: performance.now() - saved });
+    written.push({ size, value: done - from });
+    loaded.push({ size, value: performance.now() - done });
     sizes.push({ size, value: await bytesOf('snapshot-') });
   }
   return [
--- a/packages/bench/src/capacitystate.ts
+++ b/packages/bench/src/capacitystate.ts
@@ -65,7 +65,7 @@
   return {
     id: UpstreamId(`upstream-${replica}-${stage}`),
     incarnation: `${replica}-${stage}@0`,
-    url: `http://10.${stage}.${replica >> 8}.${replica & 255}:9000`,
+    url: `http://10.${stage}.${Math.floor(replica / 256)}.${replica % 256}:9000`,
     dataCentre: `dc${replica % 5}`,
     role: { kind: 'stage', stage: { ...fits, ...layers, ...speed } },
   };
--- a/packages/membership/src/history.ts
+++ b/packages/membership/src/history.ts
@@ -23,6 +23,7 @@
   private recent: CommittedCommand[] = [];
   /** Index before the first of `recent`. */
   private base = 0;
+  private encoded: StateSnapshot | undefined;
 
   static create(): History {
     return new History();
@@ -60,11 +61,18 @@
     if (applied >= this.base) {
       return { commands: this.recent.filter((c) => c.index > applied), snapshot: undefined };
     }
+    return { commands: [], snapshot: this.snapshot() };
+  }
+
+  /** The whole state, encoded once for all followers that ask before it changes. */
+  private snapshot(): StateSnapshot {
     const { index } = this.state;
-    return { commands: [], snapshot: { index, bytes: this.state.snapshot() } };
+    this.encoded ??= { index, bytes: this.state.snapshot() };
+    return this.encoded;
   }
 
   private tell(jumped: boolean): void {
+    this.encoded = undefined;
     for (const listener of this.listeners) listener(jumped);
     this.changed.ring();
   }
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -8,6 +8,7 @@
 export * from './follow.js';
 export * from './registrar.js';
 export * from './owner.js';
+export * from './assignment.js';
 export * from './ownership.js';
 export * from './progress.js';
 export * from './submit.js';
--- a/packages/membership/src/upstreams.ts
+++ b/packages/membership/src/upstreams.ts
@@ -6,6 +6,7 @@
 import type { Proposer, Upstream, UpstreamRole } from '@tanagercart/state';
 import { parseAnnouncement } from '@tanagercart/upstream';
 import type { Announcement, AnnouncementReply } from '@tanagercart/upstream';
+import { Assignment } from './assignment.js';
 import { RosterBatch } from './batch.js';
 import type { History } from './history.js';
 import type { ConfigurationLease } from './lease.js';
@@ -39,12 +40,14 @@
 export class Upstreams {
   /** Health of the upstreams that this node watches. */
   readonly watchlist: Watchlist;
+  private readonly assignment: Assignment;
   private readonly batch: RosterBatch;
   /** Incarnations that said to this node that they leave. */
   private readonly leaving = new Map<UpstreamId, string>();
   private readonly recording = new Set<UpstreamId>();
 
   private constructor(private readonly o: UpstreamsOptions) {
+    this.assignment = Assignment.create(o.self, () => o.history.state);
     this.batch = RosterBatch.create(o.proposer, o.clock);
     this.watchlist = Watchlist.create(o.clock, heartbeatMs);
   }
@@ -59,7 +62,7 @@
   async announced(a: Announcement): Promise<AnnouncementReply | undefined> {
     const reply = { heartbeatMs, to: this.targets(a) };
     if (a.leaving) return (await this.left(a)) ? reply : undefined;
-    const watcher = this.watcherOf(a);
+    const watcher = this.assignment.watcherOf(a);
     if (watcher === undefined || watcher === this.o.self) {
       this.heard(a);
       return reply;
@@ -87,7 +90,7 @@
   }
 
   private look(): void {
-    const watched = this.watched();
+    const { watched } = this.assignment;
     this.watchlist.keepOnly(new Set(watched.map((u) => u.id)));
     for (const u of watched) this.watchlist.expect(u.id);
     if (!this.o.lease.valid) {
@@ -104,11 +107,6 @@
     }
   }
 
-  private watched(): readonly Upstream[] {
-    const { history, self } = this.o;
-    return [...history.state.upstreams.values()].filter((u) => this.watcherOf(u) === self);
-  }
-
   /** An announcement that another node passed on; whether it could be read. */
   private passedOn(body: string): boolean {
     const parsed = parseAnnouncement(JSON.parse(body));
@@ -157,10 +155,6 @@
     return this.o.history.state.upstreams.get(id);
   }
 
-  private watcherOf(u: { readonly id: UpstreamId; readonly dataCentre: string }) {
-    return ownersOf(this.o.history.state, u.id, u.dataCentre)[0];
-  }
-
   private targets(a: Announcement): readonly string[] {
     const { nodes } = this.o.history.state;
     const ranked = ownersOf(this.o.history.state, a.id, a.dataCentre).slice(0, nodesTold);
--- /dev/null
+++ b/packages/membership/test/assignment.test.ts
@@ -0,0 +1,70 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { DataCentreId, NodeId, SeededRandom, ServiceId, UpstreamId } from '@tanagercart/base';
+import { SharedState } from '@tanagercart/state';
+import type { Command } from '@tanagercart/state';
+import { Assignment, ownersOf } from '../src/index.js';
+
+const centres = ['north', 'east', 'west'];
+const self = NodeId('n0');
+
+function nodeUp(n: number): Command {
+  const dataCentre = DataCentreId(centres[n % centres.length]!);
+  const node = { id: NodeId(`n${n}`), dataCentre, peer: '', entry: '' };
+  return { kind: 'node-up', node, incarnation: '1' };
+}
+
+/** Upstreams of a place without nodes are among them. */
+function upstreamUp(n: number): Command {
+  const role = { kind: 'service', service: ServiceId('orders') } as const;
+  const dataCentre = [...centres, 'nowhere'][n % 4]!;
+  const upstream = { id: UpstreamId(`u${n}`), incarnation: '1', url: '', dataCentre, role };
+  return { kind: 'upstream-up', upstream };
+}
+
+function nodeDown(n: number): Command {
+  return { kind: 'node-down', node: NodeId(`n${n}`), incarnation: '1', stopped: false };
+}
+
+function upstreamDown(n: number): Command {
+  return { kind: 'upstream-down', upstream: UpstreamId(`u${n}`), incarnation: '1', left: false };
+}
+
+test('an upstream is watched by the first of its owners, whatever comes and goes', () => {
+  const random = SeededRandom.create(3);
+  const state = SharedState.create();
+  const assignment = Assignment.create(self, () => state);
+  const kinds = [nodeUp, nodeDown, upstreamUp, upstreamDown];
+  const change = () => {
+    const kind = kinds[Math.floor(random.next() * kinds.length)]!;
+    return kind(Math.floor(random.next() * 30));
+  };
+  let assigned = 0;
+  for (let index = 1; index <= 500; index += 1) {
+    state.apply(index, change());
+    const expected = [...state.upstreams.values()].filter((u) => {
+      const [first] = ownersOf(state, u.id, u.dataCentre);
+      assert.equal(assignment.watcherOf(u), first);
+      return first === self;
+    });
+    assert.deepEqual(assignment.watched, expected);
+    assigned += expected.length;
+  }
+  assert.ok(assigned > 0);
+});
+
+test('while nothing changes the upstreams are not walked again', () => {
+  const state = SharedState.create();
+  [nodeUp(0), upstreamUp(0), upstreamUp(1)].forEach((c, i) => state.apply(i + 1, c));
+  const walks = { upstreams: 0 };
+  const upstreams = new Map(state.upstreams);
+  const values = upstreams.values.bind(upstreams);
+  upstreams.values = () => {
+    walks.upstreams += 1;
+    return values();
+  };
+  const { nodes, view, rosterVersion } = state;
+  const assignment = Assignment.create(self, () => ({ nodes, view, rosterVersion, upstreams }));
+  for (let i = 0; i < 10; i += 1) assert.equal(assignment.watched.length, 2);
+  assert.equal(walks.upstreams, 1);
+});
