--- a/packages/scheduling/src/admission.ts
+++ b/packages/scheduling/src/admission.ts
@@ -14,10 +14,12 @@
   readonly reserve: number;
 }
 
-/** A replica for a request, with its predicted time to the first token. */
+/** A replica for a request, with its predicted times. */
 export interface Placement {
   readonly candidate: Candidate;
   readonly firstTokenMs: Millis;
+  /** Time from a grant now to the end. */
+  readonly totalMs: Millis;
 }
 
 /**
@@ -30,19 +32,31 @@
   now: Millis,
 ): Placement | undefined {
   let free = 0;
-  let best: (Placement & { readonly totalMs: Millis }) | undefined;
+  let best: Placement | undefined;
   for (const candidate of candidates) {
     const { load } = candidate;
     free += Math.max(0, load.free);
     if (load.free <= 0 || !gapHolds(candidate, wish.gapMs)) continue;
-    const firstTokenMs = firstTokenOn(candidate, wish.call, now);
-    const totalMs = firstTokenMs + wish.estimate * load.model.stepMs(load.running + 1);
+    const placement = placementOn(wish, candidate, load.running + 1, now);
+    const { totalMs } = placement;
     const better = !best || (wish.reserve > 0 ? totalMs > best.totalMs : totalMs < best.totalMs);
-    if (better) best = { candidate, firstTokenMs, totalMs };
+    if (better) best = placement;
   }
   return free > wish.reserve ? best : undefined;
 }
 
+/** What a replica that runs `running` sequences would do for a request. */
+export function placementOn(
+  wish: Wish,
+  candidate: Candidate,
+  running: number,
+  now: Millis,
+): Placement {
+  const firstTokenMs = firstTokenOn(candidate, wish.call, now);
+  const totalMs = firstTokenMs + wish.estimate * candidate.load.model.stepMs(running);
+  return { candidate, firstTokenMs, totalMs };
+}
+
 /** Predicted time from a grant now to the first token. */
 export function firstTokenOn(c: Candidate, call: AcquireCall, now: Millis): Millis {
   const prefill = call.promptTokens + c.load.unreadTokens(now);
--- a/packages/scheduling/src/owner.ts
+++ b/packages/scheduling/src/owner.ts
@@ -17,6 +17,7 @@
 import { Candidates } from './candidates.js';
 import type { Candidate } from './candidates.js';
 import { Forecasts } from './forecast.js';
+import { betterPlace } from './displacement.js';
 import { Lengths } from './lengths.js';
 import { outlivedPenalty, preemptible, victimFor } from './preemption.js';
 import type { Victim } from './preemption.js';
@@ -199,6 +200,7 @@
     this.lapseOrphans();
     this.skipped = false;
     let missed = 0;
+    const claims = new Map<ReplicaLoad, number>();
     for (const ticket of [...this.queue.ordered(now)]) {
       if (missed >= scanLimit) return;
       if (!ticket.answer) {
@@ -211,6 +213,13 @@
       const { call, gapMs, estimate } = ticket;
       const wish = { call, gapMs, estimate, reserve };
       const placement = placementOf(wish, candidates, now);
+      const better =
+        placement && betterPlace(ticket.urgency, wish, placement, candidates, claims, now);
+      if (better) {
+        claims.set(better.load, (claims.get(better.load) ?? 0) + 1);
+        if (better.victim) void this.preempt(better.victim);
+        continue;
+      }
       if (placement) {
         this.grant(ticket, placement, now);
         continue;
