Send work that would wait on to other owners

An entry stayed with the first owner that it asked, also where that one had a queue and others had none. A call now says whether other owners are left; an owner that sees a wait beyond 50 ms then refuses at once, and the last of three owners holds the call.

--- a/packages/bench/src/serve.ts
+++ b/packages/bench/src/serve.ts
@@ -160,9 +160,10 @@
       passedTokens: demand.tokens - a.left,
     };
     const owners = node.chooser.order(this.owners(node), demand.tier, []).slice(0, ownersAsked);
-    for (const owner of owners) {
+    const last = owners.length - 1;
+    for (const [at, owner] of owners.entries()) {
       node.chooser.asked(owner, demand.tier);
-      const reply = await this.ask(node, owner, call);
+      const reply = await this.ask(node, owner, { ...call, othersLeft: at < last });
       const refusedMs = reply?.kind === 'refused' ? reply.retryAfterMs : undefined;
       node.chooser.replied(owner, demand.tier, { room: reply?.room, retryAfterMs: refusedMs });
       if (reply?.kind === 'granted') return reply.grant;
--- a/packages/dispatch/src/acquire.ts
+++ b/packages/dispatch/src/acquire.ts
@@ -22,6 +22,9 @@
 /** Pause before owners that had no room are asked again, in milliseconds; spread by jitter. */
 const againMs: Millis = 100;
 
+/** Owners that are asked to refuse rather than let a request wait, before one may queue it. */
+const askedInPassing = 2;
+
 /** What acquiring needs. */
 export interface AcquireOptions {
   readonly clock: Clock;
@@ -37,6 +40,10 @@
 export interface Wish {
   readonly g: Generation;
   readonly attempt: number;
+  /** How often a grant of the request was taken back. */
+  readonly preemptions: number;
+  /** Tokens that earlier attempts generated. */
+  readonly passedTokens: number;
   readonly avoid: readonly ReplicaId[];
   /** Replicas that are used only where no other has room. */
   readonly shun: readonly ReplicaId[];
@@ -89,8 +96,10 @@
 ): Promise<Acquired> {
   let reason: RefusalReason = 'no-replica';
   let retryAfterMs: Millis | undefined;
-  for (const owner of o.owners(wish.g)) {
-    const answer = await ask(o, wish, owner, avoid);
+  const owners = o.owners(wish.g);
+  for (const [at, owner] of owners.entries()) {
+    const othersLeft = at < Math.min(askedInPassing, owners.length - 1);
+    const answer = await ask(o, wish, owner, { avoid, othersLeft });
     switch (answer.kind) {
       case 'granted':
         return answer;
@@ -116,19 +125,16 @@
   return { kind: 'refused', refusal: notRun(reason, message, retryAfterMs) };
 }
 
+type Terms = Pick<AcquireCall, 'avoid' | 'othersLeft'>;
+
 /** Asks one owner until it grants or refuses, or the time is over. */
-async function ask(
-  o: AcquireOptions,
-  wish: Wish,
-  owner: NodeId,
-  avoid: readonly ReplicaId[],
-): Promise<Answer> {
+async function ask(o: AcquireOptions, wish: Wish, owner: NodeId, terms: Terms): Promise<Answer> {
   for (;;) {
     if (wish.signal.aborted) return { kind: 'aborted' };
     const left = wish.leftMs();
     if (left <= 0) return { kind: 'late' };
     const timeoutMs = Math.max(leastTimeoutMs, Math.min(answerTimeoutMs, left));
-    const call = callOf(wish, avoid, left);
+    const call = callOf(wish, terms, left);
     const reply = await o.transport.call(owner, 'acquire', call, { timeoutMs });
     if (reply.isErr()) return { kind: 'unreachable' };
     o.heard(owner, reply.value);
@@ -138,8 +144,8 @@
   }
 }
 
-function callOf(wish: Wish, avoid: readonly ReplicaId[], budgetMs: Millis): AcquireCall {
-  const { g, attempt } = wish;
+function callOf(wish: Wish, terms: Terms, budgetMs: Millis): AcquireCall {
+  const { g, attempt, preemptions, passedTokens } = wish;
   return {
     request: g.id,
     attempt,
@@ -153,6 +159,8 @@
     promptTokens: g.prompt.length,
     maxTokens: g.maxTokens,
     budgetMs,
-    avoid,
+    ...terms,
+    preemptions,
+    passedTokens,
   };
 }
--- a/packages/dispatch/src/dispatching.ts
+++ b/packages/dispatch/src/dispatching.ts
@@ -17,6 +17,8 @@
   readonly failed: Grant[];
   /** Grants asked for. */
   attempts: number;
+  /** Grants that an owner took back. */
+  preemptions: number;
   /** Attempts that count towards the limit. */
   charged: number;
   mayHaveRun: boolean;
@@ -34,6 +36,7 @@
     signal,
     failed: [],
     attempts: 0,
+    preemptions: 0,
     charged: 0,
     mayHaveRun: false,
     resumed: false,
--- a/packages/dispatch/src/generate.ts
+++ b/packages/dispatch/src/generate.ts
@@ -118,6 +118,7 @@
         yield { kind: 'end', reason: outcome.reason, tokens: d.assembly.passed.length };
         return;
       }
+      if (outcome.cause.kind === 'preempted') d.preemptions += 1;
       const refusal = await this.retries.decide(d, permitted.grant, outcome.cause);
       if (refusal) {
         yield refused(d, refusal);
@@ -164,6 +165,8 @@
     return acquire(options, {
       g,
       attempt: d.attempts,
+      preemptions: d.preemptions,
+      passedTokens: assembly.passed.length,
       avoid: d.failed.map((grant) => grant.replica),
       shun: this.retries.shunned,
       leftMs: () => promise.leftMs(assembly.passed.length),
--- a/packages/dispatch/test/fleet.ts
+++ b/packages/dispatch/test/fleet.ts
@@ -19,7 +19,7 @@
 } from '@tanagercart/base';
 import type { Digest } from '@tanagercart/base';
 import { MemoryNetwork } from '@tanagercart/protocol';
-import type { Grant } from '@tanagercart/protocol';
+import type { AcquireCall, Grant } from '@tanagercart/protocol';
 import { SharedState } from '@tanagercart/state';
 import type { Command, Proposals } from '@tanagercart/state';
 import type { Engines, RunEvent, RunOrder } from '@tanagercart/upstream';
@@ -59,7 +59,8 @@
   const proposals = logOf(clock, state, options.stateUp ?? (() => true));
   const engines = enginesOf(clock, fault, crashed, cancelled);
   const held = new Map<GrantId, ReplicaId>();
-  serveOwner(network, names[0]!, replicas, slots, held, crashed);
+  const calls: AcquireCall[] = [];
+  serveOwner(network, names[0]!, replicas, slots, held, crashed, calls);
   const dispatches = names.map((self, i) => {
     const transport = i === 0 ? network.at(self)! : network.attach(self);
     Gate.create({ state, clock, transport, isUp: () => true });
@@ -87,6 +88,7 @@
     crashed,
     cancelled,
     held,
+    calls,
     proposals,
   };
 }
@@ -174,12 +176,14 @@
   slots: number,
   held: Map<GrantId, ReplicaId>,
   crashed: ReadonlySet<string>,
+  calls: AcquireCall[],
 ): void {
   const transport = network.attach(self);
   const names = Array.from({ length: replicas }, (_, i) => ReplicaId(`r${i}`));
   let seq = 0;
   const used = (r: ReplicaId) => [...held.values()].filter((x) => x === r).length;
   transport.serve('acquire', async (_, call) => {
+    calls.push(call);
     const free = names
       .filter((r) => !call.avoid.includes(r) && used(r) < slots)
       .sort((a, b) => used(a) - used(b) || Number(crashed.has(a)) - Number(crashed.has(b)))[0];
--- a/packages/dispatch/test/generate.test.ts
+++ b/packages/dispatch/test/generate.test.ts
@@ -48,6 +48,8 @@
   await fleet.clock.advance(60_000);
   assert.equal((await asked)._unsafeUnwrap().known, true);
   assert.deepEqual(tokensOf(await done), answerOf('q'));
+  const { preemptions, passedTokens } = fleet.calls.at(-1)!;
+  assert.deepEqual([preemptions, passedTokens], [1, 3]);
   assert.equal(fleet.metrics.read('retry'), 0);
   assert.equal(fleet.metrics.read('retry.cause', { reason: 'preempted' }), 1);
 });
--- a/packages/protocol/src/grantmessage.ts
+++ b/packages/protocol/src/grantmessage.ts
@@ -32,6 +32,8 @@
   readonly budgetMs: number;
   /** Replicas not to use, as earlier attempts failed there. */
   readonly avoid: readonly ReplicaId[];
+  /** Whether the entry has other owners to ask, so that a long wait is better refused at once. */
+  readonly othersLeft?: boolean;
   /** How often an owner has already taken a grant of this request back. */
   readonly preemptions?: number;
   /** Tokens that earlier attempts of the request generated. */
--- a/packages/scheduling/src/owner.ts
+++ b/packages/scheduling/src/owner.ts
@@ -53,6 +53,9 @@
 /** Least wait that a refused caller is told, in milliseconds. */
 const leastRetryAfterMs: Millis = 100;
 
+/** Wait from which a caller that has other owners left is sent on, in milliseconds. */
+const spillWaitMs: Millis = 50;
+
 /** What an owner needs. */
 export interface OwnerOptions {
   readonly self: NodeId;
@@ -117,6 +120,11 @@
       const room = this.roomOf(ticket, candidates);
       return { ...refused('promise-unreachable', lateMs), room };
     }
+    if (call.othersLeft && this.waitOf(ticket, candidates, this.o.clock.now()) > spillWaitMs) {
+      this.queue.remove(key);
+      const room = this.roomOf(ticket, candidates);
+      return { ...refused('promise-unreachable', leastRetryAfterMs), room };
+    }
     return this.hold(ticket, known === undefined || this.skipped);
   }
 
--- a/packages/scheduling/test/owner.test.ts
+++ b/packages/scheduling/test/owner.test.ts
@@ -205,6 +205,26 @@
   assert.equal(owner.inUse, 1);
 });
 
+test('work that would wait long is sent on to other owners, and waits where there are none', async () => {
+  const { clock, ask, owner } = setUp(1);
+  ask('a');
+  await clock.advance(2);
+  const sentOn = ask('b', { othersLeft: true });
+  const waits = ask('c');
+  await clock.advance(2);
+  assert.equal(sentOn[0]?.kind, 'refused');
+  assert.deepEqual([waits, owner.waiting], [[], 1]);
+});
+
+test('urgent work is not sent on where patient work gives its slot back', async () => {
+  const { clock, ask, preempted } = setUp(1);
+  ask('slow', patient);
+  await clock.advance(2);
+  ask('quick', { othersLeft: true });
+  await clock.advance(2);
+  assert.equal(preempted.length, 1);
+});
+
 function grantOf(reply: AcquireReply | undefined): GrantId | undefined {
   return reply?.kind === 'granted' ? reply.grant.id : undefined;
 }
