Record what an upstream holds when it changes under the same start

Cause: only a new incarnation was recorded, so a load under way was never seen. Change: the role is compared too; a replica ends when a stage of it changes its layers, and the planner counts such a change. Result: the new test records a changed holding once, and an unchanged one adds no entry to the log.

--- a/packages/membership/src/upstreams.ts
+++ b/packages/membership/src/upstreams.ts
@@ -1,5 +1,6 @@
 /** Upstreams: takes their announcements, and records those that come, leave or fall silent. */
 
+import { isDeepStrictEqual } from 'node:util';
 import type { Clock, Logger, Millis, NodeId, UpstreamId } from '@tanagercart/base';
 import { ModelId, ServiceId } from '@tanagercart/base';
 import type { Transport } from '@tanagercart/protocol';
@@ -128,7 +129,8 @@
     if (this.leaving.get(a.id) === a.incarnation) return;
     const known = this.known(a.id);
     this.watchlist.heard(a.id, a.load);
-    const recorded = known?.incarnation === a.incarnation;
+    const recorded =
+      known?.incarnation === a.incarnation && isDeepStrictEqual(known.role, roleOf(a));
     if (recorded || this.recording.has(a.id) || this.watchlist.keepsOut(a.id)) return;
     void this.recordUp(a);
   }
--- a/packages/membership/test/upstreams.test.ts
+++ b/packages/membership/test/upstreams.test.ts
@@ -143,3 +143,31 @@
   assert.ok(proposals <= 15, `${proposals}`);
   await c.stop();
 });
+
+test('a changed holding is recorded under the same start, an unchanged one once', async () => {
+  const c = await cluster();
+  const role = {
+    kind: 'stage' as const,
+    model: 'fig',
+    adapters: [] as string[],
+    from: 0,
+    to: 4,
+    accelerator: 'a',
+    tokensPerSecond: 99.5,
+    slots: 4,
+  };
+  const say = async (versions: string[]) => {
+    const a = { ...announcement('u1'), role: { ...role, versions } };
+    await finish(c, c.all()[0]!.upstreams.announced(a));
+    await c.clock.advance(1000);
+  };
+  const known = () => c.leader()!.history.state.upstreams.get(UpstreamId('u1'))?.role;
+  await say(['1']);
+  const { index } = c.leader()!.history.state;
+  await say(['1']);
+  assert.equal(c.leader()!.history.state.index, index);
+  await say(['1', '2']);
+  const { kind, ...stage } = role;
+  assert.deepEqual(known(), { kind, stage: { ...stage, versions: ['1', '2'] } });
+  await c.stop();
+});
--- a/packages/routing/src/planner.ts
+++ b/packages/routing/src/planner.ts
@@ -75,12 +75,14 @@
   return now - seen.lastAt >= quietMs || now - seen.firstAt >= patienceMs;
 }
 
-/** For each model its layers and the incarnations of its stages. */
+/** For each model its layers, and its stages with what they hold of them. */
 function signaturesOf(state: SharedState): ReadonlyMap<ModelId, string> {
   const parts = new Map<ModelId, string[]>();
   for (const model of state.release.models.values()) parts.set(model.id, [`${model.layers}`]);
   for (const { id, incarnation, role } of state.upstreams.values()) {
-    if (role.kind === 'stage') parts.get(role.stage.model)?.push(`${id}/${incarnation}`);
+    if (role.kind !== 'stage') continue;
+    const { model, from, to } = role.stage;
+    parts.get(model)?.push(`${id}/${incarnation}/${from}-${to}`);
   }
   return new Map([...parts].map(([id, list]) => [id, list.sort().join('|')]));
 }
--- a/packages/state/src/upstreams.ts
+++ b/packages/state/src/upstreams.ts
@@ -64,6 +64,13 @@
   readonly left: readonly (readonly [UpstreamId, string])[];
 }
 
+/** Whether a chain through an upstream of one role holds the same layers through the other. */
+function sameLayers(a: UpstreamRole, b: UpstreamRole): boolean {
+  if (a.kind !== 'stage' || b.kind !== 'stage') return a.kind === b.kind;
+  const { model, from, to } = b.stage;
+  return a.stage.model === model && a.stage.from === from && a.stage.to === to;
+}
+
 /** Upstreams that left and are remembered. */
 const rememberedLeft = 4096;
 
@@ -134,7 +141,9 @@
     if (this.left.get(upstream.id) === upstream.incarnation) {
       return { kind: 'stale' };
     }
+    const before = this.roster.get(upstream.id);
     this.roster.set(upstream.id, upstream);
+    if (before && !sameLayers(before.role, upstream.role)) this.dropReplicasOf(upstream.id);
     return { kind: 'done' };
   }
 
@@ -144,12 +153,16 @@
       return { kind: 'stale' };
     }
     this.roster.delete(upstream);
+    this.dropReplicasOf(upstream);
+    return { kind: 'done' };
+  }
+
+  private dropReplicasOf(upstream: UpstreamId): void {
     for (const replica of [...this.chains.values()]) {
       if (replica.stages.includes(upstream)) {
         this.chains.delete(replica.id);
       }
     }
-    return { kind: 'done' };
   }
 
   private rememberLeft(upstream: UpstreamId, incarnation: string): void {
--- a/packages/upstream/src/announcement.ts
+++ b/packages/upstream/src/announcement.ts
@@ -10,7 +10,7 @@
 const stageRole = z.object({
   kind: z.literal('stage'),
   model: name,
-  versions: z.array(name).min(1),
+  versions: z.array(name),
   adapters: z.array(name).default([]),
   from: z.int().min(0),
   to: z.int().positive(),
