Split attempts out of generate.ts, and tell what requests use and lack

Entries answer a survey with the models of their open requests and of those refused for want of a replica.

--- a/packages/dispatch/src/generate.ts
+++ b/packages/dispatch/src/generate.ts
@@ -15,11 +15,12 @@
 import type { AcquireReply, AttemptEnd, ClearedEnd, Grant, Transport } from '@tanagercart/protocol';
 import type { Model, Tier } from '@tanagercart/release';
 import type { Proposals, SharedState } from '@tanagercart/state';
-import type { Engines, FinishReason, RunOrder } from '@tanagercart/upstream';
+import type { Engines } from '@tanagercart/upstream';
 import { acquire } from './acquire.js';
 import type { Acquired } from './acquire.js';
-import { causeOf, ruleOf } from './cause.js';
-import type { RetryCause } from './cause.js';
+import { endOf, outcomeOf, runOrderOf } from './attempt.js';
+import type { Attempt, AttemptOutcome, Permitted } from './attempt.js';
+import { ruleOf } from './cause.js';
 import { Clearance } from './clearance.js';
 import { dispatchingOf } from './dispatching.js';
 import type { Dispatching } from './dispatching.js';
@@ -29,7 +30,7 @@
 import { notRun } from './refusal.js';
 import { Retries } from './retry.js';
 import { WatchedRun } from './watch.js';
-import type { WatchedEvent } from './watch.js';
+import { Work } from './work.js';
 
 /** How long giving a grant back may take, in milliseconds. */
 const releaseTimeoutMs: Millis = 1000;
@@ -55,27 +56,11 @@
   readonly gates: (fingerprint: Digest) => readonly NodeId[];
 }
 
-interface Attempt {
-  readonly run: WatchedRun;
-  readonly grant: Grant;
-  readonly gate: NodeId;
-  readonly startedAt: Millis;
-  readonly tokensBefore: number;
-}
-
-type Permitted =
-  | { readonly kind: 'permitted'; readonly grant: Grant; readonly gate: NodeId }
-  | Exclude<Acquired, { readonly kind: 'granted' }>;
-
-type AttemptOutcome =
-  | { readonly kind: 'answered'; readonly reason: FinishReason }
-  | { readonly kind: 'aborted' }
-  | { readonly kind: 'failed'; readonly cause: RetryCause };
-
 /** Runs requests on behalf of callers. */
 export class Dispatch {
   private readonly retries: Retries;
   private readonly pace = Pace.create();
+  private readonly work: Work;
   private readonly clearance: Clearance;
   private readonly running = new Map<GrantId, WatchedRun>();
   /** Rings at each end of an attempt. */
@@ -84,6 +69,7 @@
   private constructor(private readonly o: DispatchOptions) {
     this.retries = Retries.create(o);
     this.clearance = Clearance.create(o);
+    this.work = Work.create(o.clock);
   }
 
   static create(options: DispatchOptions): Dispatch {
@@ -93,6 +79,7 @@
       run?.preempt();
       return { known: run !== undefined };
     });
+    options.transport.serve('work', async () => dispatch.work.reply());
     return dispatch;
   }
 
@@ -103,12 +90,22 @@
 
   /** Yields the answer to one request; aborting `signal` cancels it at the engines. */
   async *generate(g: Generation, signal: AbortSignal): AsyncGenerator<Piece> {
+    this.work.begin(g);
+    try {
+      yield* this.attempts(g, signal);
+    } finally {
+      this.work.end(g);
+    }
+  }
+
+  private async *attempts(g: Generation, signal: AbortSignal): AsyncGenerator<Piece> {
     this.retries.request(g.account.id, g.tier.retryBudget);
     const d = dispatchingOf(g, signal, this.o.clock);
     while (!signal.aborted) {
       const permitted = await this.permit(d);
       if (permitted.kind === 'aborted') return;
       if (permitted.kind === 'refused') {
+        if (permitted.refusal.reason === 'no-replica') this.work.lacked(g);
         yield refused(d, permitted.refusal);
         return;
       }
@@ -224,29 +221,14 @@
   }
 
   private begin(d: Dispatching, grant: Grant, gate: NodeId): Attempt {
-    const { g, assembly } = d;
-    const order: RunOrder = {
-      request: g.id,
-      attempt: assembly.begin(grant),
-      grant: grant.id,
-      fence: grant.epoch,
-      priority: grant.priority,
-      model: g.model.id,
-      version: g.version,
-      adapter: g.adapter,
-      prompt: g.prompt,
-      passed: [...assembly.passed],
-      seed: g.seed,
-      maxTokens: g.maxTokens,
-      chain: grant.stages,
-    };
+    const order = runOrderOf(d, grant);
     const { engines, clock, metrics } = this.o;
     return {
       run: WatchedRun.create(engines, clock, metrics, order),
       grant,
       gate,
       startedAt: clock.now(),
-      tokensBefore: assembly.passed.length,
+      tokensBefore: d.assembly.passed.length,
     };
   }
 
@@ -304,32 +286,6 @@
   }
 }
 
-function outcomeOf(
-  event: Exclude<WatchedEvent, { readonly kind: 'token' }>,
-  tokens: number,
-): AttemptOutcome {
-  switch (event.kind) {
-    case 'end':
-      return { kind: 'answered', reason: event.reason };
-    case 'failed':
-      return { kind: 'failed', cause: causeOf(event.failure, tokens) };
-    case 'preempted':
-      return { kind: 'failed', cause: event };
-    case 'aborted':
-      return event;
-    default:
-      return unreachable(event);
-  }
-}
-
-function endOf(outcome: AttemptOutcome): AttemptEnd {
-  if (outcome.kind === 'answered') return 'complete';
-  if (outcome.kind === 'aborted') return 'cancelled';
-  const { kind } = outcome.cause;
-  if (kind === 'preempted') return 'preempted';
-  return kind === 'refused' ? 'refused' : 'failed';
-}
-
 /** A refusal as the caller is told of it, given what was sent before. */
 function refused(d: Dispatching, refusal: Refusal): Piece {
   return { kind: 'refused', refusal: d.mayHaveRun ? { ...refusal, run: 'unknown' } : refusal };
--- /dev/null
+++ b/packages/dispatch/src/work.ts
@@ -0,0 +1,70 @@
+/** What this entry's requests use, and what they asked for in vain. */
+
+import type { Clock, Millis } from '@tanagercart/base';
+import type { WorkItem, WorkReply } from '@tanagercart/protocol';
+import type { Generation } from './generation.js';
+
+/** How long a refusal counts as demand, in milliseconds. */
+const unservedMs: Millis = 30_000;
+
+/** Items of demand that are kept at most. */
+const unservedLimit = 256;
+
+interface Unserved {
+  readonly item: WorkItem;
+  readonly until: Millis;
+}
+
+/** Keeps the requests in progress and those refused for want of a replica. */
+export class Work {
+  private readonly open = new Set<Generation>();
+  private readonly unserved = new Map<string, Unserved>();
+
+  private constructor(private readonly clock: Clock) {}
+
+  static create(clock: Clock): Work {
+    return new Work(clock);
+  }
+
+  begin(g: Generation): void {
+    this.open.add(g);
+  }
+
+  end(g: Generation): void {
+    this.open.delete(g);
+  }
+
+  /** Notes that no replica holds what a request asks for. */
+  lacked(g: Generation): void {
+    const key = keyOf(g);
+    const now = this.clock.now();
+    const before = this.unserved.get(key);
+    const standing = before && before.until > now ? before.item.urgency : Infinity;
+    const item = { ...itemOf(g), urgency: Math.min(standing, g.tier.urgency) };
+    this.unserved.delete(key);
+    this.unserved.set(key, { item, until: now + unservedMs });
+    const oldest = this.unserved.keys().next().value;
+    if (this.unserved.size > unservedLimit && oldest !== undefined) this.unserved.delete(oldest);
+  }
+
+  /** What the placement holder is told. */
+  reply(): WorkReply {
+    const now = this.clock.now();
+    const open = new Map<string, WorkItem>();
+    for (const g of this.open) {
+      const known = open.get(keyOf(g));
+      if (!known || known.urgency > g.tier.urgency) open.set(keyOf(g), itemOf(g));
+    }
+    const lately = [...this.unserved.values()].filter((u) => u.until > now);
+    return { open: [...open.values()], unserved: lately.map((u) => u.item) };
+  }
+}
+
+function itemOf(g: Generation): WorkItem {
+  const { model, version, adapter, tier } = g;
+  return { model: model.id, version, adapter, urgency: tier.urgency };
+}
+
+function keyOf({ model, version, adapter }: Generation): string {
+  return JSON.stringify([model.id, version, adapter ?? null]);
+}
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -13,3 +13,4 @@
 export * from './memory.js';
 export * from './gatemessage.js';
 export * from './limitmessage.js';
+export * from './workmessage.js';
--- a/packages/protocol/src/message.ts
+++ b/packages/protocol/src/message.ts
@@ -30,6 +30,7 @@
   VotersCall,
   VotersReply,
 } from './logmessage.js';
+import type { WorkCall, WorkReply } from './workmessage.js';
 
 /** Every kind of exchange with its call and its reply. */
 export interface Exchanges {
@@ -50,6 +51,7 @@
   limit: { call: LimitCall; reply: LimitReply };
   handover: { call: HandoverCall; reply: HandoverReply };
   drain: { call: DrainCall; reply: DrainReply };
+  work: { call: WorkCall; reply: WorkReply };
   announce: { call: AnnounceCall; reply: AnnounceReply };
 }
 
