Order upstreams under a placement lease with fencing numbers

Cause: nothing loaded what a release offers, or unloaded what it withdrew. Change: the leader takes the lease, ranks needs, issues orders through the log within the weight store's limit, waits out old orders for engines without fencing, and unloads once every entry said that no work uses a part.

--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -8,15 +8,24 @@
 import type { Clock, Logger, Metrics, NodeId } from '@tanagercart/base';
 import { createCallerServer, createOperatorServer } from '@tanagercart/entry';
 import type { Door } from '@tanagercart/entry';
-import { History, Ownership, Progress, Upstreams, leaderFirst } from '@tanagercart/membership';
+import {
+  History,
+  Ownership,
+  Progress,
+  Upstreams,
+  leaderFirst,
+  longestLeaseMs,
+} from '@tanagercart/membership';
 import type { ConfigurationLease } from '@tanagercart/membership';
 import type { Disk } from '@tanagercart/log';
+import { keepPlacement } from '@tanagercart/placement';
 import { TcpTransport } from '@tanagercart/protocol';
 import type { NodeAddress } from '@tanagercart/protocol';
 import { Owner } from '@tanagercart/scheduling';
+import { checksFencing } from '@tanagercart/settings';
 import type { Settings } from '@tanagercart/settings';
 import { Proposer } from '@tanagercart/state';
-import { createPool } from '@tanagercart/upstream';
+import { HttpPlacements, createPool } from '@tanagercart/upstream';
 import { addressOf, hostPortOf, withPort } from './address.js';
 import { ControlPlane } from './controlplane.js';
 import { Directory } from './directory.js';
@@ -124,6 +133,7 @@
     this.control.begin(this.tasks, signal);
     this.tasks.start(() => this.ownership.watch(signal));
     this.tasks.start(() => this.upstreams.watch(signal));
+    this.tasks.start(() => keepPlacement(this.placementOptions(), signal));
     this.tasks.start(() => reportGauges(this.gaugeSource(), signal));
     this.logger.info('Serving.', { entry: this.address.entry });
   }
@@ -313,6 +323,24 @@
     });
   }
 
+  private placementOptions() {
+    const { settings, clock } = this.o;
+    return {
+      self: this.id,
+      state: this.history.state,
+      proposals: this.proposer,
+      transport: this.transport,
+      placements: HttpPlacements.create(this.pool),
+      clock,
+      logger: this.logger.part('placement'),
+      metrics: this.metrics,
+      leads: () => this.control.leads,
+      checksFencing: (id: string) => checksFencing(settings, id),
+      loadLimit: settings.upstreams.loadsAtOnce,
+      longestLeaseMs: longestLeaseMs(settings.timing),
+    };
+  }
+
   private gaugeSource() {
     const { metrics, lease, owner, door } = this;
     const { state } = this.history;
--- /dev/null
+++ b/packages/placement/src/need.ts
@@ -0,0 +1,105 @@
+/** What upstreams lack of the release, the most needed first. */
+
+import type { UpstreamId } from '@tanagercart/base';
+import type { WorkItem } from '@tanagercart/protocol';
+import type { Model } from '@tanagercart/release';
+import type { ModelPart, Replica, SharedState, Stage, Upstream } from '@tanagercart/state';
+import { holds, partsOf } from './part.js';
+
+/** A part of the release that an upstream lacks. */
+export interface Need {
+  readonly upstream: Upstream;
+  readonly stage: Stage;
+  readonly part: ModelPart;
+}
+
+interface Ranked {
+  readonly need: Need;
+  /** Urgency of the requests that no replica can serve for want of the part. */
+  readonly urgency: number;
+  /** Replicas that hold the part on every stage, or soon will. */
+  readonly serving: number;
+  /** Stages of the upstream's replica that lack the part. */
+  readonly left: number;
+  readonly replica: string;
+}
+
+/** Whether an upstream holds a part or is being given it. */
+type Has = (upstream: UpstreamId, part: ModelPart) => boolean;
+
+/**
+ * What upstreams lack, in the order in which it should be loaded: first what unblocks the most
+ * urgent requests, then what the fewest replicas serve, and one replica after another, since a
+ * replica serves a part only once all its stages hold it.
+ */
+export function needsOf(state: SharedState, unserved: readonly WorkItem[]): readonly Need[] {
+  const has = hasOf(state);
+  const ranked: Ranked[] = [];
+  for (const model of state.release.models.values()) {
+    const replicas = [...state.replicas.values()].filter((r) => r.model === model.id);
+    const replicaOf = new Map(replicas.flatMap((r) => r.stages.map((s) => [s, r] as const)));
+    for (const part of partsOf(model)) {
+      const serving = replicas.filter((r) => r.stages.every((s) => has(s, part))).length;
+      const urgency = serving > 0 ? Infinity : urgencyOf(model, part, unserved);
+      for (const need of lacking(state, model, part, has)) {
+        const replica = replicaOf.get(need.upstream.id);
+        const left = replica ? leftOf(replica, part, has) : Infinity;
+        ranked.push({ need, urgency, serving, left, replica: replica?.id ?? '' });
+      }
+    }
+  }
+  return ranked.sort(byRank).map((r) => r.need);
+}
+
+function hasOf(state: SharedState): Has {
+  const loading = new Set<string>();
+  for (const { order } of state.placement.issued) {
+    if (order.action === 'load') loading.add(keyOf(order.upstream, order.part));
+  }
+  return (id, part) => {
+    const role = state.upstreams.get(id)?.role;
+    return (role?.kind === 'stage' && holds(role.stage, part)) || loading.has(keyOf(id, part));
+  };
+}
+
+function lacking(state: SharedState, model: Model, part: ModelPart, has: Has): readonly Need[] {
+  const needs: Need[] = [];
+  for (const upstream of state.upstreams.values()) {
+    const { role } = upstream;
+    if (role.kind !== 'stage' || role.stage.model !== model.id || has(upstream.id, part)) continue;
+    needs.push({ upstream, stage: role.stage, part });
+  }
+  return needs;
+}
+
+function leftOf(replica: Replica, part: ModelPart, has: Has): number {
+  return replica.stages.filter((s) => !has(s, part)).length;
+}
+
+function urgencyOf(model: Model, part: ModelPart, unserved: readonly WorkItem[]): number {
+  const blocked = unserved.filter(
+    (w) => w.model === model.id && (part.kind === 'version' ? w.version : w.adapter) === part.name,
+  );
+  return Math.min(Infinity, ...blocked.map((w) => w.urgency));
+}
+
+function byRank(a: Ranked, b: Ranked): number {
+  return (
+    compare(a.urgency, b.urgency) ||
+    compare(a.serving, b.serving) ||
+    compare(a.left, b.left) ||
+    compare(a.replica, b.replica) ||
+    compare(b.need.part.kind, a.need.part.kind) ||
+    compare(a.need.part.name, b.need.part.name) ||
+    compare(a.need.upstream.id, b.need.upstream.id)
+  );
+}
+
+function compare<T extends number | string>(a: T, b: T): number {
+  if (a === b) return 0;
+  return a < b ? -1 : 1;
+}
+
+function keyOf(upstream: UpstreamId, part: ModelPart): string {
+  return `${upstream}|${part.kind}|${part.name}`;
+}
--- a/packages/settings/src/schema.ts
+++ b/packages/settings/src/schema.ts
@@ -75,6 +75,8 @@
 const upstreams = z.strictObject({
   /** Ids of upstreams that refuse old fencing numbers; a trailing "*" matches any rest. */
   checkFencing: z.array(z.string().min(1)).default([]),
+  /** Loads that the weight store serves at once, in the whole system. */
+  loadsAtOnce: z.int().positive().default(4),
 });
 
 const log = z.strictObject({ level: z.enum(['debug', 'info', 'warn', 'error']).default('info') });
--- a/packages/state/src/command.ts
+++ b/packages/state/src/command.ts
@@ -3,6 +3,7 @@
 import { decode, encode } from '@tanagercart/protocol';
 import type { NodeCommand, NodeOutcome } from './nodes.js';
 import type { OrderChange, OrderCommand } from './orders.js';
+import type { PlacementCommand, PlacementOutcome } from './placement.js';
 import type { QuarantineCommand, QuarantineOutcome } from './quarantine.js';
 import type { ReleaseCommand, ReleaseOutcome } from './releases.js';
 import type { RosterCommand, RosterOutcome } from './roster.js';
@@ -16,6 +17,7 @@
   | UpstreamCommand
   | OrderCommand
   | QuarantineCommand
+  | PlacementCommand
   /** Several changes in one entry of the log, applied in order. */
   | { readonly kind: 'batch'; readonly commands: readonly Command[] };
 
@@ -27,6 +29,7 @@
   | UpstreamOutcome
   | OrderChange
   | QuarantineOutcome
+  | PlacementOutcome
   | { readonly kind: 'batch'; readonly outcomes: readonly Outcome[] };
 
 /** Encodes a command for the log. */
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -4,6 +4,7 @@
 export * from './roster.js';
 export * from './orders.js';
 export * from './quarantine.js';
+export * from './placement.js';
 export * from './command.js';
 export * from './state.js';
 export * from './proposer.js';
--- a/packages/state/src/state.ts
+++ b/packages/state/src/state.ts
@@ -9,6 +9,8 @@
 import type { LiveNode, NodeImage } from './nodes.js';
 import { OrderTable } from './orders.js';
 import type { OrderImage } from './orders.js';
+import { PlacementTable } from './placement.js';
+import type { PlacementImage } from './placement.js';
 import { QuarantineTable } from './quarantine.js';
 import type { QuarantineImage } from './quarantine.js';
 import { ReleaseTable } from './releases.js';
@@ -23,6 +25,7 @@
   readonly upstreams: UpstreamImage;
   readonly orders: OrderImage;
   readonly quarantine: QuarantineImage;
+  readonly placement: PlacementImage;
 }
 
 /** The replicated state. Only `apply` and `restore` change it, and only forwards. */
@@ -30,6 +33,7 @@
   readonly releases = ReleaseTable.create();
   readonly orders = OrderTable.create();
   readonly quarantine = QuarantineTable.create();
+  readonly placement = PlacementTable.create();
   private readonly nodeTable = NodeTable.create();
   private readonly upstreamTable = UpstreamTable.create();
   private at = 0;
@@ -100,6 +104,7 @@
       upstreams: this.upstreamTable.image(),
       orders: this.orders.image(),
       quarantine: this.quarantine.image(),
+      placement: this.placement.image(),
     };
     return encode(image);
   }
@@ -115,6 +120,7 @@
     this.upstreamTable.restore(image.upstreams);
     this.orders.restore(image.orders);
     this.quarantine.restore(image.quarantine);
+    this.placement.restore(image.placement);
     this.at = index;
   }
 
@@ -130,7 +136,11 @@
         return outcome;
       }
       case 'upstream-up':
-      case 'upstream-down':
+      case 'upstream-down': {
+        const outcome = this.upstreamTable.apply(command);
+        this.placement.keepOnly(this.upstreams);
+        return outcome;
+      }
       case 'plan':
         return this.upstreamTable.apply(command);
       case 'roster':
@@ -142,6 +152,10 @@
       case 'absolve':
       case 'lift-quarantine':
         return this.quarantine.apply(command);
+      case 'take-placement':
+      case 'issue-upstream-order':
+      case 'settle-upstream-order':
+        return this.placement.apply(index, command);
       case 'batch':
         return { kind: 'batch', outcomes: command.commands.map((c) => this.change(index, c)) };
       default:
