Let stand-ins queue by priority, take orders and fail on request

engine.ts is split; a step grows with the sequences that run, a weight store slows down when overloaded, fencing is checked or not, the upstream key is sent, and a stage can die, stall or crash on one prompt.

--- a/packages/standin/src/announcer.ts
+++ b/packages/standin/src/announcer.ts
@@ -15,6 +15,7 @@
   readonly url: string;
   readonly dataCentre: string;
   readonly role: object;
+  readonly load?: object;
 }
 
 interface Reply {
@@ -31,14 +32,16 @@
   private constructor(
     private readonly clock: Clock,
     private readonly seeds: readonly string[],
-    private readonly self: Self,
+    private readonly self: () => Self,
+    private readonly key: string | undefined,
   ) {
     this.targets = seeds;
-    this.incarnation = `${self.url}@${clock.wall()}`;
+    this.incarnation = `${self().url}@${clock.wall()}`;
   }
 
-  static start(clock: Clock, seeds: readonly string[], self: Self): Announcer {
-    const announcer = new Announcer(clock, seeds, self);
+  /** Announces what `self` tells at the time, with `key` where the system asks for one. */
+  static start(clock: Clock, seeds: readonly string[], self: () => Self, key?: string): Announcer {
+    const announcer = new Announcer(clock, seeds, self, key);
     void announcer.repeat();
     return announcer;
   }
@@ -75,8 +78,11 @@
     try {
       const response = await request(`${target}/upstreams/v1/announce`, {
         method: 'POST',
-        headers: { 'content-type': 'application/json' },
-        body: JSON.stringify({ ...this.self, incarnation: this.incarnation, leaving }),
+        headers: {
+          'content-type': 'application/json',
+          ...(this.key === undefined ? {} : { authorization: `Bearer ${this.key}` }),
+        },
+        body: JSON.stringify({ ...this.self(), incarnation: this.incarnation, leaving }),
         headersTimeout: timeoutMs,
         bodyTimeout: timeoutMs,
       });
--- a/packages/standin/src/desk.ts
+++ b/packages/standin/src/desk.ts
@@ -2,10 +2,9 @@
 
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import type { AddressInfo } from 'node:net';
 import type { Clock } from '@tanagercart/base';
 import { Announcer } from './announcer.js';
-import { readJson } from './engine.js';
+import { listenOnLoopback, readJson, urlOf } from './http.js';
 
 /** Names an order desk. */
 export interface DeskSettings {
@@ -35,22 +34,19 @@
     placements: Placements,
     clock: Clock,
     entries: readonly string[],
+    upstreamKey?: string,
   ): Promise<OrderDesk> {
     const desk = new OrderDesk(placements);
-    await new Promise<void>((resolve) => {
-      desk.server.listen(0, '127.0.0.1', resolve);
-    });
-    desk.announcer = Announcer.start(clock, entries, {
-      id: settings.id,
-      url: desk.url,
-      dataCentre: settings.dataCentre,
-      role: { kind: 'service', service: settings.service },
-    });
+    await listenOnLoopback(desk.server);
+    const { id, service, dataCentre } = settings;
+    const role = { kind: 'service', service };
+    const self = () => ({ id, url: desk.url, dataCentre, role });
+    desk.announcer = Announcer.start(clock, entries, self, upstreamKey);
     return desk;
   }
 
   get url(): string {
-    return `http://127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+    return urlOf(this.server);
   }
 
   async stop(): Promise<void> {
--- a/packages/standin/src/engine.ts
+++ b/packages/standin/src/engine.ts
@@ -2,10 +2,14 @@
 
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import type { AddressInfo } from 'node:net';
 import { Agent, request } from 'undici';
 import type { Clock } from '@tanagercart/base';
 import { Announcer } from './announcer.js';
+import type { Faults } from './faults.js';
+import { Holdings } from './holdings.js';
+import type { HoldingOptions, PlacementBody } from './holdings.js';
+import { answer, line, listenOnLoopback, readJson, urlOf } from './http.js';
+import { Slots } from './slots.js';
 import { embed, naturalLength, runLayers, tokenOf } from './text.js';
 import type { Prompt } from './text.js';
 
@@ -43,6 +47,7 @@
   readonly attempt: number;
   readonly passed: readonly string[];
   readonly maxTokens: number;
+  readonly priority?: number;
   readonly chain: readonly Link[];
 }
 
@@ -59,8 +64,22 @@
   readonly receipts: readonly Receipt[];
 }
 
-/** Largest body that is read, in bytes. */
-const bodyLimit = 8 * 1024 * 1024;
+/** Share by which each further sequence that runs lengthens a step. */
+const stepGrowth = 0.02;
+
+/** Runs that a stage takes, as a multiple of its slots. */
+const queueFactor = 4;
+
+/** Pause between two looks of a stalled stage, in milliseconds. */
+const stalledMs = 50;
+
+/** What a stand-in stage may be given besides. */
+export interface EngineOptions {
+  /** Key that it sends with its announcements. */
+  readonly upstreamKey?: string;
+  /** How it takes orders; none are taken where it is left out. */
+  readonly orders?: HoldingOptions;
+}
 
 /** A stage further along the chain could not be reached. */
 class LostStage extends Error {
@@ -77,14 +96,23 @@
   private readonly server: Server;
   private readonly pool = new Agent({ connections: 64 });
   private readonly runs = new Map<string, AbortController>();
+  private readonly slots: Slots;
+  private readonly stopping = new AbortController();
   private announcer: Announcer | undefined;
+  /** What the stage holds now. */
+  readonly holdings: Holdings;
+  /** Faults to switch on. */
+  readonly faults: Faults = {};
   /** Tokens that this stage worked on. */
   tokens = 0;
 
   private constructor(
     readonly settings: StageSettings,
     private readonly clock: Clock,
+    options: EngineOptions,
   ) {
+    this.slots = Slots.create(settings.slots);
+    this.holdings = Holdings.create(settings, options.orders);
     this.server = createServer((req, res) => {
       void this.handle(req, res);
     });
@@ -95,22 +123,17 @@
     settings: StageSettings,
     clock: Clock,
     entries: readonly string[],
+    options: EngineOptions = {},
   ): Promise<EngineStandIn> {
-    const engine = new EngineStandIn(settings, clock);
-    await new Promise<void>((resolve) => {
-      engine.server.listen(0, '127.0.0.1', resolve);
-    });
-    engine.announcer = Announcer.start(clock, entries, {
-      id: settings.id,
-      url: engine.url,
-      dataCentre: settings.dataCentre,
-      role: { kind: 'stage', ...settings },
-    });
+    const engine = new EngineStandIn(settings, clock, options);
+    await listenOnLoopback(engine.server);
+    const self = () => engine.announcement;
+    engine.announcer = Announcer.start(clock, entries, self, options.upstreamKey);
     return engine;
   }
 
   get url(): string {
-    return `http://127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+    return urlOf(this.server);
   }
 
   /** Streams that run here as the head of their chain. */
@@ -127,18 +150,34 @@
   /** Dies without a word. */
   kill(): void {
     this.announcer?.stop();
+    this.stopping.abort();
     for (const run of this.runs.values()) run.abort();
     this.server.closeAllConnections();
     this.server.close();
     void this.pool.destroy();
   }
 
+  private get announcement() {
+    const { settings, holdings, slots, url } = this;
+    const { versions, adapters } = holdings;
+    const role = { kind: 'stage', ...settings, versions, adapters };
+    const load = { queue: slots.queued, stepMs: this.stepMs };
+    return { id: settings.id, url, dataCentre: settings.dataCentre, role, load };
+  }
+
+  /** Time for one step of all sequences that run. */
+  private get stepMs(): number {
+    return this.settings.tokenMs * (1 + stepGrowth * Math.max(0, this.slots.running - 1));
+  }
+
   private async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
     try {
       const body = await readJson(req);
       if (req.url === '/v1/run') await this.run(body as RunBody, res);
       else if (req.url === '/v1/layers') answer(res, await this.layers(body as LayersBody));
       else if (req.url === '/v1/cancel') this.cancel(body as RunBody, res);
+      else if (req.url === '/v1/holding') answer(res, this.holdings.state);
+      else if (req.url === '/v1/placement') this.place(body as PlacementBody, res);
       else res.writeHead(404).end();
     } catch (error) {
       if (!res.headersSent) res.writeHead(500, { 'content-type': 'application/json' });
@@ -148,7 +187,7 @@
   }
 
   private async run(body: RunBody, res: ServerResponse): Promise<void> {
-    if (this.runs.size >= this.settings.slots * 4) {
+    if (this.runs.size >= this.settings.slots * queueFactor) {
       res.writeHead(503).end('queue full');
       return;
     }
@@ -157,12 +196,14 @@
     this.runs.set(key, abort);
     res.on('close', () => abort.abort());
     res.writeHead(200, { 'content-type': 'application/x-ndjson' });
+    await this.slots.take(body.priority ?? 0);
     try {
       await this.generate(body, res, abort.signal);
     } catch (error) {
       const suspect = error instanceof LostStage ? error.stage : undefined;
       res.write(line({ t: 'failed', detail: String(error), suspect }));
     }
+    this.slots.free();
     this.runs.delete(key);
     res.end();
   }
@@ -170,6 +211,10 @@
   private async generate(body: RunBody, res: ServerResponse, signal: AbortSignal): Promise<void> {
     const natural = naturalLength(body);
     const length = Math.min(natural, body.maxTokens);
+    if (this.crashesOn(body)) {
+      this.kill();
+      return;
+    }
     let before = body.passed.at(-1) ?? '';
     for (let index = body.passed.length; index < length; index += 1) {
       const hidden = embed(body, index, before);
@@ -188,9 +233,11 @@
 
   /** Runs the own layers, then those of the rest of the chain. */
   private async layers(body: LayersBody): Promise<LayersReply> {
-    const { id, from, to, tokenMs } = this.settings;
-    await this.clock.sleep(tokenMs);
+    const { id, from, to } = this.settings;
+    await this.clock.sleep(this.stepMs);
+    await this.untilLive();
     this.tokens += 1;
+    if (this.tokens === this.faults.dieAfterTokens) this.kill();
     const hidden = runLayers(body.hidden, from, to);
     const own: Receipt = { upstream: id, from, to };
     const [, ...rest] = body.chain;
@@ -217,28 +264,24 @@
     return reply;
   }
 
-  private cancel(body: RunBody, res: ServerResponse): void {
-    this.runs.get(`${body.request}/${body.attempt}`)?.abort();
-    answer(res, { ok: true });
+  private crashesOn({ prompt }: RunBody): boolean {
+    const { crashOn } = this.faults;
+    return crashOn !== undefined && prompt.includes(crashOn);
   }
-}
 
-/** Reads a request's body as JSON. */
-export async function readJson(req: IncomingMessage): Promise<unknown> {
-  const chunks: Buffer[] = [];
-  let size = 0;
-  for await (const chunk of req as AsyncIterable<Buffer>) {
-    size += chunk.length;
-    if (size > bodyLimit) throw new RangeError('body too large');
-    chunks.push(chunk);
+  private async untilLive(): Promise<void> {
+    const { signal } = this.stopping;
+    while (this.faults.stalled && !signal.aborted) await this.clock.sleep(stalledMs, signal);
   }
-  return size === 0 ? {} : JSON.parse(Buffer.concat(chunks).toString());
-}
 
-function answer(res: ServerResponse, body: unknown): void {
-  res.writeHead(200, { 'content-type': 'application/json' }).end(JSON.stringify(body));
-}
+  private place(order: PlacementBody, res: ServerResponse): void {
+    const refused = this.holdings.begin(order);
+    if (refused === undefined) answer(res, { accepted: true }, 202);
+    else answer(res, { error: refused }, 409);
+  }
 
-function line(value: unknown): string {
-  return `${JSON.stringify(value)}\n`;
+  private cancel(body: RunBody, res: ServerResponse): void {
+    this.runs.get(`${body.request}/${body.attempt}`)?.abort();
+    answer(res, { ok: true });
+  }
 }
--- /dev/null
+++ b/packages/standin/src/holdings.ts
@@ -0,0 +1,75 @@
+/** What a stand-in stage holds, and the orders that change it. */
+
+import type { WeightStore } from './store.js';
+
+/** An order to load or unload a part of the model. */
+export interface PlacementBody {
+  readonly fence: number;
+  readonly action: 'load' | 'unload';
+  readonly model: string;
+  readonly part: { readonly kind: 'version' | 'adapter'; readonly name: string };
+}
+
+/** How a stage takes orders. */
+export interface HoldingOptions {
+  readonly store: WeightStore;
+  /** Whether it refuses an order with a lower fencing number than it has seen. */
+  readonly checksFencing: boolean;
+}
+
+/** The versions and adapters of one stage. */
+export class Holdings {
+  readonly versions: string[];
+  readonly adapters: string[];
+  private highestFence = 0;
+  private busy = 0;
+
+  private constructor(
+    private readonly model: string,
+    versions: readonly string[],
+    adapters: readonly string[],
+    private readonly options: HoldingOptions | undefined,
+  ) {
+    this.versions = [...versions];
+    this.adapters = [...adapters];
+  }
+
+  static create(
+    stage: {
+      readonly model: string;
+      readonly versions: readonly string[];
+      readonly adapters: readonly string[];
+    },
+    options?: HoldingOptions,
+  ): Holdings {
+    return new Holdings(stage.model, stage.versions, stage.adapters, options);
+  }
+
+  /** What the stage tells when it is read back. */
+  get state() {
+    return { versions: this.versions, adapters: this.adapters, busy: this.busy > 0 };
+  }
+
+  /** Begins an order; why not, if it is refused. */
+  begin(order: PlacementBody): string | undefined {
+    const { options } = this;
+    if (!options) return 'this stage takes no orders';
+    if (order.model !== this.model) return `this stage holds ${this.model}`;
+    if (options.checksFencing && order.fence < this.highestFence) return 'old fencing number';
+    this.highestFence = Math.max(this.highestFence, order.fence);
+    void this.carryOut(order, options.store);
+    return undefined;
+  }
+
+  private async carryOut({ action, part }: PlacementBody, store: WeightStore): Promise<void> {
+    const list = part.kind === 'version' ? this.versions : this.adapters;
+    if (action === 'unload') {
+      if (list.includes(part.name)) list.splice(list.indexOf(part.name), 1);
+      return;
+    }
+    this.busy += 1;
+    await store.load();
+    this.busy -= 1;
+    if (!list.includes(part.name)) list.push(part.name);
+  }
+}
--- /dev/null
+++ b/packages/standin/src/http.ts
@@ -0,0 +1,41 @@
+/** What the stand-ins share of HTTP. */
+
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+
+/** Largest body that is read, in bytes. */
+const bodyLimit = 8 * 1024 * 1024;
+
+/** Listens on a free loopback port. */
+export function listenOnLoopback(server: Server): Promise<void> {
+  return new Promise((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+}
+
+/** The base URL of a server on loopback. */
+export function urlOf(server: Server): string {
+  return `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
+/** Reads a request's body as JSON. */
+export async function readJson(req: IncomingMessage): Promise<unknown> {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  for await (const chunk of req as AsyncIterable<Buffer>) {
+    size += chunk.length;
+    if (size > bodyLimit) throw new RangeError('body too large');
+    chunks.push(chunk);
+  }
+  return size === 0 ? {} : JSON.parse(Buffer.concat(chunks).toString());
+}
+
+/** Answers with JSON. */
+export function answer(res: ServerResponse, body: unknown, status = 200): void {
+  res.writeHead(status, { 'content-type': 'application/json' }).end(JSON.stringify(body));
+}
+
+/** One line of a stream of JSON. */
+export function line(value: unknown): string {
+  return `${JSON.stringify(value)}\n`;
+}
--- /dev/null
+++ b/packages/standin/src/slots.ts
@@ -0,0 +1,47 @@
+/** Slots of a stage: who runs now, and who waits in order of priority. */
+
+interface Waiting {
+  readonly priority: number;
+  readonly start: () => void;
+}
+
+/** Hands out slots; the highest priority first, and the earliest among equals. */
+export class Slots {
+  private taken = 0;
+  private readonly waiting: Waiting[] = [];
+
+  private constructor(private readonly size: number) {}
+
+  static create(size: number): Slots {
+    return new Slots(size);
+  }
+
+  /** Sequences that run. */
+  get running(): number {
+    return this.taken;
+  }
+
+  /** Sequences that wait. */
+  get queued(): number {
+    return this.waiting.length;
+  }
+
+  /** Resolves once a slot is taken. */
+  async take(priority: number): Promise<void> {
+    if (this.taken < this.size) {
+      this.taken += 1;
+      return;
+    }
+    await new Promise<void>((start) => {
+      const at = this.waiting.findIndex((w) => w.priority < priority);
+      this.waiting.splice(at < 0 ? this.waiting.length : at, 0, { priority, start });
+    });
+  }
+
+  /** Gives a slot back, or passes it on to the next that waits. */
+  free(): void {
+    const next = this.waiting.shift();
+    if (next) next.start();
+    else this.taken -= 1;
+  }
+}
--- /dev/null
+++ b/packages/standin/src/store.ts
@@ -0,0 +1,28 @@
+/** A weight store that serves so many loads at full rate. */
+
+import type { Clock, Millis } from '@tanagercart/base';
+
+/** Shared by the stand-ins that load from it. */
+export class WeightStore {
+  private loading = 0;
+  /** Loads that ran at once at most. */
+  mostLoading = 0;
+
+  private constructor(
+    private readonly clock: Clock,
+    private readonly loadMs: Millis,
+    private readonly atOnce: number,
+  ) {}
+
+  static create(clock: Clock, loadMs: Millis, atOnce: number): WeightStore {
+    return new WeightStore(clock, loadMs, atOnce);
+  }
+
+  /** Loads one part; takes longer the more loads exceed the rate when it begins. */
+  async load(): Promise<void> {
+    this.loading += 1;
+    this.mostLoading = Math.max(this.mostLoading, this.loading);
+    await this.clock.sleep(this.loadMs * Math.max(1, this.loading / this.atOnce));
+    this.loading -= 1;
+  }
+}
