Measure recovery of the whole path, and stop sending streams to a stalled replica

`npm run bench -- recovery` runs real Raft, Control, Ownership, Owner, Dispatch and Gate over a network in memory, with fake engines that announce themselves.

--- /dev/null
+++ b/packages/bench/src/engineworld.ts
@@ -0,0 +1,165 @@
+/** Engines and order desks in held time that can die, slow down and come back. */
+
+import { err, ok } from 'neverthrow';
+import { ModelId, UpstreamId, invariant } from '@tanagercart/base';
+import type { HeldClock, Millis } from '@tanagercart/base';
+import type {
+  Announcement,
+  Engines,
+  RunEvent,
+  RunFailure,
+  RunOrder,
+  Services,
+} from '@tanagercart/upstream';
+
+/** Time for one token, in milliseconds. */
+export const tokenMs: Millis = 40;
+
+/** Sequences that one stage runs at once. */
+export const slots = 8;
+
+/** Layers of the model, half of them on each stage. */
+export const layers = 4;
+
+/** Time for one order at a desk, in milliseconds. */
+const deskMs: Millis = 20;
+
+/** One upstream. */
+export interface WorldUpstream {
+  readonly announcement: Announcement;
+  alive: boolean;
+  /** Factor by which its steps take longer. */
+  slow: number;
+  running: number;
+}
+
+/** The token at an index of the answer to a prompt. */
+export function tokenAt(prompt: string, index: number): string {
+  return `${prompt}.${index}`;
+}
+
+/** All upstreams, as engines and desks see what they are sent. */
+export class EngineWorld {
+  readonly upstreams = new Map<string, WorldUpstream>();
+  /** Orders by key, with the times that each was placed. */
+  readonly placed = new Map<string, number>();
+  /** The stages that a prompt runs on now. */
+  readonly chainOf = new Map<string, readonly string[]>();
+  /** Most sequences that ran on one stage at once. */
+  mostRunning = 0;
+  readonly engines: Engines = {
+    run: (order, signal) => this.run(order, signal),
+    cancel: async () => undefined,
+  };
+  readonly services: Services = {
+    send: async (call) => {
+      const desk = this.byUrl(call.url);
+      if (!desk?.alive) return err({ kind: 'unreachable', detail: 'down' });
+      const key = call.body.toString();
+      this.placed.set(key, (this.placed.get(key) ?? 0) + 1);
+      await this.clock.sleep(deskMs);
+      if (!desk.alive) return err({ kind: 'lost', detail: 'died' });
+      return ok({ status: 201, contentType: 'text/plain', body: key });
+    },
+  };
+
+  private constructor(private readonly clock: HeldClock) {}
+
+  static create(clock: HeldClock): EngineWorld {
+    return new EngineWorld(clock);
+  }
+
+  /** Adds a stage; a start after the first has another incarnation. */
+  addStage(id: string, half: 0 | 1, dataCentre: string, incarnation = '1'): WorldUpstream {
+    const from = half * (layers / 2);
+    return this.add(id, dataCentre, incarnation, {
+      kind: 'stage',
+      model: ModelId('fig'),
+      versions: ['1'],
+      adapters: [],
+      from,
+      to: from + layers / 2,
+      accelerator: 'a',
+      tokensPerSecond: (slots * 1000) / tokenMs,
+      slots,
+    });
+  }
+
+  addDesk(id: string, dataCentre: string): WorldUpstream {
+    return this.add(id, dataCentre, '1', { kind: 'service', service: 'desk' });
+  }
+
+  private add(
+    id: string,
+    dataCentre: string,
+    incarnation: string,
+    role: Announcement['role'],
+  ): WorldUpstream {
+    const url = `http://${id}`;
+    const name = UpstreamId(id);
+    const announcement = { id: name, incarnation, url, dataCentre, role, leaving: false };
+    const upstream = { announcement, alive: true, slow: 1, running: 0 };
+    this.upstreams.set(id, upstream);
+    return upstream;
+  }
+
+  private byUrl(url: string): WorldUpstream | undefined {
+    return [...this.upstreams.values()].find((u) => url.startsWith(u.announcement.url));
+  }
+
+  private async *run(order: RunOrder, signal: AbortSignal): AsyncGenerator<RunEvent> {
+    const chain = order.chain.map((l) => this.upstreams.get(l.upstream)!);
+    const lost = () => chain.find((u) => !u.alive);
+    if (lost()) {
+      yield failed({ kind: 'unreachable', detail: 'down' });
+      return;
+    }
+    this.chainOf.set(
+      order.prompt,
+      order.chain.map((l) => l.upstream),
+    );
+    for (const u of chain) {
+      u.running += 1;
+      this.mostRunning = Math.max(this.mostRunning, u.running);
+    }
+    try {
+      yield* this.tokens(order, chain, signal);
+    } finally {
+      for (const u of chain) u.running -= 1;
+    }
+  }
+
+  private async *tokens(
+    order: RunOrder,
+    chain: readonly WorldUpstream[],
+    signal: AbortSignal,
+  ): AsyncGenerator<RunEvent> {
+    const { request, attempt, prompt } = order;
+    const receipts = order.chain.map(({ upstream, from, to }) => ({ upstream, from, to }));
+    for (let index = order.passed.length; index < order.maxTokens; index += 1) {
+      const before = order.passed.at(-1);
+      invariant(
+        before === undefined || before === tokenAt(prompt, order.passed.length - 1),
+        'an attempt goes on after the tokens of its own request',
+      );
+      await this.clock.sleep(tokenMs * Math.max(...chain.map((u) => u.slow)), signal);
+      if (signal.aborted) {
+        yield failed({ kind: 'cancelled', detail: 'cancelled' });
+        return;
+      }
+      const dead = chain.find((u) => !u.alive);
+      if (dead) {
+        const suspect = dead.announcement.id;
+        yield failed({ kind: 'broken', detail: 'died', suspect });
+        return;
+      }
+      const token = tokenAt(prompt, index);
+      yield { kind: 'token', frame: { request, attempt, index, token, receipts } };
+    }
+    yield { kind: 'end', reason: 'length' };
+  }
+}
+
+function failed(failure: RunFailure): RunEvent {
+  return { kind: 'failed', failure };
+}
--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -22,6 +22,7 @@
   'orders',
   'poison',
   'retries',
+  'recovery',
   'relay',
 ];
 
--- /dev/null
+++ b/packages/bench/src/wholenode.ts
@@ -0,0 +1,91 @@
+/** One node of the whole path in held time: its control plane, its owner and its dispatch. */
+
+import { rendezvous, silentLogger } from '@tanagercart/base';
+import type { HeldClock, Metrics, NodeId } from '@tanagercart/base';
+import { Dispatch, Gate, Orders } from '@tanagercart/dispatch';
+import { Upstreams } from '@tanagercart/membership';
+import type { MemoryNetwork } from '@tanagercart/protocol';
+import { Chooser, keepPlans } from '@tanagercart/routing';
+import { Owner } from '@tanagercart/scheduling';
+import { Batches } from '@tanagercart/state';
+import { startMember } from './cluster.js';
+import type { EngineWorld } from './engineworld.js';
+
+/** A running node of the whole path. */
+export type WholeNode = ReturnType<typeof startWholeNode>;
+
+/** What all nodes share. */
+export interface WholeShared {
+  readonly net: MemoryNetwork;
+  readonly clock: HeldClock;
+  readonly metrics: Metrics;
+  readonly world: EngineWorld;
+}
+
+/** Starts a node, as a daemon wires it; a restart passes the disk of the start before. */
+export function startWholeNode(
+  { net, clock, metrics, world }: WholeShared,
+  name: string,
+  dataCentre: string,
+  disk?: Parameters<typeof startMember>[4],
+) {
+  const member = startMember(net, clock, name, dataCentre, disk);
+  const { id, control, history, ownership, proposer, transport, tasks, life } = member;
+  const { signal } = life;
+  const { state } = history;
+  const logger = silentLogger;
+  const { lease } = control;
+  const shared = { clock, logger, metrics, transport, state, random: net.random };
+  const upstreams = Upstreams.create({
+    self: id,
+    history,
+    proposer,
+    transport,
+    lease,
+    clock,
+    logger,
+  });
+  Owner.create({
+    self: id,
+    state,
+    clock,
+    transport,
+    mayGrant: () => lease.valid,
+    owns: (replica) => ownership.mayGrant(replica),
+    isLeaving: (u) => upstreams.isLeaving(u.id),
+  });
+  Gate.create({ state, clock, transport, isUp: (node) => state.nodes.has(node) });
+  const proposals = Batches.create(proposer, clock);
+  const chooser = Chooser.create(clock, net.random);
+  const owners = () => {
+    const owned = new Map<NodeId, number>();
+    for (const replica of state.replicas.values()) {
+      const owner = ownership.ownerOf(replica);
+      if (owner) owned.set(owner, (owned.get(owner) ?? 0) + 1);
+    }
+    const near = (node: NodeId) => state.nodes.get(node)?.address.dataCentre === dataCentre;
+    return [...owned].map(([node, replicas]) => ({ node, replicas, near: near(node) }));
+  };
+  const dispatch = Dispatch.create({
+    ...shared,
+    engines: world.engines,
+    proposals,
+    owners: (_, tier) => chooser.order(owners(), tier.id, []),
+    heard: (owner, tier, reply) => {
+      const retryAfterMs = reply.kind === 'refused' ? reply.retryAfterMs : undefined;
+      chooser.replied(owner, tier.id, { room: reply.room, retryAfterMs });
+    },
+    gates: (fingerprint) => rendezvous(fingerprint, [...state.nodes.keys()]),
+  });
+  const orders = Orders.create({
+    ...shared,
+    self: id,
+    proposals,
+    services: world.services,
+    upstreams: () => [...state.upstreams.values()].filter((u) => u.role.kind === 'service'),
+  });
+  tasks.start(() => upstreams.watch(signal));
+  tasks.start(() => keepPlans({ state, proposer, clock, logger, leads: member.leads }, signal));
+  const ready = () => !signal.aborted && lease.valid;
+  return { ...member, upstreams, dispatch, orders, ready };
+}
--- a/packages/cli/src/demo.ts
+++ b/packages/cli/src/demo.ts
@@ -2,11 +2,11 @@
 
 import { join } from 'node:path';
 import { BunyanLogger } from '@tanagercart/base';
-import type { Clock, LogLevel } from '@tanagercart/base';
+import type { Clock, Millis, LogLevel } from '@tanagercart/base';
 import { MemoryDisk } from '@tanagercart/log';
 import { Node } from '@tanagercart/node';
 import type { Settings } from '@tanagercart/settings';
-import { EngineStandIn, OrderDesk } from '@tanagercart/standin';
+import { EngineStandIn, OrderDesk, WeightStore } from '@tanagercart/standin';
 import { smallPlan } from './demoplan.js';
 import type { DemoPlan, DemoReplica } from './demoplan.js';
 import { callOperator } from './operator.js';
@@ -16,6 +16,12 @@
 
 const operatorKey = 'demo-operator-key';
 
+/** Time for one load from the stand-in of the weight store, in milliseconds. */
+const loadMs: Millis = 1000;
+
+/** Loads that the stand-in of the weight store serves at full rate. */
+const loadsAtOnce = 4;
+
 /** What the demo is made of. */
 export interface DemoOptions {
   /** What to run; a small plan of `nodes` nodes where it is left out. */
@@ -141,7 +147,9 @@
   plan: DemoPlan,
 ): Promise<readonly EngineStandIn[]> {
   const stages = plan.replicas.flatMap(stagesOf);
-  return Promise.all(stages.map((s) => EngineStandIn.start(s, clock, entries)));
+  const store = WeightStore.create(clock, loadMs, loadsAtOnce);
+  const orders = { store, checksFencing: false };
+  return Promise.all(stages.map((s) => EngineStandIn.start(s, clock, entries, { orders })));
 }
 
 /** Settings of the stand-ins that together make one replica. */
--- a/packages/dispatch/src/pace.ts
+++ b/packages/dispatch/src/pace.ts
@@ -13,6 +13,12 @@
 /** Promised gaps that a stream may be silent at least, whatever was observed. */
 const gapsAtLeast = 4;
 
+/** Promised gaps that it may be silent where more would last too long. */
+const slowGapsAtLeast = 2;
+
+/** Silence beyond which the fewer gaps hold, in milliseconds. */
+const longSilenceMs: Millis = 700;
+
 /** Share of the promise for the first token that the first frame may take at least. */
 const firstShareAtLeast = 0.5;
 
@@ -80,7 +86,7 @@
   /** How long a stream may be silent between frames. */
   gapBoundMs(model: ModelId, tier: Tier): Millis {
     const seen = estimate(this.gaps, nameOf(model, tier)).boundMs;
-    return clamp(Math.max(seen, tier.tokenGapMs * gapsAtLeast));
+    return clamp(Math.max(seen, leastSilenceMs(tier)));
   }
 }
 
@@ -92,6 +98,12 @@
   return fresh;
 }
 
+/** Silence that a tier's promise allows without doubt. */
+function leastSilenceMs({ tokenGapMs }: Tier): Millis {
+  const longMs = Math.max(longSilenceMs, tokenGapMs * slowGapsAtLeast);
+  return Math.min(tokenGapMs * gapsAtLeast, longMs);
+}
+
 function clamp(ms: Millis): Millis {
   return Math.min(mostBoundMs, Math.max(leastBoundMs, ms));
 }
--- a/packages/scheduling/src/replica.ts
+++ b/packages/scheduling/src/replica.ts
@@ -75,18 +75,24 @@
     return held;
   }
 
-  /** Whether it failed lately and is given no work for a while. */
+  /** Whether it failed lately and is given no work for a while, and then one grant at a time. */
   rests(now: Millis): boolean {
-    return now < this.restsUntil;
+    if (now < this.restsUntil) return true;
+    return this.failures > 0 && this.grantedSince(this.restsUntil);
   }
 
   /** Notes a failed attempt; each one in a row doubles the rest. */
   failed(now: Millis): void {
-    if (this.rests(now)) return;
+    if (now < this.restsUntil) return;
     this.restsUntil = now + Math.min(restLimitMs, firstRestMs * 2 ** this.failures);
     this.failures += 1;
   }
 
+  private grantedSince(time: Millis): boolean {
+    for (const g of this.grants.values()) if (g.givenAt >= time) return true;
+    return false;
+  }
+
   /** Notes an attempt that ran to its end. */
   succeeded(): void {
     this.failures = 0;
