Show voters in the status again, and let the demo wait for owners

A second run of the demo on kept state said that it served while state still named upstreams of the first run and owners still waited for those of the first: the first request was refused with 'no-replica'. Change: the status tells voters in one form with or without a log; the demo waits until every node knows the upstreams of today and every replica has an owner that may grant.

--- a/packages/cli/src/demo.ts
+++ b/packages/cli/src/demo.ts
@@ -63,7 +63,8 @@
   const desks = await Promise.all(
     plan.desks.map((d) => OrderDesk.start(d, placements, o.clock, entries)),
   );
-  await until(o.clock, () => nodes.every((n) => serves(n, plan)));
+  const urls = [...engines, ...desks].map((u) => u.url);
+  await until(o.clock, () => nodes.every((n) => serves(n, plan, urls)) && granted(nodes));
   const stopUpstreams = async () => {
     await Promise.all([...engines, ...desks].map((u) => u.stop()));
   };
@@ -156,16 +157,24 @@
   }));
 }
 
-function serves(node: Node, plan: DemoPlan): boolean {
+/** Whether `node` knows all there is at its address of today; kept state names those of past runs. */
+function serves(node: Node, plan: DemoPlan, urls: readonly string[]): boolean {
   const { state } = node.history;
-  const stages = plan.replicas.flatMap(stagesOf).length;
+  const known = new Set([...state.upstreams.values()].map((u) => u.url));
   return (
     state.nodes.size === plan.settings.length &&
     state.replicas.size === plan.replicas.length &&
-    state.upstreams.size === stages + plan.desks.length
+    state.upstreams.size === urls.length &&
+    urls.every((url) => known.has(url))
   );
 }
 
+/** Whether every replica has an owner that no longer waits for an owner of a past run. */
+function granted(nodes: readonly Node[]): boolean {
+  const replicas = [...nodes[0]!.history.state.replicas.values()];
+  return replicas.every((r) => nodes.some((n) => n.mayGrant(r)));
+}
+
 function readyOf(nodes: readonly Node[], plan: DemoPlan): Ready {
   const { release } = nodes[0]!.history.state;
   return {
--- a/packages/cli/src/statustable.ts
+++ b/packages/cli/src/statustable.ts
@@ -5,7 +5,10 @@
   readonly node: string;
   readonly release: number;
   readonly leader?: string;
-  readonly voters: readonly string[];
+  readonly draining: boolean;
+  readonly voters: readonly { readonly id: string }[];
+  /** Whether the log of the asked node has failed. */
+  readonly logFailed: boolean;
   readonly nodes: readonly {
     readonly id: string;
     readonly dataCentre: string;
@@ -29,14 +32,15 @@
 export function statusTable(s: Status): string {
   const role = (id: string) => {
     if (id === s.leader) return 'leader';
-    return s.voters.includes(id) ? 'voter' : '';
+    return s.voters.some((v) => v.id === id) ? 'voter' : '';
   };
   const nodes = s.nodes.map((n) => [n.id, n.dataCentre, role(n.id), n.entry]);
   const replicas = s.replicas.map((r) => [r.id, r.model, r.owner ?? '-', r.stages.join(' ')]);
   const upstreams = s.upstreams.map((u) => [u.id, u.dataCentre, u.url]);
   const queues = (s.queues ?? []).map((q) => [q.tier, String(q.waiting)]);
   return [
-    `As node ${s.node} knows it; release ${s.release} is in force.\n`,
+    `As node ${s.node} knows it${s.draining ? ', which drains' : ''}; release ${s.release} is in force.\n`,
+    ...(s.logFailed ? [`The log of ${s.node} has failed: its disk takes no writes.\n`] : []),
     table(['NODE', 'DATA CENTRE', 'ROLE', 'ENTRY'], nodes),
     table(['REPLICA', 'MODEL', 'OWNER', 'STAGES'], replicas),
     table(['UPSTREAM', 'DATA CENTRE', 'URL'], upstreams),
@@ -45,7 +49,8 @@
 }
 
 function table(head: readonly string[], rows: readonly (readonly string[])[]): string {
-  const all = [head, ...rows];
+  const byName = [...rows].sort(([a = ''], [b = '']) => (a < b ? -1 : 1));
+  const all = [head, ...byName];
   const width = head.map((_, i) => Math.max(...all.map((r) => r[i]!.length)));
   const lines = all.map((r) =>
     r
--- a/packages/node/src/listeners.ts
+++ b/packages/node/src/listeners.ts
@@ -1,12 +1,12 @@
 /** What the listeners for callers and operators are made of. */
 
 import { rendezvous, systemRandom } from '@tanagercart/base';
-import type { Clock, Logger, Metrics } from '@tanagercart/base';
+import type { Clock, Logger, Metrics, NodeId } from '@tanagercart/base';
 import { Dispatch, Gate, Orders } from '@tanagercart/dispatch';
 import { Door } from '@tanagercart/entry';
 import type { StatusReport } from '@tanagercart/entry';
 import type { ConfigurationLease, Upstreams } from '@tanagercart/membership';
-import type { Transport } from '@tanagercart/protocol';
+import type { Transport, VoterConfig } from '@tanagercart/protocol';
 import type { Settings } from '@tanagercart/settings';
 import { Batches } from '@tanagercart/state';
 import type { Proposals, Proposer, SharedState } from '@tanagercart/state';
@@ -66,7 +66,7 @@
     release: state.release.number,
     index: state.index,
     leader: control.leader,
-    voters: p.control.log.voters ?? p.settings.voters,
+    ...votersOf(p),
     logFailed: p.control.log.failed,
     nodes: [...state.nodes.values()].map((n) => n.address),
     replicas: [...state.replicas.values()].map((r) => ({
@@ -77,6 +77,13 @@
   };
 }
 
+/** The voters and learners of the log; a node that has no log knows those of its settings. */
+function votersOf({ control, settings }: Parts): Omit<VoterConfig, 'voters'> & {
+  readonly voters: readonly { readonly id: NodeId }[];
+} {
+  return control.log.voters ?? { voters: settings.voters.map((id) => ({ id })), learners: [] };
+}
+
 function createDispatch(p: Parts, proposals: Proposals): Dispatch {
   const chooser = Chooser.create(p.clock, systemRandom);
   return Dispatch.create({
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -16,6 +16,7 @@
 import { Owner } from '@tanagercart/scheduling';
 import type { Settings } from '@tanagercart/settings';
 import { Proposer } from '@tanagercart/state';
+import type { Replica } from '@tanagercart/state';
 import { createPool } from '@tanagercart/upstream';
 import { addressOf, hostPortOf, withPort } from './address.js';
 import { ControlPlane } from './controlplane.js';
@@ -150,6 +151,11 @@
     return this.lease.valid && !this.draining;
   }
 
+  /** Whether this node may give grants on `replica` now. */
+  mayGrant(replica: Replica): boolean {
+    return this.ready && this.ownership.mayGrant(replica);
+  }
+
   /** Resolves when an operator asks this node to drain. */
   untilDrainAsked(): Promise<void> {
     return this.drainAsked.wait();
