--- a/packages/bench/src/relaynode.ts
+++ b/packages/bench/src/relaynode.ts
@@ -5,6 +5,7 @@
 import { pipeline } from 'node:stream/promises';
 import { Agent, request } from 'undici';
 import { SystemClock, digestOf, silentLogger } from '@tanagercart/base';
+import { MemoryDisk } from '@tanagercart/log';
 import { Node } from '@tanagercart/node';
 import { schema } from '@tanagercart/settings';
 import { layers } from './relayengine.js';
@@ -60,6 +61,7 @@
     settings: schema.parse({ cluster: 'relay', voters: ['n1'], node: self }),
     operatorKey,
     clock,
+    disk: MemoryDisk.create(),
     logger: silentLogger,
     onBroken: (error) => {
       throw error;
