Pass on tokens that arrive together in one turn

Cause: each token cost several async hops, two abort signals, a timer and a write; the profile named AbortSignal.any, DOMException and createAbortSignal. Change: an engine's event and a piece of an answer hold all tokens of one chunk, which are judged in one turn and written at once; one timer for each stream watches for silence and is set again only when it runs out too early or too late. The tests of dispatch and entry build the new form of the same events.

--- a/packages/bench/src/dispatchfleet.ts
+++ b/packages/bench/src/dispatchfleet.ts
@@ -131,7 +131,8 @@
         yield { kind: 'failed', failure: { kind: 'broken', detail: 'died', suspect: undefined } };
         return;
       }
-      yield { kind: 'token', frame: { request, attempt, index, token: `t${index}`, receipts } };
+      const frame = { request, attempt, index, token: `t${index}`, receipts };
+      yield { kind: 'tokens', frames: [frame] };
     }
     yield { kind: 'end', reason: 'stop' };
   }
--- a/packages/dispatch/src/generate.ts
+++ b/packages/dispatch/src/generate.ts
@@ -15,7 +15,7 @@
 import type { AcquireReply, AttemptEnd, ClearedEnd, Grant, Transport } from '@tanagercart/protocol';
 import type { Model, Tier } from '@tanagercart/release';
 import type { Proposals, SharedState } from '@tanagercart/state';
-import type { Engines, FinishReason, RunOrder } from '@tanagercart/upstream';
+import type { Engines, FinishReason, RunOrder, TokenFrame } from '@tanagercart/upstream';
 import { acquire } from './acquire.js';
 import type { Acquired } from './acquire.js';
 import { causeOf, ruleOf } from './cause.js';
@@ -189,29 +189,28 @@
           ? this.pace.firstBoundMs(d.g.model.id, d.g.tier)
           : this.pace.gapBoundMs(d.g.model.id, d.g.tier);
       for await (const event of attempt.run.events(bound, d.signal)) {
-        const now = this.o.clock.now();
-        if (event.kind === 'token') {
-          const verdict = d.assembly.take(event.frame);
-          if (verdict.kind === 'drop') {
-            this.o.metrics.count('frame.dropped', { reason: verdict.why });
-            continue;
-          }
-          if (verdict.kind === 'fault') {
-            outcome = { kind: 'failed', cause: { kind: 'corrupt', detail: verdict.detail } };
-            break;
-          }
-          if (firstTokenMs === undefined) {
+        if (event.kind === 'tokens') {
+          const now = this.o.clock.now();
+          const index = d.assembly.passed.length;
+          const { tokens, fault } = this.take(d, event.frames);
+          if (tokens.length > 0 && firstTokenMs === undefined) {
             firstTokenMs = now - attempt.startedAt;
+            last = now;
             this.pace.observeFirst(d.g.model.id, d.g.tier, firstTokenMs);
             this.retries.worked(grant.replica);
-          } else {
-            this.pace.observeGap(d.g.model.id, d.g.tier, now - last);
+            this.observeGaps(d, 0, tokens.length - 1);
+          } else if (tokens.length > 0) {
+            this.observeGaps(d, now - last, tokens.length);
           }
-          d.promise.resumed();
-          yield { kind: 'token', token: verdict.token, index: event.frame.index };
-          // A slow caller's time is not the engine's.
-          last = this.o.clock.now();
-          continue;
+          if (tokens.length > 0) {
+            d.promise.resumed();
+            yield { kind: 'tokens', tokens, index };
+            // A slow caller's time is not the engine's.
+            last = this.o.clock.now();
+          }
+          if (fault === undefined) continue;
+          outcome = { kind: 'failed', cause: { kind: 'corrupt', detail: fault } };
+          break;
         }
         outcome = outcomeOf(event, d.assembly.passed.length - attempt.tokensBefore);
         break;
@@ -223,6 +222,37 @@
     }
   }
 
+  /** Judges frames that came together: the tokens to pass on, and the fault after them. */
+  private take(
+    d: Dispatching,
+    frames: readonly TokenFrame[],
+  ): { readonly tokens: readonly string[]; readonly fault: string | undefined } {
+    const tokens: string[] = [];
+    for (const frame of frames) {
+      const verdict = d.assembly.take(frame);
+      switch (verdict.kind) {
+        case 'next':
+          tokens.push(verdict.token);
+          break;
+        case 'drop':
+          this.o.metrics.count('frame.dropped', { reason: verdict.why });
+          break;
+        case 'fault':
+          return { tokens, fault: verdict.detail };
+        default:
+          unreachable(verdict);
+      }
+    }
+    return { tokens, fault: undefined };
+  }
+
+  /** Notes the time before the first of some tokens that came together; none lies between them. */
+  private observeGaps({ g }: Dispatching, firstMs: Millis, tokens: number): void {
+    for (let i = 0; i < tokens; i += 1) {
+      this.pace.observeGap(g.model.id, g.tier, i === 0 ? firstMs : 0);
+    }
+  }
+
   private begin(d: Dispatching, grant: Grant, gate: NodeId): Attempt {
     const { g, assembly } = d;
     const order: RunOrder = {
@@ -305,7 +335,7 @@
 }
 
 function outcomeOf(
-  event: Exclude<WatchedEvent, { readonly kind: 'token' }>,
+  event: Exclude<WatchedEvent, { readonly kind: 'tokens' }>,
   tokens: number,
 ): AttemptOutcome {
   switch (event.kind) {
--- a/packages/dispatch/src/generation.ts
+++ b/packages/dispatch/src/generation.ts
@@ -24,7 +24,8 @@
 
 /** What the caller is sent; `end` or `refused` comes last, and once. */
 export type Piece =
-  | { readonly kind: 'token'; readonly token: string; readonly index: number }
+  /** Tokens that came together, at least one; `index` is the place of the first. */
+  | { readonly kind: 'tokens'; readonly tokens: readonly string[]; readonly index: number }
   | { readonly kind: 'end'; readonly reason: FinishReason; readonly tokens: number }
   | { readonly kind: 'refused'; readonly refusal: Refusal };
 
--- a/packages/dispatch/src/watch.ts
+++ b/packages/dispatch/src/watch.ts
@@ -2,6 +2,7 @@
 
 import type { Clock, Metrics, Millis } from '@tanagercart/base';
 import type { Engines, RunEvent, RunFailure, RunOrder } from '@tanagercart/upstream';
+import { Silence } from './silence.js';
 
 /** What an attempt yields besides the engine's own events. */
 export type WatchedEvent = RunEvent | { readonly kind: 'preempted' } | { readonly kind: 'aborted' };
@@ -12,6 +13,9 @@
 /** How a stream broke. */
 export type BrokenRun = Extract<RunFailure, { readonly kind: 'broken' }>;
 
+/** What became of the wait for the next event. */
+type Next = IteratorResult<RunEvent> | 'late' | 'interrupted';
+
 /** How long an attempt may take to end once it is cancelled, in milliseconds. */
 const windUpMs: Millis = 2000;
 
@@ -19,6 +23,8 @@
 export class WatchedRun {
   private readonly stop = new AbortController();
   private readonly taken = new AbortController();
+  /** Ends the wait for the next event. */
+  private settle: ((next: Next) => void) | undefined;
   /** Settles when a cancelled attempt has ended: with how it broke, if it did. */
   aftermath: Promise<BrokenRun | undefined> = Promise.resolve(undefined);
 
@@ -41,13 +47,18 @@
   /** Yields events until the attempt ends; what comes later is dropped and counted. */
   async *events(bound: Bound, caller: AbortSignal): AsyncGenerator<WatchedEvent> {
     const run = this.engines.run(this.order, this.stop.signal)[Symbol.asyncIterator]();
-    const interrupt = AbortSignal.any([caller, this.taken.signal]);
+    const interrupts = [caller, this.taken.signal];
+    const interrupt = () => this.settle?.('interrupted');
+    for (const s of interrupts) s.addEventListener('abort', interrupt);
+    const silence = Silence.create(this.clock, () => this.settle?.('late'));
     let pending: Promise<IteratorResult<RunEvent>> | undefined;
     let over = false;
     try {
       for (;;) {
         pending = run.next();
-        const next = await this.nextOf(pending, bound(), interrupt);
+        silence.expect(bound());
+        const next = await this.nextOf(pending, interrupts);
+        silence.heard();
         if (next === 'interrupted') {
           yield caller.aborted ? { kind: 'aborted' } : { kind: 'preempted' };
           return;
@@ -57,13 +68,15 @@
           return;
         }
         pending = undefined;
-        over = next.done === true || next.value.kind !== 'token';
+        over = next.done === true || next.value.kind !== 'tokens';
         yield next.done
           ? failed({ kind: 'broken', detail: 'the stream ended early', suspect: undefined })
           : next.value;
         if (over) return;
       }
     } finally {
+      silence.stop();
+      for (const s of interrupts) s.removeEventListener('abort', interrupt);
       if (over) this.stop.abort();
       else this.aftermath = this.windUp(run, pending);
     }
@@ -91,25 +104,28 @@
   ): Promise<BrokenRun | undefined> {
     for (let next = await pending; !next.done; next = await run.next()) {
       const { value } = next;
-      if (value.kind === 'token') this.metrics.count('frame.dropped', { reason: 'old-attempt' });
+      if (value.kind === 'tokens') this.dropped(value.frames.length);
       if (value.kind === 'failed' && value.failure.kind === 'broken') return value.failure;
     }
     return undefined;
   }
 
-  private async nextOf(
+  private dropped(frames: number): void {
+    for (let i = 0; i < frames; i += 1) {
+      this.metrics.count('frame.dropped', { reason: 'old-attempt' });
+    }
+  }
+
+  /** The next event, unless silence or an interruption comes first. */
+  private nextOf(
     pending: Promise<IteratorResult<RunEvent>>,
-    boundMs: Millis,
-    interrupt: AbortSignal,
-  ): Promise<IteratorResult<RunEvent> | 'late' | 'interrupted'> {
-    const awake = new AbortController();
-    const signal = AbortSignal.any([interrupt, awake.signal]);
-    const late = this.clock
-      .sleep(boundMs, signal)
-      .then(() => (interrupt.aborted ? 'interrupted' : 'late'));
-    const next = await Promise.race([pending, late]);
-    awake.abort();
-    return next;
+    interrupts: readonly AbortSignal[],
+  ): Promise<Next> {
+    if (interrupts.some((s) => s.aborted)) return Promise.resolve('interrupted');
+    return new Promise((resolve, reject) => {
+      this.settle = resolve;
+      pending.then(resolve, reject);
+    });
   }
 }
 
--- a/packages/dispatch/test/fleet.ts
+++ b/packages/dispatch/test/fleet.ts
@@ -137,17 +137,17 @@
             await clock.sleep(100_000, signal);
             break;
           case 'repeat':
-            yield { kind: 'token', frame };
+            yield { kind: 'tokens', frames: [frame] };
             break;
           case 'cross':
-            yield { kind: 'token', frame: { ...frame, request: RequestId('other') } };
+            yield { kind: 'tokens', frames: [{ ...frame, request: RequestId('other') }] };
             break;
           case 'none':
             break;
           default:
             unreachable(kind);
         }
-        yield { kind: 'token', frame };
+        yield { kind: 'tokens', frames: [frame] };
       }
       yield { kind: 'end', reason: 'stop' };
     },
@@ -237,4 +237,4 @@
 
 /** The tokens of an answer. */
 export const tokensOf = (pieces: readonly Piece[]): readonly string[] =>
-  pieces.flatMap((p) => (p.kind === 'token' ? [p.token] : []));
+  pieces.flatMap((p) => (p.kind === 'tokens' ? p.tokens : []));
--- a/packages/entry/src/delivery.ts
+++ b/packages/entry/src/delivery.ts
@@ -63,9 +63,9 @@
     let text = '';
     for await (const piece of pieces) {
       switch (piece.kind) {
-        case 'token': {
-          const passed = this.pass(piece.token);
-          text += passed.text;
+        case 'tokens': {
+          const passed = this.pass(piece.tokens);
+          text += passed.texts.join('');
           if (passed.stopped) return this.sendWhole(text, 'stop');
           break;
         }
@@ -92,8 +92,8 @@
   /** Writes what a piece adds to the stream; tells whether the answer has ended. */
   private write(piece: Piece): boolean {
     switch (piece.kind) {
-      case 'token':
-        return this.writeToken(piece.token);
+      case 'tokens':
+        return this.writeTokens(piece.tokens);
       case 'end':
         return this.writeEnd(this.filter.flush(), piece.reason);
       case 'refused':
@@ -105,11 +105,13 @@
     }
   }
 
-  private writeToken(token: string): boolean {
-    const { text, stopped } = this.pass(token);
-    if (stopped) return this.writeEnd(text, 'stop');
-    if (text !== '') this.o.res.write(this.o.writer.event(text));
-    return false;
+  /** Writes tokens that came together at once. */
+  private writeTokens(tokens: readonly string[]): boolean {
+    const { texts, stopped } = this.pass(tokens);
+    const { writer, res } = this.o;
+    const events = texts.map((text) => (text === '' ? '' : writer.event(text))).join('');
+    if (events !== '') res.write(events);
+    return stopped && this.writeEnd('', 'stop');
   }
 
   private writeEnd(rest: string, reason: FinishReason): true {
@@ -122,9 +124,16 @@
     return true;
   }
 
-  private pass(token: string) {
-    this.tokens += 1;
-    return this.filter.push(token);
+  /** What may be sent after `tokens`, and whether a stop sequence ended the answer. */
+  private pass(tokens: readonly string[]) {
+    const texts: string[] = [];
+    for (const token of tokens) {
+      this.tokens += 1;
+      const { text, stopped } = this.filter.push(token);
+      texts.push(text);
+      if (stopped) return { texts, stopped };
+    }
+    return { texts, stopped: false };
   }
 
   private event(value: object): void {
--- a/packages/entry/test/callers.test.ts
+++ b/packages/entry/test/callers.test.ts
@@ -61,8 +61,8 @@
 type Generate = (g: Generation, signal: AbortSignal) => AsyncIterable<Piece>;
 
 async function* twoTokens(): AsyncGenerator<Piece> {
-  yield { kind: 'token', token: 'dry ', index: 0 };
-  yield { kind: 'token', token: 'figs', index: 1 };
+  yield { kind: 'tokens', tokens: ['dry '], index: 0 };
+  yield { kind: 'tokens', tokens: ['figs'], index: 1 };
   yield { kind: 'end', reason: 'stop', tokens: 2 };
 }
 
@@ -167,7 +167,9 @@
   let ended = false;
   async function* endless(): AsyncGenerator<Piece> {
     try {
-      for (let index = 0; ; index += 1) yield { kind: 'token', token: 'x'.repeat(65_536), index };
+      for (let index = 0; ; index += 1) {
+ yield { kind: 'tokens', tokens: ['x'.repeat(65_536)], index };
+}
     } finally {
       ended = true;
     }
@@ -185,7 +187,7 @@
   let signal: AbortSignal | undefined;
   async function* silent(_: Generation, s: AbortSignal): AsyncGenerator<Piece> {
     signal = s;
-    yield { kind: 'token', token: 'dry ', index: 0 };
+    yield { kind: 'tokens', tokens: ['dry '], index: 0 };
     await new Promise((resolve) => {
       s.addEventListener('abort', resolve);
     });
@@ -200,7 +202,7 @@
 
 test('a refusal within a stream is an error event', async (t) => {
   async function* failing(): AsyncGenerator<Piece> {
-    yield { kind: 'token', token: 'dry ', index: 0 };
+    yield { kind: 'tokens', tokens: ['dry '], index: 0 };
     const message = 'every attempt failed';
     const refusal = { reason: 'upstream-failed', run: 'unknown', message } as const;
     yield { kind: 'refused', refusal: { ...refusal, retryAfterMs: undefined } };
--- a/packages/upstream/src/engine.ts
+++ b/packages/upstream/src/engine.ts
@@ -64,7 +64,8 @@
 
 /** What a run yields; `end` or `failed` comes last, and once. */
 export type RunEvent =
-  | { readonly kind: 'token'; readonly frame: TokenFrame }
+  /** Tokens that arrived together, at least one. */
+  | { readonly kind: 'tokens'; readonly frames: readonly TokenFrame[] }
   | { readonly kind: 'end'; readonly reason: FinishReason }
   | { readonly kind: 'failed'; readonly failure: RunFailure };
 
--- a/packages/upstream/src/http.ts
+++ b/packages/upstream/src/http.ts
@@ -1,5 +1,6 @@
 /** Engines and services reached over HTTP with undici. */
 
+import { StringDecoder } from 'node:string_decoder';
 import { Agent, Client, request } from 'undici';
 import type { Dispatcher } from 'undici';
 import { err, ok } from 'neverthrow';
@@ -68,10 +69,13 @@
         yield failed({ kind: 'refused', detail: await response.body.text() });
         return;
       }
-      for await (const line of lines(response.body)) {
-        const event = eventOf(JSON.parse(line) as Line);
-        yield event;
-        if (event.kind !== 'token') return;
+      for await (const text of lines(response.body)) {
+        const { frames, last } = eventsOf(text);
+        if (frames.length > 0) yield { kind: 'tokens', frames };
+        if (last) {
+          yield last;
+          return;
+        }
       }
       yield failed({ kind: 'broken', detail: 'the stream ended early', suspect: undefined });
     } catch (error) {
@@ -148,24 +152,34 @@
   });
 }
 
+/** Yields the whole lines of each chunk as one text. */
 async function* lines(chunks: AsyncIterable<Buffer>): AsyncGenerator<string> {
   let held = '';
-  const decoder = new TextDecoder();
+  const decoder = new StringDecoder('utf8');
   for await (const chunk of chunks) {
-    held += decoder.decode(chunk, { stream: true });
-    let start = 0;
-    for (let end = held.indexOf('\n'); end >= 0; end = held.indexOf('\n', start)) {
-      yield held.slice(start, end);
-      start = end + 1;
-    }
-    held = held.slice(start);
+    const text = held + decoder.write(chunk);
+    const end = text.lastIndexOf('\n');
+    held = text.slice(end + 1);
+    if (end >= 0) yield text.slice(0, end);
+  }
+}
+
+/** The tokens among `text`'s lines, and what ended the run after them. */
+function eventsOf(text: string): {
+  readonly frames: readonly TokenFrame[];
+  readonly last: RunEvent | undefined;
+} {
+  const frames: TokenFrame[] = [];
+  for (const each of text.split('\n')) {
+    const line = JSON.parse(each) as Line;
+    if (line.t !== 'token') return { frames, last: lastOf(line) };
+    frames.push(line);
   }
+  return { frames, last: undefined };
 }
 
-function eventOf(line: Line): RunEvent {
+function lastOf(line: Exclude<Line, { readonly t: 'token' }>): RunEvent {
   switch (line.t) {
-    case 'token':
-      return { kind: 'token', frame: line };
     case 'end':
       return { kind: 'end', reason: line.reason };
     case 'cancelled':
--- /dev/null
+++ b/packages/upstream/test/http.test.ts
@@ -0,0 +1,66 @@
+import assert from 'node:assert/strict';
+import { createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { test } from 'node:test';
+import { GrantId, ModelId, RequestId, UpstreamId } from '@tanagercart/base';
+import { HttpEngines, createPool } from '../src/index.js';
+import type { RunEvent, RunOrder } from '../src/index.js';
+
+const line = (value: object) => `${JSON.stringify(value)}\n`;
+const token = (index: number, text: string) =>
+  line({ t: 'token', request: 'r', attempt: 1, index, token: text, receipts: [] });
+const end = line({ t: 'end', reason: 'stop' });
+
+const orderTo = (url: string): RunOrder => ({
+  ...{ request: RequestId('r'), attempt: 1, grant: GrantId('g'), fence: 1, priority: 0 },
+  ...{ model: ModelId('fig'), version: '1', adapter: undefined, prompt: 'dry?', passed: [] },
+  ...{ seed: 0, maxTokens: 9, chain: [{ upstream: UpstreamId('u'), url, from: 0, to: 8 }] },
+});
+
+/** The events of a run whose engine sends each chunk once the one before was read. */
+async function eventsOf(...chunks: readonly Buffer[]): Promise<readonly RunEvent[]> {
+  const left = [...chunks];
+  let send = () => {};
+  const server = createServer((_, res) => {
+    send = () => {
+      const next = left.shift();
+      if (next) res.write(next);
+      else res.end();
+    };
+    send();
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const pool = createPool();
+  const { port } = server.address() as AddressInfo;
+  const order = orderTo(`http://127.0.0.1:${port}`);
+  const events: RunEvent[] = [];
+  for await (const e of HttpEngines.create(pool).run(order, new AbortController().signal)) {
+    events.push(e);
+    send();
+  }
+  await pool.destroy();
+  server.close();
+  return events;
+}
+
+const shown = (events: readonly RunEvent[]) =>
+  events.map((e) => (e.kind === 'tokens' ? e.frames.map((f) => f.token) : e.kind));
+
+test('frames of one chunk arrive together, and its end after them', async () => {
+  const events = await eventsOf(Buffer.from(token(0, 'dry ') + token(1, 'figs') + end));
+  assert.deepEqual(shown(events), [['dry ', 'figs'], 'end']);
+});
+
+test('a frame that a chunk cuts within a character waits for its rest', async () => {
+  const whole = Buffer.from(token(0, 'dry ') + token(1, 'ß') + end);
+  const cut = whole.indexOf('ß') + 1;
+  const events = await eventsOf(whole.subarray(0, cut), whole.subarray(cut));
+  assert.deepEqual(shown(events), [['dry '], ['ß'], 'end']);
+});
+
+test('a stream that ends without a last frame is broken', async () => {
+  const events = await eventsOf(Buffer.from(token(0, 'dry ')));
+  assert.deepEqual(shown(events), [['dry '], 'failed']);
+});
