--- a/packages/bench/src/engineworld.ts
+++ b/packages/bench/src/engineworld.ts
@@ -154,7 +154,7 @@
         return;
       }
       const token = tokenAt(prompt, index);
-      yield { kind: 'token', frame: { request, attempt, index, token, receipts } };
+      yield { kind: 'tokens', frames: [{ request, attempt, index, token, receipts }] };
     }
     yield { kind: 'end', reason: 'length' };
   }
--- a/packages/bench/src/whole.ts
+++ b/packages/bench/src/whole.ts
@@ -162,11 +162,12 @@
         invariant(caller.passed.length === answerTokens, 'an answer that ends is whole');
         return true;
       }
-      invariant(
-        piece.index === caller.passed.length && piece.token === tokenAt(caller.prompt, piece.index),
-        'a caller has each token of its own answer once and in order',
-      );
-      caller.passed.push(piece.token);
+      invariant(piece.index === caller.passed.length, 'a caller has each token in order');
+      for (const token of piece.tokens) {
+        const own = token === tokenAt(caller.prompt, caller.passed.length);
+        invariant(own, 'a caller has each token of its own answer once');
+        caller.passed.push(token);
+      }
       caller.lastTokenAt = this.clock.now();
       this.tokenTimes.push(caller.lastTokenAt);
     }
--- a/packages/dispatch/src/attempt.ts
+++ b/packages/dispatch/src/attempt.ts
@@ -51,7 +51,7 @@
 
 /** What an attempt's last event came to, after it gave `tokens`. */
 export function outcomeOf(
-  event: Exclude<WatchedEvent, { readonly kind: 'token' }>,
+  event: Exclude<WatchedEvent, { readonly kind: 'tokens' }>,
   tokens: number,
 ): AttemptOutcome {
   switch (event.kind) {
