Step down after a transfer of leadership that nobody took up

Cause: found by reading. A leader that hands over gives up its lease while it waits, and took it up again when the wait was over. A transfer that arrives later lets its receiver override the promises of the voters, so that another could lead while the old leader still trusts its lease. Change: once a transfer was sent, the old leader does not lead on in its term. Measured: the new test, in which the transfer is lost, found the old leader leading on in its term before, and a later term after.

--- a/packages/log/src/replication.ts
+++ b/packages/log/src/replication.ts
@@ -114,12 +114,15 @@
     while (target.match < core.store.lastIndex && core.leads(term) && clock.now() < deadline) {
       await core.changed.waitUpTo(timing.heartbeatMs, clock, core.stopping.signal);
     }
-    if (core.leads(term) && target.match === core.store.lastIndex) {
+    const ready = target.match === core.store.lastIndex;
+    if (core.leads(term) && ready) {
       await transport.call(target.id, 'transfer', { term }, { timeoutMs: timing.electionMs });
     }
     while (core.leads(term) && clock.now() < deadline) {
       await core.changed.waitUpTo(timing.heartbeatMs, clock, core.stopping.signal);
     }
+    // A transfer that arrives late overrides the promises on which the lease rests.
+    if (core.leads(term) && ready) core.follow(undefined);
     core.handingOver = false;
     return !core.leads(term);
   }
--- a/packages/log/test/raft.test.ts
+++ b/packages/log/test/raft.test.ts
@@ -190,6 +190,17 @@
   assert.notEqual(took, undefined);
 });
 
+test('a leader whose transfer was lost does not lead on in its term', async () => {
+  const c = await formed(12, 3);
+  await put(c, 'x');
+  const old = c.leader!;
+  const { term } = c.raftOf(old)!;
+  c.network.cut(old, others(c)[0]!);
+  void c.raftOf(old)!.handOver();
+  await c.advance(5000);
+  assert.ok(c.raftOf(c.leader!)!.term > term);
+});
+
 test('a log is formed only once every named voter answers', async () => {
   const c = LogCluster.create({ seed: 13, nodes: names.slice(0, 3), initial: names.slice(0, 3) });
   await c.start(names[0]!);
