Audit grants, and tell queues by tier

A reply that was lost left a grant that nobody used nor gave back, and its slot was gone for good. Owners now ask entries every second which of the grants older than a second they hold; unknown ones lapse, those of a silent entry stay. The book of grants and the prediction of waits have modules of their own. Owner.queues() and runningByReplica() tell operators what waits and runs. Tests: a lost grant lapses within 2 s, a silent entry keeps its grants, waiting ends with the promise, the lower tier is refused first.

--- a/packages/dispatch/src/generate.ts
+++ b/packages/dispatch/src/generate.ts
@@ -78,6 +78,8 @@
   private readonly pace = Pace.create();
   private readonly clearance: Clearance;
   private readonly running = new Map<GrantId, WatchedRun>();
+  /** Grants that were received and not yet given back. */
+  private readonly holding = new Set<GrantId>();
   /** Rings at each end of an attempt. */
   readonly ended = Bell.create();
 
@@ -93,6 +95,9 @@
       run?.preempt();
       return { known: run !== undefined };
     });
+    options.transport.serve('audit', async (_, { grants }) => ({
+      held: grants.filter((id) => dispatch.holding.has(id)),
+    }));
     return dispatch;
   }
 
@@ -133,6 +138,7 @@
       const acquired = await this.acquire(d);
       if (acquired.kind !== 'granted') return acquired;
       const { grant } = acquired;
+      this.holding.add(grant.id);
       const cleared = await this.clearance.ask(d.fingerprint, d.g.id, grant);
       if (cleared.kind === 'cleared') return { kind: 'permitted', grant, gate: cleared.gate };
       this.giveBack(grant, 'cancelled', 0, undefined);
@@ -302,6 +308,7 @@
     tokens: number,
     firstTokenMs: Millis | undefined,
   ): void {
+    this.holding.delete(grant.id);
     const call = { grant: grant.id, end, tokens, firstTokenMs };
     void this.o.transport.call(grant.owner, 'release', call, { timeoutMs: releaseTimeoutMs });
   }
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -124,6 +124,7 @@
     this.control.begin(this.tasks, signal);
     this.tasks.start(() => this.ownership.watch(signal));
     this.tasks.start(() => this.upstreams.watch(signal));
+    this.tasks.start(() => this.owner.audit(signal));
     this.tasks.start(() => reportGauges(this.gaugeSource(), signal));
     this.logger.info('Serving.', { entry: this.address.entry });
   }
--- a/packages/protocol/src/grantmessage.ts
+++ b/packages/protocol/src/grantmessage.ts
@@ -93,6 +93,15 @@
   readonly known: boolean;
 }
 
+/** Asks an entry which of these grants it holds; the others lapse. */
+export interface AuditCall {
+  readonly grants: readonly GrantId[];
+}
+
+export interface AuditReply {
+  readonly held: readonly GrantId[];
+}
+
 /** Tells an entry that the owner takes a grant back for more urgent work. */
 export interface PreemptCall {
   readonly grant: GrantId;
--- a/packages/protocol/src/message.ts
+++ b/packages/protocol/src/message.ts
@@ -10,6 +10,8 @@
   PreemptReply,
   AcquireCall,
   AcquireReply,
+  AuditCall,
+  AuditReply,
   ReleaseCall,
   ReleaseReply,
 } from './grantmessage.js';
@@ -44,6 +46,7 @@
   progress: { call: ProgressCall; reply: ProgressReply };
   acquire: { call: AcquireCall; reply: AcquireReply };
   release: { call: ReleaseCall; reply: ReleaseReply };
+  audit: { call: AuditCall; reply: AuditReply };
   preempt: { call: PreemptCall; reply: PreemptReply };
   clear: { call: ClearCall; reply: ClearReply };
   settle: { call: SettleCall; reply: SettleReply };
--- a/packages/scheduling/src/owner.ts
+++ b/packages/scheduling/src/owner.ts
@@ -1,7 +1,7 @@
 /** Grants slots on the replicas that this node owns. */
 
 import { GrantId } from '@tanagercart/base';
-import type { Clock, Millis, NodeId } from '@tanagercart/base';
+import type { Clock, Millis, NodeId, ReplicaId, TierId } from '@tanagercart/base';
 import type {
   AcquireCall,
   AcquireReply,
@@ -12,19 +12,23 @@
 } from '@tanagercart/protocol';
 import type { Tier } from '@tanagercart/release';
 import type { Replica, SharedState, Upstream } from '@tanagercart/state';
-import { firstTokenOn, placementOf } from './admission.js';
+import { placementOf } from './admission.js';
 import type { Placement } from './admission.js';
+import { auditGrants } from './audit.js';
 import { Candidates } from './candidates.js';
 import type { Candidate } from './candidates.js';
 import { Forecasts } from './forecast.js';
 import { betterPlace } from './displacement.js';
+import { GrantBook } from './grantbook.js';
+import type { Booked } from './grantbook.js';
 import { Lengths } from './lengths.js';
-import { outlivedPenalty, preemptible, victimFor } from './preemption.js';
+import { outlivedPenalty, victimFor } from './preemption.js';
 import type { Victim } from './preemption.js';
 import { FairQueue, rank } from './queue.js';
 import type { Ticket } from './queue.js';
+import { latenessOf, preemptLeadMs, roomOf, sum, waitOf } from './wait.js';
 import { outlivedFactor } from './replica.js';
-import type { HeldGrant, ReplicaLoad } from './replica.js';
+import type { ReplicaLoad } from './replica.js';
 
 /** A grant that was not used for this long has lapsed, in milliseconds. */
 const startWithinMs: Millis = 1000;
@@ -38,9 +42,6 @@
 /** A ticket that was not asked for during this time lapses, in milliseconds. */
 const ticketLapseMs: Millis = 1000;
 
-/** Time from asking for a grant back to its slot being free, in milliseconds. */
-const preemptLeadMs: Millis = 50;
-
 /** Tickets that are passed over before a look at the queue ends. */
 const scanLimit = 6;
 
@@ -68,6 +69,13 @@
   readonly isLeaving: (upstream: Upstream) => boolean;
 }
 
+/** How many requests of a tier wait and run at one owner. */
+export interface TierQueue {
+  readonly tier: TierId;
+  readonly waiting: number;
+  readonly running: number;
+}
+
 type RefusedFor = 'no-lease' | 'no-replica' | 'promise-unreachable';
 
 /** The owner's side of admission for the replicas of one node. */
@@ -76,8 +84,7 @@
   private readonly queue = FairQueue.create();
   private readonly lengths = Lengths.create();
   private readonly forecasts: Forecasts;
-  private readonly grants = new Map<GrantId, ReplicaLoad>();
-  private readonly granted = new Map<string, Grant>();
+  private readonly book = GrantBook.create();
   private seq = 0;
   private checkedView = -1;
   /** Whether a ticket was passed over because its entry was not asking. */
@@ -97,7 +104,7 @@
 
   /** Grants in use. */
   get inUse(): number {
-    return this.grants.size;
+    return this.book.size;
   }
 
   /** Requests that wait. */
@@ -105,24 +112,55 @@
     return this.queue.size;
   }
 
+  /** Requests of each tier that wait and that run, by tier. */
+  queues(): readonly TierQueue[] {
+    const running = [...this.book.all].map(({ held }) => held.call.tier);
+    const waiting = this.queue.tickets.map((t) => t.call.tier);
+    const count = (list: readonly TierId[], tier: TierId) => list.filter((t) => t === tier).length;
+    return [...new Set([...running, ...waiting])]
+      .sort()
+      .map((tier) => ({ tier, waiting: count(waiting, tier), running: count(running, tier) }));
+  }
+
+  /** Grants in use on each replica with any. */
+  runningByReplica(): ReadonlyMap<ReplicaId, number> {
+    return new Map(
+      [...this.candidates.known].filter((l) => l.running > 0).map((l) => [l.id, l.running]),
+    );
+  }
+
+  /** Task: drops grants that their entries do not hold, until `signal` aborts. */
+  audit(signal: AbortSignal): Promise<void> {
+    const { clock, transport } = this.o;
+    const drop = (grant: GrantId) => {
+      this.remove(grant);
+      this.pump();
+    };
+    const { book } = this;
+    return auditGrants({ clock, transport, book, olderThanMs: startWithinMs, drop }, signal);
+  }
+
   private async acquire(from: NodeId, call: AcquireCall): Promise<AcquireReply> {
     if (!this.o.mayGrant()) return refused('no-lease', leastRetryAfterMs);
     const key = `${call.request}|${call.attempt}`;
-    const again = this.granted.get(key);
+    const again = this.book.tellAgain(key, this.o.clock.now());
     if (again) return { kind: 'granted', grant: again };
     const candidates = this.candidatesOf(call);
     if (candidates.length === 0) return refused('no-replica', leastRetryAfterMs);
     const known = this.queue.get(key);
     const ticket = known ?? this.ticketFor(key, from, call);
-    const lateMs = this.latenessOf(ticket, candidates);
+    const lateMs = latenessOf(this.queue, ticket, candidates, this.o.clock.now());
     if (lateMs > 0) {
       this.queue.remove(key);
-      const room = this.roomOf(ticket, candidates);
+      const room = roomOf(this.queue, ticket, candidates, this.o.clock.now());
       return { ...refused('promise-unreachable', lateMs), room };
     }
-    if (call.othersLeft && this.waitOf(ticket, candidates, this.o.clock.now()) > spillWaitMs) {
+    if (
+      call.othersLeft &&
+      waitOf(this.queue, ticket, candidates, this.o.clock.now()) > spillWaitMs
+    ) {
       this.queue.remove(key);
-      const room = this.roomOf(ticket, candidates);
+      const room = roomOf(this.queue, ticket, candidates, this.o.clock.now());
       return { ...refused('promise-unreachable', leastRetryAfterMs), room };
     }
     return this.hold(ticket, known === undefined || this.skipped);
@@ -179,28 +217,6 @@
     return reply;
   }
 
-  /** How much too late the first token of a ticket would come; 0 where its promise can be met. */
-  private latenessOf(ticket: Ticket, candidates: readonly Candidate[]): Millis {
-    const now = this.o.clock.now();
-    const firstMs = Math.min(...candidates.map((c) => firstTokenOn(c, ticket.call, now)));
-    const startMs = this.waitOf(ticket, candidates, now);
-    return Math.max(0, now + startMs + firstMs - ticket.dueAt);
-  }
-
-  private waitOf(ticket: Ticket, candidates: readonly Candidate[], now: Millis): Millis {
-    const mine = rank(ticket, now);
-    const ahead = this.queue
-      .ahead(mine, now)
-      .filter((t) => t !== ticket && (rank(t, now) < mine || t.tag <= ticket.tag));
-    const free = sum(candidates, (c) => Math.max(0, c.load.soonFree));
-    if (ahead.length < free) return 0;
-    const yielding = preemptible(ticket.urgency, candidates, now);
-    if (ahead.length < free + yielding) return preemptLeadMs;
-    const tokens = sum(ahead, (t) => t.estimate) + ticket.estimate;
-    const rate = sum(candidates, (c) => c.load.model.fullRate);
-    return (tokens * 1000) / rate;
-  }
-
   /** Gives grants to waiting tickets, first to be served first. */
   private pump(): void {
     if (!this.o.mayGrant()) return;
@@ -242,10 +258,8 @@
     const { nodes, view } = this.o.state;
     if (view === this.checkedView) return;
     this.checkedView = view;
-    for (const load of this.candidates.known) {
-      for (const held of [...load.held]) {
-        if (nodes.get(held.entry)?.incarnation !== held.incarnation) this.remove(held.grant.id);
-      }
+    for (const { held } of [...this.book.all]) {
+      if (nodes.get(held.entry)?.incarnation !== held.incarnation) this.remove(held.grant.id);
     }
   }
 
@@ -266,7 +280,7 @@
       priority: ticket.urgency,
       stages: candidate.stages,
     };
-    load.add({
+    this.book.add(load, {
       grant,
       key: ticket.key,
       entry: ticket.entry,
@@ -274,6 +288,7 @@
       urgency: ticket.urgency,
       gapMs: ticket.gapMs,
       givenAt: now,
+      toldAt: now,
       estimate: ticket.estimate,
       runningAtStart: load.running + 1,
       prefillAtStart: prefill,
@@ -282,11 +297,9 @@
       sparedUntil: now,
       incarnation: this.o.state.nodes.get(ticket.entry)?.incarnation,
     });
-    this.grants.set(grant.id, load);
-    this.granted.set(ticket.key, grant);
     this.queue.remove(ticket.key);
     this.queue.advance(ticket);
-    const room = this.roomOf(ticket, this.candidatesOf(ticket.call));
+    const room = roomOf(this.queue, ticket, this.candidatesOf(ticket.call), this.o.clock.now());
     ticket.answer?.({ kind: 'granted', grant, room });
   }
 
@@ -319,23 +332,19 @@
   }
 
   private release(call: ReleaseCall): ReleaseReply {
-    const load = this.grants.get(call.grant);
-    const held = this.remove(call.grant);
-    if (load && held) this.learn(load, held, call);
+    const booked = this.remove(call.grant);
+    if (booked) this.learn(booked, call);
     this.pump();
-    return { known: held !== undefined };
+    return { known: booked !== undefined };
   }
 
-  private remove(id: GrantId): HeldGrant | undefined {
-    const held = this.grants.get(id)?.remove(id);
-    this.grants.delete(id);
-    if (!held) return undefined;
-    this.granted.delete(held.key);
-    this.candidates.prune();
-    return held;
+  private remove(id: GrantId): Booked | undefined {
+    const booked = this.book.remove(id);
+    if (booked) this.candidates.prune();
+    return booked;
   }
 
-  private learn(load: ReplicaLoad, held: HeldGrant, call: ReleaseCall): void {
+  private learn({ load, held }: Booked, call: ReleaseCall): void {
     if (call.end === 'failed') load.failed(this.o.clock.now());
     if (call.end === 'complete') load.succeeded();
     if (call.firstTokenMs === undefined) return;
@@ -345,14 +354,6 @@
     this.lengths.observe(held.call.account, held.call.tier, call.tokens);
     if (call.tokens > 1) load.model.observe(load.running + 1, ranMs / (call.tokens - 1));
   }
-
-  /** Slots that more work like `ticket` could have. */
-  private roomOf(ticket: Ticket, candidates: readonly Candidate[]): number {
-    const now = this.o.clock.now();
-    const free = sum(candidates, (c) => c.load.soonFree);
-    const waiting = this.queue.ahead(ticket.urgency, now).length;
-    return free + preemptible(ticket.urgency, candidates, now) - waiting;
-  }
 }
 
 /** Urgency of a tier; work of an unknown tier goes last. */
@@ -360,10 +361,6 @@
   return tier?.urgency ?? Number.MAX_SAFE_INTEGER;
 }
 
-function sum<T>(items: readonly T[], of: (item: T) => number): number {
-  return items.reduce((n, item) => n + of(item), 0);
-}
-
 function refused(reason: RefusedFor, retryAfterMs: Millis): AcquireReply {
   return { kind: 'refused', reason, retryAfterMs: Math.max(leastRetryAfterMs, retryAfterMs) };
 }
--- a/packages/scheduling/src/queue.ts
+++ b/packages/scheduling/src/queue.ts
@@ -30,7 +30,7 @@
 
 /** A fair queue: more urgent first, then by weighted share of each client account. */
 export class FairQueue {
-  private readonly tickets = new Map<string, Ticket>();
+  private readonly waiting = new Map<string, Ticket>();
   private readonly served = new Map<string, number>();
   private sorted: readonly Ticket[] | undefined;
   private sortedAt: Millis = 0;
@@ -41,20 +41,25 @@
   }
 
   get size(): number {
-    return this.tickets.size;
+    return this.waiting.size;
+  }
+
+  /** Every ticket, in no order. */
+  get tickets(): readonly Ticket[] {
+    return [...this.waiting.values()];
   }
 
   get(key: string): Ticket | undefined {
-    return this.tickets.get(key);
+    return this.waiting.get(key);
   }
 
   add(ticket: Ticket): void {
-    this.tickets.set(ticket.key, ticket);
+    this.waiting.set(ticket.key, ticket);
     this.sorted = undefined;
   }
 
   remove(key: string): void {
-    if (!this.tickets.delete(key)) return;
+    if (!this.waiting.delete(key)) return;
     this.sorted = this.sorted?.filter((t) => t.key !== key);
   }
 
@@ -77,7 +82,7 @@
   /** Every ticket, first to be served first. */
   ordered(now: Millis): readonly Ticket[] {
     if (!this.sorted || now - this.sortedAt > resortMs) {
-      this.sorted = [...this.tickets.values()].sort((a, b) => compare(a, b, now));
+      this.sorted = [...this.waiting.values()].sort((a, b) => compare(a, b, now));
       this.sortedAt = now;
     }
     return this.sorted;
@@ -85,7 +90,7 @@
 
   /** Tickets that would be served before one of `urgency` that arrived now. */
   ahead(urgency: number, now: Millis): readonly Ticket[] {
-    return [...this.tickets.values()].filter((t) => rank(t, now) <= urgency);
+    return [...this.waiting.values()].filter((t) => rank(t, now) <= urgency);
   }
 }
 
--- a/packages/scheduling/src/replica.ts
+++ b/packages/scheduling/src/replica.ts
@@ -14,6 +14,8 @@
   readonly urgency: number;
   readonly gapMs: Millis;
   readonly givenAt: Millis;
+  /** When its entry was last told of it. */
+  toldAt: Millis;
   /** Tokens that it is expected to generate. */
   readonly estimate: number;
   /** Sequences that ran when it began, itself included. */
--- a/packages/scheduling/test/displacement.test.ts
+++ b/packages/scheduling/test/displacement.test.ts
@@ -39,6 +39,7 @@
     urgency: 1,
     gapMs: 1000,
     givenAt: 0,
+    toldAt: 0,
     estimate,
     runningAtStart: 1,
     prefillAtStart: 10,
--- a/packages/scheduling/test/owner.test.ts
+++ b/packages/scheduling/test/owner.test.ts
@@ -88,6 +88,11 @@
     preempted.push(call.grant);
     return { known: true };
   });
+  const audited: { held: readonly GrantId[] | undefined } = { held: [] };
+  transport.serve('audit', async () => {
+    if (!audited.held) return new Promise(() => undefined);
+    return { held: audited.held };
+  });
   const ask = (request: string, wanted: Partial<AcquireCall> = {}) => {
     const replies: AcquireReply[] = [];
     const call: AcquireCall = {
@@ -118,7 +123,7 @@
     void transport.call(self, 'release', call, { timeoutMs: 1000 });
     await clock.advance(2);
   };
-  return { clock, owner, ask, release, preempted, lease, state };
+  return { clock, owner, ask, release, preempted, audited, lease, state };
 }
 
 const patient = { tier: TierId('patient') };
@@ -225,6 +230,73 @@
   assert.equal(preempted.length, 1);
 });
 
+test('a grant that its entry does not know lapses, others stay', async () => {
+  const { clock, ask, owner, audited, release } = setUp(2);
+  const kept = ask('a');
+  ask('b');
+  await clock.advance(2);
+  audited.held = [grantOf(kept[0])!];
+  const stop = new AbortController();
+  void owner.audit(stop.signal);
+  await clock.advance(1990);
+  assert.equal(owner.inUse, 1);
+  await release(kept[0]);
+  assert.equal(owner.inUse, 0);
+  stop.abort();
+});
+
+test('a grant of an entry that does not answer an audit stays', async () => {
+  const { clock, ask, owner, audited } = setUp(1);
+  ask('a');
+  await clock.advance(2);
+  audited.held = undefined;
+  const stop = new AbortController();
+  void owner.audit(stop.signal);
+  await clock.advance(10_000);
+  assert.equal(owner.inUse, 1);
+  stop.abort();
+});
+
+test('an owner tells what waits and runs', async () => {
+  const { clock, ask, owner } = setUp(1);
+  ask('a');
+  await clock.advance(2);
+  ask('b', patient);
+  await clock.advance(2);
+  assert.deepEqual(owner.queues(), [
+    { tier: 'patient', waiting: 1, running: 0 },
+    { tier: 'urgent', waiting: 0, running: 1 },
+  ]);
+  assert.deepEqual([...owner.runningByReplica()], [['r', 1]]);
+});
+
+test('patient work behind a full replica is refused once its promise is over', async () => {
+  const { clock, ask } = setUp(1);
+  ask('a', { preemptions: 3 });
+  await clock.advance(2);
+  const waits = [ask('b', { ...patient, budgetMs: 20_000 })];
+  for (let ms = 0; ms < 20_500 && waits.at(-1)![0]?.kind !== 'refused'; ms += 300) {
+    await clock.advance(300);
+    const budgetMs = 20_000 - ms - 300;
+    if (waits.at(-1)![0]?.kind === 'queued') waits.push(ask('b', { ...patient, budgetMs }));
+  }
+  assert.equal(waits.at(-1)![0]?.kind, 'refused');
+});
+
+test('under a backlog the lower tier is refused first', async () => {
+  const { clock, ask } = setUp(1);
+  ask('a');
+  await clock.advance(2);
+  for (let i = 0; i < 3; i += 1) ask(`w${i}`, { budgetMs: 20_000 });
+  await clock.advance(2);
+  const low = ask('low', { ...patient, budgetMs: 1500 });
+  const high = ask('high', { budgetMs: 20_000 });
+  await clock.advance(2);
+  const told = low[0];
+  assert.ok(told?.kind === 'refused' && told.retryAfterMs > 100);
+  assert.deepEqual(high, []);
+});
+
 function grantOf(reply: AcquireReply | undefined): GrantId | undefined {
   return reply?.kind === 'granted' ? reply.grant.id : undefined;
 }
