Send requests where their prompt's prefix is likely cached

Dispatch names the leading blocks of a prompt by digests; entries learn from their own grants which owner was sent a prefix, and owners which replica was. A cached prefix shortens the predicted prefill in the choice of a replica, but never the prediction by which a promise is judged, so a wrong guess breaks no promise. Entries also count a request against an owner's room before its reply.

--- a/packages/bench/src/dispatchfleet.ts
+++ b/packages/bench/src/dispatchfleet.ts
@@ -98,6 +98,7 @@
       proposals: this.proposals(),
       state,
       owners: () => [nodes[0]!],
+      asked: () => undefined,
       heard: () => undefined,
       gates: (fingerprint) => rendezvous(fingerprint, nodes),
     });
--- a/packages/dispatch/src/acquire.ts
+++ b/packages/dispatch/src/acquire.ts
@@ -1,7 +1,7 @@
 /** Asks the owners of replicas for a grant while the promise lasts. */
 
 import { unreachable } from '@tanagercart/base';
-import type { Clock, Metrics, Millis, NodeId, Random, ReplicaId } from '@tanagercart/base';
+import type { Clock, Digest, Metrics, Millis, NodeId, Random, ReplicaId } from '@tanagercart/base';
 import type {
   AcquireCall,
   AcquireReply,
@@ -32,6 +32,8 @@
   readonly metrics: Metrics;
   readonly transport: Transport;
   readonly owners: (g: Generation) => readonly NodeId[];
+  /** Notes that an owner is asked, before its answer. */
+  readonly asked: (owner: NodeId) => void;
   /** Learns from an owner's answer. */
   readonly heard: (owner: NodeId, reply: AcquireReply) => void;
 }
@@ -40,6 +42,7 @@
 export interface Wish {
   readonly g: Generation;
   readonly attempt: number;
+  readonly prefix: readonly Digest[];
   /** How often a grant of the request was taken back. */
   readonly preemptions: number;
   /** Tokens that earlier attempts generated. */
@@ -98,6 +101,7 @@
   let retryAfterMs: Millis | undefined;
   const owners = o.owners(wish.g);
   for (const [at, owner] of owners.entries()) {
+    o.asked(owner);
     const othersLeft = at < Math.min(askedInPassing, owners.length - 1);
     const answer = await ask(o, wish, owner, { avoid, othersLeft });
     switch (answer.kind) {
@@ -145,7 +149,7 @@
 }
 
 function callOf(wish: Wish, terms: Terms, budgetMs: Millis): AcquireCall {
-  const { g, attempt, preemptions, passedTokens } = wish;
+  const { g, attempt, prefix, preemptions, passedTokens } = wish;
   return {
     request: g.id,
     attempt,
@@ -155,7 +159,7 @@
     version: g.version,
     adapter: g.adapter,
     release: g.release,
-    prefix: [],
+    prefix,
     promptTokens: g.prompt.length,
     maxTokens: g.maxTokens,
     budgetMs,
--- a/packages/dispatch/src/dispatching.ts
+++ b/packages/dispatch/src/dispatching.ts
@@ -5,12 +5,15 @@
 import { Assembly } from './assembly.js';
 import { fingerprintOf } from './generation.js';
 import type { Generation } from './generation.js';
+import { prefixOf } from './prefix.js';
 import { PromiseClock } from './promise.js';
 
 /** One request while it is dispatched. */
 export interface Dispatching {
   readonly g: Generation;
   readonly fingerprint: Digest;
+  /** Names of the prompt's leading blocks. */
+  readonly prefix: readonly Digest[];
   readonly assembly: Assembly;
   readonly promise: PromiseClock;
   readonly signal: AbortSignal;
@@ -31,6 +34,7 @@
   return {
     g,
     fingerprint: fingerprintOf(g),
+    prefix: prefixOf(g),
     assembly: Assembly.create(g.id, g.passed),
     promise: PromiseClock.create(clock, g.tier),
     signal,
--- a/packages/dispatch/src/generate.ts
+++ b/packages/dispatch/src/generate.ts
@@ -48,9 +48,16 @@
   readonly proposals: Proposals;
   readonly state: SharedState;
   /** Nodes that own replicas of a model, best first for work of a tier. */
-  readonly owners: (model: Model, tier: Tier) => readonly NodeId[];
+  readonly owners: (model: Model, tier: Tier, prefix: readonly Digest[]) => readonly NodeId[];
+  /** Notes that an owner is asked for work of a tier, before its answer. */
+  readonly asked: (owner: NodeId, tier: Tier) => void;
   /** Learns from an owner's answer. */
-  readonly heard: (owner: NodeId, tier: Tier, reply: AcquireReply) => void;
+  readonly heard: (
+    owner: NodeId,
+    tier: Tier,
+    reply: AcquireReply,
+    prefix: readonly Digest[],
+  ) => void;
   /** Nodes that may be the gate of a fingerprint, first the one that is. */
   readonly gates: (fingerprint: Digest) => readonly NodeId[];
 }
@@ -161,16 +168,18 @@
   }
 
   private acquire(d: Dispatching): Promise<Acquired> {
-    const { g, promise, signal, assembly } = d;
+    const { g, promise, signal, assembly, prefix } = d;
     const options = {
       ...this.o,
-      owners: () => this.o.owners(g.model, g.tier),
-      heard: (owner: NodeId, reply: AcquireReply) => this.o.heard(owner, g.tier, reply),
+      owners: () => this.o.owners(g.model, g.tier, prefix),
+      asked: (owner: NodeId) => this.o.asked(owner, g.tier),
+      heard: (owner: NodeId, reply: AcquireReply) => this.o.heard(owner, g.tier, reply, prefix),
     };
     d.attempts += 1;
     return acquire(options, {
       g,
       attempt: d.attempts,
+      prefix,
       preemptions: d.preemptions,
       passedTokens: assembly.passed.length,
       avoid: d.failed.map((grant) => grant.replica),
--- a/packages/dispatch/test/fleet.ts
+++ b/packages/dispatch/test/fleet.ts
@@ -74,6 +74,7 @@
       proposals,
       state,
       owners: () => [names[0]!],
+      asked: () => undefined,
       heard: () => undefined,
       gates: (fingerprint: Digest) => rendezvous(fingerprint, names),
     });
--- a/packages/node/src/listeners.ts
+++ b/packages/node/src/listeners.ts
@@ -88,8 +88,10 @@
     random: systemRandom,
     proposals,
     state: p.state,
-    owners: (model, tier) => chooser.order(p.directory.ownersOf(model), tier.id, []),
-    heard: (owner, tier, reply) => {
+    owners: (model, tier, prefix) => chooser.order(p.directory.ownersOf(model), tier.id, prefix),
+    asked: (owner, tier) => chooser.asked(owner, tier.id),
+    heard: (owner, tier, reply, prefix) => {
+      if (reply.kind === 'granted') chooser.cached(owner, prefix);
       const retryAfterMs = reply.kind === 'refused' ? reply.retryAfterMs : undefined;
       chooser.replied(owner, tier.id, { room: reply.room, retryAfterMs });
     },
--- a/packages/scheduling/src/admission.ts
+++ b/packages/scheduling/src/admission.ts
@@ -52,12 +52,20 @@
   running: number,
   now: Millis,
 ): Placement {
-  const firstTokenMs = firstTokenOn(candidate, wish.call, now);
-  const totalMs = firstTokenMs + wish.estimate * candidate.load.model.stepMs(running);
+  const { load } = candidate;
+  const prefill = unreadWith(candidate, wish.call, now);
+  const firstTokenMs = load.model.firstTokenMs(load.running + 1, prefill);
+  const totalMs = firstTokenMs + wish.estimate * load.model.stepMs(running);
   return { candidate, firstTokenMs, totalMs };
 }
 
-/** Predicted time from a grant now to the first token. */
+/** Prompt tokens to read before the first token, less those that are likely cached. */
+export function unreadWith(c: Candidate, call: AcquireCall, now: Millis): number {
+  const unread = call.promptTokens * (1 - c.load.prefixes.share(call.prefix, now));
+  return unread + c.load.unreadTokens(now);
+}
+
+/** Predicted time from a grant now to the first token, with nothing cached. */
 export function firstTokenOn(c: Candidate, call: AcquireCall, now: Millis): Millis {
   const prefill = call.promptTokens + c.load.unreadTokens(now);
   return c.load.model.firstTokenMs(c.load.running + 1, prefill);
--- a/packages/scheduling/src/owner.ts
+++ b/packages/scheduling/src/owner.ts
@@ -12,7 +12,7 @@
 } from '@tanagercart/protocol';
 import type { Tier } from '@tanagercart/release';
 import type { Replica, SharedState, Upstream } from '@tanagercart/state';
-import { placementOf } from './admission.js';
+import { placementOf, unreadWith } from './admission.js';
 import type { Placement } from './admission.js';
 import { auditGrants } from './audit.js';
 import { Candidates } from './candidates.js';
@@ -269,7 +269,8 @@
 
   private grant(ticket: Ticket, { candidate, firstTokenMs }: Placement, now: Millis): void {
     const { load } = candidate;
-    const prefill = ticket.call.promptTokens + load.unreadTokens(now);
+    const prefill = unreadWith(candidate, ticket.call, now);
+    load.prefixes.sent(ticket.call.prefix, now);
     this.seq += 1;
     const grant: Grant = {
       id: GrantId(`${this.o.self}-${this.o.state.view}-${this.seq}`),
--- a/packages/scheduling/src/replica.ts
+++ b/packages/scheduling/src/replica.ts
@@ -4,6 +4,7 @@
 import type { GrantId, Millis, NodeId, ReplicaId } from '@tanagercart/base';
 import type { AcquireCall, Grant } from '@tanagercart/protocol';
 import { BatchModel } from './batch.js';
+import { Prefixes } from './prefixes.js';
 
 /** A grant that was given and not yet released. */
 export interface HeldGrant {
@@ -33,6 +34,8 @@
 
 /** Load and step model of one replica. */
 export class ReplicaLoad {
+  /** What its cache likely holds. */
+  readonly prefixes = Prefixes.create();
   private readonly grants = new Map<GrantId, HeldGrant>();
 
   private failures = 0;
--- a/packages/scheduling/test/displacement.test.ts
+++ b/packages/scheduling/test/displacement.test.ts
@@ -15,7 +15,11 @@
 import { betterPlace } from '../src/displacement.js';
 import { ReplicaLoad } from '../src/replica.js';
 
-const call = { promptTokens: 10, avoid: [] as readonly ReplicaId[] } as unknown as AcquireCall;
+const call = {
+  promptTokens: 10,
+  prefix: [],
+  avoid: [] as readonly ReplicaId[],
+} as unknown as AcquireCall;
 const wish = { call, gapMs: 1000, estimate: 100, reserve: 0 };
 
 /** A replica of one slot whose grant was given at 0, with an estimate of `estimate` tokens. */
