--- a/packages/routing/test/chain.test.ts
+++ b/packages/routing/test/chain.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { ModelId, UpstreamId } from '@tanagercart/base';
+import { ModelId, ReplicaId, UpstreamId } from '@tanagercart/base';
 import type { Upstream } from '@tanagercart/state';
 import { LinkTable, planChains, stagesOf, throughputBound, throughputOf } from '../src/index.js';
 
@@ -88,3 +88,28 @@
   const bigger = planChains(model, [...slow, ...fast, stage('e', 2, 4, 'north', 90)], standing);
   assert.equal(bigger[0], standing[0]);
 });
+
+test('standing replicas move only where a fresh plan gains more than a tenth', () => {
+  const crossed = [
+    stage('a', 0, 2, 'north', 10),
+    stage('b', 2, 4, 'north', 10),
+    stage('c', 0, 2, 'north', 100),
+    stage('d', 2, 4, 'north', 100),
+  ];
+  const [a, b, c, d] = crossed.map((s) => s.id);
+  const replica = (id: string, ...stages: UpstreamId[]) => ({
+    id: ReplicaId(id),
+    model: model.id,
+    stages,
+  });
+  const standing = [replica('x', a!, d!), replica('y', c!, b!)];
+  assert.deepEqual(
+    planChains(model, crossed, standing).map((r) => r.stages),
+    [
+      ['c', 'd'],
+      ['a', 'b'],
+    ],
+  );
+  const even = crossed.map((s, i) => stage(s.id, i % 2 === 0 ? 0 : 2, i % 2 === 0 ? 2 : 4));
+  assert.deepEqual(planChains(model, even, standing), standing);
+});
