--- a/packages/dispatch/src/generate.ts
+++ b/packages/dispatch/src/generate.ts
@@ -49,9 +49,16 @@
   readonly proposals: Proposals;
   readonly state: SharedState;
   /** Nodes that own replicas of a model, best first for work of a tier. */
-  readonly owners: (model: Model, tier: Tier) => readonly NodeId[];
+  readonly owners: (model: Model, tier: Tier, prefix: readonly Digest[]) => readonly NodeId[];
+  /** Notes that an owner is asked for work of a tier, before its answer. */
+  readonly asked: (owner: NodeId, tier: Tier) => void;
   /** Learns from an owner's answer. */
-  readonly heard: (owner: NodeId, tier: Tier, reply: AcquireReply) => void;
+  readonly heard: (
+    owner: NodeId,
+    tier: Tier,
+    reply: AcquireReply,
+    prefix: readonly Digest[],
+  ) => void;
   /** Nodes that may be the gate of a fingerprint, first the one that is. */
   readonly gates: (fingerprint: Digest) => readonly NodeId[];
 }
@@ -63,6 +70,8 @@
   private readonly work: Work;
   private readonly clearance: Clearance;
   private readonly running = new Map<GrantId, WatchedRun>();
+  /** Grants that were received and not yet given back. */
+  private readonly holding = new Set<GrantId>();
   /** Rings at each end of an attempt. */
   readonly ended = Bell.create();
 
@@ -80,6 +89,9 @@
       return { known: run !== undefined };
     });
     options.transport.serve('work', async () => dispatch.work.reply());
+    options.transport.serve('audit', async (_, { grants }) => ({
+      held: grants.filter((id) => dispatch.holding.has(id)),
+    }));
     return dispatch;
   }
 
@@ -130,6 +142,7 @@
       const acquired = await this.acquire(d);
       if (acquired.kind !== 'granted') return acquired;
       const { grant } = acquired;
+      this.holding.add(grant.id);
       const cleared = await this.clearance.ask(d.fingerprint, d.g.id, grant);
       if (cleared.kind === 'cleared') return { kind: 'permitted', grant, gate: cleared.gate };
       this.giveBack(grant, 'cancelled', 0, undefined);
@@ -152,16 +165,18 @@
   }
 
   private acquire(d: Dispatching): Promise<Acquired> {
-    const { g, promise, signal, assembly } = d;
+    const { g, promise, signal, assembly, prefix } = d;
     const options = {
       ...this.o,
-      owners: () => this.o.owners(g.model, g.tier),
-      heard: (owner: NodeId, reply: AcquireReply) => this.o.heard(owner, g.tier, reply),
+      owners: () => this.o.owners(g.model, g.tier, prefix),
+      asked: (owner: NodeId) => this.o.asked(owner, g.tier),
+      heard: (owner: NodeId, reply: AcquireReply) => this.o.heard(owner, g.tier, reply, prefix),
     };
     d.attempts += 1;
     return acquire(options, {
       g,
       attempt: d.attempts,
+      prefix,
       preemptions: d.preemptions,
       passedTokens: assembly.passed.length,
       avoid: d.failed.map((grant) => grant.replica),
@@ -314,6 +329,7 @@
     tokens: number,
     firstTokenMs: Millis | undefined,
   ): void {
+    this.holding.delete(grant.id);
     const call = { grant: grant.id, end, tokens, firstTokenMs };
     void this.o.transport.call(grant.owner, 'release', call, { timeoutMs: releaseTimeoutMs });
   }
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -139,6 +139,7 @@
     this.limits.begin(this.tasks, signal);
     this.tasks.start(() => this.upstreams.watch(signal));
     this.tasks.start(() => keepPlacement(this.placementOptions(), signal));
+    this.tasks.start(() => this.owner.audit(signal));
     this.tasks.start(() => reportGauges(this.gaugeSource(), signal));
     this.logger.info('Serving.', { entry: this.address.entry });
   }
