--- a/packages/dispatch/src/clearance.ts
+++ b/packages/dispatch/src/clearance.ts
@@ -12,6 +12,7 @@
 } from '@tanagercart/base';
 import type { ClearedEnd, ClearReply, Grant, Transport } from '@tanagercart/protocol';
 import type { Proposals, SharedState } from '@tanagercart/state';
+import type { Dispatching } from './dispatching.js';
 
 /** How long a gate may take to answer, in milliseconds. */
 const gateTimeoutMs: Millis = 500;
@@ -86,13 +87,14 @@
   }
 
   /** Records that `upstream` crashed; yields the log index, or nothing where it is not recorded. */
-  async strike(fingerprint: Digest, upstream: UpstreamId): Promise<number | undefined> {
+  async strike({ g, fingerprint }: Dispatching, upstream: UpstreamId): Promise<number | undefined> {
     const at = this.o.clock.wall();
     const command = { kind: 'strike', fingerprint, upstream, at } as const;
     this.o.metrics.count('strike');
     const committed = await this.o.proposals.propose(command, strikeTimeoutMs);
     if (committed.isOk()) return committed.value.index;
-    this.o.logger.warn('A strike was not recorded.', { fingerprint, upstream });
+    const about = { request: g.id, account: g.account.id };
+    this.o.logger.warn('A strike was not recorded.', { ...about, fingerprint, upstream });
     return undefined;
   }
 }
--- a/packages/dispatch/src/generate.ts
+++ b/packages/dispatch/src/generate.ts
@@ -315,7 +315,7 @@
     suspect: UpstreamId | undefined,
   ): Promise<void> {
     const upstream = suspect ?? attempt.grant.stages[0]!.upstream;
-    const index = await this.clearance.strike(d.fingerprint, upstream);
+    const index = await this.clearance.strike(d, upstream);
     await this.settle(d, attempt, { kind: 'crashed', index });
   }
 
--- a/packages/dispatch/src/order.ts
+++ b/packages/dispatch/src/order.ts
@@ -198,7 +198,10 @@
       if (settled.isOk()) break;
       this.o.metrics.count('order.settle-again');
       if (this.o.clock.now() >= until) {
-        this.o.logger.warn('Outcome of an order was not recorded.', { account: order.account });
+        this.o.logger.warn('Outcome of an order was not recorded.', {
+          account: order.account,
+          key: order.key,
+        });
         break;
       }
       await this.o.clock.sleep(settlePauseMs);
--- a/packages/dispatch/src/retry.ts
+++ b/packages/dispatch/src/retry.ts
@@ -67,7 +67,12 @@
     d.promise.interrupted();
     d.mayHaveRun ||= rule.mayHaveRun;
     this.o.metrics.count('retry.cause', { reason: cause.kind });
-    this.o.logger.info('Attempt failed.', { request: g.id, reason: cause.kind });
+    this.o.logger.info('Attempt failed.', {
+      request: g.id,
+      account: g.account.id,
+      reason: cause.kind,
+      detail: 'detail' in cause ? cause.detail : undefined,
+    });
     if (rule.avoided) this.avoidance.failed(grant.replica);
     if (!rule.charged) return undefined;
     d.failed.push(grant);
--- a/packages/entry/src/callers.ts
+++ b/packages/entry/src/callers.ts
@@ -58,13 +58,15 @@
   } catch (error) {
     if (error instanceof BrokenInvariant) onBroken(error);
     if (req.destroyed && !req.complete) return;
-    door.o.logger.error('A request failed.', { error: String((error as Error).stack ?? error) });
+    const about = { account: door.account(req)?.id };
+    const detail = String((error as Error).stack ?? error);
+    door.o.logger.error('A request failed.', { ...about, error: detail });
     const refusal = maybeRun('internal', 'the request met a fault of this node');
     if (!res.headersSent) {
-      door.refuse(res, refusal);
+      door.refuse(res, refusal, about);
       return;
     }
-    door.note(refusal, {});
+    door.note(refusal, about);
     res.destroy();
   }
 }
--- a/packages/entry/test/callers.test.ts
+++ b/packages/entry/test/callers.test.ts
@@ -168,8 +168,8 @@
   async function* endless(): AsyncGenerator<Piece> {
     try {
       for (let index = 0; ; index += 1) {
- yield { kind: 'tokens', tokens: ['x'.repeat(65_536)], index };
-}
+        yield { kind: 'tokens', tokens: ['x'.repeat(65_536)], index };
+      }
     } finally {
       ended = true;
     }
