--- a/packages/dispatch/test/order.test.ts
+++ b/packages/dispatch/test/order.test.ts
@@ -155,6 +155,20 @@
   assert.equal(d.placements(), 1);
 });
 
+test('an order counts as in progress until its outcome is recorded, whoever still waits', async () => {
+  const { clock, state, entries } = createDesk();
+  void entries[0]!.once(order('a'), 'k');
+  let idle = false;
+  void entries[0]!.untilSettled().then(() => {
+    idle = true;
+  });
+  await clock.advance(6);
+  assert.deepEqual([entries[0]!.unsettled, idle], [1, false]);
+  await clock.advance(20);
+  assert.deepEqual([entries[0]!.unsettled, idle], [0, true]);
+  assert.equal(state.orders.size, 1);
+});
+
 test('a large answer is recorded by its digest, and its caller gets it whole', async () => {
   const body = 'x'.repeat(recordedBodyLimit + 1);
   const d = createDesk({ body });
