Show the status table again, with the leader on every node

Cause: a voter's status gives the voters with their disks, which the table took for names: 'tanagercart status' ended with a type error on each voter. Nodes without a vote named no leader, and one with a disk that is no voter no voters. Change: the table reads both forms and tells learners; nodes tell the leader that they follow, and the voters of the settings until their log has some. Test: the status of voters and of another node of a running demo.

--- a/packages/cli/src/statustable.ts
+++ b/packages/cli/src/statustable.ts
@@ -1,11 +1,18 @@
 /** The state of the system as tables for people. */
 
+/** Voters and learners of the log. */
+interface VoterSet {
+  readonly voters: readonly { readonly id: string }[];
+  readonly learners: readonly { readonly id: string }[];
+}
+
 /** The parts of a status that the tables show. */
 export interface Status {
   readonly node: string;
   readonly release: number;
   readonly leader?: string;
-  readonly voters: readonly string[];
+  /** As the log knows them on a voter; elsewhere the names in the settings. */
+  readonly voters: VoterSet | readonly string[];
   readonly nodes: readonly {
     readonly id: string;
     readonly dataCentre: string;
@@ -27,11 +34,7 @@
 
 /** A table for each kind of thing in `s`. */
 export function statusTable(s: Status): string {
-  const role = (id: string) => {
-    if (id === s.leader) return 'leader';
-    return s.voters.includes(id) ? 'voter' : '';
-  };
-  const nodes = s.nodes.map((n) => [n.id, n.dataCentre, role(n.id), n.entry]);
+  const nodes = s.nodes.map((n) => [n.id, n.dataCentre, roleOf(s, n.id), n.entry]);
   const replicas = s.replicas.map((r) => [r.id, r.model, r.owner ?? '-', r.stages.join(' ')]);
   const upstreams = s.upstreams.map((u) => [u.id, u.dataCentre, u.url]);
   const queues = (s.queues ?? []).map((q) => [q.tier, String(q.waiting)]);
@@ -44,6 +47,13 @@
   ].join('\n');
 }
 
+function roleOf({ leader, voters }: Status, id: string): string {
+  if (id === leader) return 'leader';
+  if (!('learners' in voters)) return voters.includes(id) ? 'voter' : '';
+  if (voters.voters.some((v) => v.id === id)) return 'voter';
+  return voters.learners.some((l) => l.id === id) ? 'learner' : '';
+}
+
 function table(head: readonly string[], rows: readonly (readonly string[])[]): string {
   const all = [head, ...rows];
   const width = head.map((_, i) => Math.max(...all.map((r) => r[i]!.length)));
--- /dev/null
+++ b/packages/cli/test/status.test.ts
@@ -0,0 +1,31 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { SystemClock } from '@tanagercart/base';
+import { callOperator, runDemo } from '../src/index.js';
+import { statusTable } from '../src/statustable.js';
+import type { Status } from '../src/statustable.js';
+
+const clock = SystemClock.create();
+
+test('the status of a voter and of any other node is shown with the role of each node', async (t) => {
+  const demo = await runDemo({ nodes: 4, clock });
+  t.after(() => demo.stop());
+  const { operators, operatorKey } = demo.ready;
+  for (const [i, url] of operators.entries()) {
+    const answer = await callOperator(url, operatorKey, 'GET', '/operators/v1/status');
+    const shown = statusTable(answer._unsafeUnwrap().body as Status);
+    assert.match(shown, new RegExp(`^As node n${i + 1} knows it; release 1 is in force`));
+    const roles = [...shown.matchAll(/^n\d +\S+ +(leader|voter) /gm)].map(([, role]) => role);
+    assert.deepEqual(roles.sort(), ['leader', 'voter', 'voter'], shown);
+  }
+});
+
+test('a learner is told from a voter', () => {
+  const node = (id: string) => ({ id, dataCentre: 'north', entry: 'http://e' });
+  const voters = { voters: [{ id: 'n1' }], learners: [{ id: 'n2' }] };
+  const nothing = { replicas: [], upstreams: [] };
+  const status = { node: 'n1', release: 1, voters, nodes: [node('n1'), node('n2')], ...nothing };
+  const shown = statusTable(status);
+  assert.match(shown, /^n1 +north +voter +http/m);
+  assert.match(shown, /^n2 +north +learner +http/m);
+});
--- a/packages/node/src/listeners.ts
+++ b/packages/node/src/listeners.ts
@@ -56,6 +56,12 @@
   });
 }
 
+/** The voters as the log of this node has them; where it has none yet, those of the settings. */
+function votersOf({ control, settings }: Parts) {
+  const { voters } = control.log;
+  return voters && voters.voters.length > 0 ? voters : settings.voters;
+}
+
 /** The state of the system as a node tells operators. */
 export function statusOf(p: Parts): StatusReport {
   const { state, control, directory } = p;
@@ -65,8 +71,8 @@
     leaseMs: Math.round(p.lease.leftMs),
     release: state.release.number,
     index: state.index,
-    leader: control.leader,
-    voters: p.control.log.voters ?? p.settings.voters,
+    leader: control.followed,
+    voters: votersOf(p),
     logFailed: p.control.log.failed,
     nodes: [...state.nodes.values()].map((n) => n.address),
     replicas: [...state.replicas.values()].map((r) => ({
