--- a/packages/cli/src/demo.ts
+++ b/packages/cli/src/demo.ts
@@ -2,11 +2,11 @@
 
 import { join } from 'node:path';
 import { BunyanLogger } from '@tanagercart/base';
-import type { Clock, LogLevel } from '@tanagercart/base';
+import type { Clock, Millis, LogLevel } from '@tanagercart/base';
 import { MemoryDisk } from '@tanagercart/log';
 import { Node } from '@tanagercart/node';
 import type { Settings } from '@tanagercart/settings';
-import { EngineStandIn, OrderDesk } from '@tanagercart/standin';
+import { EngineStandIn, OrderDesk, WeightStore } from '@tanagercart/standin';
 import { smallPlan } from './demoplan.js';
 import type { DemoPlan, DemoReplica } from './demoplan.js';
 import { callOperator } from './operator.js';
@@ -16,6 +16,12 @@
 
 const operatorKey = 'demo-operator-key';
 
+/** Time for one load from the stand-in of the weight store, in milliseconds. */
+const loadMs: Millis = 1000;
+
+/** Loads that the stand-in of the weight store serves at full rate. */
+const loadsAtOnce = 4;
+
 /** What the demo is made of. */
 export interface DemoOptions {
   /** What to run; a small plan of `nodes` nodes where it is left out. */
@@ -63,7 +69,8 @@
   const desks = await Promise.all(
     plan.desks.map((d) => OrderDesk.start(d, placements, o.clock, entries)),
   );
-  await until(o.clock, () => nodes.every((n) => serves(n, plan)));
+  const urls = [...engines, ...desks].map((u) => u.url);
+  await until(o.clock, () => nodes.every((n) => serves(n, plan, urls)) && granted(nodes));
   const stopUpstreams = async () => {
     await Promise.all([...engines, ...desks].map((u) => u.stop()));
   };
@@ -141,7 +148,9 @@
   plan: DemoPlan,
 ): Promise<readonly EngineStandIn[]> {
   const stages = plan.replicas.flatMap(stagesOf);
-  return Promise.all(stages.map((s) => EngineStandIn.start(s, clock, entries)));
+  const store = WeightStore.create(clock, loadMs, loadsAtOnce);
+  const orders = { store, checksFencing: false };
+  return Promise.all(stages.map((s) => EngineStandIn.start(s, clock, entries, { orders })));
 }
 
 /** Settings of the stand-ins that together make one replica. */
@@ -156,16 +165,24 @@
   }));
 }
 
-function serves(node: Node, plan: DemoPlan): boolean {
+/** Whether `node` knows all there is at its address of today; kept state names those of past runs. */
+function serves(node: Node, plan: DemoPlan, urls: readonly string[]): boolean {
   const { state } = node.history;
-  const stages = plan.replicas.flatMap(stagesOf).length;
+  const known = new Set([...state.upstreams.values()].map((u) => u.url));
   return (
     state.nodes.size === plan.settings.length &&
     state.replicas.size === plan.replicas.length &&
-    state.upstreams.size === stages + plan.desks.length
+    state.upstreams.size === urls.length &&
+    urls.every((url) => known.has(url))
   );
 }
 
+/** Whether every replica has an owner that no longer waits for an owner of a past run. */
+function granted(nodes: readonly Node[]): boolean {
+  const replicas = [...nodes[0]!.history.state.replicas.values()];
+  return replicas.every((r) => nodes.some((n) => n.mayGrant(r)));
+}
+
 function readyOf(nodes: readonly Node[], plan: DemoPlan): Ready {
   const { release } = nodes[0]!.history.state;
   return {
--- a/packages/cli/src/statustable.ts
+++ b/packages/cli/src/statustable.ts
@@ -1,18 +1,15 @@
 /** The state of the system as tables for people. */
 
-/** Voters and learners of the log. */
-interface VoterSet {
-  readonly voters: readonly { readonly id: string }[];
-  readonly learners: readonly { readonly id: string }[];
-}
-
 /** The parts of a status that the tables show. */
 export interface Status {
   readonly node: string;
   readonly release: number;
   readonly leader?: string;
-  /** As the log knows them on a voter; elsewhere the names in the settings. */
-  readonly voters: VoterSet | readonly string[];
+  readonly draining: boolean;
+  readonly voters: readonly { readonly id: string }[];
+  readonly learners?: readonly { readonly id: string }[];
+  /** Whether the log of the asked node has failed. */
+  readonly logFailed: boolean;
   readonly nodes: readonly {
     readonly id: string;
     readonly dataCentre: string;
@@ -34,12 +31,18 @@
 
 /** A table for each kind of thing in `s`. */
 export function statusTable(s: Status): string {
-  const nodes = s.nodes.map((n) => [n.id, n.dataCentre, roleOf(s, n.id), n.entry]);
+  const role = (id: string) => {
+    if (id === s.leader) return 'leader';
+    if (s.voters.some((v) => v.id === id)) return 'voter';
+    return s.learners?.some((l) => l.id === id) ? 'learner' : '';
+  };
+  const nodes = s.nodes.map((n) => [n.id, n.dataCentre, role(n.id), n.entry]);
   const replicas = s.replicas.map((r) => [r.id, r.model, r.owner ?? '-', r.stages.join(' ')]);
   const upstreams = s.upstreams.map((u) => [u.id, u.dataCentre, u.url]);
   const queues = (s.queues ?? []).map((q) => [q.tier, String(q.waiting)]);
   return [
-    `As node ${s.node} knows it; release ${s.release} is in force.\n`,
+    `As node ${s.node} knows it${s.draining ? ', which drains' : ''}; release ${s.release} is in force.\n`,
+    ...(s.logFailed ? [`The log of ${s.node} has failed: its disk takes no writes.\n`] : []),
     table(['NODE', 'DATA CENTRE', 'ROLE', 'ENTRY'], nodes),
     table(['REPLICA', 'MODEL', 'OWNER', 'STAGES'], replicas),
     table(['UPSTREAM', 'DATA CENTRE', 'URL'], upstreams),
@@ -47,15 +50,9 @@
   ].join('\n');
 }
 
-function roleOf({ leader, voters }: Status, id: string): string {
-  if (id === leader) return 'leader';
-  if (!('learners' in voters)) return voters.includes(id) ? 'voter' : '';
-  if (voters.voters.some((v) => v.id === id)) return 'voter';
-  return voters.learners.some((l) => l.id === id) ? 'learner' : '';
-}
-
 function table(head: readonly string[], rows: readonly (readonly string[])[]): string {
-  const all = [head, ...rows];
+  const byName = [...rows].sort(([a = ''], [b = '']) => (a < b ? -1 : 1));
+  const all = [head, ...byName];
   const width = head.map((_, i) => Math.max(...all.map((r) => r[i]!.length)));
   const lines = all.map((r) =>
     r
--- a/packages/cli/test/status.test.ts
+++ b/packages/cli/test/status.test.ts
@@ -23,8 +23,9 @@
 test('a learner is told from a voter', () => {
   const node = (id: string) => ({ id, dataCentre: 'north', entry: 'http://e' });
   const voters = { voters: [{ id: 'n1' }], learners: [{ id: 'n2' }] };
+  const about = { node: 'n1', release: 1, draining: false, logFailed: false };
   const nothing = { replicas: [], upstreams: [] };
-  const status = { node: 'n1', release: 1, voters, nodes: [node('n1'), node('n2')], ...nothing };
+  const status = { ...about, ...voters, nodes: [node('n1'), node('n2')], ...nothing };
   const shown = statusTable(status);
   assert.match(shown, /^n1 +north +voter +http/m);
   assert.match(shown, /^n2 +north +learner +http/m);
--- a/packages/entry/test/callers.test.ts
+++ b/packages/entry/test/callers.test.ts
@@ -20,6 +20,7 @@
 import { applyNote, parseNote, Release } from '@tanagercart/release';
 import { Door, createCallerServer } from '../src/index.js';
 import type { CallerLimits, DoorOptions } from '../src/index.js';
+import { unlimited } from './unlimited.js';
 
 const key = 'a-grower-key';
 
@@ -61,8 +62,8 @@
 type Generate = (g: Generation, signal: AbortSignal) => AsyncIterable<Piece>;
 
 async function* twoTokens(): AsyncGenerator<Piece> {
-  yield { kind: 'token', token: 'dry ', index: 0 };
-  yield { kind: 'token', token: 'figs', index: 1 };
+  yield { kind: 'tokens', tokens: ['dry '], index: 0 };
+  yield { kind: 'tokens', tokens: ['figs'], index: 1 };
   yield { kind: 'end', reason: 'stop', tokens: 2 };
 }
 
@@ -90,6 +91,7 @@
     logger: s.logger ?? silentLogger,
     limits: { ...small, ...s.limits },
     entries: () => ['http://other:1'],
+    accountLimits: unlimited,
     draining: () => false,
     ...s.more,
   } as unknown as DoorOptions);
@@ -167,7 +169,9 @@
   let ended = false;
   async function* endless(): AsyncGenerator<Piece> {
     try {
-      for (let index = 0; ; index += 1) yield { kind: 'token', token: 'x'.repeat(65_536), index };
+      for (let index = 0; ; index += 1) {
+        yield { kind: 'tokens', tokens: ['x'.repeat(65_536)], index };
+      }
     } finally {
       ended = true;
     }
@@ -185,7 +189,7 @@
   let signal: AbortSignal | undefined;
   async function* silent(_: Generation, s: AbortSignal): AsyncGenerator<Piece> {
     signal = s;
-    yield { kind: 'token', token: 'dry ', index: 0 };
+    yield { kind: 'tokens', tokens: ['dry '], index: 0 };
     await new Promise((resolve) => {
       s.addEventListener('abort', resolve);
     });
@@ -200,7 +204,7 @@
 
 test('a refusal within a stream is an error event', async (t) => {
   async function* failing(): AsyncGenerator<Piece> {
-    yield { kind: 'token', token: 'dry ', index: 0 };
+    yield { kind: 'tokens', tokens: ['dry '], index: 0 };
     const message = 'every attempt failed';
     const refusal = { reason: 'upstream-failed', run: 'unknown', message } as const;
     yield { kind: 'refused', refusal: { ...refusal, retryAfterMs: undefined } };
--- a/packages/node/src/listeners.ts
+++ b/packages/node/src/listeners.ts
@@ -1,12 +1,12 @@
 /** What the listeners for callers and operators are made of. */
 
 import { rendezvous, systemRandom } from '@tanagercart/base';
-import type { Clock, Logger, Metrics } from '@tanagercart/base';
+import type { Clock, Logger, Metrics, NodeId } from '@tanagercart/base';
 import { Dispatch, Gate, Orders } from '@tanagercart/dispatch';
-import { Door } from '@tanagercart/entry';
+import { AccountLimits, Door } from '@tanagercart/entry';
 import type { StatusReport } from '@tanagercart/entry';
 import type { ConfigurationLease, Upstreams } from '@tanagercart/membership';
-import type { Transport } from '@tanagercart/protocol';
+import type { Transport, VoterConfig } from '@tanagercart/protocol';
 import type { Settings } from '@tanagercart/settings';
 import { Batches } from '@tanagercart/state';
 import type { Proposals, Proposer, SharedState } from '@tanagercart/state';
@@ -15,6 +15,7 @@
 import { Chooser } from '@tanagercart/routing';
 import type { ControlPlane } from './controlplane.js';
 import type { Directory } from './directory.js';
+import type { NodeLimits } from './limits.js';
 
 /** Parts of a node that its listeners use. */
 export interface Parts {
@@ -26,6 +27,7 @@
   readonly directory: Directory;
   readonly upstreams: Upstreams;
   readonly control: ControlPlane;
+  readonly limits: NodeLimits;
   readonly pool: ReturnType<typeof createPool>;
   readonly clock: Clock;
   readonly logger: Logger;
@@ -50,18 +52,13 @@
     logger: p.logger.part('entry'),
     metrics: p.metrics,
     limits: p.settings.limits,
+    accountLimits: AccountLimits.create(p.limits.limiter),
     upstreamKey: p.upstreamKey,
     entries: (account) => p.directory.entriesFor(account),
     draining: p.draining,
   });
 }
 
-/** The voters as the log of this node has them; where it has none yet, those of the settings. */
-function votersOf({ control, settings }: Parts) {
-  const { voters } = control.log;
-  return voters && voters.voters.length > 0 ? voters : settings.voters;
-}
-
 /** The state of the system as a node tells operators. */
 export function statusOf(p: Parts): StatusReport {
   const { state, control, directory } = p;
@@ -72,7 +69,7 @@
     release: state.release.number,
     index: state.index,
     leader: control.followed,
-    voters: votersOf(p),
+    ...votersOf(p),
     logFailed: p.control.log.failed,
     nodes: [...state.nodes.values()].map((n) => n.address),
     replicas: [...state.replicas.values()].map((r) => ({
@@ -83,6 +80,16 @@
   };
 }
 
+/** The voters and learners of the log; a node whose log has none knows those of its settings. */
+function votersOf({ control, settings }: Parts): Omit<VoterConfig, 'voters'> & {
+  readonly voters: readonly { readonly id: NodeId }[];
+} {
+  const { voters } = control.log;
+  // A node with a disk that never voted has a log without voters.
+  if (voters && voters.voters.length > 0) return voters;
+  return { voters: settings.voters.map((id) => ({ id })), learners: [] };
+}
+
 function createDispatch(p: Parts, proposals: Proposals): Dispatch {
   const chooser = Chooser.create(p.clock, systemRandom);
   return Dispatch.create({
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -8,19 +8,30 @@
 import type { Clock, Logger, Metrics, NodeId } from '@tanagercart/base';
 import { createCallerServer, createOperatorServer } from '@tanagercart/entry';
 import type { Door } from '@tanagercart/entry';
-import { History, Ownership, Progress, Upstreams, leaderFirst } from '@tanagercart/membership';
+import {
+  History,
+  Ownership,
+  Progress,
+  Upstreams,
+  leaderFirst,
+  longestLeaseMs,
+} from '@tanagercart/membership';
 import type { ConfigurationLease } from '@tanagercart/membership';
 import type { Disk } from '@tanagercart/log';
+import { keepPlacement } from '@tanagercart/placement';
 import { TcpTransport } from '@tanagercart/protocol';
 import type { NodeAddress } from '@tanagercart/protocol';
 import { Owner } from '@tanagercart/scheduling';
+import { checksFencing } from '@tanagercart/settings';
 import type { Settings } from '@tanagercart/settings';
 import { Proposer } from '@tanagercart/state';
-import { createPool } from '@tanagercart/upstream';
+import type { Replica } from '@tanagercart/state';
+import { HttpPlacements, createPool } from '@tanagercart/upstream';
 import { addressOf, hostPortOf, withPort } from './address.js';
 import { ControlPlane } from './controlplane.js';
 import { Directory } from './directory.js';
 import { reportGauges } from './gauges.js';
+import { NodeLimits } from './limits.js';
 import { createDoor, statusOf } from './listeners.js';
 import type { Parts } from './listeners.js';
 import { close, listen } from './server.js';
@@ -64,6 +75,7 @@
   private readonly progress: Progress;
   private readonly incarnation = randomUUID();
   private readonly owner: Owner;
+  private readonly limits: NodeLimits;
   private readonly door: Door;
   private readonly callers: Server;
   private readonly operators: Server;
@@ -88,6 +100,7 @@
     this.ownership = this.createOwnership();
     this.directory = this.createDirectory();
     this.owner = this.createOwner();
+    this.limits = this.createLimits();
     const parts = this.parts();
     this.door = createDoor(parts);
     this.callers = createCallerServer(this.door, onBroken);
@@ -123,7 +136,9 @@
     });
     this.control.begin(this.tasks, signal);
     this.tasks.start(() => this.ownership.watch(signal));
+    this.limits.begin(this.tasks, signal);
     this.tasks.start(() => this.upstreams.watch(signal));
+    this.tasks.start(() => keepPlacement(this.placementOptions(), signal));
     this.tasks.start(() => reportGauges(this.gaugeSource(), signal));
     this.logger.info('Serving.', { entry: this.address.entry });
   }
@@ -150,6 +165,11 @@
     return this.lease.valid && !this.draining;
   }
 
+  /** Whether this node may give grants on `replica` now. */
+  mayGrant(replica: Replica): boolean {
+    return this.ready && this.ownership.mayGrant(replica);
+  }
+
   /** Resolves when an operator asks this node to drain. */
   untilDrainAsked(): Promise<void> {
     return this.drainAsked.wait();
@@ -313,15 +333,39 @@
     });
   }
 
+  private placementOptions() {
+    const { settings, clock } = this.o;
+    return {
+      self: this.id,
+      state: this.history.state,
+      proposals: this.proposer,
+      transport: this.transport,
+      placements: HttpPlacements.create(this.pool),
+      clock,
+      logger: this.logger.part('placement'),
+      metrics: this.metrics,
+      leads: () => this.control.leads,
+      checksFencing: (id: string) => checksFencing(settings, id),
+      loadLimit: settings.upstreams.loadsAtOnce,
+      longestLeaseMs: longestLeaseMs(settings.timing),
+    };
+  }
+
   private gaugeSource() {
     const { metrics, lease, owner, door } = this;
     const { state } = this.history;
     return { clock: this.o.clock, metrics, lease, state, owner, inProgress: door.inProgress };
   }
 
+  private createLimits(): NodeLimits {
+    const { id: self, transport, history } = this;
+    return NodeLimits.create({ self, clock: this.o.clock, transport, history });
+  }
+
   private parts(): Parts {
     const { settings, clock, logger } = this.o;
-    const { lease, proposer, transport, directory, upstreams, control, pool, metrics } = this;
+    const { lease, proposer, transport, directory, upstreams, control, limits, pool, metrics } =
+      this;
     return {
       settings,
       state: this.history.state,
@@ -331,6 +375,7 @@
       directory,
       upstreams,
       control,
+      limits,
       pool,
       clock,
       logger,
