--- a/packages/cli/src/statustable.ts
+++ b/packages/cli/src/statustable.ts
@@ -7,6 +7,7 @@
   readonly leader?: string;
   readonly draining: boolean;
   readonly voters: readonly { readonly id: string }[];
+  readonly learners?: readonly { readonly id: string }[];
   /** Whether the log of the asked node has failed. */
   readonly logFailed: boolean;
   readonly nodes: readonly {
@@ -32,7 +33,8 @@
 export function statusTable(s: Status): string {
   const role = (id: string) => {
     if (id === s.leader) return 'leader';
-    return s.voters.some((v) => v.id === id) ? 'voter' : '';
+    if (s.voters.some((v) => v.id === id)) return 'voter';
+    return s.learners?.some((l) => l.id === id) ? 'learner' : '';
   };
   const nodes = s.nodes.map((n) => [n.id, n.dataCentre, role(n.id), n.entry]);
   const replicas = s.replicas.map((r) => [r.id, r.model, r.owner ?? '-', r.stages.join(' ')]);
--- a/packages/node/src/listeners.ts
+++ b/packages/node/src/listeners.ts
@@ -68,7 +68,7 @@
     leaseMs: Math.round(p.lease.leftMs),
     release: state.release.number,
     index: state.index,
-    leader: control.leader,
+    leader: control.followed,
     ...votersOf(p),
     logFailed: p.control.log.failed,
     nodes: [...state.nodes.values()].map((n) => n.address),
@@ -80,11 +80,14 @@
   };
 }
 
-/** The voters and learners of the log; a node that has no log knows those of its settings. */
+/** The voters and learners of the log; a node whose log has none knows those of its settings. */
 function votersOf({ control, settings }: Parts): Omit<VoterConfig, 'voters'> & {
   readonly voters: readonly { readonly id: NodeId }[];
 } {
-  return control.log.voters ?? { voters: settings.voters.map((id) => ({ id })), learners: [] };
+  const { voters } = control.log;
+  // A node with a disk that never voted has a log without voters.
+  if (voters && voters.voters.length > 0) return voters;
+  return { voters: settings.voters.map((id) => ({ id })), learners: [] };
 }
 
 function createDispatch(p: Parts, proposals: Proposals): Dispatch {
