Send callers to entries by room, distance and shard, and learn voters

Cause: all callers of an account were sent to one node by rendezvous hashing, and nodes looked for the leader among the voters of the settings alone. Change: weighted rendezvous hashing within a shard for each account; loads travel with follow calls; a loaded, draining or cut-off node names others on its answers. The leader tells the present voters in follow replies, and followers remember them. The doubles of the entry tests give advice in place of a list; no assertion is changed.

--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -13,6 +13,7 @@
 /** Every measurement, loaded on demand from the module of its name. */
 const benches: readonly string[] = [
   'crest',
+  'entries',
   'hol',
   'throughput',
   'limits',
--- a/packages/entry/src/callers.ts
+++ b/packages/entry/src/callers.ts
@@ -7,6 +7,7 @@
 import { maybeRun, notRun } from '@tanagercart/dispatch';
 import { parseAnnouncement } from '@tanagercart/upstream';
 import { answerRequest } from './answers.js';
+import { askerOf } from './asker.js';
 import { carriesKey } from './bearer.js';
 import { parseJson, readBody, sendJson } from './body.js';
 import { answerBadRequest, requestTimeoutCode } from './badrequest.js';
@@ -14,9 +15,6 @@
 import { sendModels } from './models.js';
 import { answerService, servicesPath } from './services.js';
 
-/** How long callers may keep a list of entries, in seconds. */
-const entriesLifetimeSeconds = 30;
-
 /** Creates the listener; it is not yet listening. */
 export function createCallerServer(door: Door, onBroken: (error: unknown) => void): Server {
   const { requestMs, headerBytes } = door.o.limits;
@@ -72,6 +70,7 @@
 async function route(door: Door, req: IncomingMessage, res: ServerResponse): Promise<void> {
   const url = req.url ?? '';
   const [path = ''] = url.split('?', 1);
+  if (req.method === 'POST' && path.startsWith('/v1/')) door.advise(req, res);
   if (path.startsWith(servicesPath)) return answerService(door, req, res);
   switch (`${req.method} ${path}`) {
     case 'POST /v1/chat/completions':
@@ -91,8 +90,8 @@
 }
 
 function sendEntries(door: Door, req: IncomingMessage, res: ServerResponse): void {
-  const entries = door.o.entries(door.account(req)?.id);
-  sendJson(res, 200, { entries, lifetimeSeconds: entriesLifetimeSeconds });
+  const { entries, lifetimeMs } = door.o.entries(askerOf(req, door.account(req)?.id));
+  sendJson(res, 200, { entries, lifetimeSeconds: Math.ceil(lifetimeMs / 1000) });
 }
 
 async function takeAnnouncement(
--- a/packages/entry/src/door.ts
+++ b/packages/entry/src/door.ts
@@ -10,10 +10,18 @@
 import type { ConfigurationLease, Upstreams } from '@tanagercart/membership';
 import type { ClientAccount } from '@tanagercart/release';
 import type { SharedState } from '@tanagercart/state';
+import { askerOf } from './asker.js';
+import type { Asker, EntryAdvice } from './asker.js';
 import { bearerOf } from './bearer.js';
 import { InProgress } from './inprogress.js';
 import { entriesHelp, sendRefusal } from './refuse.js';
 
+/** Header that names other entries to use from now on, best first. */
+const entriesHeader = 'tanagercart-entries';
+
+/** Header that tells for how many seconds they may be kept. */
+const lifetimeHeader = 'tanagercart-entries-lifetime';
+
 /** Limits on what callers send and on how slowly they do so. */
 export interface CallerLimits {
   readonly bodyBytes: number;
@@ -38,8 +46,10 @@
   readonly limits: CallerLimits;
   /** Key that upstreams must send with their announcements. */
   readonly upstreamKey?: string | undefined;
-  /** Base URLs of nodes for an account, best first. */
-  readonly entries: (account: AccountId | undefined) => readonly string[];
+  /** Entries for a caller. */
+  readonly entries: (asker: Asker) => EntryAdvice;
+  /** Entries for a caller that had better leave this one, if so. */
+  readonly moveOn: (asker: Asker) => EntryAdvice | undefined;
   readonly draining: () => boolean;
 }
 
@@ -85,10 +95,22 @@
     return account ? ok(account) : err(notRun('unauthorised', 'no account has this key'));
   }
 
+  /** Names other entries on an answer where this node is loaded or takes no new work. */
+  advise(req: IncomingMessage, res: ServerResponse): void {
+    const asker = askerOf(req, this.account(req)?.id);
+    const advice = this.closed() ? this.o.entries(asker) : this.o.moveOn(asker);
+    if (!advice || advice.entries.length === 0) return;
+    this.o.metrics.count('moved', { reason: this.closed()?.reason ?? 'load' });
+    nameEntries(res, advice);
+  }
+
   /** Sends, counts and logs a refusal. */
   refuse(res: ServerResponse, refusal: Refusal, about: About = {}): void {
     this.note(refusal, about);
-    sendRefusal(res, refusal, entriesHelp(refusal) ? this.o.entries(about.account) : []);
+    const helped = entriesHelp(refusal) && !res.getHeader(entriesHeader);
+    const account = about.account ?? this.account(res.req)?.id;
+    if (helped) nameEntries(res, this.o.entries(askerOf(res.req, account)));
+    sendRefusal(res, refusal, namedEntries(res));
   }
 
   /** Counts and logs a refusal that is told in another way. */
@@ -98,3 +120,15 @@
     this.o.logger.info('Refused.', { ...about, reason, run, detail: message });
   }
 }
+
+function nameEntries(res: ServerResponse, advice: EntryAdvice): void {
+  if (advice.entries.length === 0) return;
+  res.setHeader(entriesHeader, advice.entries.join(', '));
+  res.setHeader(lifetimeHeader, String(Math.ceil(advice.lifetimeMs / 1000)));
+}
+
+/** The entries that an answer names already. */
+function namedEntries(res: ServerResponse): readonly string[] {
+  const named = res.getHeader(entriesHeader);
+  return named === undefined ? [] : String(named).split(', ');
+}
--- a/packages/entry/test/callers.test.ts
+++ b/packages/entry/test/callers.test.ts
@@ -89,7 +89,8 @@
     metrics,
     logger: s.logger ?? silentLogger,
     limits: { ...small, ...s.limits },
-    entries: () => ['http://other:1'],
+    entries: () => ({ entries: ['http://other:1'], lifetimeMs: 30_000 }),
+    moveOn: () => undefined,
     draining: () => false,
     ...s.more,
   } as unknown as DoorOptions);
--- a/packages/entry/test/late.test.ts
+++ b/packages/entry/test/late.test.ts
@@ -66,7 +66,8 @@
       requestMs: 60_000,
       unreadMs: 60_000,
     },
-    entries: () => [],
+    entries: () => ({ entries: [], lifetimeMs: 30_000 }),
+    moveOn: () => undefined,
     draining: () => false,
   } as unknown as DoorOptions);
   const broken: unknown[] = [];
--- a/packages/membership/src/control.ts
+++ b/packages/membership/src/control.ts
@@ -1,6 +1,6 @@
 /** One node's part in spreading committed state: its lease, its place in the tree, its tasks. */
 
-import type { Clock, Logger, TaskGroup } from '@tanagercart/base';
+import type { Clock, Logger, NodeId, TaskGroup } from '@tanagercart/base';
 import type { NodeAddress, Transport } from '@tanagercart/protocol';
 import type { Proposer } from '@tanagercart/state';
 import { CommitTimes } from './committimes.js';
@@ -10,9 +10,11 @@
 import type { History } from './history.js';
 import { ConfigurationLease } from './lease.js';
 import type { LeaseTiming } from './lease.js';
+import { Loads } from './loads.js';
 import { Position } from './position.js';
 import type { Leadership } from './position.js';
 import { keepNodes } from './registrar.js';
+import { KnownVoters } from './voters.js';
 
 /** What the control part of a node needs. */
 export interface ControlOptions {
@@ -28,6 +30,10 @@
   readonly logger: Logger;
   readonly draining: () => boolean;
   readonly seeds: FollowOptions['seeds'];
+  /** The voters as the log of this node knows them; undefined on nodes without a vote. */
+  readonly ownVoters?: () => readonly NodeId[] | undefined;
+  /** Requests that this node has in progress. */
+  readonly load?: () => number;
 }
 
 /** Wires lease, feed, follower and registrar of one node. */
@@ -36,6 +42,10 @@
   readonly position: Position;
   /** When the commands that this node applied as a voter were committed. */
   readonly commitTimes: CommitTimes;
+  /** Loads of all nodes as they were told. */
+  readonly loads: Loads;
+  /** Nodes that may lead. */
+  readonly voters: KnownVoters;
   private readonly feed: Feed;
 
   private constructor(private readonly o: ControlOptions) {
@@ -43,9 +53,21 @@
     this.lease = ConfigurationLease.create(clock);
     this.position = Position.create(clock, leadership);
     this.commitTimes = CommitTimes.create(clock.now());
-    const { lease, position } = this;
     const self = o.self().id;
-    this.feed = Feed.create({ self, transport, history, lease, position, clock, timing });
+    this.loads = Loads.create({ self, history, clock, own: o.load ?? (() => 0) });
+    this.voters = KnownVoters.create(o.seeds, o.ownVoters ?? (() => undefined));
+    const { lease, loads, position, voters } = this;
+    this.feed = Feed.create({
+      self,
+      transport,
+      history,
+      lease,
+      position,
+      loads,
+      voters,
+      clock,
+      timing,
+    });
   }
 
   static create(options: ControlOptions): Control {
@@ -54,7 +76,7 @@
 
   /** Begins to follow, and to keep the nodes while this node leads. */
   start(tasks: TaskGroup, signal: AbortSignal): void {
-    const { lease, position } = this;
+    const { lease, loads, position, voters } = this;
     const { subtree } = this.feed;
     const self = () => ({
       node: this.o.self(),
@@ -62,7 +84,12 @@
       draining: this.o.draining(),
     });
     this.serveProgress();
-    tasks.start(() => follow({ ...this.o, lease, position, subtree }, signal));
+    tasks.start(() =>
+      follow(
+        { ...this.o, lease, loads, position, subtree, voters, seeds: () => voters.all },
+        signal,
+      ),
+    );
     tasks.start(() => keepNodes({ ...this.o, self, feed: this.feed, position }, signal));
   }
 
--- a/packages/membership/src/feed.ts
+++ b/packages/membership/src/feed.ts
@@ -5,8 +5,10 @@
 import type { History } from './history.js';
 import type { ConfigurationLease, LeaseTiming } from './lease.js';
 import { longestLeaseMs } from './lease.js';
+import type { Loads } from './loads.js';
 import type { Position } from './position.js';
 import { Subtree } from './subtree.js';
+import type { KnownVoters } from './voters.js';
 
 /** Longest hold of a call from a node below which some lack committed state, in milliseconds. */
 const catchUpHoldMs: Millis = 50;
@@ -18,6 +20,8 @@
   readonly history: History;
   readonly lease: ConfigurationLease;
   readonly position: Position;
+  readonly loads: Loads;
+  readonly voters: KnownVoters;
   readonly clock: Clock;
   readonly timing: LeaseTiming;
 }
@@ -55,6 +59,7 @@
   private async onFollow(call: FollowCall): Promise<FollowReply> {
     const heardAt = this.o.clock.now();
     const wantsFull = this.subtree.heard(call);
+    this.o.loads.heardBelow(call.loads);
     if (this.superseded(call) || this.leaseMs() <= 0) return this.elsewhere();
     await this.hold(call);
     const leaseMs = this.leaseMs();
@@ -69,6 +74,8 @@
       leaseMs: clock.now() - heardAt + leaseMs,
       path: [...position.path, self],
       wantsFull,
+      loads: this.o.loads.downTo(call.node.id),
+      voters: this.o.voters.present(position.leads),
     };
   }
 
--- a/packages/membership/src/follow.ts
+++ b/packages/membership/src/follow.ts
@@ -4,8 +4,10 @@
 import type { FollowCall, FollowReply, NodeAddress, Transport } from '@tanagercart/protocol';
 import type { History } from './history.js';
 import type { ConfigurationLease, LeaseTiming } from './lease.js';
+import type { Loads } from './loads.js';
 import type { Position } from './position.js';
 import { Reporter } from './report.js';
+import type { KnownVoters } from './voters.js';
 import type { Subtree } from './subtree.js';
 import { ancestors } from './tree.js';
 
@@ -33,6 +35,8 @@
   readonly lease: ConfigurationLease;
   readonly position: Position;
   readonly subtree: Subtree;
+  readonly loads: Loads;
+  readonly voters: KnownVoters;
   readonly clock: Clock;
   readonly timing: LeaseTiming;
   readonly logger: Logger;
@@ -111,6 +115,7 @@
       behind: floor < applied ? subtree.behind(floor + 1) : [],
       draining: this.o.draining(),
       leaseLeftMs: this.o.lease.leftMs,
+      loads: this.o.loads.up(),
       ...this.reporter.next(),
     };
   }
@@ -121,6 +126,8 @@
     if (reply.path.includes(self().id)) return this.leave(parent, undefined);
     if (reply.snapshot) history.restore(reply.snapshot);
     for (const { index, bytes } of reply.commands) history.apply(index, bytes);
+    this.o.loads.heardAbove(reply.loads);
+    this.o.voters.told(reply.voters);
     if (reply.wantsFull) this.reporter.startOver();
     position.moved(reply.path);
     if (history.state.index < reply.upTo) return true;
--- a/packages/membership/test/follow.test.ts
+++ b/packages/membership/test/follow.test.ts
@@ -6,6 +6,8 @@
   ConfigurationLease,
   Feed,
   History,
+  KnownVoters,
+  Loads,
   Position,
   Subtree,
   defaultLeaseTiming,
@@ -22,10 +24,18 @@
   const none = { leads: () => false, leader: () => undefined };
   const own = { history: History.create(), lease: ConfigurationLease.create(clock), clock, timing };
   const position = Position.create(clock, { leads, leader: () => parent });
+  const loads = Loads.create({ self, history: own.history, clock, own: () => 0 });
+  const voters = KnownVoters.create(
+    () => [parent],
+    () => undefined,
+  );
   const transport = net.attach(parent);
-  Feed.create({ ...own, self: parent, transport, position, history: History.create() });
+  const history = History.create();
+  Feed.create({ ...own, self: parent, transport, position, history, loads, voters });
   const options = {
     ...own,
+    loads,
+    voters,
     self: () => ({ id: self, dataCentre: DataCentreId('north'), peer: '', entry: '' }),
     incarnation: '1',
     transport: net.attach(self),
--- a/packages/node/src/controlplane.ts
+++ b/packages/node/src/controlplane.ts
@@ -7,7 +7,7 @@
 import { DiskStore, FileDisk, Raft, defaultLimits } from '@tanagercart/log';
 import type { Disk, Machine, Store } from '@tanagercart/log';
 import { Control } from '@tanagercart/membership';
-import type { ConfigurationLease, History } from '@tanagercart/membership';
+import type { ConfigurationLease, History, Loads } from '@tanagercart/membership';
 import { decode, encode } from '@tanagercart/protocol';
 import type { NodeAddress, StateSnapshot, Transport } from '@tanagercart/protocol';
 import { keepPlans } from '@tanagercart/routing';
@@ -25,6 +25,8 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly draining: () => boolean;
+  /** Requests in progress on this node. */
+  readonly load: () => number;
   /** Takes the place of the data folder. */
   readonly disk: Disk | undefined;
   readonly onBroken: (error: unknown) => void;
@@ -59,6 +61,16 @@
     return this.raft?.holdsLease === true;
   }
 
+  /** Nodes that may lead, as far as this node knows. */
+  get voters(): readonly NodeId[] {
+    return this.control.voters.all;
+  }
+
+  /** Loads of all nodes. */
+  get loads(): Loads {
+    return this.control.loads;
+  }
+
   /** The lease under which this node takes new work. */
   get lease(): ConfigurationLease {
     return this.control.lease;
@@ -153,6 +165,7 @@
       timing: settings.timing,
       logger: logger.part('control'),
       seeds: () => settings.voters,
+      ownVoters: () => this.raft?.voters.voters.map((v) => v.id),
     });
   }
 
--- a/packages/node/src/directory.ts
+++ b/packages/node/src/directory.ts
@@ -1,21 +1,20 @@
 /** Who owns, serves or answers what, as the shared state of a node tells it. */
 
-import { randomUUID } from 'node:crypto';
-import { rendezvous } from '@tanagercart/base';
-import type { AccountId, NodeId } from '@tanagercart/base';
-import type { Ownership, Upstreams } from '@tanagercart/membership';
-import type { Model } from '@tanagercart/release';
-import type { OwnerOption } from '@tanagercart/routing';
+import type { AccountId, Clock, NodeId } from '@tanagercart/base';
+import type { Asker, EntryAdvice } from '@tanagercart/entry';
+import type { Loads, Ownership, Upstreams } from '@tanagercart/membership';
+import type { Model, Release } from '@tanagercart/release';
+import { EntryGuide } from '@tanagercart/routing';
+import type { EntryAnswer, EntryCaller, EntryNode, OwnerOption } from '@tanagercart/routing';
 import type { Settings } from '@tanagercart/settings';
 import type { Replica, SharedState, Upstream } from '@tanagercart/state';
 
-/** Entries that a caller is told of at most. */
-const entriesTold = 3;
-
 /** What a directory reads. */
 export interface DirectoryOptions {
   readonly settings: Settings;
   readonly state: SharedState;
+  readonly clock: Clock;
+  readonly loads: Loads;
   readonly upstreams: Upstreams;
   readonly ownership: Ownership;
   /** Whether this node takes no new work, so that callers are sent elsewhere. */
@@ -25,9 +24,17 @@
 /** Looks up nodes, owners and upstreams. */
 export class Directory {
   private readonly peers = new Map<NodeId, string>();
+  private readonly guide: EntryGuide;
+  private weights: { readonly release: Release; readonly sum: number } | undefined;
 
   private constructor(private readonly o: DirectoryOptions) {
     for (const p of o.settings.peers) this.peers.set(p.id, p.peer);
+    this.guide = EntryGuide.create({
+      self: o.settings.node.id,
+      clock: o.clock,
+      nodes: () => this.openNodes(),
+      load: (node) => o.loads.of(node),
+    });
   }
 
   static create(options: DirectoryOptions): Directory {
@@ -76,12 +83,49 @@
     );
   }
 
-  /** Base URLs of nodes for an account, best first. */
-  entriesFor(account: AccountId | undefined): readonly string[] {
+  /** Entries for a caller that asks. */
+  entriesFor(asker: Asker): EntryAdvice {
+    return this.advice(this.guide.answer(this.callerOf(asker)));
+  }
+
+  /** Entries for a caller that had better leave this node, if so. */
+  moveOn(asker: Asker): EntryAdvice | undefined {
+    const answer = this.guide.moveOn(this.callerOf(asker));
+    return answer && this.advice(answer);
+  }
+
+  private advice(answer: EntryAnswer): EntryAdvice {
     const { nodes } = this.o.state;
-    const ranked = rendezvous(account ?? randomUUID(), [...nodes.keys()]);
+    const entries = answer.entries.flatMap((n) => nodes.get(n)?.address.entry ?? []);
+    return { entries, lifetimeMs: answer.lifetimeMs };
+  }
+
+  private callerOf({ account, name, near, held }: Asker): EntryCaller {
+    const heldNode = [...this.o.state.nodes.values()].find((n) => n.address.entry === held);
+    return {
+      account: account ?? name,
+      share: account ? this.shareOf(account) : 0,
+      name,
+      near,
+      held: held === undefined ? undefined : heldNode?.address.id,
+    };
+  }
+
+  private shareOf(account: AccountId): number {
+    const { release } = this.o.state;
+    if (this.weights?.release !== release) {
+      const all = [...release.clientAccounts.values()];
+      this.weights = { release, sum: all.reduce((sum, a) => sum + a.weight, 0) };
+    }
+    const weight = release.clientAccounts.get(account)?.weight ?? 0;
+    return weight / Math.max(weight, this.weights.sum, Number.MIN_VALUE);
+  }
+
+  /** Nodes that take new work, as far as this node knows. */
+  private openNodes(): readonly EntryNode[] {
     const self = this.o.settings.node.id;
-    const told = this.o.closed() ? ranked.filter((n) => n !== self) : ranked;
-    return told.slice(0, entriesTold).map((n) => nodes.get(n)!.address.entry);
+    return [...this.o.state.nodes.values()]
+      .map((n) => n.address)
+      .filter((a) => a.id !== self || !this.o.closed());
   }
 }
--- a/packages/node/src/listeners.ts
+++ b/packages/node/src/listeners.ts
@@ -51,7 +51,8 @@
     metrics: p.metrics,
     limits: p.settings.limits,
     upstreamKey: p.upstreamKey,
-    entries: (account) => p.directory.entriesFor(account),
+    entries: (asker) => p.directory.entriesFor(asker),
+    moveOn: (asker) => p.directory.moveOn(asker),
     draining: p.draining,
   });
 }
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -245,7 +245,7 @@
   }
 
   private votersToAsk(): readonly NodeId[] {
-    return leaderFirst(this.o.settings.voters, this.control.followed);
+    return leaderFirst(this.control.voters, this.control.followed);
   }
 
   private createUpstreams(): Upstreams {
@@ -262,6 +262,8 @@
 
   private createDirectory(): Directory {
     return Directory.create({
+      clock: this.o.clock,
+      loads: this.control.loads,
       settings: this.o.settings,
       state: this.history.state,
       upstreams: this.upstreams,
@@ -296,6 +298,7 @@
       clock,
       logger,
       draining: () => this.draining,
+      load: () => this.door.inProgress.count,
       disk: this.o.disk,
       onBroken,
     });
--- a/packages/protocol/src/followmessage.ts
+++ b/packages/protocol/src/followmessage.ts
@@ -26,6 +26,14 @@
   readonly below: readonly FollowerReport[];
   /** Nodes that no longer follow through the caller. */
   readonly gone: readonly NodeId[];
+  /** Loads of the caller and of the nodes below it. */
+  readonly loads?: LoadDigest | undefined;
+}
+
+/** Loads of the nodes of a view, one byte each in the order of the nodes' names; 0 is unknown. */
+export interface LoadDigest {
+  readonly view: number;
+  readonly levels: Uint8Array;
 }
 
 /** What a node tells its parent about a node below it. */
@@ -49,6 +57,10 @@
       readonly path: readonly NodeId[];
       /** Whether the next call must list every node below the caller. */
       readonly wantsFull: boolean;
+      /** Loads of all nodes. */
+      readonly loads?: LoadDigest | undefined;
+      /** The voters as the leader knows them. */
+      readonly voters?: readonly NodeId[] | undefined;
     }
   | { readonly kind: 'elsewhere'; readonly parent: NodeId | undefined };
 
