--- a/packages/membership/src/follow.ts
+++ b/packages/membership/src/follow.ts
@@ -4,8 +4,10 @@
 import type { FollowCall, FollowReply, NodeAddress, Transport } from '@tanagercart/protocol';
 import type { History } from './history.js';
 import type { ConfigurationLease, LeaseTiming } from './lease.js';
+import type { Loads } from './loads.js';
 import type { Position } from './position.js';
 import { Reporter } from './report.js';
+import type { KnownVoters } from './voters.js';
 import type { Subtree } from './subtree.js';
 import { ancestors } from './tree.js';
 
@@ -33,6 +35,8 @@
   readonly lease: ConfigurationLease;
   readonly position: Position;
   readonly subtree: Subtree;
+  readonly loads: Loads;
+  readonly voters: KnownVoters;
   readonly clock: Clock;
   readonly timing: LeaseTiming;
   readonly logger: Logger;
@@ -50,6 +54,8 @@
 class Follower {
   private parent: NodeId | undefined;
   private turn = 0;
+  /** The leader at the last choice. */
+  private leader: NodeId | undefined;
   /** A node that another named as the one to follow. */
   private hint: NodeId | undefined;
   private readonly avoided = new Map<NodeId, Millis>();
@@ -111,6 +117,7 @@
       behind: floor < applied ? subtree.behind(floor + 1) : [],
       draining: this.o.draining(),
       leaseLeftMs: this.o.lease.leftMs,
+      loads: this.o.loads.up(),
       ...this.reporter.next(),
     };
   }
@@ -121,6 +128,8 @@
     if (reply.path.includes(self().id)) return this.leave(parent, undefined);
     if (reply.snapshot) history.restore(reply.snapshot);
     for (const { index, bytes } of reply.commands) history.apply(index, bytes);
+    this.o.loads.heardAbove(reply.loads);
+    this.o.voters.told(reply.voters);
     if (reply.wantsFull) this.reporter.startOver();
     position.moved(reply.path);
     if (history.state.index < reply.upTo) return true;
@@ -147,6 +156,9 @@
     const { history, position, seeds, self } = this.o;
     const { leader } = position;
     const own = self().id;
+    // A node that was passed over before it led is worth asking once it does.
+    if (leader && leader !== this.leader) this.avoided.delete(leader);
+    this.leader = leader;
     const above = leader && leader !== own ? ancestors(history.state.nodes, own, leader) : [];
     const usable = above.find((n) => !this.isAvoided(n));
     if (usable) return usable;
--- a/packages/node/src/listeners.ts
+++ b/packages/node/src/listeners.ts
@@ -54,7 +54,8 @@
     limits: p.settings.limits,
     accountLimits: AccountLimits.create(p.limits.limiter),
     upstreamKey: p.upstreamKey,
-    entries: (account) => p.directory.entriesFor(account),
+    entries: (asker) => p.directory.entriesFor(asker),
+    moveOn: (asker) => p.directory.moveOn(asker),
     draining: p.draining,
   });
 }
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -266,7 +266,7 @@
   }
 
   private votersToAsk(): readonly NodeId[] {
-    return leaderFirst(this.o.settings.voters, this.control.followed);
+    return leaderFirst(this.control.voters, this.control.followed);
   }
 
   private createUpstreams(): Upstreams {
@@ -283,6 +283,8 @@
 
   private createDirectory(): Directory {
     return Directory.create({
+      clock: this.o.clock,
+      loads: this.control.loads,
       settings: this.o.settings,
       state: this.history.state,
       upstreams: this.upstreams,
@@ -317,6 +319,7 @@
       clock,
       logger,
       draining: () => this.draining,
+      load: () => this.door.inProgress.count,
       disk: this.o.disk,
       onBroken,
     });
