Claim nothing of earlier copies when a keyed order is refused at the door

Cause: a resend refused as draining or without a lease said not-run, though an earlier copy may have been placed. Change: such refusals say copy-not-run, until the key was looked up in the shared log.

--- a/packages/dispatch/src/refusal.ts
+++ b/packages/dispatch/src/refusal.ts
@@ -6,8 +6,11 @@
 /** Why and how a request was refused. */
 export interface Refusal {
   readonly reason: RefusalReason;
-  /** `not-run` only when nothing was sent that an upstream could have run. */
-  readonly run: 'not-run' | 'unknown';
+  /**
+   * `not-run` only when nothing was sent that an upstream could have run; `copy-not-run` where this
+   * holds for this copy of a keyed call, and nothing is known of earlier ones.
+   */
+  readonly run: 'not-run' | 'copy-not-run' | 'unknown';
   readonly message: string;
   readonly retryAfterMs: Millis | undefined;
 }
--- a/packages/entry/src/services.ts
+++ b/packages/entry/src/services.ts
@@ -28,7 +28,7 @@
 ): Promise<void> {
   const checked = await check(door, req);
   if (checked.isErr()) {
-    door.refuse(res, checked.error);
+    door.refuse(res, ofThisCopy(checked.error, req));
     return;
   }
   const { order, call } = checked.value;
@@ -48,6 +48,16 @@
   res.end(answer.value.body);
 }
 
+/**
+ * A refusal before the shared log was asked. Of a keyed call it tells of this copy alone: an
+ * earlier one under the same key may have been placed.
+ */
+function ofThisCopy(refusal: Refusal, req: IncomingMessage): Refusal {
+  if (req.headers['idempotency-key'] === undefined) return refusal;
+  const message = `${refusal.message}; this copy was not run, an earlier one may have been`;
+  return { ...refusal, run: 'copy-not-run', message };
+}
+
 /** Sends a call; a caller that hangs up cancels it, unless it is an order. */
 function send(
   door: Door,
--- a/packages/entry/test/late.test.ts
+++ b/packages/entry/test/late.test.ts
@@ -78,12 +78,17 @@
 }
 
 /** Sends a request whose body ends only once `meanwhile` has run. */
-async function slowly(path: string, f: ReturnType<typeof fixture>, meanwhile: () => Promise<void>) {
+async function slowly(
+  path: string,
+  f: ReturnType<typeof fixture>,
+  meanwhile: () => Promise<void>,
+  more: Readonly<Record<string, string>> = {},
+) {
   await new Promise<void>((resolve) => {
     f.server.listen(0, '127.0.0.1', resolve);
   });
   const { port } = f.server.address() as AddressInfo;
-  const headers = { authorization: 'Bearer key', 'content-type': 'application/json' };
+  const headers = { authorization: 'Bearer key', 'content-type': 'application/json', ...more };
   const taken = new Promise((resolve) => {
     f.server.once('request', resolve);
   });
@@ -115,6 +120,13 @@
   }
 });
 
+test('a keyed order refused before its key is looked up claims nothing of earlier copies', async () => {
+  const f = fixture();
+  const keyed = { 'idempotency-key': 'trays-17' };
+  const got = await slowly('/v1/services/orders/orders', f, () => f.clock.advance(3000), keyed);
+  assert.deepEqual(got, { status: 503, run: 'copy-not-run' });
+});
+
 test('an account withdrawn while its body is on the way is judged under the new release', async () => {
   const f = fixture();
   const got = await slowly('/v1/completions', f, async () => {
