--- a/packages/entry/src/services.ts
+++ b/packages/entry/src/services.ts
@@ -7,6 +7,7 @@
 import type { Result } from 'neverthrow';
 import { notRun } from '@tanagercart/dispatch';
 import type { Order, Refusal } from '@tanagercart/dispatch';
+import type { RefusalReason } from '@tanagercart/protocol';
 import type { ClientAccount, ServiceCall, Tier } from '@tanagercart/release';
 import type { ServiceAnswer } from '@tanagercart/upstream';
 import { readBody } from './body.js';
@@ -30,7 +31,7 @@
 ): Promise<void> {
   const checked = await check(door, req);
   if (checked.isErr()) {
-    door.refuse(res, checked.error);
+    door.refuse(res, ofThisCopy(checked.error, req));
     return;
   }
   const { order, call } = checked.value;
@@ -41,7 +42,7 @@
     door.refuse(res, notRun('key-required', message), about);
     return;
   }
-  const answer = await sendWithinLimits(door, res, checked.value, String(key));
+  const answer = await sendWithinLimits(door, req, res, checked.value);
   if (answer.isErr()) {
     door.refuse(res, answer.error, about);
     return;
@@ -53,18 +54,32 @@
 /** Sends a call once the limits of its account admit it. */
 async function sendWithinLimits(
   door: Door,
+  req: IncomingMessage,
   res: ServerResponse,
   checked: Checked,
-  key: string,
 ): Promise<Result<ServiceAnswer, Refusal>> {
   const admitted = await door.o.accountLimits.call(checked.account, checked.tier);
-  if (admitted.isErr()) return err(admitted.error);
+  if (admitted.isErr()) return err(ofThisCopy(admitted.error, req));
   const closed = door.closed();
-  const answer = closed ? err(closed) : await send(door, res, checked, key);
+  const key = String(req.headers['idempotency-key']);
+  const answer = closed ? err(ofThisCopy(closed, req)) : await send(door, res, checked, key);
   admitted.value.settle(0);
   return answer;
 }
 
+/** Reasons that lie in the node or the account, so that an earlier copy may have met none of them. */
+const passing: ReadonlySet<RefusalReason> = new Set(['draining', 'no-lease', 'account-limit']);
+
+/**
+ * A refusal before the shared log was asked. Whether a keyed call was run is not known then: an
+ * earlier copy under the same key may have been placed.
+ */
+function ofThisCopy(refusal: Refusal, req: IncomingMessage): Refusal {
+  if (req.headers['idempotency-key'] === undefined || !passing.has(refusal.reason)) return refusal;
+  const message = `${refusal.message}; this copy was not run, an earlier one may have been`;
+  return { ...refusal, run: 'unknown', message };
+}
+
 /** Sends a call; a caller that hangs up cancels it, unless it is an order. */
 function send(
   door: Door,
