Restore the log from one copied data folder

Cause: a copied folder does not vote, so that copies of all voters' folders brought up no leader, and operators could not restore from a backup. Change: 'tanagercart restore' makes one stopped node the only voter, by an entry in a later term behind all that its folder holds; the others start empty and are added one by one.

--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -4,3 +4,4 @@
 export * from './files.js';
 export * from './operator.js';
 export * from './statustable.js';
+export * from './restore.js';
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -5,6 +5,7 @@
 import { wrongUsage } from './exit.js';
 import { LiftCommand, QuarantineCommand } from './quarantine.js';
 import { HistoryCommand, ShowReleaseCommand, SubmitCommand } from './release.js';
+import { RestoreCommand } from './restore.js';
 import { DrainCommand, EntriesCommand, StatusCommand } from './systemcommands.js';
 import { VotersChangeCommand, VotersShowCommand } from './voters.js';
 
@@ -21,6 +22,7 @@
   VotersChangeCommand,
   QuarantineCommand,
   LiftCommand,
+  RestoreCommand,
   DemoCommand,
 ];
 
--- /dev/null
+++ b/packages/cli/src/restore.ts
@@ -0,0 +1,56 @@
+/** `tanagercart restore`: brings the log up again from one copied data folder. */
+
+import { Command, Option } from 'clipanion';
+import { err } from 'neverthrow';
+import type { Result } from 'neverthrow';
+import { BunyanLogger, systemRandom } from '@tanagercart/base';
+import { DiskStore, FileDisk, restoreAlone } from '@tanagercart/log';
+import type { Restored } from '@tanagercart/log';
+import type { Settings } from '@tanagercart/settings';
+import { refusal, success } from './exit.js';
+import { readSettings } from './files.js';
+
+/** Makes a stopped node the only voter, with what its data folder holds. */
+export class RestoreCommand extends Command {
+  static override paths = [['restore']];
+
+  static override usage = Command.Usage({
+    description: 'Make a stopped node the only voter, when too few voters are left to lead',
+    details:
+      'Every other voter must be stopped, and must come back with an empty data folder only. What they had acknowledged beyond this folder is lost.',
+    examples: [['Restore from the folder of n1', 'tanagercart restore --settings n1.toml']],
+  });
+
+  settings = Option.String('--settings', { required: true });
+
+  async execute(): Promise<number> {
+    const settings = await readSettings(this.settings);
+    if (settings.isErr()) return this.refuse(settings.error.join('\n'));
+    const restored = await restoreFolder(settings.value);
+    if (restored.isErr()) return this.refuse(`${this.settings}: ${restored.error}`);
+    const { id } = settings.value.node;
+    const { lastIndex } = restored.value;
+    this.context.stdout.write(
+      `${id} is the only voter, with the log up to ${lastIndex}. Start it, then the others with empty folders, and add them: tanagercart voters add NODE\n`,
+    );
+    return success;
+  }
+
+  private refuse(message: string): number {
+    this.context.stderr.write(`${message}\n`);
+    return refusal;
+  }
+}
+
+/** Restores the data folder that the settings name; the error tells what is wrong. */
+export async function restoreFolder(settings: Settings): Promise<Result<Restored, string>> {
+  const { id, data } = settings.node;
+  if (!data) return err('node.data: the node has no data folder');
+  const disk = await FileDisk.create(data);
+  if (disk.isErr()) return err(`node.data: ${disk.error.file}: ${disk.error.detail}`);
+  const logger = BunyanLogger.create(id, 'error').part('log');
+  const store = await DiskStore.open({ disk: disk.value, random: systemRandom, logger });
+  if (store.isErr()) return err(`node.data: ${store.error.detail}`);
+  const restored = await restoreAlone(store.value, id);
+  return restored.mapErr((e) => `node.data: ${e.detail}`);
+}
--- a/packages/log/src/index.ts
+++ b/packages/log/src/index.ts
@@ -7,3 +7,4 @@
 export type { Applied, ProposeError } from './applier.js';
 export * from './raft.js';
 export * from './cluster.js';
+export * from './restore.js';
--- a/packages/log/test/raft.test.ts
+++ b/packages/log/test/raft.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { NodeId } from '@tanagercart/base';
-import { LogCluster } from '../src/index.js';
+import { NodeId, SeededRandom, silentLogger } from '@tanagercart/base';
+import { DiskStore, LogCluster, MemoryDisk, restoreAlone } from '../src/index.js';
 import type { LogClusterOptions } from '../src/index.js';
 
 const names = ['a', 'b', 'c', 'd', 'e'].map(NodeId);
@@ -173,6 +173,35 @@
   assert.equal(c.raftOf(c.leader!)!.voters.voters.length, 2);
 });
 
+test('one copied folder brings the log up again, and the others are added to it', async () => {
+  const c = await formed(21, 3);
+  await put(c, 'x', 'y');
+  await c.advance(1000);
+  const [one, ...rest] = c.running;
+  const copy = c.diskOf(one!).backup();
+  for (const id of rest) c.replaceDisk(id);
+  c.replaceDisk(one!, copy);
+  const options = { disk: c.diskOf(one!), random: c.random, logger: silentLogger };
+  const store = (await DiskStore.open(options))._unsafeUnwrap();
+  assert.ok((await restoreAlone(store, one!)).isOk());
+  await c.startAll();
+  await put(c, 'z');
+  for (const id of rest) assert.equal((await change(c, 'add', id)).kind, 'changed');
+  await c.advance(1000);
+  assert.deepEqual(
+    c.running.map((n) => c.stateOf(n)),
+    c.running.map(() => ['x', 'y', 'z']),
+  );
+  assert.equal(c.running.length, 3);
+});
+
+test('an empty folder cannot be restored', async () => {
+  const random = SeededRandom.create(1);
+  const options = { disk: MemoryDisk.create(), random, logger: silentLogger };
+  const store = (await DiskStore.open(options))._unsafeUnwrap();
+  assert.ok((await restoreAlone(store, names[0]!)).isErr());
+});
+
 test('a change that would leave no live quorum is refused', async () => {
   const c = await formed(11, 3);
   const [one, two] = others(c);
