Do not send an order whose claim lapsed while its process was frozen

Cause: found by reading. An order that was about to be sent after its claim had lapsed broke an invariant, and stopped the node with all its streams; but a frozen process is no broken invariant. Change: the order is not sent, its claim is freed, and its caller is told that nothing was sent now. Measured: the new test stopped with the broken invariant before, and passes now; the order is placed once by its resend.

--- a/packages/dispatch/src/order.ts
+++ b/packages/dispatch/src/order.ts
@@ -1,6 +1,6 @@
 /** Calls to plain services: repeatable ones are retried, the others are placed at most once. */
 
-import { Bell, digestOf, invariant, unreachable } from '@tanagercart/base';
+import { Bell, digestOf, unreachable } from '@tanagercart/base';
 import type {
   AccountId,
   Clock,
@@ -123,10 +123,11 @@
       else this.close();
       return claimed.kind === 'known' ? answerOf(claimed.outcome) : err(claimed.refusal);
     }
-    invariant(
-      this.o.clock.now() - startedAt < claimLapseMs,
-      'an order is sent before its claim lapses',
-    );
+    // A process that was frozen meanwhile may find its claim lapsed: the order is not sent then.
+    if (this.o.clock.now() - startedAt >= claimLapseMs) {
+      void this.settle(name, claimant, { kind: 'not-run' });
+      return err(unclaimed());
+    }
     const placed = await this.place(order);
     const settled = this.settle(name, claimant, placed.outcome);
     // A caller that is told not-run may send again at once, so the claim is freed first.
