Let any number of tasks wait on the end of a part

Cause: a node has more than ten tasks that wait on one signal, and Node.js warned of a leak that is none. Change: such signals have no bound on their listeners. Measured: the warning stood in the output of the order tests' run of a node before; the test run prints none from the product's own signals after.

--- a/packages/base/src/latch.ts
+++ b/packages/base/src/latch.ts
@@ -1,5 +1,6 @@
 /** Small tools for tasks that wait on one another. */
 
+import { setMaxListeners } from 'node:events';
 import type { Clock, Millis } from './clock.js';
 
 /** Wakes every waiter at once; can be used again after each wake. */
@@ -75,3 +76,10 @@
     while (this.running.size > 0) await Promise.all(this.running);
   }
 }
+
+/** The end of a part of the program, on which any number of its tasks may wait. */
+export function createStop(): AbortController {
+  const stop = new AbortController();
+  setMaxListeners(0, stop.signal);
+  return stop;
+}
--- a/packages/log/src/core.ts
+++ b/packages/log/src/core.ts
@@ -1,6 +1,6 @@
 /** What the tasks of a voter share: its role, its term, and the order of its writes. */
 
-import { Bell, TaskGroup, invariant } from '@tanagercart/base';
+import { Bell, TaskGroup, invariant, createStop } from '@tanagercart/base';
 import type { Millis, NodeId } from '@tanagercart/base';
 import type { Result } from 'neverthrow';
 import type { RaftOptions } from './options.js';
@@ -24,7 +24,7 @@
   readonly wake = Bell.create();
   /** Rings when role, leader, commit index or a peer's progress has changed. */
   readonly changed = Bell.create();
-  readonly stopping = new AbortController();
+  readonly stopping = createStop();
   readonly tasks: TaskGroup;
   readonly voters: VoterSet;
   /** Called when leadership is lost. */
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -4,7 +4,7 @@
 import type { Server } from 'node:http';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
-import { Bell, StatsdMetrics, TaskGroup } from '@tanagercart/base';
+import { Bell, StatsdMetrics, TaskGroup, createStop } from '@tanagercart/base';
 import type { Clock, Logger, Metrics, NodeId } from '@tanagercart/base';
 import { createCallerServer, createOperatorServer } from '@tanagercart/entry';
 import type { Door } from '@tanagercart/entry';
@@ -64,7 +64,7 @@
   readonly history = History.create();
   readonly transport: TcpTransport;
   private readonly pool = createPool();
-  private readonly stopping = new AbortController();
+  private readonly stopping = createStop();
   private readonly tasks: TaskGroup;
   private readonly proposer: Proposer;
   private readonly logger: Logger;
