Grant a replica as soon as its new owner may

Cause: an owner kept what it found for a model until the next command of the log, and with it whether it owned each replica. A new owner may not grant until the old one's grants have lapsed; asked meanwhile, it kept finding nothing, for ever if no command followed. Found by the whole-path runs, which now also race operators' notes and assert that no node takes work under an older release than one reported in force. Ruled out: ownership (it said that the owner may grant), leases (valid), planning (4 replicas). Change: only what depends on the state alone is kept; ownership is asked anew. The new test of the owner is refused before.

--- a/packages/bench/src/soak.ts
+++ b/packages/bench/src/soak.ts
@@ -35,17 +35,18 @@
 }
 
 async function soakWhole(seed: number, numRuns: number): Promise<number> {
-  const total = { answers: 0, orders: 0, mostRunning: 0 };
+  const total = { answers: 0, orders: 0, notes: 0, mostRunning: 0 };
   const property = fc.asyncProperty(wholeSchedules, async (schedule) => {
     const outcome = await runWhole(schedule);
     total.answers += outcome.answers;
     total.orders += outcome.orders;
+    total.notes += outcome.notes;
     total.mostRunning = Math.max(total.mostRunning, outcome.mostRunning);
   });
   const result = await fc.check(property, { seed, numRuns });
   process.stdout.write(
     `whole: seed ${seed}, ${result.numRuns} of ${numRuns} schedules, ${total.answers} answers, ` +
-      `${total.orders} orders, ${total.mostRunning} sequences on one stage at most: ${result.failed ? 'FAILED' : 'no failure'}\n`,
+      `${total.orders} orders, ${total.notes} notes, ${total.mostRunning} sequences on one stage at most: ${result.failed ? 'FAILED' : 'no failure'}\n`,
   );
   return report(result);
 }
--- a/packages/bench/src/whole.ts
+++ b/packages/bench/src/whole.ts
@@ -57,6 +57,10 @@
   /** The first error of a task. */
   broken: unknown;
   readonly net: MemoryNetwork;
+  /** The release that was last reported in force everywhere. */
+  inForce = 0;
+  /** The digest under which each number was accepted. */
+  readonly accepted = new Map<number, string>();
   private readonly shared: WholeShared;
   private stopped = false;
 
@@ -141,9 +145,30 @@
   /** A node that a caller finds ready. */
   anyEntry(): WholeNode | undefined {
     const ready = [...this.nodes.values()].filter((n) => n.ready());
+    for (const { history } of ready) {
+      const { number } = history.state.release;
+      invariant(number >= this.inForce, 'no node takes work under a release older than reported');
+    }
     return ready[Math.floor(this.random.next() * ready.length)];
   }
 
+  /** Submits the next note of `author` through a node, and waits until it is in force. */
+  async submit(node: WholeNode, author: string): Promise<void> {
+    const number = node.history.state.release.number + 1;
+    const note = { ...noteOf(), number, author, added: nothing };
+    const digest = digestOf(`${number} ${author}`);
+    const command = { kind: 'accept-release', note, digest, at: 0 } as const;
+    const submitted = await submitNote(node.proposer, this.clock, command, 5000);
+    if (submitted.isErr() || submitted.value.outcome.kind !== 'release-accepted') return;
+    const known = this.accepted.get(number) ?? digest;
+    invariant(known === digest, 'one note is accepted under a number');
+    this.accepted.set(number, digest);
+    const spread = await node.progress.untilInForce(submitted.value.index, 6000);
+    if (spread.kind === 'in-force' && !node.life.signal.aborted) {
+      this.inForce = Math.max(this.inForce, number);
+    }
+  }
+
   /** Keeps the first error of a task that nothing waits for. */
   watch(task: Promise<void>): void {
     task.catch((error: unknown) => {
@@ -236,8 +261,9 @@
   return dataCentres[i % dataCentres.length]!;
 }
 
+const nothing: ReleaseParts = { priceLists: [], clientAccounts: [], models: [], services: [] };
+
 function noteOf() {
-  const none: ReleaseParts = { priceLists: [], clientAccounts: [], models: [], services: [] };
   const tier = {
     id: TierId('office'),
     urgency: 0,
@@ -265,5 +291,5 @@
     services: [{ id: ServiceId('desk'), calls: [call] }],
   };
   const withdrawn = { priceLists: [], clientAccounts: [], models: [], services: [] };
-  return { number: 1, author: 'bench', added, changed: none, withdrawn };
+  return { number: 1, author: 'bench', added, changed: nothing, withdrawn };
 }
--- a/packages/bench/src/wholeschedule.ts
+++ b/packages/bench/src/wholeschedule.ts
@@ -18,6 +18,7 @@
 const node = fc.nat(nodeCount - 1);
 const stage = fc.nat(replicas * 2 - 1);
 const key = fc.nat(3);
+const author = fc.constantFrom('ann', 'bea');
 
 /** One step of a schedule. */
 type Step =
@@ -26,7 +27,8 @@
   | { readonly kind: 'heal' }
   | { readonly kind: 'loss'; readonly loss: number }
   | { readonly kind: 'kill-stage' | 'revive-stage' | 'slow' | 'fast'; readonly stage: number }
-  | { readonly kind: 'order'; readonly key: number };
+  | { readonly kind: 'order'; readonly key: number }
+  | { readonly kind: 'note'; readonly node: number; readonly author: string };
 
 const step: fc.Arbitrary<Step> = fc.oneof(
   {
@@ -46,6 +48,7 @@
   { weight: 1, arbitrary: fc.record({ kind: fc.constant('slow'), stage }) },
   { weight: 1, arbitrary: fc.record({ kind: fc.constant('fast'), stage }) },
   { weight: 5, arbitrary: fc.record({ kind: fc.constant('order'), key }) },
+  { weight: 5, arbitrary: fc.record({ kind: fc.constant('note'), node, author }) },
 );
 
 /** A schedule: the seed of the network, and the steps. */
@@ -64,6 +67,8 @@
 export interface WholeOutcome {
   readonly answers: number;
   readonly orders: number;
+  /** Numbers under which a note was accepted. */
+  readonly notes: number;
   /** Most sequences that ran on one stage at once. */
   readonly mostRunning: number;
 }
@@ -94,7 +99,7 @@
   const { mostRunning } = w.world;
   await w.stop();
   if (w.broken) throw w.broken as Error;
-  return { answers, orders: sent.size, mostRunning };
+  return { answers, orders: sent.size, notes: w.accepted.size, mostRunning };
 }
 
 async function take(w: Whole, s: Step, sent: Map<string, Sent>): Promise<void> {
@@ -132,11 +137,20 @@
     case 'order':
       w.watch(order(w, `k${s.key}`, sent));
       break;
+    case 'note':
+      submit(w, nameOf(s.node), s.author);
+      break;
     default:
       s satisfies never;
   }
 }
 
+/** Submits a note through a node that runs, cut off or not. */
+function submit(w: Whole, name: string, by: string): void {
+  const entry = w.nodes.get(name);
+  if (entry && !entry.life.signal.aborted) w.watch(w.submit(entry, by));
+}
+
 /** Sends a keyed order, perhaps again, and checks what its answer claims. */
 async function order(w: Whole, k: string, all: Map<string, Sent>): Promise<void> {
   const entry = w.anyEntry();
--- a/packages/scheduling/src/candidates.ts
+++ b/packages/scheduling/src/candidates.ts
@@ -22,10 +22,16 @@
 
 type StageUpstream = Upstream & { readonly stage: Stage };
 
+/** A replica that serves a request, whoever owns it. */
+interface Serving {
+  readonly replica: Replica;
+  readonly upstreams: readonly StageUpstream[];
+}
+
 /** Keeps the load of each replica, and finds those that fit a request. */
 export class Candidates {
   private readonly loads = new Map<ReplicaId, ReplicaLoad>();
-  private readonly found = new Map<string, readonly Candidate[]>();
+  private readonly found = new Map<string, readonly Serving[]>();
   private foundAt = -1;
 
   private constructor(private readonly fleet: Fleet) {}
@@ -49,10 +55,11 @@
     const key = JSON.stringify([call.model, call.version, call.adapter]);
     const known = this.found.get(key) ?? this.find(call);
     this.found.set(key, known);
-    return known.filter(
-      (c) =>
-        !call.avoid.includes(c.replica.id) && !c.upstreams.some((u) => this.fleet.isLeaving(u)),
-    );
+    // Whether a replica may be granted changes with time, not only with the state.
+    return known
+      .filter((s) => !call.avoid.includes(s.replica.id) && this.fleet.owns(s.replica))
+      .filter((s) => !s.upstreams.some((u) => this.fleet.isLeaving(u)))
+      .map((s) => ({ ...s, stages: s.upstreams.map(granted), load: this.loadOf(s) }));
   }
 
   /** Forgets replicas that are gone and hold no grant. */
@@ -70,20 +77,17 @@
     this.foundAt = index;
   }
 
-  private find(call: AcquireCall): readonly Candidate[] {
-    const out: Candidate[] = [];
+  private find(call: AcquireCall): readonly Serving[] {
+    const out: Serving[] = [];
     for (const replica of this.fleet.state.replicas.values()) {
-      if (replica.model !== call.model || !this.fleet.owns(replica)) continue;
+      if (replica.model !== call.model) continue;
       const upstreams = this.stagesOf(replica);
-      if (upstreams?.every((s) => serves(s.stage, call))) {
-        const load = this.loadOf(replica, upstreams);
-        out.push({ replica, upstreams, stages: upstreams.map(granted), load });
-      }
+      if (upstreams?.every((s) => serves(s.stage, call))) out.push({ replica, upstreams });
     }
     return out;
   }
 
-  private loadOf(replica: Replica, stages: readonly StageUpstream[]): ReplicaLoad {
+  private loadOf({ replica, upstreams: stages }: Serving): ReplicaLoad {
     const known = this.loads.get(replica.id);
     if (known) return known;
     const slots = Math.min(...stages.map((s) => s.stage.slots));
--- a/packages/scheduling/test/owner.test.ts
+++ b/packages/scheduling/test/owner.test.ts
@@ -72,14 +72,14 @@
   const clock = HeldClock.create();
   const network = MemoryNetwork.create(clock, SeededRandom.create(1));
   const state = stateOf(slots);
-  const lease = { valid: true };
+  const lease = { valid: true, owns: true };
   const owner = Owner.create({
     self,
     state,
     clock,
     transport: network.attach(self),
     mayGrant: () => lease.valid,
-    owns: () => true,
+    owns: () => lease.owns,
     isLeaving: () => false,
   });
   const transport = network.attach(entry);
@@ -148,6 +148,18 @@
   assert.deepEqual(reply[0], { kind: 'refused', reason: 'no-lease', retryAfterMs: 100 });
 });
 
+test('a replica is granted as soon as its new owner may, though the state stands still', async () => {
+  const { clock, ask, lease } = setUp(1);
+  lease.owns = false;
+  const before = ask('a');
+  await clock.advance(2);
+  assert.equal(before[0]?.kind, 'refused');
+  lease.owns = true;
+  const after = ask('b');
+  await clock.advance(2);
+  assert.equal(after[0]?.kind, 'granted');
+});
+
 test('a call that is repeated gets the same grant', async () => {
   const { clock, ask, owner } = setUp(2);
   const first = ask('a');
