Name what the listeners share an entry, and its operators' part operations

Cause: 'Door' and 'ReleaseDesk' were metaphors of our own. Change: 'Entry' and 'ReleaseOperations'; nothing else. Measured: tests as before.

--- a/packages/entry/src/answers.ts
+++ b/packages/entry/src/answers.ts
@@ -13,7 +13,7 @@
 import { parseAnswerRequest } from './chat.js';
 import type { AnswerKind, AnswerRequest } from './chat.js';
 import { Delivery } from './delivery.js';
-import type { Door } from './door.js';
+import type { Entry } from './entry.js';
 import { AnswerWriter } from './writer.js';
 
 /** Answer tokens where the caller names no limit. */
@@ -27,24 +27,24 @@
 
 /** Answers one request for an answer. */
 export async function answerRequest(
-  door: Door,
+  entry: Entry,
   kind: AnswerKind,
   req: IncomingMessage,
   res: ServerResponse,
 ): Promise<void> {
-  const checked = await check(door, kind, req);
+  const checked = await check(entry, kind, req);
   if (checked.isErr()) {
-    door.refuse(res, checked.error, { account: door.account(req)?.id });
+    entry.refuse(res, checked.error, { account: entry.account(req)?.id });
     return;
   }
   const { asked, generation, admission } = checked.value;
   const hangUp = new AbortController();
   res.on('close', () => hangUp.abort());
-  const created = Math.floor(door.o.clock.wall() / 1000);
+  const created = Math.floor(entry.o.clock.wall() / 1000);
   const writer = AnswerWriter.create(kind, generation.id, asked.model, created);
   res.setHeader(modelHeader, modelOf(generation));
-  const pieces = door.o.dispatch.generate(generation, hangUp.signal);
-  const delivery = Delivery.create({ door, res, writer, asked, generation });
+  const pieces = entry.o.dispatch.generate(generation, hangUp.signal);
+  const delivery = Delivery.create({ entry, res, writer, asked, generation });
   try {
     await (asked.stream ? delivery.stream(pieces) : delivery.whole(pieces));
   } finally {
@@ -59,38 +59,38 @@
 }
 
 async function check(
-  door: Door,
+  entry: Entry,
   kind: AnswerKind,
   req: IncomingMessage,
 ): Promise<Result<Checked, Refusal>> {
-  const early = door.admit(req);
+  const early = entry.admit(req);
   if (early.isErr()) return err(early.error);
-  const body = await readBody(req, door.o.limits.bodyBytes);
+  const body = await readBody(req, entry.o.limits.bodyBytes);
   if (body.isErr()) {
-    return err(notRun('too-large', `a body may have ${door.o.limits.bodyBytes} bytes`));
+    return err(notRun('too-large', `a body may have ${entry.o.limits.bodyBytes} bytes`));
   }
   const asked = parseAnswerRequest(kind, parseJson(body.value));
   if (asked.isErr()) return err(notRun(asked.error.reason, asked.error.message));
-  const admitted = await admit(door, req, asked.value);
+  const admitted = await admit(entry, req, asked.value);
   return admitted.map((a) => ({ ...a, asked: asked.value }));
 }
 
 /** Judges a request, and admits it within its limits, under the release that is in force then. */
 async function admit(
-  door: Door,
+  entry: Entry,
   req: IncomingMessage,
   asked: AnswerRequest,
 ): Promise<Result<Omit<Checked, 'asked'>, Refusal>> {
   for (;;) {
-    const account = door.admit(req);
+    const account = entry.admit(req);
     if (account.isErr()) return err(account.error);
-    const judged = judge(door, account.value, asked, req.headers[tierHeader]);
+    const judged = judge(entry, account.value, asked, req.headers[tierHeader]);
     if (judged.isErr()) return err(judged.error);
-    const admitted = await door.o.accountLimits.answer(judged.value);
+    const admitted = await entry.o.accountLimits.answer(judged.value);
     if (admitted.isErr()) return err(admitted.error);
     const [generation, admission] = [judged.value, admitted.value];
-    const closed = door.closed();
-    if (!closed && door.o.state.release.number === generation.release) {
+    const closed = entry.closed();
+    if (!closed && entry.o.state.release.number === generation.release) {
       return ok({ generation, admission });
     }
     admission.settle(0);
@@ -100,12 +100,12 @@
 
 /** Judges a request under the release in force. */
 function judge(
-  door: Door,
+  entry: Entry,
   account: ClientAccount,
   asked: AnswerRequest,
   tierName: string | string[] | undefined,
 ): Result<Generation, Refusal> {
-  const { state, limits } = door.o;
+  const { state, limits } = entry.o;
   const { release } = state;
   const tier = release.tierOf(
     account,
@@ -148,7 +148,7 @@
     maxTokens,
     passed: asked.resume,
   };
-  if (state.quarantine.holds(fingerprintOf(generation), door.o.clock.wall())) {
+  if (state.quarantine.holds(fingerprintOf(generation), entry.o.clock.wall())) {
     return err(notRun('quarantined', 'this request has crashed the upstreams that ran it'));
   }
   return ok(generation);
--- a/packages/entry/src/badrequest.ts
+++ b/packages/entry/src/badrequest.ts
@@ -4,26 +4,26 @@
 import type { Duplex } from 'node:stream';
 import { notRun } from '@tanagercart/dispatch';
 import type { Refusal } from '@tanagercart/dispatch';
-import type { Door } from './door.js';
+import type { Entry } from './entry.js';
 import { refusalBody, statusOfRefusal } from './refuse.js';
 
 /** Code of the error for a request that took too long to arrive. */
 export const requestTimeoutCode = 'ERR_HTTP_REQUEST_TIMEOUT';
 
 /** Refuses what arrived on a connection, and closes it. */
-export function answerBadRequest(door: Door, error: Error, socket: Duplex): void {
+export function answerBadRequest(entry: Entry, error: Error, socket: Duplex): void {
   const { code } = error as { readonly code?: string };
   if (!socket.writable || code === 'ECONNRESET') {
     socket.destroy();
     return;
   }
-  const refusal = refusalOf(door, code);
-  door.note(refusal, {});
+  const refusal = refusalOf(entry, code);
+  entry.note(refusal, {});
   socket.end(textOf(refusal));
 }
 
-function refusalOf(door: Door, code = ''): Refusal {
-  const { headerBytes, requestMs } = door.o.limits;
+function refusalOf(entry: Entry, code = ''): Refusal {
+  const { headerBytes, requestMs } = entry.o.limits;
   switch (code) {
     case 'HPE_HEADER_OVERFLOW':
       return notRun('headers-too-large', `the head of a request may have ${headerBytes} bytes`);
--- a/packages/entry/src/callers.ts
+++ b/packages/entry/src/callers.ts
@@ -11,13 +11,13 @@
 import { carriesKey } from './bearer.js';
 import { parseJson, readBody, sendJson } from './body.js';
 import { answerBadRequest, requestTimeoutCode } from './badrequest.js';
-import type { Door } from './door.js';
+import type { Entry } from './entry.js';
 import { sendModels } from './models.js';
 import { answerService, servicesPath } from './services.js';
 
 /** Creates the listener; it is not yet listening. */
-export function createCallerServer(door: Door, onBroken: (error: unknown) => void): Server {
-  const { requestMs, headerBytes } = door.o.limits;
+export function createCallerServer(entry: Entry, onBroken: (error: unknown) => void): Server {
+  const { requestMs, headerBytes } = entry.o.limits;
   const options = {
     requestTimeout: requestMs,
     headersTimeout: requestMs,
@@ -33,84 +33,84 @@
     const closed = new Promise((resolve) => {
       res.on('close', resolve);
     });
-    const served = serve(door, req, res, onBroken);
-    void door.inProgress.during(Promise.all([served, closed]));
+    const served = serve(entry, req, res, onBroken);
+    void entry.inProgress.during(Promise.all([served, closed]));
   });
   server.on('clientError', (error, socket) => {
     const late = (error as { readonly code?: string }).code === requestTimeoutCode;
     if (late && answered.has(socket)) socket.destroy();
-    else answerBadRequest(door, error, socket);
+    else answerBadRequest(entry, error, socket);
   });
   return server;
 }
 
 /** Serves one request; a bug ends this request alone, a broken invariant the process. */
 async function serve(
-  door: Door,
+  entry: Entry,
   req: IncomingMessage,
   res: ServerResponse,
   onBroken: (error: unknown) => void,
 ): Promise<void> {
   try {
-    await route(door, req, res);
+    await route(entry, req, res);
   } catch (error) {
     if (error instanceof BrokenInvariant) onBroken(error);
     if (req.destroyed && !req.complete) return;
-    const about = { account: door.account(req)?.id };
+    const about = { account: entry.account(req)?.id };
     const detail = String((error as Error).stack ?? error);
-    door.o.logger.error('A request failed.', { ...about, error: detail });
+    entry.o.logger.error('A request failed.', { ...about, error: detail });
     const refusal = maybeRun('internal', 'the request met a fault of this node');
     if (!res.headersSent) {
-      door.refuse(res, refusal, about);
+      entry.refuse(res, refusal, about);
       return;
     }
-    door.note(refusal, about);
+    entry.note(refusal, about);
     res.destroy();
   }
 }
 
-async function route(door: Door, req: IncomingMessage, res: ServerResponse): Promise<void> {
+async function route(entry: Entry, req: IncomingMessage, res: ServerResponse): Promise<void> {
   const url = req.url ?? '';
   const [path = ''] = url.split('?', 1);
-  if (req.method === 'POST' && path.startsWith('/v1/')) door.advise(req, res);
-  if (path.startsWith(servicesPath)) return answerService(door, req, res);
+  if (req.method === 'POST' && path.startsWith('/v1/')) entry.advise(req, res);
+  if (path.startsWith(servicesPath)) return answerService(entry, req, res);
   switch (`${req.method} ${path}`) {
     case 'POST /v1/chat/completions':
-      return answerRequest(door, 'chat', req, res);
+      return answerRequest(entry, 'chat', req, res);
     case 'POST /v1/completions':
-      return answerRequest(door, 'completion', req, res);
+      return answerRequest(entry, 'completion', req, res);
     case 'GET /v1/entries':
-      return sendEntries(door, req, res);
+      return sendEntries(entry, req, res);
     case 'POST /upstreams/v1/announce':
-      return takeAnnouncement(door, req, res);
+      return takeAnnouncement(entry, req, res);
     default:
       if (req.method === 'GET' && path.startsWith('/v1/models')) {
-        return sendModels(door, req, res, path);
+        return sendModels(entry, req, res, path);
       }
-      return door.refuse(res, notRun('not-found', `no ${req.method} ${path}`));
+      return entry.refuse(res, notRun('not-found', `no ${req.method} ${path}`));
   }
 }
 
-function sendEntries(door: Door, req: IncomingMessage, res: ServerResponse): void {
-  const { entries, lifetimeMs } = door.o.entries(askerOf(req, door.account(req)?.id));
+function sendEntries(entry: Entry, req: IncomingMessage, res: ServerResponse): void {
+  const { entries, lifetimeMs } = entry.o.entries(askerOf(req, entry.account(req)?.id));
   sendJson(res, 200, { entries, lifetimeSeconds: Math.ceil(lifetimeMs / 1000) });
 }
 
 async function takeAnnouncement(
-  door: Door,
+  entry: Entry,
   req: IncomingMessage,
   res: ServerResponse,
 ): Promise<void> {
-  const { upstreamKey, limits, upstreams } = door.o;
+  const { upstreamKey, limits, upstreams } = entry.o;
   if (upstreamKey !== undefined && !carriesKey(req, upstreamKey)) {
-    door.refuse(res, notRun('unauthorised', "the upstreams' key is required"));
+    entry.refuse(res, notRun('unauthorised', "the upstreams' key is required"));
     return;
   }
   const body = await readBody(req, limits.bodyBytes);
   const parsed = body.isOk() ? parseAnnouncement(parseJson(body.value)) : undefined;
   if (!parsed?.isOk()) {
     const message = parsed?.isErr() ? parsed.error : 'the announcement is too large';
-    door.refuse(res, notRun('malformed', message));
+    entry.refuse(res, notRun('malformed', message));
     return;
   }
   const reply = await upstreams.announced(parsed.value);
--- a/packages/entry/src/delivery.ts
+++ b/packages/entry/src/delivery.ts
@@ -7,7 +7,7 @@
 import type { FinishReason } from '@tanagercart/upstream';
 import { sendJson } from './body.js';
 import type { AnswerRequest } from './chat.js';
-import type { About, Door } from './door.js';
+import type { About, Entry } from './entry.js';
 import { refusalBody } from './refuse.js';
 import { hasRoom, hasTaken } from './room.js';
 import { StopFilter } from './stop.js';
@@ -15,7 +15,7 @@
 
 /** What a delivery needs. */
 export interface DeliveryOptions {
-  readonly door: Door;
+  readonly entry: Entry;
   readonly res: ServerResponse;
   readonly writer: AnswerWriter;
   readonly asked: AnswerRequest;
@@ -44,15 +44,15 @@
 
   /** Sends each piece as it comes; leaving the loop early cancels the work at the engines. */
   async stream(pieces: AsyncIterable<Piece>): Promise<void> {
-    const { door, res } = this.o;
+    const { entry, res } = this.o;
     for await (const piece of pieces) {
       if (piece.kind === 'refused' && !res.headersSent) {
-        door.refuse(res, piece.refusal, this.about);
+        entry.refuse(res, piece.refusal, this.about);
         return;
       }
       if (!res.headersSent) this.head();
       const ended = this.write(piece);
-      if (!(await hasRoom(res, door.o.clock, door.o.limits.unreadMs))) {
+      if (!(await hasRoom(res, entry.o.clock, entry.o.limits.unreadMs))) {
         this.cut();
         return;
       }
@@ -76,7 +76,7 @@
         case 'end':
           return this.sendWhole(text + this.filter.flush(), piece.reason);
         case 'refused':
-          this.o.door.refuse(this.o.res, piece.refusal, this.about);
+          this.o.entry.refuse(this.o.res, piece.refusal, this.about);
           return undefined;
         default:
           return unreachable(piece);
@@ -101,7 +101,7 @@
       case 'end':
         return this.writeEnd(this.filter.flush(), piece.reason);
       case 'refused':
-        this.o.door.note(piece.refusal, this.about);
+        this.o.entry.note(piece.refusal, this.about);
         this.event(refusalBody(piece.refusal, []));
         return true;
       default:
@@ -153,20 +153,20 @@
   }
 
   private noteAnswered(): void {
-    this.o.door.o.metrics.count('answered');
-    this.o.door.o.logger.debug('Answered.', { ...this.about, tokens: this.tokens });
+    this.o.entry.o.metrics.count('answered');
+    this.o.entry.o.logger.debug('Answered.', { ...this.about, tokens: this.tokens });
   }
 
   private async untilTaken(): Promise<void> {
-    const { door, res } = this.o;
-    if (!(await hasTaken(res, door.o.clock, door.o.limits.unreadMs))) this.cut();
+    const { entry, res } = this.o;
+    if (!(await hasTaken(res, entry.o.clock, entry.o.limits.unreadMs))) this.cut();
   }
 
   /** Cuts off a caller that does not read its answer. */
   private cut(): void {
-    const { door, res } = this.o;
-    const ms = door.o.limits.unreadMs;
-    door.note(maybeRun('slow-reader', `the answer was left unread for ${ms} ms`), this.about);
+    const { entry, res } = this.o;
+    const ms = entry.o.limits.unreadMs;
+    entry.note(maybeRun('slow-reader', `the answer was left unread for ${ms} ms`), this.about);
     res.destroy();
   }
 }
--- a/packages/entry/src/door.ts
+++ b/packages/entry/src/entry.ts
@@ -34,7 +34,7 @@
 }
 
 /** What the callers' listener needs. */
-export interface DoorOptions {
+export interface EntryOptions {
   readonly self: NodeId;
   readonly state: SharedState;
   readonly lease: ConfigurationLease;
@@ -62,13 +62,13 @@
 }
 
 /** Decides on new work and refuses it where it cannot be taken. */
-export class Door {
+export class Entry {
   readonly inProgress = InProgress.create();
 
-  private constructor(readonly o: DoorOptions) {}
+  private constructor(readonly o: EntryOptions) {}
 
-  static create(options: DoorOptions): Door {
-    return new Door(options);
+  static create(options: EntryOptions): Entry {
+    return new Entry(options);
   }
 
   /** The account that the caller's key belongs to. */
--- a/packages/entry/src/models.ts
+++ b/packages/entry/src/models.ts
@@ -4,22 +4,22 @@
 import { notRun } from '@tanagercart/dispatch';
 import type { Model } from '@tanagercart/release';
 import { sendJson } from './body.js';
-import type { Door } from './door.js';
+import type { Entry } from './entry.js';
 
 const path = '/v1/models';
 
 /** Sends the list of models, or one of them. */
 export function sendModels(
-  door: Door,
+  entry: Entry,
   req: IncomingMessage,
   res: ServerResponse,
   asked: string,
 ): void {
-  if (!door.account(req)) {
-    door.refuse(res, notRun('unauthorised', 'no account has this key'));
+  if (!entry.account(req)) {
+    entry.refuse(res, notRun('unauthorised', 'no account has this key'));
     return;
   }
-  const models = [...door.o.state.release.models.values()];
+  const models = [...entry.o.state.release.models.values()];
   const data = models.flatMap(namesOf).map(modelObject);
   if (asked === path) {
     sendJson(res, 200, { object: 'list', data });
@@ -28,7 +28,7 @@
   const name = asked.slice(path.length + 1);
   const one = data.find((m) => m.id === name || encodeURIComponent(m.id) === name);
   if (one) sendJson(res, 200, one);
-  else door.refuse(res, notRun('unknown-model', `no model "${name}"`));
+  else entry.refuse(res, notRun('unknown-model', `no model "${name}"`));
 }
 
 /** `model` for its newest version, `model:version`, and `model:version:adapter`. */
--- a/packages/entry/src/operators.ts
+++ b/packages/entry/src/operators.ts
@@ -8,7 +8,7 @@
 import { sendJson } from './body.js';
 import { liftQuarantine, listQuarantine } from './quarantine.js';
 import { listReleases, showRelease, submitRelease, tryRelease } from './releases.js';
-import type { ReleaseDesk } from './releases.js';
+import type { ReleaseOperations } from './releases.js';
 import { changeVoters, showVoters } from './voters.js';
 import type { VoterChangeOptions } from './voters.js';
 
@@ -28,7 +28,7 @@
 }
 
 /** What the operators' listener needs. */
-export interface OperatorOptions extends ReleaseDesk, VoterChangeOptions {
+export interface OperatorOptions extends ReleaseOperations, VoterChangeOptions {
   readonly self: NodeId;
   readonly key: string;
   readonly status: () => StatusReport;
--- a/packages/entry/src/releases.ts
+++ b/packages/entry/src/releases.ts
@@ -22,7 +22,7 @@
 const noteBytes = 8 * 1024 * 1024;
 
 /** What the operators' view of releases needs. */
-export interface ReleaseDesk {
+export interface ReleaseOperations {
   readonly state: SharedState;
   readonly proposer: Proposer;
   readonly progress: Progress;
@@ -37,7 +37,7 @@
 
 /** Accepts a note and waits until it is in force everywhere, or says what is known. */
 export async function submitRelease(
-  o: ReleaseDesk,
+  o: ReleaseOperations,
   req: IncomingMessage,
   res: ServerResponse,
 ): Promise<void> {
@@ -63,7 +63,7 @@
 
 /** Checks a note against the release that this node holds, and shows the difference. */
 export async function tryRelease(
-  o: ReleaseDesk,
+  o: ReleaseOperations,
   req: IncomingMessage,
   res: ServerResponse,
 ): Promise<void> {
@@ -86,7 +86,7 @@
 }
 
 /** Shows the release in force, or one recent note where `number` is given. */
-export function showRelease(o: ReleaseDesk, res: ServerResponse, number?: number): void {
+export function showRelease(o: ReleaseOperations, res: ServerResponse, number?: number): void {
   const { release, releases } = o.state;
   if (number === undefined) {
     const inForce = releases.accepted.at(-1);
@@ -103,7 +103,7 @@
 }
 
 /** Lists the recent notes without their content, oldest first. */
-export function listReleases(o: ReleaseDesk, res: ServerResponse): void {
+export function listReleases(o: ReleaseOperations, res: ServerResponse): void {
   sendJson(res, 200, { notes: o.state.releases.accepted });
 }
 
@@ -127,7 +127,7 @@
 }
 
 async function sendOutcome(
-  o: ReleaseDesk,
+  o: ReleaseOperations,
   res: ServerResponse,
   submitted: Submitted,
   outcome: ReleaseOutcome,
--- a/packages/entry/src/services.ts
+++ b/packages/entry/src/services.ts
@@ -11,7 +11,7 @@
 import type { ClientAccount, ServiceCall, Tier } from '@tanagercart/release';
 import type { ServiceAnswer } from '@tanagercart/upstream';
 import { readBody } from './body.js';
-import type { Door } from './door.js';
+import type { Entry } from './entry.js';
 
 /** Path under which services stand. */
 export const servicesPath = '/v1/services/';
@@ -25,13 +25,13 @@
 
 /** Answers one call to a service. */
 export async function answerService(
-  door: Door,
+  entry: Entry,
   req: IncomingMessage,
   res: ServerResponse,
 ): Promise<void> {
-  const checked = await check(door, req);
+  const checked = await check(entry, req);
   if (checked.isErr()) {
-    door.refuse(res, ofThisCopy(checked.error, req));
+    entry.refuse(res, ofThisCopy(checked.error, req));
     return;
   }
   const { order, call } = checked.value;
@@ -39,12 +39,12 @@
   const key = req.headers['idempotency-key'];
   if (!call.repeatable && !key) {
     const message = 'this call may not be repeated: an Idempotency-Key is required';
-    door.refuse(res, notRun('key-required', message), about);
+    entry.refuse(res, notRun('key-required', message), about);
     return;
   }
-  const answer = await sendWithinLimits(door, req, res, checked.value);
+  const answer = await sendWithinLimits(entry, req, res, checked.value);
   if (answer.isErr()) {
-    door.refuse(res, answer.error, about);
+    entry.refuse(res, answer.error, about);
     return;
   }
   res.writeHead(answer.value.status, { 'content-type': answer.value.contentType });
@@ -53,16 +53,16 @@
 
 /** Sends a call once the limits of its account admit it. */
 async function sendWithinLimits(
-  door: Door,
+  entry: Entry,
   req: IncomingMessage,
   res: ServerResponse,
   checked: Checked,
 ): Promise<Result<ServiceAnswer, Refusal>> {
-  const admitted = await door.o.accountLimits.call(checked.account, checked.tier);
+  const admitted = await entry.o.accountLimits.call(checked.account, checked.tier);
   if (admitted.isErr()) return err(ofThisCopy(admitted.error, req));
-  const closed = door.closed();
+  const closed = entry.closed();
   const key = String(req.headers['idempotency-key']);
-  const answer = closed ? err(ofThisCopy(closed, req)) : await send(door, res, checked, key);
+  const answer = closed ? err(ofThisCopy(closed, req)) : await send(entry, res, checked, key);
   admitted.value.settle(0);
   return answer;
 }
@@ -82,34 +82,34 @@
 
 /** Sends a call; a caller that hangs up cancels it, unless it is an order. */
 function send(
-  door: Door,
+  entry: Entry,
   res: ServerResponse,
   { order, call }: Checked,
   key: string,
 ): Promise<Result<ServiceAnswer, Refusal>> {
-  const { orders } = door.o;
+  const { orders } = entry.o;
   if (!call.repeatable) return orders.once(order, key);
   const hangUp = new AbortController();
   res.on('close', () => hangUp.abort());
   return orders.repeatable(order, hangUp.signal);
 }
 
-async function check(door: Door, req: IncomingMessage): Promise<Result<Checked, Refusal>> {
-  const early = door.admit(req);
+async function check(entry: Entry, req: IncomingMessage): Promise<Result<Checked, Refusal>> {
+  const early = entry.admit(req);
   if (early.isErr()) return err(early.error);
-  const body = await readBody(req, door.o.limits.bodyBytes);
+  const body = await readBody(req, entry.o.limits.bodyBytes);
   if (body.isErr()) {
-    return err(notRun('too-large', `a body may have ${door.o.limits.bodyBytes} bytes`));
+    return err(notRun('too-large', `a body may have ${entry.o.limits.bodyBytes} bytes`));
   }
-  const admitted = door.admit(req);
+  const admitted = entry.admit(req);
   if (admitted.isErr()) return err(admitted.error);
   const account = admitted.value;
-  const tier = door.o.state.release.tierOf(account);
+  const tier = entry.o.state.release.tierOf(account);
   if (!tier) return err(notRun('unknown-tier', 'the default tier of the account does not stand'));
   const rest = (req.url ?? '').slice(servicesPath.length);
   const [name = ''] = rest.split(/[/?]/, 1);
   const path = rest.slice(name.length) || '/';
-  const service = door.o.state.release.services.get(ServiceId(name));
+  const service = entry.o.state.release.services.get(ServiceId(name));
   const call = service?.calls.find((c) => c.method === req.method && matches(c.path, path));
   if (!call) {
     return err(notRun('unknown-service', `no call ${req.method} ${path} of service "${name}"`));
--- a/packages/entry/test/callers.test.ts
+++ b/packages/entry/test/callers.test.ts
@@ -18,8 +18,8 @@
 import type { Generation, Piece } from '@tanagercart/dispatch';
 import { ConfigurationLease } from '@tanagercart/membership';
 import { applyNote, parseNote, Release } from '@tanagercart/release';
-import { Door, createCallerServer } from '../src/index.js';
-import type { CallerLimits, DoorOptions } from '../src/index.js';
+import { Entry, createCallerServer } from '../src/index.js';
+import type { CallerLimits, EntryOptions } from '../src/index.js';
 import { unlimited } from './unlimited.js';
 
 const key = 'a-grower-key';
@@ -71,7 +71,7 @@
   readonly generate?: Generate;
   readonly limits?: Partial<CallerLimits>;
   readonly logger?: Logger;
-  readonly more?: Partial<DoorOptions>;
+  readonly more?: Partial<EntryOptions>;
 }
 
 /** A listener whose answers come from `generate`. */
@@ -81,7 +81,7 @@
   lease.renew(1e9);
   const metrics = StatsdMetrics.create();
   const broken: unknown[] = [];
-  const door = Door.create({
+  const entry = Entry.create({
     self: NodeId('n1'),
     state: { release, quarantine: { holds: () => false } },
     lease,
@@ -95,8 +95,8 @@
     accountLimits: unlimited,
     draining: () => false,
     ...s.more,
-  } as unknown as DoorOptions);
-  const server = createCallerServer(door, (e) => broken.push(e));
+  } as unknown as EntryOptions);
+  const server = createCallerServer(entry, (e) => broken.push(e));
   await new Promise<void>((resolve) => {
     server.listen(0, '127.0.0.1', resolve);
   });
@@ -104,7 +104,7 @@
     server.closeAllConnections();
     server.close();
   });
-  return { clock, metrics, broken, door, server };
+  return { clock, metrics, broken, entry, server };
 }
 
 const portOf = (server: Server) => (server.address() as AddressInfo).port;
@@ -177,12 +177,12 @@
       ended = true;
     }
   }
-  const { server, clock, metrics, door } = await open(t, { generate: endless });
+  const { server, clock, metrics, entry } = await open(t, { generate: endless });
   const res = await begin(server, {}, JSON.stringify({ ...asked, stream: true }));
   res.pause();
   res.on('error', () => undefined);
   while (!ended) await clock.advance(100);
-  await door.inProgress.untilIdle();
+  await entry.inProgress.untilIdle();
   assert.equal(metrics.read('refused', { reason: 'slow-reader' }), 1);
 });
 
@@ -195,11 +195,11 @@
       s.addEventListener('abort', resolve);
     });
   }
-  const { server, door } = await open(t, { generate: silent });
+  const { server, entry } = await open(t, { generate: silent });
   const res = await begin(server, {}, JSON.stringify({ ...asked, stream: true }));
   res.on('error', () => undefined);
   res.destroy();
-  await door.inProgress.untilIdle();
+  await entry.inProgress.untilIdle();
   assert.equal(signal!.aborted, true);
 });
 
--- a/packages/entry/test/late.test.ts
+++ b/packages/entry/test/late.test.ts
@@ -14,8 +14,8 @@
 } from '@tanagercart/base';
 import { ConfigurationLease } from '@tanagercart/membership';
 import { SharedState } from '@tanagercart/state';
-import { Door, createCallerServer } from '../src/index.js';
-import type { DoorOptions } from '../src/index.js';
+import { Entry, createCallerServer } from '../src/index.js';
+import type { EntryOptions } from '../src/index.js';
 import { unlimited } from './unlimited.js';
 
 const none = { priceLists: [], clientAccounts: [], models: [], services: [] };
@@ -52,7 +52,7 @@
   state.apply(1, { kind: 'accept-release', note, digest: digestOf('1'), at: 0 });
   const lease = ConfigurationLease.create(clock);
   lease.renew(2000);
-  const door = Door.create({
+  const entry = Entry.create({
     self: NodeId('n1'),
     state,
     lease,
@@ -71,9 +71,9 @@
     moveOn: () => undefined,
     accountLimits: unlimited,
     draining: () => false,
-  } as unknown as DoorOptions);
+  } as unknown as EntryOptions);
   const broken: unknown[] = [];
-  const server = createCallerServer(door, (error) => {
+  const server = createCallerServer(entry, (error) => {
     broken.push(error);
     server.closeAllConnections();
   });
--- a/packages/node/src/listeners.ts
+++ b/packages/node/src/listeners.ts
@@ -3,7 +3,7 @@
 import { rendezvous, systemRandom } from '@tanagercart/base';
 import type { Clock, Logger, Metrics, NodeId } from '@tanagercart/base';
 import { Dispatch, Gate, Orders } from '@tanagercart/dispatch';
-import { AccountLimits, Door } from '@tanagercart/entry';
+import { AccountLimits, Entry } from '@tanagercart/entry';
 import type { StatusReport } from '@tanagercart/entry';
 import type { ConfigurationLease, Upstreams } from '@tanagercart/membership';
 import type { Transport, VoterConfig } from '@tanagercart/protocol';
@@ -37,11 +37,11 @@
 }
 
 /** Creates what callers reach. */
-export function createDoor(p: Parts): Door {
+export function createEntry(p: Parts): Entry {
   const { state, clock, transport } = p;
   Gate.create({ state, clock, transport, isUp: (node) => state.nodes.has(node) });
   const proposals = Batches.create(p.proposer, clock);
-  return Door.create({
+  return Entry.create({
     self: p.settings.node.id,
     state: p.state,
     lease: p.lease,
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -7,7 +7,7 @@
 import { Bell, StatsdMetrics, TaskGroup, createStop } from '@tanagercart/base';
 import type { Clock, Logger, Metrics, NodeId } from '@tanagercart/base';
 import { createCallerServer, createOperatorServer } from '@tanagercart/entry';
-import type { Door } from '@tanagercart/entry';
+import type { Entry } from '@tanagercart/entry';
 import {
   History,
   Ownership,
@@ -32,7 +32,7 @@
 import { Directory } from './directory.js';
 import { reportGauges } from './gauges.js';
 import { NodeLimits } from './limits.js';
-import { createDoor, statusOf } from './listeners.js';
+import { createEntry, statusOf } from './listeners.js';
 import type { Parts } from './listeners.js';
 import { close, listen } from './server.js';
 
@@ -76,7 +76,7 @@
   private readonly incarnation = randomUUID();
   private readonly owner: Owner;
   private readonly limits: NodeLimits;
-  private readonly door: Door;
+  private readonly entry: Entry;
   private readonly callers: Server;
   private readonly operators: Server;
   /** Addresses of the node, as it tells the others. */
@@ -102,8 +102,8 @@
     this.owner = this.createOwner();
     this.limits = this.createLimits();
     const parts = this.parts();
-    this.door = createDoor(parts);
-    this.callers = createCallerServer(this.door, onBroken);
+    this.entry = createEntry(parts);
+    this.callers = createCallerServer(this.entry, onBroken);
     this.operators = createOperatorServer(this.operatorOptions(parts), onBroken);
   }
 
@@ -186,8 +186,8 @@
     this.logger.info('Draining.');
     this.draining = true;
     await this.untilTakenOut();
-    await this.door.inProgress.untilIdle();
-    await this.door.o.orders.untilSettled();
+    await this.entry.inProgress.untilIdle();
+    await this.entry.o.orders.untilSettled();
     await this.control.handOver();
     this.logger.info('Drained.', { grantsLeft: this.owner.inUse });
     await this.stop();
@@ -319,7 +319,7 @@
       clock,
       logger,
       draining: () => this.draining,
-      load: () => this.door.inProgress.count,
+      load: () => this.entry.inProgress.count,
       disk: this.o.disk,
       onBroken,
     });
@@ -356,9 +356,9 @@
   }
 
   private gaugeSource() {
-    const { metrics, lease, owner, door } = this;
+    const { metrics, lease, owner, entry } = this;
     const { state } = this.history;
-    return { clock: this.o.clock, metrics, lease, state, owner, inProgress: door.inProgress };
+    return { clock: this.o.clock, metrics, lease, state, owner, inProgress: entry.inProgress };
   }
 
   private createLimits(): NodeLimits {
