Show the queues of each tier in the status and the gauges

Cause: owners could tell what waits and runs by tier, and nothing asked them. Measured: with stalled engines the status shows one running request of tier urgent; the table printed no queues before.

--- a/packages/cli/src/statustable.ts
+++ b/packages/cli/src/statustable.ts
@@ -26,7 +26,11 @@
     readonly dataCentre: string;
     readonly url: string;
   }[];
-  readonly queues?: readonly { readonly tier: string; readonly waiting: number }[];
+  readonly queues?: readonly {
+    readonly tier: string;
+    readonly waiting: number;
+    readonly running: number;
+  }[];
 }
 
 /** A table for each kind of thing in `s`. */
@@ -39,14 +43,14 @@
   const nodes = s.nodes.map((n) => [n.id, n.dataCentre, role(n.id), n.entry]);
   const replicas = s.replicas.map((r) => [r.id, r.model, r.owner ?? '-', r.stages.join(' ')]);
   const upstreams = s.upstreams.map((u) => [u.id, u.dataCentre, u.url]);
-  const queues = (s.queues ?? []).map((q) => [q.tier, String(q.waiting)]);
+  const queues = (s.queues ?? []).map((q) => [q.tier, String(q.waiting), String(q.running)]);
   return [
     `As node ${s.node} knows it${s.draining ? ', which drains' : ''}; release ${s.release} is in force.\n`,
     ...(s.logFailed ? [`The log of ${s.node} has failed: its disk takes no writes.\n`] : []),
     table(['NODE', 'DATA CENTRE', 'ROLE', 'ENTRY'], nodes),
     table(['REPLICA', 'MODEL', 'OWNER', 'STAGES'], replicas),
     table(['UPSTREAM', 'DATA CENTRE', 'URL'], upstreams),
-    ...(s.queues ? [table(['TIER', 'WAITING'], queues)] : []),
+    ...(s.queues ? [table(['TIER', 'WAITING', 'RUNNING'], queues)] : []),
   ].join('\n');
 }
 
--- a/packages/cli/test/status.test.ts
+++ b/packages/cli/test/status.test.ts
@@ -30,3 +30,29 @@
   assert.match(shown, /^n1 +north +voter +http/m);
   assert.match(shown, /^n2 +north +learner +http/m);
 });
+
+test('the queues of the replica owners are shown by tier, while work runs', async (t) => {
+  const demo = await runDemo({ nodes: 1, clock });
+  t.after(() => demo.stop());
+  const { operators, operatorKey, entries, keys } = demo.ready;
+  const body = JSON.stringify({ model: 'fig-advisor', prompt: 'figs', stream: true });
+  const headers = {
+    'content-type': 'application/json',
+    authorization: `Bearer ${keys.grower}`,
+  };
+  const stall = (stalled: boolean) => {
+    for (const engine of demo.engines) engine.faults.stalled = stalled;
+  };
+  const statusNow = async () => {
+    const told = await callOperator(operators[0]!, operatorKey, 'GET', '/operators/v1/status');
+    return told._unsafeUnwrap().body as Status;
+  };
+  stall(true);
+  const answer = fetch(`${entries[0]}/v1/completions`, { method: 'POST', headers, body });
+  let status = await statusNow();
+  while (status.queues?.length === 0) status = await statusNow();
+  stall(false);
+  await (await answer).text();
+  assert.deepEqual(status.queues, [{ tier: 'urgent', waiting: 0, running: 1 }]);
+  assert.match(statusTable(status), /^urgent +0 +1$/m);
+});
--- a/packages/node/src/gauges.ts
+++ b/packages/node/src/gauges.ts
@@ -30,6 +30,18 @@
     s.metrics.gauge('state.nodes', s.state.nodes.size);
     s.metrics.gauge('state.upstreams', s.state.upstreams.size);
     s.metrics.gauge('state.replicas', s.state.replicas.size);
+    reportQueues(s);
     await s.clock.sleep(reportMs, signal);
   }
 }
+
+/** Reports each tier on offer, so that a queue that is empty again is told too. */
+function reportQueues(s: GaugeSource): void {
+  const queues = new Map(s.owner.queues().map((q) => [q.tier, q]));
+  const lists = [...s.state.release.priceLists.values()];
+  const tiers = new Set(lists.flatMap((list) => list.tiers.map((t) => t.id)));
+  for (const tier of tiers) {
+    s.metrics.gauge('queue.waiting', queues.get(tier)?.waiting ?? 0, { tier });
+    s.metrics.gauge('queue.running', queues.get(tier)?.running ?? 0, { tier });
+  }
+}
--- a/packages/node/src/listeners.ts
+++ b/packages/node/src/listeners.ts
@@ -7,6 +7,7 @@
 import type { StatusReport } from '@tanagercart/entry';
 import type { ConfigurationLease, Upstreams } from '@tanagercart/membership';
 import type { Transport, VoterConfig } from '@tanagercart/protocol';
+import type { Owner } from '@tanagercart/scheduling';
 import type { Settings } from '@tanagercart/settings';
 import { Batches } from '@tanagercart/state';
 import type { Proposals, Proposer, SharedState } from '@tanagercart/state';
@@ -28,6 +29,7 @@
   readonly upstreams: Upstreams;
   readonly control: ControlPlane;
   readonly limits: NodeLimits;
+  readonly owner: Owner;
   readonly pool: ReturnType<typeof createPool>;
   readonly clock: Clock;
   readonly logger: Logger;
@@ -78,6 +80,7 @@
       owner: directory.ownerOfReplica(r),
     })),
     upstreams: [...state.upstreams.values()],
+    queues: p.owner.queues(),
   };
 }
 
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -380,6 +380,7 @@
       upstreams,
       control,
       limits,
+      owner: this.owner,
       pool,
       clock,
       logger,
