--- a/packages/bench/src/capacitytime.ts
+++ b/packages/bench/src/capacitytime.ts
@@ -15,6 +15,7 @@
 import { AnswerWriter } from '@tanagercart/entry';
 import { ConfigurationLease, History, Upstreams, ownersOf } from '@tanagercart/membership';
 import { MemoryNetwork } from '@tanagercart/protocol';
+import { needsOf } from '@tanagercart/placement';
 import type { AcquireCall } from '@tanagercart/protocol';
 import { Owner } from '@tanagercart/scheduling';
 import { Proposer, encodeCommand } from '@tanagercart/state';
@@ -44,6 +45,7 @@
 const notes = 40;
 const grants = 100;
 const heartbeats = 2000;
+const looks = 50;
 
 /** Virtual time in which every measured request ends, in milliseconds. */
 const answeredMs = 20_000;
@@ -61,6 +63,7 @@
     await series('grant with others waiting', 'waiting', waiting, (n) => grantTime(1, n, seed)),
     await series('heartbeat of an upstream', 'nodes', nodes, (n) => heartbeatTime(n, seed)),
     await series('a second of watching', 'upstreams', watched, (n) => watchTime(n, seed)),
+    await series('a look of placement at rest', 'upstreams', watched, placementTime),
   ];
 }
 
@@ -196,6 +199,17 @@
   return (used * 1000) / watchMs;
 }
 
+/** One comparison of what upstreams hold with what the release offers, when nothing is lacking. */
+async function placementTime(count: number): Promise<number> {
+  const state = applyAll(withAccounts(10), replicasUp(count / 4));
+  const used = await processorTimeOf(() => {
+    for (let i = 0; i < looks; i += 1) {
+      if (needsOf(state, []).length > 0) throw new Error('nothing is lacking');
+    }
+  });
+  return used / looks;
+}
+
 function watcher(nodeCount: number, replicaCount: number, seed: number) {
   const clock = HeldClock.create();
   const history = History.create();
--- a/packages/placement/src/tenure.ts
+++ b/packages/placement/src/tenure.ts
@@ -9,6 +9,7 @@
 import type { PlacementOptions } from './options.js';
 import { holds } from './part.js';
 import { noSurvey, surveyWork } from './survey.js';
+import type { Survey } from './survey.js';
 import { Withdrawals } from './withdrawn.js';
 
 /** Pause between two looks at what upstreams hold, in milliseconds. */
@@ -29,6 +30,13 @@
 /** Longest time for one change of the shared state, in milliseconds. */
 const proposeTimeoutMs: Millis = 1000;
 
+/** What upstreams lacked under one state and one survey. */
+interface Known {
+  readonly index: number;
+  readonly survey: Survey;
+  readonly needs: readonly Need[];
+}
+
 /** Compares, orders and settles until the lease is lost. */
 export class Tenure {
   private readonly takenAt: Millis;
@@ -36,6 +44,7 @@
   /** Orders that are not to be given before a time. */
   private readonly restUntil = new Map<string, Millis>();
   private survey = noSurvey;
+  private known: Known | undefined;
 
   private constructor(
     private readonly o: PlacementOptions,
@@ -72,17 +81,27 @@
     const { state, clock } = this.o;
     await Promise.all(state.placement.issued.map((i) => this.settle(i)));
     const withdrawn = this.withdrawals.look(state);
-    const lacking = needsOf(state, this.survey.unserved);
+    const lacking = this.lacking();
     const due = clock.now() >= this.survey.askedAt + surveyEveryMs;
     if (due && withdrawn.length + lacking.length > 0) {
       this.survey = await surveyWork(state, this.o.transport, clock);
     }
     if (!this.holds) return;
     const unused = withdrawn.filter((n) => this.withdrawals.isUnused(n, this.survey));
-    const loads = needsOf(state, this.survey.unserved);
+    const loads = this.lacking();
     await Promise.all(this.choose(unused, loads).map((order) => this.give(order)));
   }
 
+  /** What upstreams lack; worked out anew only when the state or the survey has changed. */
+  private lacking(): readonly Need[] {
+    const { state } = this.o;
+    const { survey } = this;
+    if (this.known?.index !== state.index || this.known.survey !== survey) {
+      this.known = { index: state.index, survey, needs: needsOf(state, survey.unserved) };
+    }
+    return this.known.needs;
+  }
+
   /** The orders to give now: one at a time for each upstream, and loads as the store has room. */
   private choose(unused: readonly Need[], lacking: readonly Need[]): readonly UpstreamOrder[] {
     const { placement } = this.o.state;
