--- a/packages/membership/src/feed.ts
+++ b/packages/membership/src/feed.ts
@@ -75,7 +75,7 @@
       path: [...position.path, self],
       wantsFull,
       loads: this.o.loads.downTo(call.node.id),
-      voters: this.o.voters.present(position.leads),
+      voters: this.o.voters.present(position.leads, call.votersMark),
     };
   }
 
--- a/packages/membership/src/follow.ts
+++ b/packages/membership/src/follow.ts
@@ -117,6 +117,7 @@
       behind: floor < applied ? subtree.behind(floor + 1) : [],
       draining: this.o.draining(),
       leaseLeftMs: this.o.lease.leftMs,
+      votersMark: this.o.voters.heardMark,
       loads: this.o.loads.up(),
       ...this.reporter.next(),
     };
--- a/packages/membership/src/loads.ts
+++ b/packages/membership/src/loads.ts
@@ -8,7 +8,7 @@
 const leastPeriodMs: Millis = 350;
 
 /** Time between two digests for each node that they cover, in milliseconds. */
-const periodPerNodeMs: Millis = 5;
+const periodPerNodeMs: Millis = 20;
 
 /** Age at which a figure is no longer used, in milliseconds. */
 const staleMs: Millis = 10_000;
--- a/packages/membership/src/voters.ts
+++ b/packages/membership/src/voters.ts
@@ -1,5 +1,6 @@
 /** Who may lead, as a node knows it: from its own log, else as a parent told, else from the settings. */
 
+import { hash32 } from '@tanagercart/base';
 import type { NodeId } from '@tanagercart/base';
 
 /** The voters as one node knows them while it runs. */
@@ -24,10 +25,18 @@
     return [...new Set([...(this.own() ?? []), ...this.heard, ...this.configured()])];
   }
 
-  /** The voters to tell those below: the own ones on the leader, else what the parent told. */
-  present(leads: boolean): readonly NodeId[] | undefined {
-    const known = leads ? this.own() : this.heard;
-    return known && known.length > 0 ? known : undefined;
+  /** Stands for what a parent told, so that it need not be told again. */
+  get heardMark(): number {
+    return markOf(this.heard);
+  }
+
+  /**
+   * The voters to tell a node below that knows those of `mark`: the own ones on the leader, else
+   * what the parent told; undefined where there is nothing new.
+   */
+  present(leads: boolean, mark: number): readonly NodeId[] | undefined {
+    const known = (leads ? this.own() : this.heard) ?? [];
+    return known.length > 0 && markOf(known) !== mark ? known : undefined;
   }
 
   /** Notes what a parent told. */
@@ -35,3 +44,7 @@
     if (voters) this.heard = voters;
   }
 }
+
+function markOf(voters: readonly NodeId[]): number {
+  return hash32(voters.join(' '));
+}
--- a/packages/membership/test/loads.test.ts
+++ b/packages/membership/test/loads.test.ts
@@ -48,5 +48,6 @@
   node.told([b]);
   node.told([c]);
   assert.deepEqual(node.all, [c, a]);
-  assert.deepEqual(node.present(false), [c]);
+  assert.deepEqual(node.present(false, 0), [c]);
+  assert.equal(node.present(false, node.heardMark), undefined);
 });
--- a/packages/protocol/src/followmessage.ts
+++ b/packages/protocol/src/followmessage.ts
@@ -14,6 +14,8 @@
   readonly floor: number;
   /** Some of the nodes below the caller that have applied no more than `floor`. */
   readonly behind: readonly NodeId[];
+  /** Stands for the voters that the caller was told. */
+  readonly votersMark: number;
   /** Milliseconds left of the caller's lease. */
   readonly leaseLeftMs: number;
   /** Whether the caller refuses new work because it is shutting down. */
@@ -59,7 +61,7 @@
       readonly wantsFull: boolean;
       /** Loads of all nodes. */
       readonly loads?: LoadDigest | undefined;
-      /** The voters as the leader knows them. */
+      /** The voters as the leader knows them, where the caller does not know them. */
       readonly voters?: readonly NodeId[] | undefined;
     }
   | { readonly kind: 'elsewhere'; readonly parent: NodeId | undefined };
