Work out the stages of a replica once for each state

Cause: found on a last read. When ownership was taken out of what an owner keeps, the stages that a grant names went with it, and were built anew for every replica at every call, though they depend on the state alone. Change: they are kept again with the replica.

--- a/packages/scheduling/src/candidates.ts
+++ b/packages/scheduling/src/candidates.ts
@@ -26,6 +26,7 @@
 interface Serving {
   readonly replica: Replica;
   readonly upstreams: readonly StageUpstream[];
+  readonly stages: readonly GrantedStage[];
 }
 
 /** Keeps the load of each replica, and finds those that fit a request. */
@@ -59,7 +60,7 @@
     return known
       .filter((s) => !call.avoid.includes(s.replica.id) && this.fleet.owns(s.replica))
       .filter((s) => !s.upstreams.some((u) => this.fleet.isLeaving(u)))
-      .map((s) => ({ ...s, stages: s.upstreams.map(granted), load: this.loadOf(s) }));
+      .map((s) => ({ ...s, load: this.loadOf(s) }));
   }
 
   /** Forgets replicas that are gone and hold no grant. */
@@ -82,7 +83,9 @@
     for (const replica of this.fleet.state.replicas.values()) {
       if (replica.model !== call.model) continue;
       const upstreams = this.stagesOf(replica);
-      if (upstreams?.every((s) => serves(s.stage, call))) out.push({ replica, upstreams });
+      if (upstreams?.every((s) => serves(s.stage, call))) {
+        out.push({ replica, upstreams, stages: upstreams.map(granted) });
+      }
     }
     return out;
   }
