--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -7,3 +7,4 @@
 export * from './log.js';
 export * from './metrics.js';
 export * from './latch.js';
+export * from './vigilant.js';
--- a/packages/base/src/log.ts
+++ b/packages/base/src/log.ts
@@ -18,15 +18,19 @@
 /** Levels of the log, least first. */
 export type LogLevel = 'debug' | 'info' | 'warn' | 'error';
 
-/** A logger that writes bunyan records to standard error. */
+/** A logger that writes bunyan records, to standard error where nothing else is said. */
 export class BunyanLogger implements Logger {
   private constructor(
     private readonly sink: bunyan,
     private readonly prefix: string,
   ) {}
 
-  static create(name: string, level: LogLevel): BunyanLogger {
-    const sink = bunyan.createLogger({ name, level, stream: process.stderr });
+  static create(
+    name: string,
+    level: LogLevel,
+    stream: NodeJS.WritableStream = process.stderr,
+  ): BunyanLogger {
+    const sink = bunyan.createLogger({ name, level, stream });
     return new BunyanLogger(sink, '');
   }
 
--- /dev/null
+++ b/packages/config/test/config.test.ts
@@ -0,0 +1,109 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import * as fc from 'fast-check';
+import { AccountId, ServiceId } from '@tanagercart/base';
+import {
+  RouteId,
+  RoutingTable,
+  applyDelta,
+  deltaOf,
+  drawService,
+  problemsOf,
+} from '../src/index.js';
+import type { Configuration, Route } from '../src/index.js';
+
+const desk = ServiceId('desk');
+
+function route(id: string, prefix: string, change: Partial<Route> = {}): Route {
+  return {
+    id: RouteId(id),
+    host: 'figs.example',
+    prefix,
+    kind: 'idempotent',
+    timeoutMs: 1000,
+    objectiveMs: 300,
+    pauseMs: undefined,
+    priority: 1,
+    shares: [{ service: desk, weight: 1 }],
+    maxAttempts: 2,
+    open: false,
+    ...change,
+  };
+}
+
+function config(routes: readonly Route[], change: Partial<Configuration> = {}): Configuration {
+  return {
+    version: 1,
+    routes,
+    services: [{ id: desk, healthPath: '/healthz', maxConnections: 10, engine: undefined }],
+    accounts: [{ id: AccountId('quay'), keys: ['k1', 'k2'], priority: 1 }],
+    limits: { headBytes: 16384, bodyBytes: 1 << 20, headMs: 3000, idleMs: 15000 },
+    ...change,
+  };
+}
+
+test('the longest prefix selects the route', () => {
+  const table = RoutingTable.create(
+    config([route('a', '/'), route('b', '/x/'), route('c', '/x/y/')]),
+  );
+  assert.equal(table.routeOf('figs.example', '/x/y/z?q=/x/')?.id, 'c');
+  assert.equal(table.routeOf('figs.example', '/x/yy')?.id, 'b');
+  assert.equal(table.routeOf('figs.example', '/x')?.id, 'a');
+  assert.equal(table.routeOf('dates.example', '/x/'), undefined);
+});
+
+test('any key of an account finds it', () => {
+  const table = RoutingTable.create(config([]));
+  assert.equal(table.accountOf('k2')?.id, 'quay');
+  assert.equal(table.accountOf('k3'), undefined);
+});
+
+test('each problem is named', () => {
+  const other = ServiceId('other');
+  const whatOf = (c: Configuration) => problemsOf(c).map((p) => p.what);
+  assert.deepEqual(whatOf(config([route('a', '/a/')])), []);
+  assert.deepEqual(
+    whatOf(config([route('a', '/a/', { shares: [{ service: other, weight: 1 }] })])),
+    ['service other is unknown'],
+  );
+  assert.deepEqual(whatOf(config([route('a', '/a/'), route('b', '/a/')])), [
+    'figs.example/a/ is taken by a',
+  ]);
+  assert.deepEqual(
+    whatOf(config([route('a', '/a/', { shares: [{ service: desk, weight: 0 }] })])),
+    ['weights add up to 0'],
+  );
+  assert.deepEqual(whatOf(config([route('a', '/a/', { timeoutMs: 0 })])), ['timeout is 0']);
+  const accounts = ['x', 'y'].map((id) => ({ id: AccountId(id), keys: ['k'], priority: 1 }));
+  assert.deepEqual(whatOf(config([], { accounts })), ['shares a key with account x']);
+});
+
+test('services are drawn by weight', () => {
+  const shares = [
+    { service: desk, weight: 90 },
+    { service: ServiceId('spare'), weight: 10 },
+  ];
+  const split = route('a', '/a/', { shares });
+  assert.equal(drawService(split, 0), 'desk');
+  assert.equal(drawService(split, 0.89), 'desk');
+  assert.equal(drawService(split, 0.95), 'spare');
+});
+
+test('a delta makes the text again', () => {
+  const texts = fc.array(fc.constantFrom('{"a":1}', ',', '{"b":2},', 'x', '},{'), {
+    maxLength: 40,
+  });
+  fc.assert(
+    fc.property(texts, texts, (a, b) => {
+      const [base, text] = [a.join(''), b.join('')];
+      assert.equal(applyDelta(base, deltaOf(base, text)), text);
+    }),
+  );
+});
+
+test('a delta carries only what changed', () => {
+  const routes = Array.from({ length: 400 }, (_, i) => `{"name":"r${i}","timeoutMs":${i}},`);
+  const base = routes.join('');
+  const text = base.replace('"timeoutMs":7}', '"timeoutMs":8}');
+  assert.ok(JSON.stringify(deltaOf(base, text)).length < 200);
+});
--- /dev/null
+++ b/packages/fleet/src/roster.ts
@@ -0,0 +1,128 @@
+/** What the leader has heard lately of entries and upstreams; forgotten with its term. */
+
+import type { Clock, Millis, NodeId, UpstreamId } from '@tanagercart/base';
+import type {
+  Announcement,
+  EntryRecord,
+  Suspicion,
+  UpstreamLoad,
+  WatchCall,
+} from '@tanagercart/protocol';
+
+/** An entry that was silent for this long is not named to callers any more. */
+const entryMs: Millis = 2500;
+
+/** Load that was told this long ago does not count any more. */
+const loadMs: Millis = 2000;
+
+/** A suspicion without a later heartbeat holds for this long. */
+const suspicionMs: Millis = 4000;
+
+interface EntrySeen {
+  readonly entry: EntryRecord;
+  readonly at: Millis;
+  readonly loads: readonly UpstreamLoad[];
+}
+
+interface UpstreamSeen {
+  readonly born: number;
+  readonly sequence: number;
+  readonly at: Millis;
+}
+
+interface Suspect {
+  readonly born: number;
+  readonly at: Millis;
+}
+
+/** Entries, heartbeats and suspicions by the clock of the leader. */
+export class Roster {
+  private readonly entrySeen = new Map<NodeId, EntrySeen>();
+  private readonly upstreamSeen = new Map<UpstreamId, UpstreamSeen>();
+  private readonly suspects = new Map<UpstreamId, Suspect>();
+  private readonly since: Millis;
+
+  private constructor(private readonly clock: Clock) {
+    this.since = clock.now();
+  }
+
+  static create(clock: Clock): Roster {
+    return new Roster(clock);
+  }
+
+  /** Takes note of what an entry tells; whether others should learn of it at once. */
+  hearEntry(from: NodeId, call: WatchCall): boolean {
+    const now = this.clock.now();
+    const news = this.hearSuspicions(call.suspicions, now);
+    const { entry, loads } = call;
+    if (!entry) return news;
+    const known = this.entrySeen.get(from);
+    this.entrySeen.set(from, { entry, at: now, loads });
+    return news || known?.entry.phase !== entry.phase || now - known.at > entryMs;
+  }
+
+  /** Whether an announcement is newer than any before it of the same upstream. */
+  hearUpstream(announcement: Announcement): boolean {
+    const { id, born, sequence } = announcement;
+    const known = this.upstreamSeen.get(id);
+    const late = known && (known.born > born || (known.born === born && known.sequence > sequence));
+    if (late) return false;
+    this.upstreamSeen.set(id, { born, sequence, at: this.clock.now() });
+    return true;
+  }
+
+  /** How long an upstream was silent; since this term began where it was not heard in it. */
+  silenceOf(id: UpstreamId): Millis {
+    return this.clock.now() - (this.upstreamSeen.get(id)?.at ?? this.since);
+  }
+
+  /** Entries that were heard lately. */
+  get entries(): readonly EntryRecord[] {
+    const now = this.clock.now();
+    const recent = [...this.entrySeen.values()].filter((e) => now - e.at < entryMs);
+    return recent.map((e) => e.entry);
+  }
+
+  /** Load by all entries but one. */
+  loadsWithout(node: NodeId): readonly UpstreamLoad[] {
+    const now = this.clock.now();
+    const sums = new Map<UpstreamId, UpstreamLoad>();
+    for (const [other, { at, loads }] of this.entrySeen) {
+      if (other === node || now - at > loadMs) continue;
+      for (const load of loads) sums.set(load.id, sum(sums.get(load.id), load));
+    }
+    return [...sums.values()];
+  }
+
+  /** Upstreams that failed requests and were not heard since. */
+  get suspicions(): readonly Suspicion[] {
+    const now = this.clock.now();
+    return [...this.suspects].flatMap(([id, { born, at }]) =>
+      now - at < suspicionMs && (this.upstreamSeen.get(id)?.at ?? -Infinity) <= at
+        ? [{ id, born, ageMs: now - at }]
+        : [],
+    );
+  }
+
+  private hearSuspicions(suspicions: readonly Suspicion[], now: Millis): boolean {
+    let news = false;
+    for (const { id, born, ageMs } of suspicions) {
+      const at = now - ageMs;
+      const known = this.suspects.get(id);
+      if (known && known.born === born && known.at >= at - 1) continue;
+      this.suspects.set(id, { born, at });
+      news = true;
+    }
+    return news;
+  }
+}
+
+function sum(a: UpstreamLoad | undefined, b: UpstreamLoad): UpstreamLoad {
+  if (!a) return b;
+  return {
+    id: b.id,
+    sequences: a.sequences + b.sequences,
+    entered: a.entered + b.entered,
+    tokenLayers: a.tokenLayers + b.tokenLayers,
+  };
+}
--- /dev/null
+++ b/packages/fleet/src/voter.ts
@@ -0,0 +1,121 @@
+/** Keeps a voter running on its disk: opens it again after the disk has failed. */
+
+import { err } from 'neverthrow';
+import type { Result } from 'neverthrow';
+import { Bell } from '@tanagercart/base';
+import type { Clock, Logger, Millis, NodeId, Random } from '@tanagercart/base';
+import { DiskStore, Raft, defaultLimits, defaultTiming } from '@tanagercart/log';
+import type { Disk, ProposeError } from '@tanagercart/log';
+import type { Transport } from '@tanagercart/protocol';
+import { decodeOutcome, encodeCommand } from './command.js';
+import type { Command, Outcome } from './command.js';
+import { FleetState } from './state.js';
+
+/** Pause before a disk that failed is opened again. */
+const reopenMs: Millis = 1000;
+
+/** How often the disk is looked after. */
+const lookMs: Millis = 250;
+
+/** Segments of the log are kept small, as disks are. */
+const segmentBytes = 1024 * 1024;
+
+/** Why a command was not carried out. */
+export type SubmitError = ProposeError;
+
+export interface VoterOptions {
+  readonly self: NodeId;
+  /** Nodes that form the log at the first start of all; none at any other start. */
+  readonly initial: readonly NodeId[];
+  readonly disk: Disk;
+  readonly transport: Transport;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly logger: Logger;
+  readonly onBroken: (error: unknown) => void;
+}
+
+/** One voter and the state that it has applied. */
+export class Voter {
+  /** Rings after each change of the state. */
+  readonly changed = Bell.create();
+  private held = FleetState.create();
+  private log: Raft | undefined;
+
+  private constructor(private readonly o: VoterOptions) {}
+
+  static create(options: VoterOptions): Voter {
+    return new Voter(options);
+  }
+
+  get state(): FleetState {
+    return this.held;
+  }
+
+  /** The log; undefined while the disk cannot be used. */
+  get raft(): Raft | undefined {
+    return this.log;
+  }
+
+  /** Whether this node leads, and no other can. */
+  get leads(): boolean {
+    return this.log?.holdsLease ?? false;
+  }
+
+  get leader(): NodeId | undefined {
+    return this.leads ? this.o.self : this.log?.leader;
+  }
+
+  /** Voters and learners of the log, as far as this node knows. */
+  get members(): readonly NodeId[] {
+    const { voters, learners } = this.log?.voters ?? { voters: [], learners: [] };
+    return [...voters, ...learners].map((m) => m.id);
+  }
+
+  /** Task: opens the disk, and opens it again whenever it has failed. */
+  async run(stop: AbortSignal): Promise<void> {
+    const { clock, logger } = this.o;
+    while (!stop.aborted) {
+      const opened = await this.open();
+      if (opened.isErr())
+        logger.error('Cannot use the data folder.', { detail: opened.error.detail });
+      while (this.log && !this.log.failed && !stop.aborted) await clock.sleep(lookMs, stop);
+      if (this.log && !stop.aborted) logger.warn('The disk has failed, opening it again.');
+      const failed = this.log;
+      this.log = undefined;
+      await failed?.stop();
+      if (!stop.aborted) await clock.sleep(reopenMs, stop);
+    }
+  }
+
+  /** Commits a command at the leader. */
+  async propose(command: Command): Promise<Result<Outcome, SubmitError>> {
+    const { log } = this;
+    if (!log || !this.leads) return err({ kind: 'not-leader', leader: this.leader });
+    const applied = await log.propose(encodeCommand(command));
+    return applied.map(({ outcome }) => decodeOutcome(outcome));
+  }
+
+  private async open() {
+    const { disk, random, logger, self, initial, transport, clock, onBroken } = this.o;
+    const store = await DiskStore.open({ disk, random, logger, segmentBytes });
+    return store.map((opened) => {
+      const state = FleetState.create();
+      state.onChange = () => this.changed.ring();
+      this.held = state;
+      this.log = Raft.create({
+        self,
+        initial,
+        transport,
+        store: opened,
+        machine: state,
+        clock,
+        random,
+        timing: defaultTiming,
+        limits: { ...defaultLimits, snapshotEveryBytes: segmentBytes },
+        logger,
+        onBroken,
+      });
+    });
+  }
+}
--- /dev/null
+++ b/packages/layers/src/cost.ts
@@ -0,0 +1,69 @@
+/** Estimates how long a request takes on a part of a path. */
+
+import type { DataCentreId, Millis } from '@tanagercart/base';
+import type { Engine } from '@tanagercart/config';
+import type { LayerRange, Stage } from './stage.js';
+
+/** Tokens of a request, as far as they are known before it runs. */
+export interface Work {
+  readonly promptTokens: number;
+  readonly answerTokens: number;
+}
+
+/** Bits of a byte, and of a megabit. */
+const bitsPerByte = 8;
+const bitsPerMegabit = 1e6;
+
+/** Transfers between data centres wait for one another: each is counted this many times. */
+const pipeQueueFactor = 3;
+
+/** Time that each hop adds to a token: the next stage finishes its pass first. */
+const hopMs: Millis = 0.4;
+
+/** Share of a stage's memory from which on requests are preempted, so that it is avoided. */
+const fullShare = 0.92;
+
+/** Cost of a stage without memory for the request; paths take it only where there is no other. */
+const fullMs: Millis = 4000;
+
+/** Time of a request's prompt and tokens on `layers` of `stage`, with what runs there now. */
+export function partMs(engine: Engine, stage: Stage, layers: LayerRange, work: Work): Millis {
+  const count = layers.to - layers.from;
+  const share = count / engine.layerCount;
+  const readMs = (work.promptTokens * 1000 * stage.readFactor) / engine.readTokensPerSecond;
+  const step = engine.stepMs + stage.sequences * engine.stepMsPerSequence;
+  const stepsMs = work.answerTokens * step * stage.stepFactor;
+  const busy = (readMs + stepsMs) * share * stage.slowness;
+  return busy + memoryMs(stage, count, work);
+}
+
+/** Time that a request spends between two data centres, at `hops` from one stage to the next. */
+export function hopCostMs(
+  engine: Engine,
+  from: DataCentreId,
+  to: DataCentreId,
+  work: Work,
+): Millis {
+  const near = hopMs * (1 + work.answerTokens);
+  if (from === to) return near;
+  const delay = delayOf(engine, from, to) * (1 + work.answerTokens);
+  const bits = work.promptTokens * engine.activationBytes * bitsPerByte;
+  const transferMs = (bits * 1000) / (engine.pipeMbps * bitsPerMegabit);
+  return near + delay + transferMs * pipeQueueFactor;
+}
+
+function memoryMs(stage: Stage, layerCount: number, work: Work): Millis {
+  const wanted = (work.promptTokens + work.answerTokens) * layerCount;
+  const used = (stage.tokenLayersTaken + wanted) / Math.max(1, stage.tokenLayers);
+  if (used < 0.5) return 0;
+  if (used > fullShare) return fullMs * used;
+  return (used - 0.5) * 100;
+}
+
+/** One-way delay between two data centres; 1 ms where the service names none. */
+function delayOf(engine: Engine, from: DataCentreId, to: DataCentreId): Millis {
+  const known = engine.delays.find(
+    (d) => (d.from === from && d.to === to) || (d.from === to && d.to === from),
+  );
+  return known?.ms ?? 1;
+}
--- /dev/null
+++ b/packages/layers/src/index.ts
@@ -0,0 +1,4 @@
+export * from './stage.js';
+export * from './cost.js';
+export * from './path.js';
+export * from './plan.js';
--- /dev/null
+++ b/packages/layers/src/plan.ts
@@ -0,0 +1,165 @@
+/**
+ * Decides which layers each upstream holds. Answers two loads: a start from nothing, where whole
+ * chains near callers are wanted before the first request, and the loss, arrival or departure of
+ * upstreams, where the layers that are held least come first and whatever serves stays in place.
+ */
+
+import type { DataCentreId, UpstreamId } from '@tanagercart/base';
+import type { Accelerator, Engine } from '@tanagercart/config';
+import type { LayerRange } from './stage.js';
+
+/** An upstream that may hold layers. */
+export interface Holder {
+  readonly id: UpstreamId;
+  readonly dataCentre: DataCentreId;
+  readonly accelerator: Accelerator;
+  /** What it holds, or is loading; undefined where it is empty. */
+  readonly layers: LayerRange | undefined;
+  /** An order is in progress: it takes no other. */
+  readonly busy: boolean;
+}
+
+/** Layers that an upstream is to hold from now on. */
+export interface Assignment {
+  readonly id: UpstreamId;
+  readonly layers: LayerRange;
+}
+
+/** Shares of the memory that layers may take, the first that suffices; the rest holds requests. */
+const layerShares = [0.8, 0.93] as const;
+
+/** Holders whose layers back one another, near to each other where they suffice. */
+interface Group {
+  readonly holders: Holder[];
+  readonly coverage: number[];
+}
+
+/** Layers that an upstream may hold when they take at most `share` of its memory. */
+export function capacityOf(engine: Engine, accelerator: Accelerator, share: number): number {
+  const most = Math.floor((accelerator.memoryMb * share) / engine.layerMb);
+  return Math.min(engine.layerCount, most);
+}
+
+/** Orders that bring the present layers nearer to the wanted ones; none where all is well. */
+export function planLayers(engine: Engine, holders: readonly Holder[]): readonly Assignment[] {
+  const plan = Plan.create(engine, holders);
+  return plan.groups.flatMap((group) => [...fill(plan, group), ...mend(plan, group)]);
+}
+
+/** What is planned for: the holders, and how much of each may be taken. */
+class Plan {
+  readonly groups: readonly Group[];
+  readonly everywhere: number[];
+
+  private constructor(
+    readonly engine: Engine,
+    holders: readonly Holder[],
+    private readonly share: number,
+  ) {
+    const usable = holders.filter((h) => this.capacityOf(h) > 0);
+    this.groups = this.groupsOf(usable);
+    this.everywhere = coverageOf(engine, usable);
+  }
+
+  /** Takes the smallest share of memory with which all holders make a whole chain. */
+  static create(engine: Engine, holders: readonly Holder[]): Plan {
+    const suffices = (share: number) =>
+      holders.reduce((sum, h) => sum + capacityOf(engine, h.accelerator, share), 0) >=
+      engine.layerCount;
+    return new Plan(engine, holders, layerShares.find(suffices) ?? layerShares[0]);
+  }
+
+  capacityOf(holder: Holder): number {
+    return capacityOf(this.engine, holder.accelerator, this.share);
+  }
+
+  /** Data centres that hold a whole chain stand alone; the others make one group. */
+  private groupsOf(holders: readonly Holder[]): readonly Group[] {
+    const { layerCount } = this.engine;
+    const centres = new Map<DataCentreId, Holder[]>();
+    for (const holder of holders) {
+      const known = centres.get(holder.dataCentre) ?? [];
+      centres.set(holder.dataCentre, [...known, holder]);
+    }
+    const sets = [...centres.values()].filter((c) => this.total(c) >= layerCount);
+    const parts = [...centres.values()].filter((c) => this.total(c) < layerCount).flat();
+    if (this.total(parts) >= layerCount || sets.length === 0) sets.push(parts);
+    else if (parts.length > 0) sets[0] = [...sets[0]!, ...parts];
+    return sets.map((set) => ({ holders: set, coverage: coverageOf(this.engine, set) }));
+  }
+
+  private total(holders: readonly Holder[]): number {
+    return holders.reduce((sum, h) => sum + this.capacityOf(h), 0);
+  }
+}
+
+function coverageOf(engine: Engine, holders: readonly Holder[]): number[] {
+  const coverage = new Array<number>(engine.layerCount).fill(0);
+  for (const { layers } of holders) if (layers) cover(coverage, layers, 1);
+  return coverage;
+}
+
+function cover(coverage: number[], layers: LayerRange, by: number): void {
+  for (let l = layers.from; l < layers.to; l += 1) coverage[l] = (coverage[l] ?? 0) + by;
+}
+
+/** Gives every empty holder the layers that its group holds least; fast accelerators come first. */
+function fill(plan: Plan, group: Group): readonly Assignment[] {
+  const empty = group.holders.filter((h) => !h.layers && !h.busy);
+  return empty.sort(byPreference).map((holder) => {
+    const layers = windowFor(plan, holder, group.coverage);
+    cover(group.coverage, layers, 1);
+    cover(plan.everywhere, layers, 1);
+    return { id: holder.id, layers };
+  });
+}
+
+function byPreference(a: Holder, b: Holder): number {
+  const [x, y] = [a.accelerator, b.accelerator];
+  if (x.stepFactor !== y.stepFactor) return x.stepFactor - y.stepFactor;
+  return y.memoryMb - x.memoryMb || (a.id < b.id ? -1 : 1);
+}
+
+/** Moves holders that others back whole to layers that nobody of the group holds. */
+function mend(plan: Plan, group: Group): readonly Assignment[] {
+  const moves: Assignment[] = [];
+  const moved = new Set<UpstreamId>();
+  while (group.coverage.includes(0)) {
+    const spare = group.holders.find((h) => !moved.has(h.id) && isSpare(h, group.coverage));
+    if (!spare) break;
+    moved.add(spare.id);
+    cover(group.coverage, spare.layers!, -1);
+    cover(plan.everywhere, spare.layers!, -1);
+    const layers = windowFor(plan, spare, group.coverage);
+    cover(group.coverage, layers, 1);
+    cover(plan.everywhere, layers, 1);
+    moves.push({ id: spare.id, layers });
+  }
+  return moves;
+}
+
+function isSpare(holder: Holder, coverage: readonly number[]): boolean {
+  const { layers, busy } = holder;
+  if (!layers || busy) return false;
+  return coverage.slice(layers.from, layers.to).every((count) => count > 1);
+}
+
+/** The window of a holder: from the first hole on, or else where the least is held. */
+function windowFor(plan: Plan, holder: Holder, coverage: readonly number[]): LayerRange {
+  const size = plan.capacityOf(holder);
+  const last = plan.engine.layerCount - size;
+  const hole = coverage.indexOf(0);
+  if (hole >= 0) return range(Math.min(hole, last), size);
+  const worthOf = (l: number) => (1 + coverage[l]!) ** -2 + (1 + plan.everywhere[l]!) ** -2;
+  let best = { from: 0, worth: -1 };
+  for (let from = 0; from <= last; from += 1) {
+    let worth = 0;
+    for (let l = from; l < from + size; l += 1) worth += worthOf(l);
+    if (worth > best.worth + 1e-9) best = { from, worth };
+  }
+  return range(best.from, size);
+}
+
+function range(from: number, size: number): LayerRange {
+  return { from, to: from + size };
+}
--- /dev/null
+++ b/packages/layers/test/fixtures.ts
@@ -0,0 +1,69 @@
+import { DataCentreId, UpstreamId } from '@tanagercart/base';
+import type { Accelerator, Engine } from '@tanagercart/config';
+import type { Holder, LayerRange, Stage } from '../src/index.js';
+
+export const accelerators: readonly Accelerator[] = [
+  { name: 'large', memoryMb: 36000, stepFactor: 3, readFactor: 3 },
+  { name: 'middle', memoryMb: 21600, stepFactor: 16, readFactor: 8 },
+  { name: 'small', memoryMb: 14400, stepFactor: 15, readFactor: 15 },
+];
+
+export function engine(change: Partial<Engine> = {}): Engine {
+  return {
+    slots: 134,
+    layerCount: 80,
+    layerMb: 1750,
+    tokenBytes: 600_000,
+    activationBytes: 30_000,
+    pipeMbps: 6500,
+    stepMs: 0.85,
+    stepMsPerSequence: 0.004,
+    stepMsPerThousandTokens: 0.005,
+    readTokensPerSecond: 272_000,
+    chunkTokens: 512,
+    stepsPerPass: 2,
+    loadSeconds: 14,
+    loadsAtOnce: 6,
+    reportLagMs: 200,
+    usualPrompt: 772,
+    usualAnswer: 150,
+    delays: [],
+    accelerators,
+    ...change,
+  };
+}
+
+export const work = { promptTokens: 772, answerTokens: 150 };
+
+export function stage(id: string, centre: string, from: number, to: number): Stage {
+  return {
+    id: UpstreamId(id),
+    address: `${id}:1`,
+    dataCentre: DataCentreId(centre),
+    layers: { from, to },
+    stepFactor: 15,
+    readFactor: 10,
+    sequences: 0,
+    entered: 0,
+    tokenLayers: 1e6,
+    tokenLayersTaken: 0,
+    slowness: 1,
+  };
+}
+
+export function holder(id: string, centre: string, kind: number, layers?: LayerRange): Holder {
+  return {
+    id: UpstreamId(id),
+    dataCentre: DataCentreId(centre),
+    accelerator: accelerators[kind]!,
+    layers,
+    busy: false,
+  };
+}
+
+/** One data centre with some accelerators of each kind, all of them empty. */
+export function centre(name: string, counts: readonly number[]): readonly Holder[] {
+  return counts.flatMap((count, kind) =>
+    Array.from({ length: count }, (_, i) => holder(`${name}-${kind}-${i}`, name, kind)),
+  );
+}
--- /dev/null
+++ b/packages/layers/test/path.test.ts
@@ -0,0 +1,63 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import * as fc from 'fast-check';
+import { DataCentreId, SeededRandom } from '@tanagercart/base';
+import { findPath, isWhole } from '../src/index.js';
+import type { Stage } from '../src/index.js';
+import { engine, stage, work } from './fixtures.js';
+
+const north = DataCentreId('north');
+
+function find(stages: readonly Stage[]) {
+  const random = SeededRandom.create(1);
+  return findPath({ engine: engine(), stages, work, dataCentre: north, random });
+}
+
+function shape(stages: readonly Stage[]) {
+  return find(stages)?.map((p) => `${p.stage.id} ${p.layers.from}-${p.layers.to}`);
+}
+
+test('a path runs every layer once and in order', () => {
+  assert.deepEqual(shape([stage('b', 'north', 30, 80), stage('a', 'north', 0, 30)]), [
+    'a 0-30',
+    'b 30-80',
+  ]);
+});
+
+test('a part of a range suffices', () => {
+  assert.deepEqual(shape([stage('a', 'north', 0, 50), stage('b', 'north', 40, 80)])?.length, 2);
+});
+
+test('there is no path over a hole', () => {
+  assert.equal(find([stage('a', 'north', 0, 30), stage('b', 'north', 31, 80)]), undefined);
+});
+
+test('another data centre is crossed only for what is missing', () => {
+  const far = [stage('x', 'south', 0, 40), stage('y', 'south', 40, 80)];
+  const near = [stage('a', 'north', 0, 40), stage('b', 'north', 40, 80)];
+  assert.deepEqual(shape([...far, ...near]), ['a 0-40', 'b 40-80']);
+  assert.deepEqual(shape([...far, near[0]!]), ['a 0-40', 'y 40-80']);
+});
+
+test('slow and full stages are avoided where others stand', () => {
+  const slow = { ...stage('slow', 'north', 0, 40), slowness: 8 };
+  const full = { ...stage('full', 'north', 40, 80), tokenLayersTaken: 1e6 };
+  const stages = [slow, full, stage('a', 'north', 0, 40), stage('b', 'north', 40, 80)];
+  assert.deepEqual(shape(stages), ['a 0-40', 'b 40-80']);
+  assert.deepEqual(shape([slow, full]), ['slow 0-40', 'full 40-80']);
+});
+
+test('every path found is whole, whatever the ranges', () => {
+  const ranges = fc.array(fc.tuple(fc.nat(79), fc.integer({ min: 1, max: 40 }), fc.nat(2)), {
+    maxLength: 40,
+  });
+  fc.assert(
+    fc.property(ranges, (drawn) => {
+      const stages = drawn.map(([from, size, centre], i) =>
+        stage(`s${i}`, `centre${centre}`, from, Math.min(80, from + size)),
+      );
+      const path = find(stages);
+      if (path) assert.ok(isWhole(path, 80));
+    }),
+  );
+});
--- /dev/null
+++ b/packages/layers/test/plan.test.ts
@@ -0,0 +1,67 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { DataCentreId, SeededRandom } from '@tanagercart/base';
+import { capacityOf, findPath, planLayers } from '../src/index.js';
+import type { Assignment, Holder } from '../src/index.js';
+import { accelerators, centre, engine, stage, work } from './fixtures.js';
+
+const everyone = [
+  ...centre('north', [1, 8, 5]),
+  ...centre('middle', [3, 3, 5]),
+  ...centre('south', [1, 4, 8]),
+];
+
+function carriedOut(holders: readonly Holder[], plan: readonly Assignment[]): readonly Holder[] {
+  return holders.map((h) => ({
+    ...h,
+    layers: plan.find((a) => a.id === h.id)?.layers ?? h.layers,
+  }));
+}
+
+function hasPath(holders: readonly Holder[], within?: string): boolean {
+  const stages = holders
+    .filter((h) => h.layers && (!within || h.dataCentre === within))
+    .map((h) => stage(h.id, h.dataCentre, h.layers!.from, h.layers!.to));
+  const dataCentre = DataCentreId('north');
+  const random = SeededRandom.create(1);
+  return findPath({ engine: engine(), stages, work, dataCentre, random }) !== undefined;
+}
+
+test('a start from nothing makes a whole chain in each data centre', () => {
+  const placed = carriedOut(everyone, planLayers(engine(), everyone));
+  for (const name of ['north', 'middle', 'south']) assert.ok(hasPath(placed, name), name);
+  assert.deepEqual(planLayers(engine(), placed), []);
+});
+
+test('no holder is given more than its memory holds', () => {
+  for (const { id, layers } of planLayers(engine(), everyone)) {
+    const { accelerator } = everyone.find((h) => h.id === id)!;
+    assert.ok((layers.to - layers.from) * 1750 <= accelerator.memoryMb);
+    assert.ok(layers.from >= 0 && layers.to <= 80);
+  }
+  assert.equal(capacityOf(engine(), { ...accelerators[2]!, memoryMb: 1000 }, 0.8), 0);
+});
+
+test('after the loss of any one holder each data centre has a path again', () => {
+  const placed = carriedOut(everyone, planLayers(engine(), everyone));
+  for (const lost of placed) {
+    const left = placed.filter((h) => h.id !== lost.id);
+    const mended = carriedOut(left, planLayers(engine(), left));
+    assert.ok(hasPath(mended, lost.dataCentre), lost.id);
+  }
+});
+
+test('what serves stays in place when another arrives', () => {
+  const placed = carriedOut(everyone, planLayers(engine(), everyone));
+  const [fresh] = centre('fresh', [1]);
+  const joined = [...placed, { ...fresh!, dataCentre: DataCentreId('north') }];
+  assert.deepEqual(
+    planLayers(engine(), joined).map((a) => a.id),
+    ['fresh-0-0'],
+  );
+});
+
+test('data centres that hold no chain alone make one together', () => {
+  const small = [...centre('north', [1, 2, 0]), ...centre('south', [1, 1, 3])];
+  assert.ok(hasPath(carriedOut(small, planLayers(engine(), small))));
+});
--- a/packages/log/src/raft.ts
+++ b/packages/log/src/raft.ts
@@ -1,7 +1,7 @@
 /** A replicated log after Ongaro and Ousterhout (2014), with pre-vote, check-quorum and a leader lease. */
 
 import type { Result } from 'neverthrow';
-import type { NodeId } from '@tanagercart/base';
+import type { Millis, NodeId } from '@tanagercart/base';
 import type { VoterConfig, VotersCall, VotersReply } from '@tanagercart/protocol';
 import { Applier } from './applier.js';
 import type { Applied, ProposeError } from './applier.js';
@@ -79,6 +79,11 @@
     return this.replication.holdsLease;
   }
 
+  /** Whether a member answered this leader within the last `ms`. */
+  heardWithin(id: NodeId, ms: Millis): boolean {
+    return this.replication.heardWithin(id, ms);
+  }
+
   /** Puts a command into the log; resolves once it is applied here. */
   propose(bytes: Uint8Array): Promise<Result<Applied, ProposeError>> {
     return this.proposals.propose({ kind: 'command', bytes });
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -14,3 +14,4 @@
 export * from './gatemessage.js';
 export * from './limitmessage.js';
 export * from './workmessage.js';
+export * from './fleetmessage.js';
--- a/packages/protocol/src/message.ts
+++ b/packages/protocol/src/message.ts
@@ -32,6 +32,20 @@
   VotersCall,
   VotersReply,
 } from './logmessage.js';
+import type {
+  BeatCall,
+  BeatReply,
+  JoinCall,
+  JoinReply,
+  ReadCall,
+  ReadReply,
+  StrikeCall,
+  StrikeReply,
+  SubmitCall,
+  SubmitReply,
+  WatchCall,
+  WatchReply,
+} from './fleetmessage.js';
 import type { WorkCall, WorkReply } from './workmessage.js';
 
 /** Every kind of exchange with its call and its reply. */
@@ -55,6 +69,12 @@
   handover: { call: HandoverCall; reply: HandoverReply };
   drain: { call: DrainCall; reply: DrainReply };
   work: { call: WorkCall; reply: WorkReply };
+  watch: { call: WatchCall; reply: WatchReply };
+  beat: { call: BeatCall; reply: BeatReply };
+  submit: { call: SubmitCall; reply: SubmitReply };
+  read: { call: ReadCall; reply: ReadReply };
+  join: { call: JoinCall; reply: JoinReply };
+  strike: { call: StrikeCall; reply: StrikeReply };
   announce: { call: AnnounceCall; reply: AnnounceReply };
 }
 
--- a/packages/protocol/src/tcp.ts
+++ b/packages/protocol/src/tcp.ts
@@ -38,6 +38,8 @@
 
 interface Link {
   readonly socket: Socket;
+  /** When a frame came last, by the clock of the options. */
+  heardAt: number;
   readonly waiting: Map<number, Waiter>;
 }
 
@@ -123,6 +125,8 @@
   ): Promise<Result<ReplyOf<K>, CallError>> {
     this.seq += 1;
     const { seq } = this;
+    const { clock } = this.options;
+    const sentAt = clock.now();
     return new Promise((resolve) => {
       const stop = new AbortController();
       const finish = (result: Result<unknown, CallError>) => {
@@ -135,9 +139,12 @@
         once: true,
         signal: stop.signal,
       });
-      void this.options.clock
-        .sleep(options.timeoutMs, stop.signal)
-        .then(() => finish(err({ kind: 'timeout' })));
+      void clock.sleep(options.timeoutMs, stop.signal).then(() => {
+        if (stop.signal.aborted) return;
+        // A connection on which nothing came since may be dead without a reset: the next call opens another.
+        if (link.heardAt < sentAt) link.socket.destroy();
+        finish(err({ kind: 'timeout' }));
+      });
       this.send(link.socket, { t: 'call', seq, kind, body: call });
     });
   }
@@ -171,7 +178,8 @@
       socket.once('error', (e) => unreachable(e.message));
       socket.once('connect', () => {
         socket.setTimeout(0);
-        const link: Link = { socket, waiting: new Map() };
+        const link: Link = { socket, waiting: new Map(), heardAt: this.options.clock.now() };
+
         this.hello(socket);
         void this.readReplies(to, link);
         resolve(ok(link));
@@ -188,6 +196,7 @@
     this.sockets.add(link.socket);
     try {
       for await (const frame of decodeFrames<Frame>(link.socket)) {
+        link.heardAt = this.options.clock.now();
         if (frame.t === 'reply') link.waiting.get(frame.seq)?.(ok(frame.body));
         if (frame.t === 'fail') {
           link.waiting.get(frame.seq)?.(err({ kind: 'unreachable', detail: frame.detail }));
--- /dev/null
+++ b/packages/relay/src/loads.ts
@@ -0,0 +1,50 @@
+/** Counts this entry's requests in progress at each upstream. */
+
+import type { UpstreamId } from '@tanagercart/base';
+import type { UpstreamLoad } from '@tanagercart/protocol';
+
+/** What one request adds to the load of an upstream. */
+export type LoadShare = UpstreamLoad;
+
+/** Requests in progress by upstream. */
+export class Loads {
+  private readonly counts = new Map<UpstreamId, UpstreamLoad>();
+
+  static create(): Loads {
+    return new Loads();
+  }
+
+  /** Counts shares until the returned function is called. */
+  add(shares: readonly LoadShare[]): () => void {
+    for (const share of shares) this.change(share, 1);
+    let held = true;
+    return () => {
+      if (!held) return;
+      held = false;
+      for (const share of shares) this.change(share, -1);
+    };
+  }
+
+  at(id: UpstreamId): UpstreamLoad | undefined {
+    return this.counts.get(id);
+  }
+
+  get all(): readonly UpstreamLoad[] {
+    return [...this.counts.values()];
+  }
+
+  private change(share: LoadShare, sign: 1 | -1): void {
+    const known = this.counts.get(share.id);
+    const sequences = (known?.sequences ?? 0) + sign * share.sequences;
+    if (sequences === 0) {
+      this.counts.delete(share.id);
+      return;
+    }
+    this.counts.set(share.id, {
+      id: share.id,
+      sequences,
+      entered: (known?.entered ?? 0) + sign * share.entered,
+      tokenLayers: (known?.tokenLayers ?? 0) + sign * share.tokenLayers,
+    });
+  }
+}
