--- a/packages/fleet/src/placer.ts
+++ b/packages/fleet/src/placer.ts
@@ -56,8 +56,8 @@
 const missedHeartbeats = 3.2;
 const missedWhenSuspected = 1.5;
 
-/** Pause before an order without an answer, or one that did not fit, is looked at again. */
-const retryMs: Millis = 250;
+/** Pause after an order, beyond the lag of reports, before the upstream is looked at. */
+const retryMs: Millis = 100;
 
 /** How often a load is looked at. */
 const pollMs: Millis = 150;
@@ -188,12 +188,17 @@
       const ordersBefore = this.begun.get(keyOf(record)) ?? 0;
       const reply = await orders.place(record, { layers, fence: this.nextToken(), ordersBefore });
       if (reply.kind !== 'begun' && reply.kind !== 'done') {
-        logger.warn('An order was not taken.', { upstream: record.id, outcome: reply.kind });
+        const detail = 'detail' in reply ? reply.detail : undefined;
+        logger.warn('An order was not taken.', {
+          upstream: record.id,
+          outcome: reply.kind,
+          detail,
+        });
       }
       if (reply.kind === 'done') return true;
       if (reply.kind === 'fenced' || reply.kind === 'refused') return false;
       if (reply.kind === 'begun') this.begun.set(keyOf(record), ordersBefore + 1);
-      else await clock.sleep(retryMs);
+      await clock.sleep(engine.reportLagMs + retryMs);
       if (await this.awaitLoad(record, layers, deadline)) return true;
     }
     return false;
--- a/packages/layers/src/cost.ts
+++ b/packages/layers/src/cost.ts
@@ -15,7 +15,7 @@
 const bitsPerMegabit = 1e6;
 
 /** Transfers between data centres wait for one another: each is counted this many times. */
-const pipeQueueFactor = 3;
+const pipeQueueFactor = 8;
 
 /** Time that each hop adds to a token: the next stage finishes its pass first. */
 const hopMs: Millis = 0.4;
--- a/packages/layers/src/path.ts
+++ b/packages/layers/src/path.ts
@@ -27,7 +27,7 @@
 const maxParts = 32;
 
 /** Share by which the cost of a stage is varied at random. */
-const spread = 0.15;
+const spread = 0.05;
 
 /** Searches again where a path came back to a stage that it had left. */
 const maxSearches = 4;
