Look into silent attempts at the first stage, and enter other data centres whole

Change: a silent attempt is looked into after 0.6 of its objective, also before its head; crossing is charged to stages, not to entering another data centre; later tokens weigh 0.2.

--- a/packages/layers/src/cost.ts
+++ b/packages/layers/src/cost.ts
@@ -20,6 +20,9 @@
 /** Time that each hop adds to a token: the next stage finishes its pass first. */
 const hopMs: Millis = 0.4;
 
+/** Weight of the time of later tokens: callers wait for the first one, the others come in time. */
+const answerWeight = 0.2;
+
 /** Share of a stage's memory from which on requests are preempted, so that it is avoided. */
 const fullShare = 0.92;
 
@@ -32,24 +35,26 @@
   const share = count / engine.layerCount;
   const readMs = (work.promptTokens * 1000 * stage.readFactor) / engine.readTokensPerSecond;
   const step = engine.stepMs + stage.sequences * engine.stepMsPerSequence;
-  const stepsMs = work.answerTokens * step * stage.stepFactor;
+  const stepsMs = work.answerTokens * answerWeight * step * stage.stepFactor;
   const busy = (readMs + stepsMs) * share * stage.slowness;
   return busy + memoryMs(stage, count, work);
 }
 
-/** Time that a request spends between two data centres, at `hops` from one stage to the next. */
-export function hopCostMs(
+/** Delay of the tokens of a request on a hop from one data centre to the next. */
+export function hopDelayMs(
   engine: Engine,
   from: DataCentreId,
   to: DataCentreId,
   work: Work,
 ): Millis {
-  const near = hopMs * (1 + work.answerTokens);
-  if (from === to) return near;
-  const delay = delayOf(engine, from, to) * (1 + work.answerTokens);
+  const delay = from === to ? 0 : delayOf(engine, from, to);
+  return (hopMs + delay) * (1 + work.answerTokens * answerWeight);
+}
+
+/** Time to pass what a stage made of the prompt on to another data centre. */
+export function transferMs(engine: Engine, work: Work): Millis {
   const bits = work.promptTokens * engine.activationBytes * bitsPerByte;
-  const transferMs = (bits * 1000) / (engine.pipeMbps * bitsPerMegabit);
-  return near + delay + transferMs * pipeQueueFactor;
+  return ((bits * 1000) / (engine.pipeMbps * bitsPerMegabit)) * pipeQueueFactor;
 }
 
 function memoryMs(stage: Stage, layerCount: number, work: Work): Millis {
--- a/packages/layers/src/path.ts
+++ b/packages/layers/src/path.ts
@@ -6,7 +6,7 @@
 
 import type { DataCentreId, Random } from '@tanagercart/base';
 import type { Engine } from '@tanagercart/config';
-import { hopCostMs, partMs } from './cost.js';
+import { hopDelayMs, partMs, transferMs } from './cost.js';
 import type { Work } from './cost.js';
 import type { Path, PathPart, Stage } from './stage.js';
 
@@ -108,7 +108,10 @@
   if (before?.part.stage.id === stage.id) return;
   const { engine, work } = query;
   const last = before?.part.stage.dataCentre ?? query.dataCentre;
-  const startMs = (before?.ms ?? 0) + hopCostMs(engine, last, stage.dataCentre, work);
+  const delayMs = hopDelayMs(engine, last, stage.dataCentre, work);
+  // Only stages pass on what they made of the prompt; the request itself is small.
+  const crosses = before !== undefined && last !== stage.dataCentre;
+  const startMs = (before?.ms ?? 0) + delayMs + (crosses ? transferMs(engine, work) : 0);
   for (const to of points) {
     if (to <= from) continue;
     if (to > stage.layers.to) break;
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -6,5 +6,6 @@
 export * from './budget.js';
 export * from './target.js';
 export * from './retry.js';
+export * from './silence.js';
 export * from './stream.js';
 export * from './relay.js';
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -1,6 +1,7 @@
 /** Serves requests: chooses a target, sends, and tries again where that is allowed. */
 
-import type { Clock, Logger, Millis, Random, UpstreamId } from '@tanagercart/base';
+import { unreachable } from '@tanagercart/base';
+import type { Clock, Logger, Millis, UpstreamId } from '@tanagercart/base';
 import type { UpstreamRecord } from '@tanagercart/protocol';
 import { deadlineOf, isRepeatable, isStream } from './call.js';
 import type { AnswerHead, Call, Caller } from './call.js';
@@ -9,24 +10,29 @@
 import type { Loads } from './loads.js';
 import { nextStep } from './retry.js';
 import type { Failure } from './retry.js';
+import { SilenceWatch } from './silence.js';
+import type { Patience, Verdict } from './silence.js';
 import { StreamDelivery } from './stream.js';
-import type { StreamEnd } from './stream.js';
 import type { Target, Targets } from './target.js';
-import type { UpstreamAnswer, UpstreamClient } from './upstream.js';
+import type { SendError, UpstreamAnswer, UpstreamClient } from './upstream.js';
 
 /** Share of the remaining time after which a silent attempt is given up for another. */
 const silentShare = 0.5;
 
 /** A stream without its first event is tried elsewhere after this multiple of its objective. */
-const firstEventFactor = 3;
-const leastFirstEventMs: Millis = 1200;
+const firstEventFactor = 4;
+
+/** A stream that pauses this long is tried elsewhere, before its caller leaves. */
+const mostPauseMs: Millis = 1900;
+
+/** A silent stream is looked into after this share of its objective. */
+const lookShare = 0.6;
 
 /** When a refused caller may come back. */
 const retryAfterMs: Millis = 400;
 
 export interface RelayOptions {
   readonly clock: Clock;
-  readonly random: Random;
   readonly logger: Logger;
   readonly client: UpstreamClient;
   readonly targets: Targets;
@@ -54,6 +60,9 @@
       readonly kind: 'failed';
       readonly failure: Failure;
       readonly detail: string;
+      /** Address of the upstream at fault, where it is another. */
+      readonly culprit?: string;
+      /** What the upstream answered. */
       readonly answer?: WholeAnswer;
     };
 
@@ -83,7 +92,7 @@
       call,
       caller,
       excluded: new Set(),
-      delivery: isStream(call) ? StreamDelivery.create(call, caller, clock) : undefined,
+      delivery: isStream(call) ? StreamDelivery.create(call, caller) : undefined,
       sends: 0,
       runs: 0,
     };
@@ -190,74 +199,45 @@
       lastEvent: delivery?.lastEvent,
     });
     const remainingMs = deadline - startedAt;
-    const boundMs = this.boundOf(call, remainingMs);
-    let silent = false;
-    const timer = setTimeout(() => {
-      silent = true;
-      own.abort();
-    }, boundMs);
+    const watch = SilenceWatch.create({
+      clock,
+      patience: patienceFor(call, remainingMs),
+      look: () => client.lookInto(call, upstream),
+      stop: own,
+    });
     const attempt = { upstream, path, remainingMs, lastEvent: delivery?.lastEvent };
     const sent = await client.send(call, attempt, own.signal);
-    let end: AttemptEnd;
-    if (sent.isErr()) {
-      const failure = silent ? 'silent' : failureOf(sent.error.kind);
-      end = { kind: 'failed', failure, detail: silent ? 'no answer' : detailOf(sent.error) };
-    } else {
-      end = await this.take(progress, target, sent.value, timer, () => silent, own);
-    }
-    clearTimeout(timer);
+    const answer = sent.isOk() ? sent.value : undefined;
+    let end: AttemptEnd = answer
+      ? await this.take(progress, answer, watch)
+      : failedBy(sent._unsafeUnwrapErr());
+    watch.end();
     own.abort();
     release();
     stop.removeEventListener('abort', abort);
+    if (end.kind === 'failed' && watch.verdict) end = silenced(watch.verdict);
     if (stop.aborted && end.kind !== 'delivered') return end;
-    this.learn(
-      progress,
-      upstream,
-      end,
-      clock.now() - startedAt,
-      sent.isOk() ? sent.value : undefined,
-    );
-    if (end.kind === 'delivered') health.succeeded(upstream, clock.now() - startedAt);
+    this.learn(progress, upstream, end, clock.now() - startedAt, answer);
     return end;
   }
 
-  /** How long an attempt may stay silent before it is given up for another. */
-  private boundOf(call: Call, remainingMs: Millis): Millis {
-    if (!isRepeatable(call)) return remainingMs;
-    if (!isStream(call)) return remainingMs * silentShare;
-    const first = Math.max(leastFirstEventMs, call.route.objectiveMs * firstEventFactor);
-    return Math.min(first, remainingMs);
-  }
-
   /** Passes an answer on, or finds that it has to be had elsewhere. */
   private async take(
     progress: Progress,
-    target: Target,
     answer: UpstreamAnswer,
-    timer: NodeJS.Timeout,
-    isSilent: () => boolean,
-    own: AbortController,
+    watch: SilenceWatch,
   ): Promise<AttemptEnd> {
     const { call, caller, delivery } = progress;
     const { status } = answer.head;
-    if (answer.notRun) {
-      own.abort();
-      return { kind: 'failed', failure: 'not-run', detail: `status ${status}` };
-    }
+    if (answer.notRun) return { kind: 'failed', failure: 'not-run', detail: `status ${status}` };
     progress.runs += 1;
     if (delivery && status === 200) {
-      const end = await delivery.take(answer, {
-        onFirstEvent: () => clearTimeout(timer),
-        blockedAt: () => this.o.client.blockedAt(call, target.upstream),
-        stop: own,
-      });
-      return this.endOfStream(progress, end, isSilent());
+      const end = await delivery.take(answer, () => watch.heard());
+      if (end === 'complete') return { kind: 'delivered' };
+      return { kind: 'failed', failure: 'broken', detail: 'the stream broke off' };
     }
     const whole = await gather(answer);
-    if (!whole) {
-      const failure = isSilent() ? 'silent' : 'broken';
-      return { kind: 'failed', failure, detail: 'the answer broke off' };
-    }
+    if (!whole) return { kind: 'failed', failure: 'broken', detail: 'the answer broke off' };
     if (status >= 500 && isRepeatable(call)) {
       return { kind: 'failed', failure: 'failed', detail: `status ${status}`, answer: whole };
     }
@@ -267,23 +247,6 @@
     return { kind: 'delivered' };
   }
 
-  private endOfStream(progress: Progress, end: StreamEnd, silent: boolean): AttemptEnd {
-    if (end.kind === 'complete') return { kind: 'delivered' };
-    if (end.kind === 'blocked') {
-      const culprit = this.o.targets.byAddress(end.address);
-      if (culprit) {
-        progress.excluded.add(culprit.id);
-        this.o.health.failed(culprit, true);
-      }
-      return { kind: 'failed', failure: 'broken', detail: `blocked at ${end.address}` };
-    }
-    return {
-      kind: 'failed',
-      failure: silent ? 'silent' : 'broken',
-      detail: 'the stream broke off',
-    };
-  }
-
   /** Takes note of how an attempt ended. */
   private learn(
     progress: Progress,
@@ -293,27 +256,24 @@
     answer: UpstreamAnswer | undefined,
   ): void {
     const { call, excluded } = progress;
+    const took = Math.round(tookMs);
     if (end.kind === 'delivered') {
-      this.tell(call, 'Delivered.', { upstream: upstream.id, tookMs: Math.round(tookMs) });
+      this.tell(call, 'Delivered.', { upstream: upstream.id, tookMs: took });
       this.o.count('delivered', call.route.kind);
+      this.o.health.succeeded(upstream, tookMs);
       return;
     }
     const { failure, detail } = end;
-    this.tell(call, 'Attempt failed.', {
-      upstream: upstream.id,
-      failure,
-      detail,
-      culprit: answer?.culprit,
-      tookMs: Math.round(tookMs),
-    });
+    const address = end.culprit ?? answer?.culprit;
+    const fields = { upstream: upstream.id, failure, detail, culprit: address, tookMs: took };
+    this.tell(call, 'Attempt failed.', fields);
     this.o.count('attempt_failed', failure);
     if (failure === 'broken' || failure === 'silent') progress.runs += answer ? 0 : 1;
-    const culprit =
-      answer?.culprit === undefined ? undefined : this.o.targets.byAddress(answer.culprit);
+    const culprit = address === undefined ? undefined : this.o.targets.byAddress(address);
     const blamed = culprit ?? upstream;
     excluded.add(blamed.id);
     const lost = failure === 'unreachable' || failure === 'broken' || failure === 'silent';
-    this.o.health.failed(blamed, lost && !detail.startsWith('blocked'));
+    this.o.health.failed(blamed, lost);
   }
 
   private tell(call: Call, sentence: string, fields: Parameters<Logger['info']>[1]): void {
@@ -321,12 +281,42 @@
   }
 }
 
-function failureOf(kind: 'unreachable' | 'broken' | 'cancelled'): Failure {
-  return kind === 'unreachable' ? 'unreachable' : 'broken';
+/** How long an attempt may stay silent before the request is tried elsewhere. */
+export function patienceFor(call: Call, remainingMs: Millis): Patience {
+  if (!isRepeatable(call)) return { firstMs: Infinity, pauseMs: Infinity, lookMs: undefined };
+  if (!isStream(call)) {
+    const ms = remainingMs * silentShare;
+    return { firstMs: ms, pauseMs: ms, lookMs: undefined };
+  }
+  const { objectiveMs, pauseMs } = call.route;
+  return {
+    firstMs: Math.min(remainingMs, objectiveMs * firstEventFactor),
+    pauseMs: mostPauseMs,
+    lookMs: Math.min(objectiveMs * lookShare, (pauseMs ?? Infinity) * 1.5),
+  };
 }
 
-function detailOf(error: { readonly kind: string; readonly detail?: string }): string {
-  return error.detail ?? error.kind;
+function failedBy(error: SendError): AttemptEnd {
+  const failure = error.kind === 'unreachable' ? 'unreachable' : 'broken';
+  return { kind: 'failed', failure, detail: 'detail' in error ? error.detail : error.kind };
+}
+
+function silenced(verdict: Verdict): AttemptEnd {
+  switch (verdict.kind) {
+    case 'blocked':
+      return {
+        kind: 'failed',
+        failure: 'broken',
+        detail: 'a stage is not reached',
+        culprit: verdict.address,
+      };
+    case 'unreachable':
+      return { kind: 'failed', failure: 'silent', detail: 'the upstream is not reached' };
+    case 'silent':
+      return { kind: 'failed', failure: 'silent', detail: 'no answer' };
+    default:
+      return unreachable(verdict);
+  }
 }
 
 /** The whole body of an answer; undefined where it broke off or is too large to be gathered. */
--- /dev/null
+++ b/packages/relay/src/silence.ts
@@ -0,0 +1,102 @@
+/**
+ * Watches an attempt for silence. Answers upstreams that neither answer nor close: a stage that is
+ * not reached is found by asking the first one, long before the attempt would end by itself.
+ */
+
+import type { Clock, Millis } from '@tanagercart/base';
+
+/** What a look into a silent attempt shows. */
+export type Look =
+  /** The upstream is at work. */
+  | { readonly kind: 'waiting' }
+  /** It waits for a stage that is not reached. */
+  | { readonly kind: 'blocked'; readonly address: string }
+  /** It does not answer itself. */
+  | { readonly kind: 'unreachable' };
+
+/** Why an attempt was ended for its silence. */
+export type Verdict = Exclude<Look, { kind: 'waiting' }> | { readonly kind: 'silent' };
+
+/** How long an attempt may be silent. */
+export interface Patience {
+  /** Before its first event, and between events. */
+  readonly firstMs: Millis;
+  readonly pauseMs: Millis;
+  /** Silence after which it is looked into; undefined where it never is. */
+  readonly lookMs: Millis | undefined;
+}
+
+export interface SilenceOptions {
+  readonly clock: Clock;
+  readonly patience: Patience;
+  readonly look: () => Promise<Look>;
+  /** Ends the attempt. */
+  readonly stop: AbortController;
+}
+
+/** Watches one attempt. */
+export class SilenceWatch {
+  /** Set once the watch has ended the attempt. */
+  verdict: Verdict | undefined;
+  private heardAt: Millis;
+  private started = false;
+  private ended = false;
+  private timer: NodeJS.Timeout | undefined;
+
+  private constructor(private readonly o: SilenceOptions) {
+    this.heardAt = o.clock.now();
+    this.arm();
+  }
+
+  /** Starts to watch. */
+  static create(options: SilenceOptions): SilenceWatch {
+    return new SilenceWatch(options);
+  }
+
+  /** Something of the answer came. */
+  heard(): void {
+    this.started = true;
+    this.heardAt = this.o.clock.now();
+  }
+
+  end(): void {
+    this.ended = true;
+    clearTimeout(this.timer);
+  }
+
+  private get limitMs(): Millis {
+    return this.started ? this.o.patience.pauseMs : this.o.patience.firstMs;
+  }
+
+  private arm(): void {
+    if (this.ended) return;
+    const { clock, patience } = this.o;
+    const quietMs = clock.now() - this.heardAt;
+    const lookMs = patience.lookMs ?? Infinity;
+    const untilLook = quietMs < lookMs ? lookMs - quietMs : lookMs;
+    const waitMs = Math.max(1, Math.min(untilLook, this.limitMs - quietMs));
+    this.timer = setTimeout(() => {
+      void this.judge();
+    }, waitMs);
+  }
+
+  private async judge(): Promise<void> {
+    const { clock, patience, look } = this.o;
+    const heardAt = this.heardAt;
+    const quiet = () => clock.now() - this.heardAt;
+    if (patience.lookMs !== undefined && quiet() >= patience.lookMs && quiet() < this.limitMs) {
+      const found = await look();
+      if (this.ended) return;
+      if (found.kind !== 'waiting' && this.heardAt === heardAt) this.stop(found);
+    }
+    if (quiet() >= this.limitMs) this.stop({ kind: 'silent' });
+    this.arm();
+  }
+
+  private stop(verdict: Verdict): void {
+    if (this.ended) return;
+    this.verdict = verdict;
+    this.end();
+    this.o.stop.abort();
+  }
+}
--- a/packages/relay/src/upstream.ts
+++ b/packages/relay/src/upstream.ts
@@ -5,6 +5,7 @@
 import type { Path } from '@tanagercart/layers';
 import type { UpstreamRecord } from '@tanagercart/protocol';
 import type { AnswerHead, Call } from './call.js';
+import type { Look } from './silence.js';
 
 /** One sending of a request. */
 export interface Attempt {
@@ -41,6 +42,6 @@
 export interface UpstreamClient {
   /** Resolves once the head of the answer is there; `stop` also ends its body. */
   send(call: Call, attempt: Attempt, stop: AbortSignal): Promise<Result<UpstreamAnswer, SendError>>;
-  /** Address of the upstream for which a request waits within a path; undefined where none is known. */
-  blockedAt(call: Call, upstream: UpstreamRecord): Promise<string | undefined>;
+  /** Finds out why an upstream has not answered a request so far. */
+  lookInto(call: Call, upstream: UpstreamRecord): Promise<Look>;
 }
