--- a/packages/fleet/src/view.ts
+++ b/packages/fleet/src/view.ts
@@ -1,5 +1,6 @@
 /** An entry's copy of the state of the fleet, and how old the leader's word on it is. */
 
+import { Bell } from '@tanagercart/base';
 import type { Clock, Logger, Millis, NodeId, UpstreamId } from '@tanagercart/base';
 import { RoutingTable, applyDelta } from '@tanagercart/config';
 import type { Configuration, Delta } from '@tanagercart/config';
@@ -35,6 +36,8 @@
   private suspected: readonly (Suspicion & { readonly at: Millis })[] = [];
   private quarantine = new Set<string>();
   private confirmed: Millis = -Infinity;
+  /** Rings after each update. */
+  readonly changed = Bell.create();
   /** Counts changes of the upstreams, for whoever keeps something derived from them. */
   revision = 0;
 
@@ -93,6 +96,7 @@
     const now = this.o.clock.now();
     this.suspected = update.suspicions.map((s) => ({ ...s, at: now - s.ageMs }));
     this.confirmed = sentAt;
+    this.changed.ring();
     return true;
   }
 
--- a/packages/fleet/src/voter.ts
+++ b/packages/fleet/src/voter.ts
@@ -4,8 +4,8 @@
 import type { Result } from 'neverthrow';
 import { Bell } from '@tanagercart/base';
 import type { Clock, Logger, Millis, NodeId, Random } from '@tanagercart/base';
-import { DiskStore, Raft, defaultLimits, defaultTiming } from '@tanagercart/log';
-import type { Disk, ProposeError } from '@tanagercart/log';
+import { DiskStore, Raft, defaultLimits } from '@tanagercart/log';
+import type { Disk, ProposeError, Timing } from '@tanagercart/log';
 import type { Transport } from '@tanagercart/protocol';
 import { decodeOutcome, encodeCommand } from './command.js';
 import type { Command, Outcome } from './command.js';
@@ -17,6 +17,9 @@
 /** How often the disk is looked after. */
 const lookMs: Millis = 250;
 
+/** Leaders are found again fast, as entries lose their lease without one. */
+const timing: Timing = { heartbeatMs: 80, electionMs: 350 };
+
 /** Segments of the log are kept small, as disks are. */
 const segmentBytes = 1024 * 1024;
 
@@ -100,6 +103,8 @@
     const { disk, random, logger, self, initial, transport, clock, onBroken } = this.o;
     const store = await DiskStore.open({ disk, random, logger, segmentBytes });
     return store.map((opened) => {
+      const { term } = opened.hard;
+      logger.info('Opened the data folder.', { term, lastIndex: opened.lastIndex });
       const state = FleetState.create();
       state.onChange = () => this.changed.ring();
       this.held = state;
@@ -111,7 +116,7 @@
         machine: state,
         clock,
         random,
-        timing: defaultTiming,
+        timing,
         limits: { ...defaultLimits, snapshotEveryBytes: segmentBytes },
         logger,
         onBroken,
--- a/packages/layers/src/cost.ts
+++ b/packages/layers/src/cost.ts
@@ -23,6 +23,9 @@
 /** Weight of the time of later tokens: callers wait for the first one, the others come in time. */
 const answerWeight = 0.2;
 
+/** Cost of entering another data centre: links between them lose packets and are cut more often. */
+export const farEntryMs: Millis = 120;
+
 /** Share of a stage's memory from which on requests are preempted, so that it is avoided. */
 const fullShare = 0.92;
 
--- a/packages/layers/src/path.ts
+++ b/packages/layers/src/path.ts
@@ -6,7 +6,7 @@
 
 import type { DataCentreId, Random } from '@tanagercart/base';
 import type { Engine } from '@tanagercart/config';
-import { hopDelayMs, partMs, transferMs } from './cost.js';
+import { farEntryMs, hopDelayMs, partMs, transferMs } from './cost.js';
 import type { Work } from './cost.js';
 import type { Path, PathPart, Stage } from './stage.js';
 
@@ -110,8 +110,9 @@
   const last = before?.part.stage.dataCentre ?? query.dataCentre;
   const delayMs = hopDelayMs(engine, last, stage.dataCentre, work);
   // Only stages pass on what they made of the prompt; the request itself is small.
-  const crosses = before !== undefined && last !== stage.dataCentre;
-  const startMs = (before?.ms ?? 0) + delayMs + (crosses ? transferMs(engine, work) : 0);
+  const crossingMs = before ? transferMs(engine, work) : farEntryMs;
+  const crosses = last !== stage.dataCentre;
+  const startMs = (before?.ms ?? 0) + delayMs + (crosses ? crossingMs : 0);
   for (const to of points) {
     if (to <= from) continue;
     if (to > stage.layers.to) break;
--- a/packages/log/src/election.ts
+++ b/packages/log/src/election.ts
@@ -43,6 +43,7 @@
     if (!transfer && !(await this.gather(core.term + 1, 'pre'))) return;
     const term = await core.exclusively(() => this.stand(standAt));
     if (term === undefined) return;
+    core.o.logger.info('Standing for election.', { term, transfer });
     const won = await this.gather(term, transfer ? 'transfer' : 'vote');
     if (won && core.term === term && core.role === 'candidate' && !core.stopped) {
       await this.replication.lead(term);
