--- a/packages/config/test/config.test.ts
+++ b/packages/config/test/config.test.ts
@@ -37,7 +37,7 @@
     routes,
     services: [{ id: desk, healthPath: '/healthz', maxConnections: 10, engine: undefined }],
     accounts: [{ id: AccountId('quay'), keys: ['k1', 'k2'], priority: 1 }],
-    limits: { headBytes: 16384, bodyBytes: 1 << 20, headMs: 3000, idleMs: 15000 },
+    limits: { headBytes: 16384, bodyBytes: 1048576, headMs: 3000, idleMs: 15000 },
     ...change,
   };
 }
--- a/packages/fleet/src/control.ts
+++ b/packages/fleet/src/control.ts
@@ -107,6 +107,21 @@
     return this.voter.leader ?? this.link.leader;
   }
 
+  /** Whether this node leads, and no other can. */
+  get leads(): boolean {
+    return this.voter.leads;
+  }
+
+  /** Whether this node votes, with the disk that it has. */
+  get votes(): boolean {
+    return this.voter.votes;
+  }
+
+  /** Voters and learners of the log, as far as this node knows. */
+  get voters(): readonly NodeId[] {
+    return this.voter.members;
+  }
+
   /** Entries that callers may use, as far as this node knows. */
   get entries(): readonly EntryRecord[] {
     const reign = this.currentReign();
--- a/packages/fleet/src/state.ts
+++ b/packages/fleet/src/state.ts
@@ -43,7 +43,7 @@
   /** Index of the last command that was applied. */
   index = 0;
   /** Called after each command that changed something. */
-  onChange: () => void = () => undefined;
+  onChange: (() => void) | undefined;
   private documents: Document[] = [noDocument];
   private records = new Map<UpstreamId, UpstreamRecord>();
   private changedAt = new Map<UpstreamId, number>();
@@ -73,7 +73,7 @@
   apply(index: number, bytes: Uint8Array): Uint8Array {
     const outcome = this.carryOut(index, decodeCommand(bytes));
     this.index = index;
-    this.onChange();
+    this.onChange?.();
     return encodeOutcome(outcome);
   }
 
@@ -95,7 +95,7 @@
     this.records = new Map(whole.upstreams.map((r) => [r.id, r]));
     this.changedAt = new Map();
     this.strikes = new Map(whole.strikes);
-    this.onChange();
+    this.onChange?.();
   }
 
   /** What changed after `since`. */
--- a/packages/fleet/src/steward.ts
+++ b/packages/fleet/src/steward.ts
@@ -54,11 +54,11 @@
 
   /** Task: asks to join while this node does not vote, and looks after the voters while it leads. */
   async run(stop: AbortSignal): Promise<void> {
-    const { clock, voter, self } = this.o;
+    const { clock, voter } = this.o;
     while (!stop.aborted) {
       const { raft } = voter;
       if (raft && voter.leads) this.lookAfter(raft);
-      else if (raft && !isVoter(raft, self)) await this.askToJoin();
+      else if (raft && !voter.votes) await this.askToJoin();
       await clock.sleep(stepMs, stop);
     }
   }
@@ -130,7 +130,3 @@
   readonly action: 'add' | 'remove';
   readonly node: NodeId;
 }
-
-function isVoter(raft: Raft, id: NodeId): boolean {
-  return raft.voters.voters.some((m) => m.id === id && m.disk === raft.disk);
-}
--- a/packages/fleet/src/voter.ts
+++ b/packages/fleet/src/voter.ts
@@ -1,11 +1,11 @@
 /** Keeps a voter running on its disk: opens it again after the disk has failed. */
 
-import { err } from 'neverthrow';
+import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import { Bell } from '@tanagercart/base';
 import type { Clock, Logger, Millis, NodeId, Random } from '@tanagercart/base';
 import { DiskStore, Raft, defaultLimits } from '@tanagercart/log';
-import type { Disk, ProposeError, Timing } from '@tanagercart/log';
+import type { Disk, ProposeError, StoreError, Timing } from '@tanagercart/log';
 import type { Transport } from '@tanagercart/protocol';
 import { decodeOutcome, encodeCommand } from './command.js';
 import type { Command, Outcome } from './command.js';
@@ -65,6 +65,12 @@
     return this.log?.holdsLease ?? false;
   }
 
+  /** Whether this node votes, with the disk that it has. */
+  get votes(): boolean {
+    const { log } = this;
+    return log?.voters.voters.some((m) => m.id === this.o.self && m.disk === log.disk) ?? false;
+  }
+
   get leader(): NodeId | undefined {
     return this.leads ? this.o.self : this.log?.leader;
   }
@@ -80,8 +86,9 @@
     const { clock, logger } = this.o;
     while (!stop.aborted) {
       const opened = await this.open();
-      if (opened.isErr())
+      if (opened.isErr()) {
         logger.error('Cannot use the data folder.', { detail: opened.error.detail });
+      }
       while (this.log && !this.log.failed && !stop.aborted) await clock.sleep(lookMs, stop);
       if (this.log && !stop.aborted) logger.warn('The disk has failed, opening it again.');
       const failed = this.log;
@@ -99,28 +106,17 @@
     return applied.map(({ outcome }) => decodeOutcome(outcome));
   }
 
-  private async open() {
-    const { disk, random, logger, self, initial, transport, clock, onBroken } = this.o;
+  private async open(): Promise<Result<void, StoreError>> {
+    const { disk, random, logger } = this.o;
     const store = await DiskStore.open({ disk, random, logger, segmentBytes });
-    return store.map((opened) => {
-      const { term } = opened.hard;
-      logger.info('Opened the data folder.', { term, lastIndex: opened.lastIndex });
-      const state = FleetState.create();
-      state.onChange = () => this.changed.ring();
-      this.held = state;
-      this.log = Raft.create({
-        self,
-        initial,
-        transport,
-        store: opened,
-        machine: state,
-        clock,
-        random,
-        timing,
-        limits: { ...defaultLimits, snapshotEveryBytes: segmentBytes },
-        logger,
-        onBroken,
-      });
-    });
+    if (store.isErr()) return err(store.error);
+    const { hard, lastIndex } = store.value;
+    logger.info('Opened the data folder.', { term: hard.term, lastIndex });
+    const state = FleetState.create();
+    state.onChange = () => this.changed.ring();
+    this.held = state;
+    const limits = { ...defaultLimits, snapshotEveryBytes: segmentBytes };
+    this.log = Raft.create({ ...this.o, store: store.value, machine: state, timing, limits });
+    return ok(undefined);
   }
 }
--- /dev/null
+++ b/packages/fleet/test/view.test.ts
@@ -0,0 +1,79 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { DataCentreId, NodeId, createStop, silentLogger } from '@tanagercart/base';
+import type { Configuration } from '@tanagercart/config';
+import type { EntryRecord } from '@tanagercart/protocol';
+import { FleetView, Watcher } from '../src/index.js';
+import { Fleet, announcementOf, documentOf } from './fleet.js';
+
+async function withEntry(seed: number) {
+  const fleet = await Fleet.start(seed);
+  const { clock } = fleet;
+  const view = FleetView.create({
+    clock,
+    logger: silentLogger,
+    read: (text) => JSON.parse(text) as Configuration,
+  });
+  const self = NodeId('entry');
+  const entry: EntryRecord = {
+    node: self,
+    dataCentre: DataCentreId('north'),
+    address: 'entry:1',
+    phase: 'ready',
+  };
+  const watcher = Watcher.create({
+    transport: fleet.network.attach(self),
+    clock,
+    logger: silentLogger,
+    view,
+    seeds: () => [NodeId('a'), NodeId('b'), NodeId('c')],
+    entry: () => entry,
+    loads: () => [],
+    suspicions: () => [],
+  });
+  void watcher.run(createStop().signal);
+  return { fleet, view, self };
+}
+
+test('an entry learns documents and upstreams soon after they are accepted', async () => {
+  const { fleet, view } = await withEntry(21);
+  const [node] = fleet.nodes.values();
+  for (const version of [3, 4, 5]) {
+    await fleet.of(node!.submit(documentOf(version)));
+    await fleet.until(() => view.document.version === version, 500);
+    assert.equal(view.document.text, documentOf(version).text);
+  }
+  await fleet.beat(['u1'], { phase: 'draining' });
+  const { id } = announcementOf('u1');
+  await fleet.until(() => view.upstreams.get(id)?.phase === 'draining', 500);
+});
+
+test('every node names the entries that are ready', async () => {
+  const { fleet } = await withEntry(22);
+  await fleet.until(() => [...fleet.nodes.values()].every((n) => n.entries.length === 1));
+});
+
+test('the word of the leader ages while an entry is cut off, and is renewed after', async () => {
+  const { fleet, view, self } = await withEntry(23);
+  await fleet.until(() => view.ageMs < 1000);
+  for (const id of fleet.nodes.keys()) {
+    fleet.network.cut(self, id);
+    fleet.network.cut(id, self);
+  }
+  await fleet.clock.advance(4000);
+  assert.ok(view.ageMs > 3000);
+  fleet.network.heal();
+  await fleet.until(() => view.ageMs < 1000);
+});
+
+test('an entry goes on with another leader, and takes no document back', async () => {
+  const { fleet, view } = await withEntry(24);
+  const [node] = fleet.nodes.values();
+  await fleet.of(node!.submit(documentOf(8)));
+  await fleet.until(() => view.document.version === 8);
+  const leader = [...fleet.nodes].find(([, n]) => n.leads)![0];
+  fleet.kill(leader);
+  await fleet.until(() => fleet.leader !== undefined);
+  await fleet.until(() => view.ageMs < 500);
+  assert.equal(view.document.version, 8);
+});
--- a/packages/layers/test/fixtures.ts
+++ b/packages/layers/test/fixtures.ts
@@ -35,11 +35,11 @@
 
 export const work = { promptTokens: 772, answerTokens: 150 };
 
-export function stage(id: string, centre: string, from: number, to: number): Stage {
+export function stage(id: string, place: string, from: number, to: number): Stage {
   return {
     id: UpstreamId(id),
     address: `${id}:1`,
-    dataCentre: DataCentreId(centre),
+    dataCentre: DataCentreId(place),
     layers: { from, to },
     stepFactor: 15,
     readFactor: 10,
@@ -51,10 +51,10 @@
   };
 }
 
-export function holder(id: string, centre: string, kind: number, layers?: LayerRange): Holder {
+export function holder(id: string, place: string, kind: number, layers?: LayerRange): Holder {
   return {
     id: UpstreamId(id),
-    dataCentre: DataCentreId(centre),
+    dataCentre: DataCentreId(place),
     accelerator: accelerators[kind]!,
     layers,
     busy: false,
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -183,7 +183,7 @@
     deadline: Millis,
     stop: AbortSignal,
   ): Promise<AttemptEnd> {
-    const { clock, client, loads, health } = this.o;
+    const { clock, client, loads } = this.o;
     const { call, delivery } = progress;
     const { upstream, path } = target;
     const startedAt = clock.now();
@@ -209,7 +209,7 @@
     const sent = await client.send(call, attempt, own.signal);
     const answer = sent.isOk() ? sent.value : undefined;
     let end: AttemptEnd = answer
-      ? await this.take(progress, answer, watch)
+      ? await take(progress, answer, watch)
       : failedBy(sent._unsafeUnwrapErr());
     watch.end();
     own.abort();
@@ -221,32 +221,6 @@
     return end;
   }
 
-  /** Passes an answer on, or finds that it has to be had elsewhere. */
-  private async take(
-    progress: Progress,
-    answer: UpstreamAnswer,
-    watch: SilenceWatch,
-  ): Promise<AttemptEnd> {
-    const { call, caller, delivery } = progress;
-    const { status } = answer.head;
-    if (answer.notRun) return { kind: 'failed', failure: 'not-run', detail: `status ${status}` };
-    progress.runs += 1;
-    if (delivery && status === 200) {
-      const end = await delivery.take(answer, () => watch.heard());
-      if (end === 'complete') return { kind: 'delivered' };
-      return { kind: 'failed', failure: 'broken', detail: 'the stream broke off' };
-    }
-    const whole = await gather(answer);
-    if (!whole) return { kind: 'failed', failure: 'broken', detail: 'the answer broke off' };
-    if (status >= 500 && isRepeatable(call)) {
-      return { kind: 'failed', failure: 'failed', detail: `status ${status}`, answer: whole };
-    }
-    caller.start(whole.head);
-    void caller.write(whole.body);
-    caller.end();
-    return { kind: 'delivered' };
-  }
-
   /** Takes note of how an attempt ended. */
   private learn(
     progress: Progress,
@@ -319,6 +293,32 @@
   }
 }
 
+/** Passes an answer on, or finds that it has to be had elsewhere. */
+async function take(
+  progress: Progress,
+  answer: UpstreamAnswer,
+  watch: SilenceWatch,
+): Promise<AttemptEnd> {
+  const { call, caller, delivery } = progress;
+  const { status } = answer.head;
+  if (answer.notRun) return { kind: 'failed', failure: 'not-run', detail: `status ${status}` };
+  progress.runs += 1;
+  if (delivery && status === 200) {
+    const end = await delivery.take(answer, () => watch.heard());
+    if (end === 'complete') return { kind: 'delivered' };
+    return { kind: 'failed', failure: 'broken', detail: 'the stream broke off' };
+  }
+  const whole = await gather(answer);
+  if (!whole) return { kind: 'failed', failure: 'broken', detail: 'the answer broke off' };
+  if (status >= 500 && isRepeatable(call)) {
+    return { kind: 'failed', failure: 'failed', detail: `status ${status}`, answer: whole };
+  }
+  caller.start(whole.head);
+  void caller.write(whole.body);
+  caller.end();
+  return { kind: 'delivered' };
+}
+
 /** The whole body of an answer; undefined where it broke off or is too large to be gathered. */
 async function gather(answer: UpstreamAnswer): Promise<WholeAnswer | undefined> {
   const parts: Uint8Array[] = [];
--- a/packages/relay/src/silence.ts
+++ b/packages/relay/src/silence.ts
@@ -5,6 +5,9 @@
 
 import type { Clock, Millis } from '@tanagercart/base';
 
+/** Longest wait before the silence is judged again. */
+const longestWaitMs: Millis = 60_000;
+
 /** What a look into a silent attempt shows. */
 export type Look =
   /** The upstream is at work. */
@@ -40,17 +43,17 @@
   verdict: Verdict | undefined;
   private heardAt: Millis;
   private started = false;
-  private ended = false;
-  private timer: NodeJS.Timeout | undefined;
+  private readonly ending = new AbortController();
 
   private constructor(private readonly o: SilenceOptions) {
     this.heardAt = o.clock.now();
-    this.arm();
   }
 
   /** Starts to watch. */
   static create(options: SilenceOptions): SilenceWatch {
-    return new SilenceWatch(options);
+    const watch = new SilenceWatch(options);
+    void watch.run();
+    return watch;
   }
 
   /** Something of the answer came. */
@@ -60,29 +63,33 @@
   }
 
   end(): void {
-    this.ended = true;
-    clearTimeout(this.timer);
+    this.ending.abort();
   }
 
   private get limitMs(): Millis {
     return this.started ? this.o.patience.pauseMs : this.o.patience.firstMs;
   }
 
-  private arm(): void {
-    if (this.ended) return;
+  private get ended(): boolean {
+    return this.ending.signal.aborted;
+  }
+
+  /** Task: judges the silence whenever it may have lasted too long. */
+  private async run(): Promise<void> {
     const { clock, patience } = this.o;
-    const quietMs = clock.now() - this.heardAt;
-    const lookMs = patience.lookMs ?? Infinity;
-    const untilLook = quietMs < lookMs ? lookMs - quietMs : lookMs;
-    const waitMs = Math.max(1, Math.min(untilLook, this.limitMs - quietMs));
-    this.timer = setTimeout(() => {
-      void this.judge();
-    }, waitMs);
+    while (!this.ended) {
+      const quietMs = clock.now() - this.heardAt;
+      const lookMs = patience.lookMs ?? Infinity;
+      const untilLook = quietMs < lookMs ? lookMs - quietMs : lookMs;
+      const waitMs = Math.max(1, Math.min(untilLook, this.limitMs - quietMs, longestWaitMs));
+      await clock.sleep(waitMs, this.ending.signal);
+      if (!this.ended) await this.judge();
+    }
   }
 
   private async judge(): Promise<void> {
     const { clock, patience, look } = this.o;
-    const heardAt = this.heardAt;
+    const { heardAt } = this;
     const quiet = () => clock.now() - this.heardAt;
     if (patience.lookMs !== undefined && quiet() >= patience.lookMs && quiet() < this.limitMs) {
       const found = await look();
@@ -90,7 +97,6 @@
       if (found.kind !== 'waiting' && this.heardAt === heardAt) this.stop(found);
     }
     if (quiet() >= this.limitMs) this.stop({ kind: 'silent' });
-    this.arm();
   }
 
   private stop(verdict: Verdict): void {
