Pass on an answer without a length as one without a length

Ruled out: a reset is told by the socket (tested); an end of the connection cannot be told from a whole answer, so the caller gets the same framing.

--- a/packages/relay/src/call.ts
+++ b/packages/relay/src/call.ts
@@ -36,6 +36,8 @@
   readonly status: number;
   readonly reason: string;
   readonly headers: RawHeaders;
+  /** The body has no length: only the end of the connection ends it. */
+  readonly untilClose: boolean;
 }
 
 /** Why a request gets an answer of the system's own. */
--- a/packages/relay/test/fixtures.ts
+++ b/packages/relay/test/fixtures.ts
@@ -154,7 +154,7 @@
   cut = false,
 ): UpstreamAnswer {
   return {
-    head: { status, reason: '', headers: [] },
+    head: { status, reason: '', headers: [], untilClose: false },
     notRun,
     culprit: undefined,
     body: bodyOf(chunks, cut),
