--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -6,5 +6,7 @@
 export * from './invariant.js';
 export * from './log.js';
 export * from './metrics.js';
+export * from './served.js';
+export * from './sink.js';
 export * from './latch.js';
 export * from './vigilant.js';
--- a/packages/base/src/log.ts
+++ b/packages/base/src/log.ts
@@ -18,6 +18,11 @@
 /** Levels of the log, least first. */
 export type LogLevel = 'debug' | 'info' | 'warn' | 'error';
 
+/** Takes whole lines. */
+export interface LineStream {
+  write(line: string): unknown;
+}
+
 /** A logger that writes bunyan records, to standard error where nothing else is said. */
 export class BunyanLogger implements Logger {
   private constructor(
@@ -25,12 +30,8 @@
     private readonly prefix: string,
   ) {}
 
-  static create(
-    name: string,
-    level: LogLevel,
-    stream: NodeJS.WritableStream = process.stderr,
-  ): BunyanLogger {
-    const sink = bunyan.createLogger({ name, level, stream });
+  static create(name: string, level: LogLevel, stream: LineStream = process.stderr): BunyanLogger {
+    const sink = bunyan.createLogger({ name, level, stream: stream as NodeJS.WritableStream });
     return new BunyanLogger(sink, '');
   }
 
--- a/packages/base/src/metrics.ts
+++ b/packages/base/src/metrics.ts
@@ -11,6 +11,8 @@
   count(name: string, tags?: Tags, by?: number): void;
   /** Sets the gauge `name`. */
   gauge(name: string, value: number, tags?: Tags): void;
+  /** Adds a time in milliseconds to the histogram `name`. */
+  observe(name: string, value: number, tags?: Tags): void;
   /** The sum of the counter `name` over the tags that match `tags`. */
   read(name: string, tags?: Tags): number;
   /** Stops sending. */
@@ -55,6 +57,10 @@
     this.client?.gauge(name, value, { ...tags });
   }
 
+  observe(name: string, value: number, tags: Tags = {}): void {
+    this.client?.histogram(name, value, { ...tags });
+  }
+
   read(name: string, tags: Tags = {}): number {
     let sum = 0;
     for (const s of this.series.values()) {
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -8,4 +8,5 @@
 export * from './retry.js';
 export * from './silence.js';
 export * from './stream.js';
+export * from './trail.js';
 export * from './relay.js';
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -1,7 +1,7 @@
 /** Serves requests: chooses a target, sends, and tries again where that is allowed. */
 
 import { unreachable } from '@tanagercart/base';
-import type { Clock, Logger, Millis, UpstreamId } from '@tanagercart/base';
+import type { Clock, Logger, Metrics, Millis, UpstreamId } from '@tanagercart/base';
 import type { UpstreamRecord } from '@tanagercart/protocol';
 import { deadlineOf, isRepeatable, isStream } from './call.js';
 import type { AnswerHead, Call, Caller } from './call.js';
@@ -14,6 +14,7 @@
 import type { Patience, Verdict } from './silence.js';
 import { StreamDelivery } from './stream.js';
 import type { Target, Targets } from './target.js';
+import { LineRate, Trail } from './trail.js';
 import type { SendError, UpstreamAnswer, UpstreamClient } from './upstream.js';
 
 /** Share of the remaining time after which a silent attempt is given up for another. */
@@ -39,8 +40,7 @@
   readonly health: Health;
   readonly loads: Loads;
   readonly budget: RetryBudget;
-  /** Counts outcomes by name. */
-  readonly count: (name: string, reason: string) => void;
+  readonly metrics: Metrics;
 }
 
 /** What the attempts of one request have in common. */
@@ -49,6 +49,7 @@
   readonly caller: Caller;
   readonly excluded: Set<UpstreamId>;
   readonly delivery: StreamDelivery | undefined;
+  readonly trail: Trail;
   sends: number;
   runs: number;
 }
@@ -73,7 +74,11 @@
 
 /** Serves requests of callers. */
 export class Relay {
-  private constructor(private readonly o: RelayOptions) {}
+  private readonly rate: LineRate;
+
+  private constructor(private readonly o: RelayOptions) {
+    this.rate = LineRate.create(o.clock, o.logger);
+  }
 
   static create(options: RelayOptions): Relay {
     return new Relay(options);
@@ -81,7 +86,7 @@
 
   /** Serves one request to its end; never throws. */
   async serve(call: Call, caller: Caller): Promise<void> {
-    const { clock, budget } = this.o;
+    const { clock, budget, logger, metrics } = this.o;
     budget.request(call.service.id);
     const deadline = deadlineOf(call);
     const stop = new AbortController();
@@ -93,6 +98,7 @@
       caller,
       excluded: new Set(),
       delivery: isStream(call) ? StreamDelivery.create(call, caller) : undefined,
+      trail: Trail.create(logger, clock, this.rate, call),
       sends: 0,
       runs: 0,
     };
@@ -100,33 +106,43 @@
     const served = this.attempts(progress, deadline, stop.signal);
     const first = await Promise.race([served, expired]);
     if (first === 'expired' && !stop.signal.aborted) this.expire(progress);
+    if (caller.gone.aborted) progress.trail.tell('The caller left.', { sends: progress.sends });
     stop.abort();
-    await served;
+    const delivered = await served;
+    const tookMs = clock.now() - call.startedAt;
+    metrics.observe('request.ms', tookMs, { kind: call.route.kind });
+    progress.trail.end(!delivered || progress.sends > 1);
     caller.gone.removeEventListener('abort', abort);
   }
 
   /** The deadline has come before the answer was whole. */
   private expire(progress: Progress): void {
     const { call, caller, delivery, runs } = progress;
-    this.tell(call, 'Deadline passed.', { runs, started: delivery?.started ?? false });
-    this.o.count('expired', call.route.kind);
+    progress.trail.tell('Deadline passed.', { runs, started: delivery?.started ?? false });
+    this.o.metrics.count('request.expired', { kind: call.route.kind });
     if (delivery?.started) caller.breakOff();
     else caller.refuse({ kind: 'timeout', reason: 'no answer within the time of the request' });
   }
 
-  private async attempts(progress: Progress, deadline: Millis, stop: AbortSignal): Promise<void> {
+  /** Sends until the request has its answer; whether an upstream's answer was delivered whole. */
+  private async attempts(
+    progress: Progress,
+    deadline: Millis,
+    stop: AbortSignal,
+  ): Promise<boolean> {
     const { call } = progress;
     for (;;) {
       const target = this.o.targets.choose(call, progress.excluded);
       if (typeof target === 'string') {
         this.giveUp(progress, target, undefined, stop);
-        return;
+        return false;
       }
       const end = await this.attempt(progress, target, deadline, stop);
-      if (stop.aborted || end.kind === 'delivered') return;
+      if (end.kind === 'delivered') return true;
+      if (stop.aborted) return false;
       if (!this.mayRetry(progress, end, deadline)) {
         this.giveUp(progress, end.failure, end.answer, stop);
-        return;
+        return false;
       }
     }
   }
@@ -149,7 +165,9 @@
     if (next === 'give-up') return false;
     if (end.failure === 'unreachable') return true;
     const granted = this.o.budget.tryRepeat(call.service.id);
-    this.o.count(granted ? 'retried' : 'retry_refused', end.failure);
+    const name = granted ? 'request.retried' : 'request.retry-refused';
+    this.o.metrics.count(name, { reason: end.failure });
+    if (!granted) progress.trail.tell('No budget for another attempt.', { reason: end.failure });
     return granted;
   }
 
@@ -162,8 +180,8 @@
   ): void {
     const { call, caller, delivery, runs } = progress;
     if (stop.aborted) return;
-    this.tell(call, 'Gave up.', { reason, runs, sends: progress.sends });
-    this.o.count('gave_up', reason);
+    progress.trail.tell('Gave up.', { reason, runs, sends: progress.sends });
+    this.o.metrics.count('request.given-up', { reason });
     if (delivery?.started) {
       caller.breakOff();
     } else if (answer) {
@@ -192,7 +210,7 @@
     stop.addEventListener('abort', abort, { once: true });
     const release = loads.add(target.shares);
     progress.sends += 1;
-    this.tell(call, 'Sending.', {
+    progress.trail.tell('Sending.', {
       attempt: progress.sends,
       upstream: upstream.id,
       path: path?.map((p) => `${p.stage.address}=${p.layers.from}-${p.layers.to}`).join(' '),
@@ -232,16 +250,16 @@
     const { call, excluded } = progress;
     const took = Math.round(tookMs);
     if (end.kind === 'delivered') {
-      this.tell(call, 'Delivered.', { upstream: upstream.id, tookMs: took });
-      this.o.count('delivered', call.route.kind);
+      progress.trail.tell('Delivered.', { upstream: upstream.id, tookMs: took });
+      this.o.metrics.count('request.delivered', { kind: call.route.kind });
       this.o.health.succeeded(upstream, tookMs);
       return;
     }
     const { failure, detail } = end;
     const address = end.culprit ?? answer?.culprit;
     const fields = { upstream: upstream.id, failure, detail, culprit: address, tookMs: took };
-    this.tell(call, 'Attempt failed.', fields);
-    this.o.count('attempt_failed', failure);
+    progress.trail.tell('Attempt failed.', fields);
+    this.o.metrics.count('attempt.failed', { reason: failure });
     if (failure === 'broken' || failure === 'silent') progress.runs += answer ? 0 : 1;
     const culprit = address === undefined ? undefined : this.o.targets.byAddress(address);
     const blamed = culprit ?? upstream;
@@ -249,10 +267,6 @@
     const lost = failure === 'unreachable' || failure === 'broken' || failure === 'silent';
     this.o.health.failed(blamed, lost);
   }
-
-  private tell(call: Call, sentence: string, fields: Parameters<Logger['info']>[1]): void {
-    this.o.logger.info(sentence, { request: call.id, route: call.route.id, ...fields });
-  }
 }
 
 /** How long an attempt may stay silent before the request is tried elsewhere. */
--- a/packages/relay/test/relay.test.ts
+++ b/packages/relay/test/relay.test.ts
@@ -1,6 +1,12 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { DataCentreId, SeededRandom, SystemClock, silentLogger } from '@tanagercart/base';
+import {
+  DataCentreId,
+  SeededRandom,
+  StatsdMetrics,
+  SystemClock,
+  silentLogger,
+} from '@tanagercart/base';
 import type { CallKind } from '@tanagercart/config';
 import { FleetView } from '@tanagercart/fleet';
 import type { UpstreamRecord } from '@tanagercart/protocol';
@@ -33,10 +39,10 @@
     isSuspected: () => false,
   });
   const budget = RetryBudget.create(clock, { ratio: 0, slack, windowMs: 10_000 }, () => 1);
-  const count = () => undefined;
+  const metrics = StatsdMetrics.create();
   const logger = silentLogger;
   return {
-    relay: Relay.create({ clock, logger, client, targets, health, loads, budget, count }),
+    relay: Relay.create({ clock, logger, client, targets, health, loads, budget, metrics }),
     loads,
     clock,
   };
