--- /dev/null
+++ b/packages/base/test/output.test.ts
@@ -0,0 +1,49 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { BoundedSink, HeldClock, ServedMetrics, VigilantClock } from '../src/index.js';
+
+test('metrics are served as text', async () => {
+  const metrics = ServedMetrics.create();
+  metrics.count('request.refused', { reason: 'no-path' });
+  metrics.count('request.refused', { reason: 'no-path' }, 2);
+  metrics.gauge('lease.ms', 7);
+  metrics.observe('request.ms', 30, { kind: 'stream' });
+  const text = await metrics.text();
+  assert.match(text, /tanagercart_request_refused_total\{reason="no-path"\} 3/);
+  assert.match(text, /tanagercart_lease_ms 7/);
+  assert.match(text, /tanagercart_request_ms_bucket\{kind="stream",le="20"\} 0/);
+  assert.match(text, /tanagercart_request_ms_bucket\{kind="stream",le="50"\} 1/);
+  assert.match(text, /tanagercart_request_ms_sum\{kind="stream"\} 30/);
+  assert.equal(metrics.read('request.refused'), 3);
+});
+
+test('a reader that does not keep up costs lines, and is told how many', () => {
+  const target = { writableLength: 0, lines: [] as string[], write: (_: string) => true };
+  target.write = (line) => {
+    target.lines.push(line);
+    target.writableLength += line.length;
+    return true;
+  };
+  const sink = BoundedSink.create(target, 10);
+  for (const line of ['one\n', 'two\n', 'three\n', 'four\n']) sink.write(line);
+  assert.deepEqual(target.lines, ['one\n', 'two\n']);
+  target.writableLength = 0;
+  sink.write('five\n');
+  assert.match(target.lines[2]!, /left out.*"count":2/);
+  assert.equal(target.lines[3], 'five\n');
+});
+
+test('time for which the machine was suspended counts', () => {
+  const inner = HeldClock.create();
+  let skipped = 0;
+  const clock = VigilantClock.create({
+    now: () => inner.now(),
+    wall: () => inner.wall() + skipped,
+    sleep: () => Promise.resolve(),
+  });
+  assert.equal(clock.now(), 0);
+  skipped = 5000;
+  assert.equal(clock.now(), 5000);
+  skipped = 1000;
+  assert.equal(clock.now(), 5000, 'time does not go back');
+});
