--- a/packages/fleet/src/placer.ts
+++ b/packages/fleet/src/placer.ts
@@ -56,6 +56,9 @@
 const missedHeartbeats = 3.2;
 const missedWhenSuspected = 1.5;
 
+/** Entries that must not reach an upstream for it to count as lost at once. */
+const entriesToLose = 2;
+
 /** Pause after an order, beyond the lag of reports, before the upstream is looked at. */
 const retryMs: Millis = 100;
 
@@ -135,8 +138,9 @@
     const { roster, heartbeatMs } = this.o;
     const silence = roster.silenceOf(record.id);
     if (silence > heartbeatMs * missedHeartbeats) return true;
-    const suspected = roster.suspicions.some((s) => s.id === record.id && s.born === record.born);
-    return suspected && silence > heartbeatMs * missedWhenSuspected;
+    const entries = roster.suspectedBy(record.id, record.born);
+    if (entries >= entriesToLose) return true;
+    return entries > 0 && silence > heartbeatMs * missedWhenSuspected;
   }
 
   /** Whether to place now: at a start from nothing, all upstreams should have announced themselves. */
@@ -157,7 +161,9 @@
     if (!accelerator) return [];
     const target = this.placing.get(record.id);
     const { id, dataCentre, layers } = record;
-    return [{ id, dataCentre, accelerator, layers: target ?? layers, busy: target !== undefined }];
+    const sequences = this.o.roster.sequencesAt(id);
+    const busy = target !== undefined;
+    return [{ id, dataCentre, accelerator, layers: target ?? layers, busy, sequences }];
   }
 
   private async place(engine: Engine, record: UpstreamRecord, layers: LayerRange): Promise<void> {
--- a/packages/fleet/src/roster.ts
+++ b/packages/fleet/src/roster.ts
@@ -33,6 +33,8 @@
 interface Suspect {
   readonly born: number;
   readonly at: Millis;
+  /** Entries that told it. */
+  readonly by: ReadonlySet<NodeId>;
 }
 
 /** Entries, heartbeats and suspicions by the clock of the leader. */
@@ -53,7 +55,7 @@
   /** Takes note of what an entry tells; whether others should learn of it at once. */
   hearEntry(from: NodeId, call: WatchCall): boolean {
     const now = this.clock.now();
-    const news = this.hearSuspicions(call.suspicions, now);
+    const news = this.hearSuspicions(from, call.suspicions, now);
     const { entry, loads } = call;
     if (!entry) return news;
     const known = this.entrySeen.get(from);
@@ -104,13 +106,29 @@
     );
   }
 
-  private hearSuspicions(suspicions: readonly Suspicion[], now: Millis): boolean {
+  /** How many entries did not reach an incarnation, which was not heard since. */
+  suspectedBy(id: UpstreamId, born: number): number {
+    const isCurrent = this.suspicions.some((s) => s.id === id && s.born === born);
+    return isCurrent ? this.suspects.get(id)!.by.size : 0;
+  }
+
+  /** Load by all entries at an upstream. */
+  sequencesAt(id: UpstreamId): number {
+    const now = this.clock.now();
+    const recent = [...this.entrySeen.values()].filter((e) => now - e.at < loadMs);
+    const loads = recent.flatMap((e) => e.loads.filter((l) => l.id === id));
+    return loads.reduce((sequences, l) => sequences + l.sequences, 0);
+  }
+
+  private hearSuspicions(from: NodeId, suspicions: readonly Suspicion[], now: Millis): boolean {
     let news = false;
     for (const { id, born, ageMs } of suspicions) {
       const at = now - ageMs;
       const known = this.suspects.get(id);
-      if (known && known.born === born && known.at >= at - 1) continue;
-      this.suspects.set(id, { born, at });
+      const same = known?.born === born && now - known.at < suspicionMs ? known : undefined;
+      if (same?.by.has(from) && same.at >= at - 1) continue;
+      const by = new Set([...(same?.by ?? []), from]);
+      this.suspects.set(id, { born, at: Math.max(at, same?.at ?? at), by });
       news = true;
     }
     return news;
--- a/packages/layers/src/plan.ts
+++ b/packages/layers/src/plan.ts
@@ -4,7 +4,7 @@
  * upstreams, where the layers that are held least come first and whatever serves stays in place.
  */
 
-import type { DataCentreId, UpstreamId } from '@tanagercart/base';
+import type { DataCentreId, Millis, UpstreamId } from '@tanagercart/base';
 import type { Accelerator, Engine } from '@tanagercart/config';
 import type { LayerRange } from './stage.js';
 
@@ -17,6 +17,8 @@
   readonly layers: LayerRange | undefined;
   /** An order is in progress: it takes no other. */
   readonly busy: boolean;
+  /** Requests in progress that pass through it: layers are given up once they have ended. */
+  readonly sequences: number;
 }
 
 /** Layers that an upstream is to hold from now on. */
@@ -26,7 +28,10 @@
 }
 
 /** Shares of the memory that layers may take, the first that suffices; the rest holds requests. */
-const layerShares = [0.8, 0.93] as const;
+const layerShares = [0.75, 0.8, 0.93] as const;
+
+/** Time for requests in progress to end. */
+const drainingMs: Millis = 3000;
 
 /** Holders whose layers back one another, near to each other where they suffice. */
 interface Group {
@@ -125,7 +130,8 @@
   const moves: Assignment[] = [];
   const moved = new Set<UpstreamId>();
   while (group.coverage.includes(0)) {
-    const spare = group.holders.find((h) => !moved.has(h.id) && isSpare(h, group.coverage));
+    const spares = group.holders.filter((h) => !moved.has(h.id) && isSpare(h, group.coverage));
+    const [spare] = spares.sort((a, b) => moveMs(plan, a) - moveMs(plan, b));
     if (!spare) break;
     moved.add(spare.id);
     cover(group.coverage, spare.layers!, -1);
@@ -138,6 +144,13 @@
   return moves;
 }
 
+/** Time until a holder serves other layers: it drains, and then loads. */
+function moveMs(plan: Plan, holder: Holder): Millis {
+  const share = plan.capacityOf(holder) / plan.engine.layerCount;
+  const drainMs = holder.sequences > 0 ? drainingMs : 0;
+  return drainMs + plan.engine.loadSeconds * 1000 * share;
+}
+
 function isSpare(holder: Holder, coverage: readonly number[]): boolean {
   const { layers, busy } = holder;
   if (!layers || busy) return false;
--- a/packages/layers/test/fixtures.ts
+++ b/packages/layers/test/fixtures.ts
@@ -58,6 +58,7 @@
     accelerator: accelerators[kind]!,
     layers,
     busy: false,
+    sequences: 0,
   };
 }
 
--- a/packages/layers/test/plan.test.ts
+++ b/packages/layers/test/plan.test.ts
@@ -61,6 +61,26 @@
   );
 });
 
+test('the spare that serves other layers soonest is moved', () => {
+  const chain = centre('north', [1, 7, 1]).map((h, i) => {
+    const size = h.id.startsWith('north-0') ? 15 : 9;
+    const from = i === 0 ? 0 : 15 + (i - 1) * 9;
+    return {
+      ...h,
+      layers: { from: Math.min(from, 80 - size), to: Math.min(from, 80 - size) + size },
+    };
+  });
+  const spares = centre('spare', [1, 1, 1]).map((h) => ({
+    ...h,
+    dataCentre: DataCentreId('north'),
+    layers: { from: 0, to: h.id === 'spare-0-0' ? 15 : 6 },
+    sequences: h.id === 'spare-2-0' ? 5 : 0,
+  }));
+  const left = [...chain.filter((h) => h.layers.from !== 24), ...spares];
+  const [move] = planLayers(engine(), left);
+  assert.equal(move?.id, 'spare-1-0');
+});
+
 test('data centres that hold no chain alone make one together', () => {
   const small = [...centre('north', [1, 2, 0]), ...centre('south', [1, 1, 3])];
   assert.ok(hasPath(carriedOut(small, planLayers(engine(), small))));
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -63,6 +63,8 @@
       readonly detail: string;
       /** Address of the upstream at fault, where it is another. */
       readonly culprit?: string;
+      /** Whether the upstream at fault is not reached at all. */
+      readonly lost?: boolean;
       /** What the upstream answered. */
       readonly answer?: WholeAnswer;
     };
@@ -97,7 +99,7 @@
       call,
       caller,
       excluded: new Set(),
-      delivery: isStream(call) ? StreamDelivery.create(call, caller) : undefined,
+      delivery: isStream(call) ? StreamDelivery.create(call, caller, clock) : undefined,
       trail: Trail.create(logger, clock, this.rate, call),
       sends: 0,
       runs: 0,
@@ -250,7 +252,10 @@
     const { call, excluded } = progress;
     const took = Math.round(tookMs);
     if (end.kind === 'delivered') {
-      progress.trail.tell('Delivered.', { upstream: upstream.id, tookMs: took });
+      const { firstAt, longestPauseMs } = progress.delivery ?? {};
+      const firstMs = firstAt === undefined ? undefined : Math.round(firstAt - call.startedAt);
+      const pauseMs = longestPauseMs === undefined ? undefined : Math.round(longestPauseMs);
+      progress.trail.tell('Delivered.', { upstream: upstream.id, tookMs: took, firstMs, pauseMs });
       this.o.metrics.count('request.delivered', { kind: call.route.kind });
       this.o.health.succeeded(upstream, tookMs);
       return;
@@ -264,8 +269,7 @@
     const culprit = address === undefined ? undefined : this.o.targets.byAddress(address);
     const blamed = culprit ?? upstream;
     excluded.add(blamed.id);
-    const lost = failure === 'unreachable' || failure === 'broken' || failure === 'silent';
-    this.o.health.failed(blamed, lost);
+    this.o.health.failed(blamed, end.lost ?? failure === 'unreachable');
   }
 }
 
@@ -297,9 +301,15 @@
         failure: 'broken',
         detail: 'a stage is not reached',
         culprit: verdict.address,
+        lost: true,
       };
     case 'unreachable':
-      return { kind: 'failed', failure: 'silent', detail: 'the upstream is not reached' };
+      return {
+        kind: 'failed',
+        failure: 'silent',
+        detail: 'the upstream is not reached',
+        lost: true,
+      };
     case 'silent':
       return { kind: 'failed', failure: 'silent', detail: 'no answer' };
     default:
--- a/packages/relay/src/stream.ts
+++ b/packages/relay/src/stream.ts
@@ -1,5 +1,6 @@
 /** Passes the events of one or more runs on as one stream, each once and in order. */
 
+import type { Clock, Millis } from '@tanagercart/base';
 import type { Call, Caller } from './call.js';
 import { EventSplitter } from './events.js';
 import type { UpstreamAnswer } from './upstream.js';
@@ -13,11 +14,19 @@
   started = false;
   /** The last event that the caller has. */
   lastEvent: number | undefined;
+  /** When the caller got its first event. */
+  firstAt: Millis | undefined;
+  /** The longest pause between two pieces. */
+  longestPauseMs: Millis = 0;
+  private heardAt: Millis = 0;
 
-  private constructor(private readonly caller: Caller) {}
+  private constructor(
+    private readonly caller: Caller,
+    private readonly clock: Clock,
+  ) {}
 
-  static create(call: Call, caller: Caller): StreamDelivery {
-    const delivery = new StreamDelivery(caller);
+  static create(call: Call, caller: Caller, clock: Clock): StreamDelivery {
+    const delivery = new StreamDelivery(caller, clock);
     delivery.lastEvent = call.lastEvent;
     return delivery;
   }
@@ -31,6 +40,7 @@
         if (events.length === 0) continue;
         if (!this.started) this.caller.start(answer.head);
         this.started = true;
+        this.hear();
         onEvent();
         this.lastEvent = events.at(-1)!.id ?? this.lastEvent;
         await this.caller.write(Buffer.concat(events.map((e) => e.bytes)));
@@ -43,6 +53,13 @@
     return 'complete';
   }
 
+  private hear(): void {
+    const now = this.clock.now();
+    if (this.firstAt === undefined) this.firstAt = now;
+    else this.longestPauseMs = Math.max(this.longestPauseMs, now - this.heardAt);
+    this.heardAt = now;
+  }
+
   /** Events that the caller has already are left out. */
   private isNext(id: number | undefined): boolean {
     return id === undefined || this.lastEvent === undefined || id > this.lastEvent;
