--- a/packages/log/src/election.ts
+++ b/packages/log/src/election.ts
@@ -1,12 +1,15 @@
 /** Elections with pre-vote; one task watches for the loss of the leader. */
 
-import type { NodeId } from '@tanagercart/base';
+import type { Millis, NodeId } from '@tanagercart/base';
 import type { TransferCall, TransferReply, VoteCall, VoteReply } from '@tanagercart/protocol';
 import type { Core } from './core.js';
 import type { Replication } from './replication.js';
 
 /** Gives votes, and stands for election. */
 export class Election {
+  /** No election is started before: another node was told that it may stand. */
+  private yieldUntil: Millis = -Infinity;
+
   private constructor(
     private readonly core: Core,
     private readonly replication: Replication,
@@ -31,7 +34,9 @@
       await clock.sleep(Math.max(left, timing.heartbeatMs / 2), core.stopping.signal);
       if (core.stopped) return;
       if (core.role === 'leader') this.replication.checkQuorum();
-      else if (core.heardAt + patience <= clock.now()) await this.campaign(false);
+      else if (core.heardAt + patience <= clock.now() && this.yieldUntil <= clock.now()) {
+        await this.campaign(false);
+      }
     }
   }
 
@@ -115,7 +120,11 @@
     if (core.voters.isReplaced(core.o.self, disk)) return refused();
     if (!call.transfer && this.backsLeader()) return refused();
     if (call.pre) {
-      return { term: core.term, disk, granted: call.term > core.term && this.isUpToDate(call) };
+      const granted = call.term > core.term && this.isUpToDate(call);
+      // Two nodes that stand at once split the votes.
+      const { clock, timing } = core.o;
+      if (granted) this.yieldUntil = clock.now() + timing.heartbeatMs * 2;
+      return { term: core.term, disk, granted };
     }
     if (!(await core.adoptTerm(call.term)) || !this.isUpToDate(call)) return refused();
     const { term, vote } = core.store.hard;
