Refuse what crashes upstreams everywhere, explain requests from logs, check the platform's files, wait where no other attempt is allowed

Change: the last allowed attempt waits to the deadline; held answers are passed on; a full set of first upstreams may be used again. Strikes are reported and obeyed.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,7 @@
 import { configs, plugins } from 'eslint-config-airbnb-extended';
 
 export default [
-  { ignores: ['**/dist/**', '**/node_modules/**', 'report/**'] },
+  { ignores: ['**/dist/**', '**/node_modules/**', 'report/**', 'target/**'] },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
--- a/packages/cli/src/commands.ts
+++ b/packages/cli/src/commands.ts
@@ -7,7 +7,7 @@
 import { Node } from '@tanagercart/node';
 import { readSecret } from '@tanagercart/settings';
 import type { Settings } from '@tanagercart/settings';
-import { readNote, readSettings } from './files.js';
+import { readConfiguration, readMachine, readNote, readSettings } from './files.js';
 import { refusal, success } from './exit.js';
 import { runDemo } from './demo.js';
 import { readExample } from './demoplan.js';
@@ -60,10 +60,12 @@
   static override paths = [['check']];
 
   static override usage = Command.Usage({
-    description: 'Check settings or a release note',
+    description: 'Check settings, a release note or a configuration',
     examples: [
       ['Check settings', 'tanagercart check --settings n1.toml'],
       ['Check a release note', 'tanagercart check --note release-1.toml'],
+      ['Check the settings of a machine', 'tanagercart check --machine node.toml'],
+      ['Check a configuration', 'tanagercart check --configuration configuration.json'],
     ],
   });
 
@@ -71,10 +73,20 @@
 
   note = Option.String('--note');
 
+  machine = Option.String('--machine', { description: 'Settings that the platform wrote' });
+
+  configuration = Option.String('--configuration', {
+    description: 'A configuration as operators send it',
+  });
+
   async execute(): Promise<number> {
     const problems: string[] = [];
     if (this.settings) (await readSettings(this.settings)).mapErr((p) => problems.push(...p));
     if (this.note) (await readNote(this.note)).mapErr((p) => problems.push(...p));
+    if (this.machine) (await readMachine(this.machine)).mapErr((p) => problems.push(...p));
+    if (this.configuration) {
+      (await readConfiguration(this.configuration)).mapErr((p) => problems.push(...p));
+    }
     for (const p of problems) this.context.stderr.write(`${p}\n`);
     if (problems.length === 0) this.context.stdout.write('ok\n');
     return problems.length === 0 ? success : refusal;
--- a/packages/cli/src/files.ts
+++ b/packages/cli/src/files.ts
@@ -7,6 +7,8 @@
 import type { Settings } from '@tanagercart/settings';
 import { parseNote } from '@tanagercart/release';
 import type { ReleaseNote } from '@tanagercart/release';
+import { parseMachineSettings, readDocument } from '@tanagercart/platform';
+import type { Configuration } from '@tanagercart/config';
 
 /** Reads a text file; the error names the file. */
 export async function readText(file: string): Promise<Result<string, readonly string[]>> {
@@ -32,3 +34,21 @@
     problems.map((p) => `${file}:${p.line > 0 ? `${p.line}:` : ''} ${p.entry}: ${p.message}`),
   );
 }
+
+/** Reads and checks the settings that the platform wrote for a machine; each error is one line. */
+export async function readMachine(file: string): Promise<Result<void, readonly string[]>> {
+  const text = await readText(file);
+  if (text.isErr()) return err(text.error);
+  return parseMachineSettings(file, text.value)
+    .map(() => undefined)
+    .mapErr((p) => [`${p.file}: ${p.key === '' ? 'file' : p.key}: ${p.what}`]);
+}
+
+/** Reads and checks a configuration as operators send it; each error is one line. */
+export async function readConfiguration(
+  file: string,
+): Promise<Result<Configuration, readonly string[]>> {
+  const text = await readText(file);
+  if (text.isErr()) return err(text.error);
+  return readDocument(text.value).mapErr((p) => [`${file}: ${p.where}: ${p.what}; ${p.remedy}`]);
+}
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -3,6 +3,7 @@
 import { Builtins, Cli, UsageError } from 'clipanion';
 import { CheckCommand, DemoCommand, NodeCommand } from './commands.js';
 import { wrongUsage } from './exit.js';
+import { ExplainCommand } from './explain.js';
 import { LiftCommand, QuarantineCommand } from './quarantine.js';
 import { HistoryCommand, ShowReleaseCommand, SubmitCommand } from './release.js';
 import { RestoreCommand } from './restore.js';
@@ -18,6 +19,7 @@
   EntriesCommand,
   StatusCommand,
   DrainCommand,
+  ExplainCommand,
   VotersShowCommand,
   VotersChangeCommand,
   QuarantineCommand,
--- a/packages/fleet/src/view.ts
+++ b/packages/fleet/src/view.ts
@@ -75,8 +75,9 @@
     return this.suspected.find((s) => s.id === record.id && s.born === record.born)?.at;
   }
 
-  isQuarantined(fingerprint: string): boolean {
-    return this.quarantine.has(fingerprint);
+  /** Fingerprints of requests that crash upstreams. */
+  get quarantined(): ReadonlySet<string> {
+    return this.quarantine;
   }
 
   /** Takes over an update that was asked for at `sentAt`; false where it does not fit. */
--- a/packages/fleet/test/control.test.ts
+++ b/packages/fleet/test/control.test.ts
@@ -19,7 +19,7 @@
   const fleet = await Fleet.start(1);
   assert.equal(await submit(fleet, a, 7), 7);
   for (const id of [a, b, c]) assert.equal(await versionAt(fleet, id), 7);
-  const text = (await fleet.of(fleet.nodes.get(b)!.readDocument()))._unsafeUnwrap().text;
+  const { text } = (await fleet.of(fleet.nodes.get(b)!.readDocument()))._unsafeUnwrap();
   assert.equal(text, documentOf(7).text);
 });
 
--- a/packages/fleet/test/view.test.ts
+++ b/packages/fleet/test/view.test.ts
@@ -32,7 +32,7 @@
     suspicions: () => [],
   });
   void watcher.run(createStop().signal);
-  return { fleet, view, self };
+  return { fleet, view, self, watcher };
 }
 
 test('an entry learns documents and upstreams soon after they are accepted', async () => {
@@ -77,3 +77,12 @@
   await fleet.until(() => view.ageMs < 500);
   assert.equal(view.document.version, 8);
 });
+
+test('a request that was struck three times is quarantined at every entry', async () => {
+  const { fleet, view, watcher } = await withEntry(25);
+  for (let i = 0; i < 2; i += 1) assert.ok(await fleet.of(watcher.strike('f1')));
+  await fleet.clock.advance(1000);
+  assert.equal(view.quarantined.has('f1'), false);
+  assert.ok(await fleet.of(watcher.strike('f1')));
+  await fleet.until(() => view.quarantined.has('f1'), 500);
+});
--- a/packages/layers/src/path.ts
+++ b/packages/layers/src/path.ts
@@ -4,7 +4,7 @@
  * chains still makes whole paths, and data centres are crossed only where that is faster.
  */
 
-import type { DataCentreId, Random } from '@tanagercart/base';
+import type { DataCentreId, Random, UpstreamId } from '@tanagercart/base';
 import type { Engine } from '@tanagercart/config';
 import { farEntryMs, hopDelayMs, partMs, transferMs } from './cost.js';
 import type { Work } from './cost.js';
@@ -17,8 +17,8 @@
   readonly work: Work;
   /** Where the request enters. */
   readonly dataCentre: DataCentreId;
-  /** The first stage, where it is given. */
-  readonly first?: Stage;
+  /** Stages that may be the first, where it matters. */
+  readonly among?: ReadonlySet<UpstreamId>;
   /** Spreads equal paths, so that nodes that choose at the same time do not crowd one stage. */
   readonly random: Random;
 }
@@ -92,7 +92,7 @@
 function canTake(query: PathQuery, stage: Stage, point: number): boolean {
   if (stage.layers.from > point || stage.layers.to <= point) return false;
   if (point > 0) return true;
-  if (query.first) return stage.id === query.first.id;
+  if (query.among) return query.among.has(stage.id);
   return stage.entered < query.engine.slots;
 }
 
--- a/packages/node/test/metrics.test.ts
+++ b/packages/node/test/metrics.test.ts
@@ -17,11 +17,12 @@
 }
 
 /** Names that the sources pass to `method` of the metrics. */
-async function used(method: 'count' | 'gauge') {
+async function used(method: 'count' | 'gauge' | 'observe') {
   const names = new Set<string>();
-  for (const folder of await readdir(`${root}packages`)) {
-    for (const file of await readdir(`${root}packages/${folder}/src`)) {
-      const text = await readFile(`${root}packages/${folder}/src/${file}`, 'utf8');
+  const packages = (await readdir(`${root}packages`)).map((name) => `packages/${name}`);
+  for (const folder of [...packages, 'platform']) {
+    for (const file of await readdir(`${root}${folder}/src`)) {
+      const text = await readFile(`${root}${folder}/src/${file}`, 'utf8');
       for (const m of text.matchAll(new RegExp(`metrics\\.${method}\\(\\s*'([^']+)'`, 'g'))) {
         names.add(m[1]!);
       }
@@ -35,6 +36,7 @@
 test('every counter and gauge stands in the reference, and no other', async () => {
   assert.deepEqual(await used('count'), await documented('Counters'));
   assert.deepEqual(await used('gauge'), await documented('Gauges'));
+  assert.deepEqual(await used('observe'), await documented('Histograms'));
 });
 
 test('every reason of a refusal or a retry stands in the reference, and no other', async () => {
--- a/packages/relay/src/budget.ts
+++ b/packages/relay/src/budget.ts
@@ -18,7 +18,7 @@
 const slices = 10;
 
 /** Share of the bounds that is used, as entries count apart and windows may lie otherwise. */
-const usedShare = 0.7;
+const usedShare = 0.85;
 
 interface Slice {
   readonly number: number;
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -8,5 +8,6 @@
 export * from './retry.js';
 export * from './silence.js';
 export * from './stream.js';
+export * from './quarantine.js';
 export * from './trail.js';
 export * from './relay.js';
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -12,6 +12,8 @@
 import type { Failure } from './retry.js';
 import { SilenceWatch } from './silence.js';
 import type { Patience, Verdict } from './silence.js';
+import { fingerprintOf } from './quarantine.js';
+import type { Quarantine } from './quarantine.js';
 import { StreamDelivery } from './stream.js';
 import type { Target, Targets } from './target.js';
 import { LineRate, Trail } from './trail.js';
@@ -32,6 +34,12 @@
 /** When a refused caller may come back. */
 const retryAfterMs: Millis = 400;
 
+/** Broken attempts of one request after which each counts against it. */
+const breaksToStrike = 2;
+
+/** When a caller may come back with a request that crashes upstreams. */
+const quarantineMs: Millis = 30_000;
+
 export interface RelayOptions {
   readonly clock: Clock;
   readonly logger: Logger;
@@ -41,6 +49,7 @@
   readonly loads: Loads;
   readonly budget: RetryBudget;
   readonly metrics: Metrics;
+  readonly quarantine: Quarantine;
 }
 
 /** What the attempts of one request have in common. */
@@ -51,7 +60,12 @@
   readonly delivery: StreamDelivery | undefined;
   readonly trail: Trail;
   sends: number;
-  runs: number;
+  /** Upstreams that may have run the request. */
+  readonly ran: Set<UpstreamId>;
+  /** The last whole answer, which told a failure. */
+  answer: WholeAnswer | undefined;
+  /** Attempts at which the connection broke. */
+  breaks: number;
 }
 
 /** How an attempt ended. */
@@ -90,6 +104,10 @@
   async serve(call: Call, caller: Caller): Promise<void> {
     const { clock, budget, logger, metrics } = this.o;
     budget.request(call.service.id);
+    if (this.isQuarantined(call)) {
+      caller.refuse({ kind: 'not-run', reason: 'quarantined', retryAfterMs: quarantineMs });
+      return;
+    }
     const deadline = deadlineOf(call);
     const stop = new AbortController();
     const abort = () => stop.abort();
@@ -102,7 +120,9 @@
       delivery: isStream(call) ? StreamDelivery.create(call, caller, clock) : undefined,
       trail: Trail.create(logger, clock, this.rate, call),
       sends: 0,
-      runs: 0,
+      ran: new Set(),
+      answer: undefined,
+      breaks: 0,
     };
     const expired = clock.sleep(deadline - clock.now(), stop.signal).then(() => 'expired' as const);
     const served = this.attempts(progress, deadline, stop.signal);
@@ -117,12 +137,24 @@
     caller.gone.removeEventListener('abort', abort);
   }
 
+  /** Whether equal requests crash upstreams. */
+  private isQuarantined(call: Call): boolean {
+    const { quarantine, logger } = this.o;
+    if (quarantine.isEmpty()) return false;
+    const fingerprint = fingerprintOf(call);
+    if (!quarantine.has(fingerprint)) return false;
+    logger.info('Refused, as it crashes upstreams.', { request: call.id, fingerprint });
+    return true;
+  }
+
   /** The deadline has come before the answer was whole. */
   private expire(progress: Progress): void {
-    const { call, caller, delivery, runs } = progress;
-    progress.trail.tell('Deadline passed.', { runs, started: delivery?.started ?? false });
+    const { call, caller, delivery, ran, answer } = progress;
+    const started = delivery?.started ?? false;
+    progress.trail.tell('Deadline passed.', { runs: ran.size, started });
     this.o.metrics.count('request.expired', { kind: call.route.kind });
-    if (delivery?.started) caller.breakOff();
+    if (started) caller.breakOff();
+    else if (answer) pass(answer, caller);
     else caller.refuse({ kind: 'timeout', reason: 'no answer within the time of the request' });
   }
 
@@ -134,16 +166,19 @@
   ): Promise<boolean> {
     const { call } = progress;
     for (;;) {
-      const target = this.o.targets.choose(call, progress.excluded);
+      // Beyond the attempts of the route only those may run the request that did so before.
+      const isFull = progress.ran.size >= call.route.maxAttempts;
+      const among = isFull ? progress.ran : undefined;
+      const target = this.o.targets.choose(call, progress.excluded, among);
       if (typeof target === 'string') {
-        this.giveUp(progress, target, undefined, stop);
+        this.giveUp(progress, target, stop);
         return false;
       }
       const end = await this.attempt(progress, target, deadline, stop);
       if (end.kind === 'delivered') return true;
       if (stop.aborted) return false;
       if (!this.mayRetry(progress, end, deadline)) {
-        this.giveUp(progress, end.failure, end.answer, stop);
+        this.giveUp(progress, end.failure, stop);
         return false;
       }
     }
@@ -154,43 +189,37 @@
     end: Extract<AttemptEnd, { kind: 'failed' }>,
     deadline: Millis,
   ): boolean {
-    const { call, runs, sends } = progress;
+    const { call, ran, excluded, sends } = progress;
     const next = nextStep({
       failure: end.failure,
       repeatable: isRepeatable(call),
-      mayHaveRun: runs > 0,
-      runs,
+      runs: ran.size,
       maxAttempts: call.route.maxAttempts,
+      mayRunAgain: [...ran].some((id) => !excluded.has(id)),
       sends,
       remainingMs: deadline - this.o.clock.now(),
     });
     if (next === 'give-up') return false;
     if (end.failure === 'unreachable') return true;
     const granted = this.o.budget.tryRepeat(call.service.id);
-    const name = granted ? 'request.retried' : 'request.retry-refused';
-    this.o.metrics.count(name, { reason: end.failure });
+    const reason = end.failure;
+    if (granted) this.o.metrics.count('request.retried', { reason });
+    else this.o.metrics.count('request.retry-refused', { reason });
     if (!granted) progress.trail.tell('No budget for another attempt.', { reason: end.failure });
     return granted;
   }
 
   /** Ends a request that goes nowhere any more with what is known of it. */
-  private giveUp(
-    progress: Progress,
-    reason: string,
-    answer: WholeAnswer | undefined,
-    stop: AbortSignal,
-  ): void {
-    const { call, caller, delivery, runs } = progress;
+  private giveUp(progress: Progress, reason: string, stop: AbortSignal): void {
+    const { caller, delivery, ran, answer } = progress;
     if (stop.aborted) return;
-    progress.trail.tell('Gave up.', { reason, runs, sends: progress.sends });
+    progress.trail.tell('Gave up.', { reason, runs: ran.size, sends: progress.sends });
     this.o.metrics.count('request.given-up', { reason });
     if (delivery?.started) {
       caller.breakOff();
     } else if (answer) {
-      caller.start(answer.head);
-      void caller.write(answer.body);
-      caller.end();
-    } else if (runs > 0) {
+      pass(answer, caller);
+    } else if (ran.size > 0) {
       caller.refuse({ kind: 'unknown', reason });
     } else {
       caller.refuse({ kind: 'not-run', reason, retryAfterMs });
@@ -221,7 +250,7 @@
     const remainingMs = deadline - startedAt;
     const watch = SilenceWatch.create({
       clock,
-      patience: patienceFor(call, remainingMs),
+      patience: patienceFor(call, remainingMs, isLast(progress, upstream.id)),
       look: () => client.lookInto(call, upstream),
       stop: own,
     });
@@ -229,7 +258,7 @@
     const sent = await client.send(call, attempt, own.signal);
     const answer = sent.isOk() ? sent.value : undefined;
     let end: AttemptEnd = answer
-      ? await take(progress, answer, watch)
+      ? await take(progress, target, answer, watch)
       : failedBy(sent._unsafeUnwrapErr());
     watch.end();
     own.abort();
@@ -241,6 +270,16 @@
     return end;
   }
 
+  /** A request at which connections break again and again may be what crashes its upstreams. */
+  private strike(progress: Progress): void {
+    const { call } = progress;
+    progress.breaks += 1;
+    if (progress.breaks < breaksToStrike) return;
+    const fingerprint = fingerprintOf(call);
+    progress.trail.tell('May crash upstreams.', { fingerprint, breaks: progress.breaks });
+    this.o.quarantine.strike(fingerprint);
+  }
+
   /** Takes note of how an attempt ended. */
   private learn(
     progress: Progress,
@@ -265,7 +304,9 @@
     const fields = { upstream: upstream.id, failure, detail, culprit: address, tookMs: took };
     progress.trail.tell('Attempt failed.', fields);
     this.o.metrics.count('attempt.failed', { reason: failure });
-    if (failure === 'broken' || failure === 'silent') progress.runs += answer ? 0 : 1;
+    if (failure === 'broken' || failure === 'silent') progress.ran.add(upstream.id);
+    progress.answer = end.answer ?? progress.answer;
+    if (failure === 'broken' && !end.lost) this.strike(progress);
     const culprit = address === undefined ? undefined : this.o.targets.byAddress(address);
     const blamed = culprit ?? upstream;
     excluded.add(blamed.id);
@@ -274,18 +315,31 @@
 }
 
 /** How long an attempt may stay silent before the request is tried elsewhere. */
-export function patienceFor(call: Call, remainingMs: Millis): Patience {
+export function patienceFor(call: Call, remainingMs: Millis, last: boolean): Patience {
   if (!isRepeatable(call)) return { firstMs: Infinity, pauseMs: Infinity, lookMs: undefined };
+  const { objectiveMs, pauseMs } = call.route;
+  const lookMs = Math.min(objectiveMs * lookShare, (pauseMs ?? Infinity) * 1.5);
+  if (last) {
+    return { firstMs: Infinity, pauseMs: Infinity, lookMs: isStream(call) ? lookMs : undefined };
+  }
   if (!isStream(call)) {
     const ms = remainingMs * silentShare;
     return { firstMs: ms, pauseMs: ms, lookMs: undefined };
   }
-  const { objectiveMs, pauseMs } = call.route;
-  return {
-    firstMs: Math.min(remainingMs, objectiveMs * firstEventFactor),
-    pauseMs: mostPauseMs,
-    lookMs: Math.min(objectiveMs * lookShare, (pauseMs ?? Infinity) * 1.5),
-  };
+  const firstMs = Math.min(remainingMs, objectiveMs * firstEventFactor);
+  return { firstMs, pauseMs: mostPauseMs, lookMs };
+}
+
+/** Whether no other upstream may run the request after this one. */
+function isLast({ call, ran }: Progress, upstream: UpstreamId): boolean {
+  return new Set([...ran, upstream]).size >= call.route.maxAttempts;
+}
+
+/** Passes a whole answer on. */
+function pass(answer: WholeAnswer, caller: Caller): void {
+  caller.start(answer.head);
+  void caller.write(answer.body);
+  caller.end();
 }
 
 function failedBy(error: SendError): AttemptEnd {
@@ -320,13 +374,14 @@
 /** Passes an answer on, or finds that it has to be had elsewhere. */
 async function take(
   progress: Progress,
+  target: Target,
   answer: UpstreamAnswer,
   watch: SilenceWatch,
 ): Promise<AttemptEnd> {
   const { call, caller, delivery } = progress;
   const { status } = answer.head;
   if (answer.notRun) return { kind: 'failed', failure: 'not-run', detail: `status ${status}` };
-  progress.runs += 1;
+  progress.ran.add(target.upstream.id);
   if (delivery && status === 200) {
     const end = await delivery.take(answer, () => watch.heard());
     if (end === 'complete') return { kind: 'delivered' };
@@ -337,9 +392,7 @@
   if (status >= 500 && isRepeatable(call)) {
     return { kind: 'failed', failure: 'failed', detail: `status ${status}`, answer: whole };
   }
-  caller.start(whole.head);
-  void caller.write(whole.body);
-  caller.end();
+  pass(whole, caller);
   return { kind: 'delivered' };
 }
 
--- a/packages/relay/src/retry.ts
+++ b/packages/relay/src/retry.ts
@@ -20,17 +20,18 @@
   readonly failure: Failure;
   /** Whether the request may run more than once. */
   readonly repeatable: boolean;
-  /** Whether any attempt so far may have run. */
-  readonly mayHaveRun: boolean;
-  /** Attempts that may have run, with this one. */
+  /** Upstreams that may have run the request. */
   readonly runs: number;
+  /** Upstreams that may run it at most. */
   readonly maxAttempts: number;
+  /** Whether one that may have run it can run it again. */
+  readonly mayRunAgain: boolean;
   /** Sendings so far. */
   readonly sends: number;
   readonly remainingMs: Millis;
 }
 
-/** What to do next; `repeat` and `resend` may still be refused by the retry budget. */
+/** What to do next; the retry budget may still refuse it. */
 export type Next = 'retry' | 'give-up';
 
 /** Sendings of one request at most, refused ones with it. */
@@ -43,8 +44,8 @@
 export function nextStep(s: Situation): Next {
   if (s.remainingMs < leastMs || s.sends >= mostSends) return 'give-up';
   if (s.failure === 'unreachable' || s.failure === 'not-run') {
-    return s.mayHaveRun && !s.repeatable ? 'give-up' : 'retry';
+    return s.runs > 0 && !s.repeatable ? 'give-up' : 'retry';
   }
   if (!s.repeatable) return 'give-up';
-  return s.runs < s.maxAttempts ? 'retry' : 'give-up';
+  return s.runs < s.maxAttempts || s.mayRunAgain ? 'retry' : 'give-up';
 }
--- a/packages/relay/src/target.ts
+++ b/packages/relay/src/target.ts
@@ -49,10 +49,16 @@
     return new Targets(options);
   }
 
-  /** The best target that is not among `excluded`. */
-  choose(call: Call, excluded: ReadonlySet<UpstreamId>): Target | NoTarget {
+  /** The best target that is not among `excluded`; it receives the request among `among`, if given. */
+  choose(
+    call: Call,
+    excluded: ReadonlySet<UpstreamId>,
+    among?: ReadonlySet<UpstreamId>,
+  ): Target | NoTarget {
     const { engine } = call.service;
-    return engine ? this.choosePath(call, engine, excluded) : this.chooseUpstream(call, excluded);
+    return engine
+      ? this.choosePath(call, engine, excluded, among)
+      : this.chooseUpstream(call, excluded, among);
   }
 
   /** The upstream at an address. */
@@ -62,8 +68,12 @@
     );
   }
 
-  private chooseUpstream(call: Call, excluded: ReadonlySet<UpstreamId>): Target | NoTarget {
-    const ready = this.ready(call).filter((u) => !excluded.has(u.id));
+  private chooseUpstream(
+    call: Call,
+    excluded: ReadonlySet<UpstreamId>,
+    among: ReadonlySet<UpstreamId> | undefined,
+  ): Target | NoTarget {
+    const ready = this.ready(call).filter((u) => !excluded.has(u.id) && (among?.has(u.id) ?? true));
     const best = this.preferred(ready)
       .map((upstream) => ({ upstream, cost: this.costOf(upstream) }))
       .sort((a, b) => a.cost - b.cost)[0];
@@ -77,12 +87,13 @@
     call: Call,
     engine: Engine,
     excluded: ReadonlySet<UpstreamId>,
+    among: ReadonlySet<UpstreamId> | undefined,
   ): Target | NoTarget {
     const usable = this.ready(call).filter((u) => u.layers && !excluded.has(u.id));
     const work = workOf(call, engine);
     const path =
-      this.searchPath(engine, this.preferred(usable), work) ??
-      this.searchPath(engine, usable, work);
+      this.searchPath(engine, this.preferred(usable), work, among) ??
+      this.searchPath(engine, usable, work, among);
     const first = path?.[0];
     if (!path || !first) return usable.length === 0 ? 'no-upstream' : 'no-path';
     const shares = path.map(({ stage, layers }, i) => ({
@@ -94,10 +105,15 @@
     return { upstream: this.o.view.upstreams.get(first.stage.id)!, path, shares };
   }
 
-  private searchPath(engine: Engine, upstreams: readonly UpstreamRecord[], work: Work) {
+  private searchPath(
+    engine: Engine,
+    upstreams: readonly UpstreamRecord[],
+    work: Work,
+    among: ReadonlySet<UpstreamId> | undefined,
+  ) {
     const { random, dataCentre } = this.o;
     const stages = upstreams.flatMap((u) => this.stageOf(engine, u));
-    return findPath({ engine, stages, work, dataCentre, random });
+    return findPath({ engine, stages, work, dataCentre, random, ...(among ? { among } : {}) });
   }
 
   private ready(call: Call): readonly UpstreamRecord[] {
--- a/packages/relay/test/fixtures.ts
+++ b/packages/relay/test/fixtures.ts
@@ -73,7 +73,7 @@
   readonly gone: Caller['gone'] = this.leaving.signal;
   head: AnswerHead | undefined;
   body = '';
-  end_: 'ended' | 'broken' | undefined;
+  ended: 'ended' | 'broken' | undefined;
   refusal: Refusal | undefined;
 
   start(head: AnswerHead): void {
@@ -86,11 +86,11 @@
   }
 
   end(): void {
-    this.end_ = 'ended';
+    this.ended = 'ended';
   }
 
   breakOff(): void {
-    this.end_ = 'broken';
+    this.ended = 'broken';
   }
 
   refuse(refusal: Refusal): void {
@@ -100,7 +100,7 @@
   /** What the caller got, in one line. */
   get got(): string {
     if (this.refusal) return this.refusal.kind;
-    return `${this.head?.status} ${this.body} ${this.end_}`;
+    return `${this.head?.status} ${this.body} ${this.ended}`;
   }
 }
 
--- a/packages/relay/test/parts.test.ts
+++ b/packages/relay/test/parts.test.ts
@@ -59,9 +59,9 @@
 const base: Situation = {
   failure: 'broken',
   repeatable: true,
-  mayHaveRun: true,
   runs: 1,
   maxAttempts: 2,
+  mayRunAgain: false,
   sends: 1,
   remainingMs: 1000,
 };
@@ -69,11 +69,12 @@
 test('only what may run again is sent again', () => {
   assert.equal(nextStep(base), 'retry');
   assert.equal(nextStep({ ...base, runs: 2 }), 'give-up');
+  assert.equal(nextStep({ ...base, runs: 2, mayRunAgain: true }), 'retry');
   assert.equal(nextStep({ ...base, repeatable: false }), 'give-up');
   assert.equal(nextStep({ ...base, remainingMs: 5 }), 'give-up');
   const notRun = { ...base, repeatable: false, failure: 'not-run', runs: 0 } as const;
-  assert.equal(nextStep({ ...notRun, mayHaveRun: false }), 'retry');
-  assert.equal(nextStep({ ...notRun, mayHaveRun: true }), 'give-up');
+  assert.equal(nextStep(notRun), 'retry');
+  assert.equal(nextStep({ ...notRun, runs: 1 }), 'give-up');
 });
 
 async function watched(look: Look, quietMs: number, heard = false) {
--- a/packages/relay/test/relay.test.ts
+++ b/packages/relay/test/relay.test.ts
@@ -10,7 +10,7 @@
 import type { CallKind } from '@tanagercart/config';
 import { FleetView } from '@tanagercart/fleet';
 import type { UpstreamRecord } from '@tanagercart/protocol';
-import { Health, Loads, Relay, RetryBudget, Targets } from '../src/index.js';
+import { Health, Loads, Relay, RetryBudget, Targets, fingerprintOf } from '../src/index.js';
 import type { Call } from '../src/index.js';
 import { FakeCaller, FakeClient, callOf, events, routeOf, upstreamOf } from './fixtures.js';
 import type { Script } from './fixtures.js';
@@ -26,7 +26,12 @@
   return view;
 }
 
-function relayFor(client: FakeClient, upstreams: readonly UpstreamRecord[], slack = 100) {
+function relayFor(
+  client: FakeClient,
+  upstreams: readonly UpstreamRecord[],
+  slack = 100,
+  quarantined: readonly string[] = [],
+) {
   const clock = SystemClock.create();
   const health = Health.create(clock);
   const loads = Loads.create();
@@ -40,11 +45,30 @@
   });
   const budget = RetryBudget.create(clock, { ratio: 0, slack, windowMs: 10_000 }, () => 1);
   const metrics = StatsdMetrics.create();
+  const struck: string[] = [];
+  const quarantine = {
+    isEmpty: () => quarantined.length === 0,
+    has: (fingerprint: string) => quarantined.includes(fingerprint),
+    strike: (fingerprint: string) => {
+      struck.push(fingerprint);
+    },
+  };
   const logger = silentLogger;
   return {
-    relay: Relay.create({ clock, logger, client, targets, health, loads, budget, metrics }),
+    relay: Relay.create({
+      clock,
+      logger,
+      client,
+      targets,
+      health,
+      loads,
+      budget,
+      metrics,
+      quarantine,
+    }),
     loads,
     clock,
+    struck,
   };
 }
 
@@ -129,13 +153,13 @@
   ];
   const { caller, sent } = await serve('resumable-stream', scripts);
   assert.equal(caller.body, events(0, 5));
-  assert.equal(caller.end_, 'ended');
+  assert.equal(caller.ended, 'ended');
   assert.equal(sent[1]!.lastEvent, 2);
 });
 
 test('a stream that may not be resumed is broken off visibly', async () => {
   const { caller, sent } = await serve('stream', [{ kind: 'cut', chunks: [events(0, 2)] }, good]);
-  assert.equal(caller.end_, 'broken');
+  assert.equal(caller.ended, 'broken');
   assert.equal(sent.length, 1);
 });
 
@@ -170,3 +194,30 @@
   assert.deepEqual(loads.all, []);
   assert.equal(caller.refusal, undefined);
 });
+
+test('a request that breaks its connections twice is counted, and refused once it is quarantined', async () => {
+  const call = callOf('idempotent', { startedAt: 0 });
+  const client = new FakeClient([{ kind: 'broken' }, { kind: 'broken' }]);
+  const { relay, clock, struck } = relayFor(client, pair);
+  await relay.serve({ ...call, startedAt: clock.now() }, new FakeCaller());
+  assert.deepEqual(struck, [fingerprintOf(call)]);
+  const later = new FakeClient([good]);
+  const refusing = relayFor(later, pair, 100, [fingerprintOf(call)]);
+  const caller = new FakeCaller();
+  await refusing.relay.serve({ ...call, startedAt: refusing.clock.now() }, caller);
+  assert.equal(caller.got, 'not-run');
+  assert.equal(later.sent.length, 0);
+});
+
+test('a request that only one upstream may run waits for it to the end', async () => {
+  const route = routeOf('idempotent', { maxAttempts: 1, timeoutMs: 200 });
+  const { got, sent } = await serve('idempotent', [{ kind: 'dark' }, good], { route });
+  assert.equal(got, 'timeout');
+  assert.equal(sent.length, 1);
+});
+
+test('an answer that told a failure is passed on rather than replaced', async () => {
+  const failed: Script = { kind: 'answer', status: 500, chunks: ['no'] };
+  const scripts: Script[] = [failed, { kind: 'not-run' }, { kind: 'not-run' }];
+  assert.equal((await serve('idempotent', scripts)).got, '500 no ended');
+});
