--- a/packages/fleet/src/placer.ts
+++ b/packages/fleet/src/placer.ts
@@ -138,6 +138,7 @@
     const { roster, heartbeatMs } = this.o;
     const silence = roster.silenceOf(record.id);
     if (silence > heartbeatMs * missedHeartbeats) return true;
+    if (roster.isUnfit(record.id, record.born)) return true;
     const entries = roster.suspectedBy(record.id, record.born);
     if (entries >= entriesToLose) return true;
     return entries > 0 && silence > heartbeatMs * missedWhenSuspected;
--- a/packages/fleet/src/roster.ts
+++ b/packages/fleet/src/roster.ts
@@ -18,6 +18,13 @@
 /** A suspicion without a later heartbeat holds for this long. */
 const suspicionMs: Millis = 4000;
 
+/** An upstream is unfit, whatever its heartbeats say, once it failed this often in this time. */
+const unfitTolds = 3;
+const unfitMs: Millis = 20_000;
+
+/** Suspicions nearer to each other than this are of one failure. */
+const oneFailureMs: Millis = 700;
+
 interface EntrySeen {
   readonly entry: EntryRecord;
   readonly at: Millis;
@@ -35,6 +42,8 @@
   readonly at: Millis;
   /** Entries that told it. */
   readonly by: ReadonlySet<NodeId>;
+  /** Times at which it was told anew, the latest last. */
+  readonly tolds: readonly Millis[];
 }
 
 /** Entries, heartbeats and suspicions by the clock of the leader. */
@@ -96,14 +105,22 @@
     return [...sums.values()];
   }
 
-  /** Upstreams that failed requests and were not heard since. */
+  /** Upstreams that failed requests and were not heard since, or fail again and again. */
   get suspicions(): readonly Suspicion[] {
     const now = this.clock.now();
-    return [...this.suspects].flatMap(([id, { born, at }]) =>
-      now - at < suspicionMs && (this.upstreamSeen.get(id)?.at ?? -Infinity) <= at
-        ? [{ id, born, ageMs: now - at }]
-        : [],
-    );
+    return [...this.suspects].flatMap(([id, { born, at }]) => {
+      if (this.isUnfit(id, born)) return [{ id, born, ageMs: 0 }];
+      const heardAt = this.upstreamSeen.get(id)?.at ?? -Infinity;
+      return now - at < suspicionMs && heardAt <= at ? [{ id, born, ageMs: now - at }] : [];
+    });
+  }
+
+  /** Whether requests fail at an incarnation again and again although its heartbeats come. */
+  isUnfit(id: UpstreamId, born: number): boolean {
+    const suspect = this.suspects.get(id);
+    if (suspect?.born !== born) return false;
+    const now = this.clock.now();
+    return suspect.tolds.filter((t) => now - t < unfitMs).length >= unfitTolds;
   }
 
   /** How many entries did not reach an incarnation, which was not heard since. */
@@ -125,10 +142,13 @@
     for (const { id, born, ageMs } of suspicions) {
       const at = now - ageMs;
       const known = this.suspects.get(id);
-      const same = known?.born === born && now - known.at < suspicionMs ? known : undefined;
+      const same = known?.born === born && now - known.at < unfitMs ? known : undefined;
       if (same?.by.has(from) && same.at >= at - 1) continue;
-      const by = new Set([...(same?.by ?? []), from]);
-      this.suspects.set(id, { born, at: Math.max(at, same?.at ?? at), by });
+      const recent = same !== undefined && now - same.at < suspicionMs;
+      const by = new Set([...(recent ? same.by : []), from]);
+      const tolds = (same?.tolds ?? []).filter((t) => now - t < unfitMs);
+      if (at - (tolds.at(-1) ?? -Infinity) > oneFailureMs) tolds.push(at);
+      this.suspects.set(id, { born, at: Math.max(at, same?.at ?? at), by, tolds });
       news = true;
     }
     return news;
--- a/packages/relay/src/health.ts
+++ b/packages/relay/src/health.ts
@@ -8,7 +8,7 @@
 
 /** An upstream that failed is avoided for this long, doubled with each failure in a row. */
 const avoidMs: Millis = 800;
-const mostAvoidMs: Millis = 6400;
+const mostAvoidMs: Millis = 12_800;
 
 /** Weight of the newest outcome in the means. */
 const newest = 0.2;
