--- a/packages/layers/src/plan.ts
+++ b/packages/layers/src/plan.ts
@@ -30,6 +30,9 @@
 /** Shares of the memory that layers may take, the first that suffices; the rest holds requests. */
 const layerShares = [0.75, 0.8, 0.93] as const;
 
+/** Decides between windows of equal worth. */
+const straddleCost = 1e-3;
+
 /** Time for requests in progress to end. */
 const drainingMs: Millis = 3000;
 
@@ -37,6 +40,10 @@
 interface Group {
   readonly holders: Holder[];
   readonly coverage: number[];
+  /** Size of the largest range that holds each layer: what is lost with its holder. */
+  readonly sizes: number[];
+  /** Where ranges begin. */
+  readonly starts: Set<number>;
 }
 
 /** Layers that an upstream may hold when they take at most `share` of its memory. */
@@ -54,7 +61,6 @@
 /** What is planned for: the holders, and how much of each may be taken. */
 class Plan {
   readonly groups: readonly Group[];
-  readonly everywhere: number[];
 
   private constructor(
     readonly engine: Engine,
@@ -63,7 +69,6 @@
   ) {
     const usable = holders.filter((h) => this.capacityOf(h) > 0);
     this.groups = this.groupsOf(usable);
-    this.everywhere = coverageOf(engine, usable);
   }
 
   /** Takes the smallest share of memory with which all holders make a whole chain. */
@@ -90,7 +95,7 @@
     const parts = [...centres.values()].filter((c) => this.total(c) < layerCount).flat();
     if (this.total(parts) >= layerCount || sets.length === 0) sets.push(parts);
     else if (parts.length > 0) sets[0] = [...sets[0]!, ...parts];
-    return sets.map((set) => ({ holders: set, coverage: coverageOf(this.engine, set) }));
+    return sets.map((set) => groupOf(this.engine, set));
   }
 
   private total(holders: readonly Holder[]): number {
@@ -104,6 +109,26 @@
   return coverage;
 }
 
+function groupOf(engine: Engine, holders: readonly Holder[]): Group {
+  const sizes = new Array<number>(engine.layerCount).fill(0);
+  const held = holders.flatMap((h) => (h.layers ? [h.layers] : []));
+  for (const layers of held) widen(sizes, layers);
+  const starts = new Set(held.map((layers) => layers.from));
+  return { holders: [...holders], coverage: coverageOf(engine, holders), sizes, starts };
+}
+
+function widen(sizes: number[], layers: LayerRange): void {
+  const size = layers.to - layers.from;
+  for (let l = layers.from; l < layers.to; l += 1) sizes[l] = Math.max(sizes[l] ?? 0, size);
+}
+
+/** Takes note of what a holder is to hold. */
+function assign(group: Group, layers: LayerRange): void {
+  cover(group.coverage, layers, 1);
+  widen(group.sizes, layers);
+  group.starts.add(layers.from);
+}
+
 function cover(coverage: number[], layers: LayerRange, by: number): void {
   for (let l = layers.from; l < layers.to; l += 1) coverage[l] = (coverage[l] ?? 0) + by;
 }
@@ -112,9 +137,8 @@
 function fill(plan: Plan, group: Group): readonly Assignment[] {
   const empty = group.holders.filter((h) => !h.layers && !h.busy);
   return empty.sort(byPreference).map((holder) => {
-    const layers = windowFor(plan, holder, group.coverage);
-    cover(group.coverage, layers, 1);
-    cover(plan.everywhere, layers, 1);
+    const layers = windowFor(plan, holder, group);
+    assign(group, layers);
     return { id: holder.id, layers };
   });
 }
@@ -135,10 +159,8 @@
     if (!spare) break;
     moved.add(spare.id);
     cover(group.coverage, spare.layers!, -1);
-    cover(plan.everywhere, spare.layers!, -1);
-    const layers = windowFor(plan, spare, group.coverage);
-    cover(group.coverage, layers, 1);
-    cover(plan.everywhere, layers, 1);
+    const layers = windowFor(plan, spare, group);
+    assign(group, layers);
     moves.push({ id: spare.id, layers });
   }
   return moves;
@@ -157,17 +179,25 @@
   return coverage.slice(layers.from, layers.to).every((count) => count > 1);
 }
 
-/** The window of a holder: from the first hole on, or else where the least is held. */
-function windowFor(plan: Plan, holder: Holder, coverage: readonly number[]): LayerRange {
+/**
+ * The window of a holder: from the first hole on, or else where the least is held, before all
+ * where a large range has no other holder, as its loss leaves the widest hole.
+ */
+function windowFor(plan: Plan, holder: Holder, group: Group): LayerRange {
+  const { coverage, sizes, starts } = group;
   const size = plan.capacityOf(holder);
   const last = plan.engine.layerCount - size;
   const hole = coverage.indexOf(0);
   if (hole >= 0) return range(Math.min(hole, last), size);
-  const worthOf = (l: number) => (1 + coverage[l]!) ** -2 + (1 + plan.everywhere[l]!) ** -2;
+  const worthOf = (l: number) => (1 + coverage[l]!) ** -2 * sizes[l]!;
   let best = { from: 0, worth: -1 };
   for (let from = 0; from <= last; from += 1) {
     let worth = 0;
-    for (let l = from; l < from + size; l += 1) worth += worthOf(l);
+    for (let l = from; l < from + size; l += 1) {
+      worth += worthOf(l);
+      // A holder that backs parts of two ranges cannot leave once either of them is lost.
+      if (l > from && starts.has(l)) worth -= straddleCost;
+    }
     if (worth > best.worth + 1e-9) best = { from, worth };
   }
   return range(best.from, size);
--- a/packages/layers/test/plan.test.ts
+++ b/packages/layers/test/plan.test.ts
@@ -85,3 +85,10 @@
   const small = [...centre('north', [1, 2, 0]), ...centre('south', [1, 1, 3])];
   assert.ok(hasPath(carriedOut(small, planLayers(engine(), small))));
 });
+
+test('what is over backs the largest range of each data centre first', () => {
+  const south = centre('south', [1, 4, 8]);
+  const placed = carriedOut(south, planLayers(engine(), south));
+  const left = placed.filter((h) => h.id !== 'south-0-0');
+  assert.ok(hasPath(left, 'south'), 'the loss of the largest leaves a path at once');
+});
