--- a/packages/fleet/src/control.ts
+++ b/packages/fleet/src/control.ts
@@ -22,6 +22,7 @@
 import { Intake } from './intake.js';
 import { LeaderLink } from './leader.js';
 import type { NoLeader } from './leader.js';
+import { Pacer } from './pacer.js';
 import { Placer } from './placer.js';
 import type { OrderClient } from './placer.js';
 import { Roster } from './roster.js';
@@ -64,6 +65,7 @@
   readonly roster: Roster;
   readonly intake: Intake;
   readonly placer: Placer;
+  readonly pacer: Pacer;
 }
 
 /** One node of the control plane. */
@@ -194,7 +196,8 @@
       { ...o, voter, roster, intake, logger: o.logger.part('layers') },
       term,
     );
-    this.reign = { term, roster, intake, placer };
+    const pacer = Pacer.create({ ...o, logger });
+    this.reign = { term, roster, intake, placer, pacer };
     return this.reign;
   }
 
@@ -206,11 +209,22 @@
       const reign = this.currentReign();
       if (!reign && this.reign) this.abdicate();
       const config = reign && this.configuration();
-      if (reign && config) reign.placer.step(config);
+      if (reign && config) {
+        reign.placer.step(config);
+        reign.pacer.step(this.stages(config));
+      }
       await clock.sleep(dutyMs, signal);
     }
   }
 
+  /** Upstreams that hold layers. */
+  private stages(config: Configuration): readonly UpstreamRecord[] {
+    const engines = new Set(config.services.filter((s) => s.engine).map((s) => s.id));
+    return [...this.voter.state.upstreams.values()].filter(
+      (r) => r.phase === 'ready' && r.layers !== undefined && engines.has(r.service),
+    );
+  }
+
   private abdicate(): void {
     this.reign?.placer.end();
     this.reign = undefined;
@@ -273,6 +287,7 @@
       voters: this.steward.nodes,
       loads: call.entry ? reign.roster.loadsWithout(from) : [],
       suspicions: reign.roster.suspicions,
+      slow: reign.pacer.slow,
     };
   }
 
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -6,6 +6,7 @@
 export * from './steward.js';
 export * from './intake.js';
 export * from './placer.js';
+export * from './pacer.js';
 export * from './control.js';
 export * from './view.js';
 export * from './watcher.js';
--- a/packages/fleet/src/view.ts
+++ b/packages/fleet/src/view.ts
@@ -34,6 +34,7 @@
   private records = new Map<UpstreamId, UpstreamRecord>();
   private loadOf = new Map<UpstreamId, UpstreamLoad>();
   private suspected: readonly (Suspicion & { readonly at: Millis })[] = [];
+  private slow = new Map<UpstreamId, number>();
   private quarantine = new Set<string>();
   private confirmed: Millis = -Infinity;
   /** Rings after each update. */
@@ -70,6 +71,11 @@
     return this.loadOf.get(id);
   }
 
+  /** How many times slower than its kind an upstream is; 1 where nothing is known. */
+  slownessOf(id: UpstreamId): number {
+    return this.slow.get(id) ?? 1;
+  }
+
   /** When any entry last told that this incarnation failed, and nothing was heard of it since. */
   suspectedAt(record: UpstreamRecord): Millis | undefined {
     return this.suspected.find((s) => s.id === record.id && s.born === record.born)?.at;
@@ -94,6 +100,7 @@
     this.entries = update.entries;
     this.voters = update.voters;
     this.loadOf = new Map(update.loads.map((l) => [l.id, l]));
+    this.slow = new Map(update.slow.map((s) => [s.id, s.factor]));
     const now = this.o.clock.now();
     this.suspected = update.suspicions.map((s) => ({ ...s, at: now - s.ageMs }));
     this.confirmed = sentAt;
--- a/packages/fleet/test/fleet.ts
+++ b/packages/fleet/test/fleet.ts
@@ -58,6 +58,8 @@
 /** Upstreams that load what they are ordered to. */
 export class FakeUpstreams implements OrderClient {
   readonly held = new Map<UpstreamId, LayerRange>();
+  /** Upstreams that are slower than their kind. */
+  readonly slow = new Map<UpstreamId, number>();
   /** Upstreams that do not answer. */
   readonly dark = new Set<UpstreamId>();
   readonly fences = new Map<UpstreamId, number[]>();
@@ -77,7 +79,7 @@
       busy: false,
       orders: this.fences.get(upstream.id)?.length ?? 0,
       layers: this.held.get(upstream.id),
-      slowness: 1,
+      slowness: this.slow.get(upstream.id) ?? 1,
     };
     return ok(report);
   }
--- a/packages/fleet/test/view.test.ts
+++ b/packages/fleet/test/view.test.ts
@@ -86,3 +86,19 @@
   assert.ok(await fleet.of(watcher.strike('f1')));
   await fleet.until(() => view.quarantined.has('f1'), 500);
 });
+
+test('an entry learns which upstreams are slow, and when they are fast again', async () => {
+  const { fleet, view } = await withEntry(26);
+  const [node] = fleet.nodes.values();
+  await fleet.of(node!.submit(documentOf(3)));
+  const ids = ['u1', 'u2', 'u3', 'u4', 'u5'];
+  await fleet.live(ids, 4000);
+  const { id } = announcementOf('u2');
+  fleet.upstreams.slow.set(id, 5);
+  await fleet.live(ids, 3000);
+  assert.equal(view.slownessOf(id), 5);
+  assert.equal(view.slownessOf(announcementOf('u1').id), 1);
+  fleet.upstreams.slow.delete(id);
+  await fleet.live(ids, 3000);
+  assert.equal(view.slownessOf(id), 1);
+});
--- a/packages/layers/src/cost.ts
+++ b/packages/layers/src/cost.ts
@@ -39,7 +39,8 @@
   const readMs = (work.promptTokens * 1000 * stage.readFactor) / engine.readTokensPerSecond;
   const step = engine.stepMs + stage.sequences * engine.stepMsPerSequence;
   const stepsMs = work.answerTokens * answerWeight * step * stage.stepFactor;
-  const busy = (readMs + stepsMs) * share * stage.slowness;
+  // A slow stage also queues: its load counts as much more as its time.
+  const busy = (readMs + stepsMs) * share * stage.slowness ** 2;
   return busy + memoryMs(stage, count, work);
 }
 
--- a/packages/protocol/src/fleetmessage.ts
+++ b/packages/protocol/src/fleetmessage.ts
@@ -61,6 +61,12 @@
   readonly ageMs: Millis;
 }
 
+/** An upstream that is slower than its kind, and how many times. */
+export interface Slowness {
+  readonly id: UpstreamId;
+  readonly factor: number;
+}
+
 /** Asks the leader for all that changed, and tells it how the caller fares. */
 export interface WatchCall {
   /** The caller where it is an entry. */
@@ -96,6 +102,7 @@
       /** Load that other entries cause. */
       readonly loads: readonly UpstreamLoad[];
       readonly suspicions: readonly Suspicion[];
+      readonly slow: readonly Slowness[];
     };
 
 /** Passes on to the leader what an upstream announced. */
--- a/packages/relay/src/target.ts
+++ b/packages/relay/src/target.ts
@@ -157,7 +157,7 @@
         entered: load.entered,
         tokenLayers: (freeMb * bytesPerMegabyte * engine.layerCount) / engine.tokenBytes,
         tokenLayersTaken: load.tokenLayers,
-        slowness: 1,
+        slowness: this.o.view.slownessOf(upstream.id),
       },
     ];
   }
--- a/packages/relay/test/relay.test.ts
+++ b/packages/relay/test/relay.test.ts
@@ -21,7 +21,7 @@
   const clock = SystemClock.create();
   const view = FleetView.create({ clock, logger: silentLogger, read: () => undefined });
   const update = { kind: 'update', index: 1, whole: true, document: undefined } as const;
-  const rest = { quarantined: [], entries: [], voters: [], loads: [], suspicions: [] };
+  const rest = { quarantined: [], entries: [], voters: [], loads: [], suspicions: [], slow: [] };
   view.take({ ...update, ...rest, upstreams }, clock.now());
   return view;
 }
