Soak the bundled programs: processes, a loopback proxy, and checks of the promises

Cause: the random runs so far hold time and stay in one process; nothing of the project's own hits the bundles from outside.

Ruled out: a proxy without help in the programs (all nodes share one port, so the proxy cannot stand at a node's own address); faults by the machine's firewall.

Change: packages/soak starts programs as processes and kills, ends, pauses and restarts them; a loopback proxy holds, delays, resets or silences connections, one way or both; a module that is loaded before the program sends its connections to the proxy and steps its clock, slows its syncs and refuses its writes. It knows nothing of the platform. platform/test/soak plays callers, upstreams and an operator, writes down what each saw, and checks it: answers whole and right, orders once, refusals true, events in order, keys, drained upstreams, configurations read back and obeyed, deadlines, planned ends, service restored in time.

--- a/packages/bench/src/soak.ts
+++ b/packages/bench/src/soak.ts
@@ -1,4 +1,7 @@
-/** Runs random schedules of faults: `npm run soak -- [--whole] [--seed N] [--runs M]`. */
+/**
+ * Runs random schedules of faults: `npm run soak -- [--whole | --programs] [--seed N] [--runs M]`.
+ * Those of the bundled programs are the platform's: this module only starts them.
+ */
 
 import fc from 'fast-check';
 import { runSchedule, schedules } from './logschedule.js';
@@ -11,7 +14,16 @@
   return at < 0 ? otherwise : Number(args[at + 1]);
 }
 
+interface ProgramSoak {
+  readonly soakPrograms: (args: readonly string[]) => Promise<boolean>;
+}
+
 async function main(args: readonly string[]): Promise<number> {
+  if (args.includes('--programs')) {
+    const module = new URL('../../../../platform/dist/test/soak/main.js', import.meta.url);
+    const { soakPrograms } = (await import(module.href)) as ProgramSoak;
+    return (await soakPrograms(args)) ? 0 : 1;
+  }
   const seed = option(args, '--seed', 1);
   const numRuns = option(args, '--runs', defaultRuns);
   return args.includes('--whole') ? soakWhole(seed, numRuns) : soakLog(seed, numRuns);
