A voter that is ending does not break its leader

A voter that was asked to end still answered appends, with a refusal under the name of its disk; the leader took it for a log that had become shorter.

Ruled out: a lost or old disk (the follower's folder held all it had acknowledged); the replacement of the voter half a second later.

Change: a voter that is ending answers for no disk, as one whose disk has failed.

Figures: the new test breaks the invariant before, and passes after.

--- a/packages/log/src/receiver.ts
+++ b/packages/log/src/receiver.ts
@@ -118,8 +118,9 @@
     return { term: this.core.term, disk: this.disk(), held };
   }
 
-  /** A voter whose disk has failed answers for no disk, so that its replies do not count. */
+  /** A voter that is ending, or whose disk has failed, answers for no disk: its replies do not count. */
   private disk(): string {
-    return this.core.failed ? '' : this.core.store.disk;
+    const { failed, stopped, store } = this.core;
+    return failed || stopped ? '' : store.disk;
   }
 }
--- a/packages/log/test/raft.test.ts
+++ b/packages/log/test/raft.test.ts
@@ -258,3 +258,14 @@
   await c.advance(100);
   assert.ok((await one).isOk());
 });
+
+test('a voter that is ending does not break the leader, which goes on without it', async () => {
+  const c = await formed(19, 3);
+  await put(c, 'x');
+  const [ending] = others(c);
+  void c.raftOf(ending!)!.stop();
+  await put(c, 'y');
+  await c.advance(1000);
+  assert.equal(c.broken, undefined);
+  assert.equal(c.acknowledged.length, 2);
+});
