Forget upstreams that are gone, load no more at a time than the store is fast for, drop unused fields

Ruled out: forgetting each record by itself, as every entry learns the whole state after it; a limit at a start from nothing, where all loads are wanted before the first request.

--- a/packages/config/src/model.ts
+++ b/packages/config/src/model.ts
@@ -79,12 +79,9 @@
   readonly stepMsPerSequence: Millis;
   readonly stepMsPerThousandTokens: Millis;
   readonly readTokensPerSecond: number;
-  /** Tokens of a prompt read in one step at most. */
-  readonly chunkTokens: number;
-  /** Steps of one pass. */
-  readonly stepsPerPass: number;
   /** Time to load all layers from the weight store, in seconds. */
   readonly loadSeconds: number;
+  /** Loads that the weight store serves at full speed. */
   readonly loadsAtOnce: number;
   /** How long a report of an upstream lags. */
   readonly reportLagMs: Millis;
@@ -98,7 +95,6 @@
 /** A service that routes name. */
 export interface Service {
   readonly id: ServiceId;
-  readonly healthPath: string;
   /** Connections that one upstream accepts from all callers. */
   readonly maxConnections: number;
   readonly engine: Engine | undefined;
--- a/packages/config/test/config.test.ts
+++ b/packages/config/test/config.test.ts
@@ -35,7 +35,7 @@
   return {
     version: 1,
     routes,
-    services: [{ id: desk, healthPath: '/healthz', maxConnections: 10, engine: undefined }],
+    services: [{ id: desk, maxConnections: 10, engine: undefined }],
     accounts: [{ id: AccountId('quay'), keys: ['k1', 'k2'], priority: 1 }],
     limits: { headBytes: 16384, bodyBytes: 1048576, headMs: 3000, idleMs: 15000 },
     ...change,
--- a/packages/fleet/src/control.ts
+++ b/packages/fleet/src/control.ts
@@ -31,6 +31,7 @@
 import { Roster } from './roster.js';
 import type { Document } from './state.js';
 import { Steward } from './steward.js';
+import { Sweeper } from './sweeper.js';
 import { Voter } from './voter.js';
 
 /** How often the duties of a leader are looked at. */
@@ -72,6 +73,7 @@
   readonly intake: Intake;
   readonly placer: Placer;
   readonly pacer: Pacer;
+  readonly sweeper: Sweeper;
   readonly board: BulletinBoard;
   /** When each entry was answered last. */
   readonly answeredAt: Map<NodeId, Millis>;
@@ -213,8 +215,13 @@
       suspicions: roster.suspicions,
       slow: pacer.slow,
     });
+    const sweeper = Sweeper.create({
+      clock: o.clock,
+      logger,
+      forget: async (upstreams) => (await voter.propose({ kind: 'forget', upstreams })).isOk(),
+    });
     const board = BulletinBoard.create({ clock: o.clock, revision: () => roster.revision, gather });
-    this.reign = { term, roster, intake, placer, pacer, board, answeredAt: new Map() };
+    this.reign = { term, roster, intake, placer, pacer, sweeper, board, answeredAt: new Map() };
     return this.reign;
   }
 
@@ -229,6 +236,7 @@
       if (reign && config) {
         reign.placer.step(config);
         reign.pacer.step(this.stages(config));
+        reign.sweeper.step(this.voter.state.upstreams);
       }
       await clock.sleep(dutyMs, signal);
     }
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -8,6 +8,7 @@
 export * from './intake.js';
 export * from './placer.js';
 export * from './pacer.js';
+export * from './sweeper.js';
 export * from './control.js';
 export * from './view.js';
 export * from './watcher.js';
--- a/packages/fleet/src/placer.ts
+++ b/packages/fleet/src/placer.ts
@@ -126,13 +126,23 @@
     if (records.length === 0 || !this.isStill(service, records)) return;
     const { loads } = this.o.roster;
     const holders = records.flatMap((r) => this.holderOf(engine, r, loads.get(r.id)));
-    for (const { id, layers } of planLayers(engine, holders)) {
+    const wanted = planLayers(engine, holders);
+    for (const { id, layers } of wanted.slice(0, this.room(engine, records))) {
       const record = records.find((r) => r.id === id)!;
       this.placing.set(id, layers);
       void this.place(engine, record, layers);
     }
   }
 
+  /**
+   * Orders that may begin. Beyond the loads that the weight store serves at once each takes longer:
+   * the first ones are wanted soon. At a start from nothing all are wanted.
+   */
+  private room(engine: Engine, records: readonly UpstreamRecord[]): number {
+    if (!records.some((r) => r.layers)) return Infinity;
+    return Math.max(0, engine.loadsAtOnce - this.placing.size);
+  }
+
   private isLost(record: UpstreamRecord): boolean {
     const { roster, heartbeatMs } = this.o;
     const silence = roster.silenceOf(record.id);
--- a/packages/fleet/test/control.test.ts
+++ b/packages/fleet/test/control.test.ts
@@ -111,6 +111,26 @@
   assert.ok(covered(fleet, left));
 });
 
+test('once a service serves, no more upstreams load at a time than the store is fast for', async () => {
+  const fleet = await Fleet.start(12);
+  await submit(fleet, a, 7);
+  await fleet.beat(['u1', 'u2', 'u3']);
+  await fleet.until(() => fleet.upstreams.held.size === 3, 10_000);
+  await fleet.clock.advance(2000);
+  const all = ['u1', 'u2', 'u3', ...Array.from({ length: 20 }, (_, i) => `w${i}`)];
+  fleet.upstreams.loadMs = 500;
+  let most = 0;
+  for (let i = 0; i < 20 && fleet.upstreams.held.size < all.length; i += 1) {
+    await fleet.beat(all);
+    for (let step = 0; step < 5; step += 1) {
+      most = Math.max(most, fleet.upstreams.loading);
+      await fleet.clock.advance(100);
+    }
+  }
+  assert.equal(fleet.upstreams.held.size, all.length);
+  assert.ok(most > 1 && most <= 6, `${most} loads at a time`);
+});
+
 test('fencing tokens only ever rise, also under another leader', async () => {
   const fleet = await Fleet.start(11);
   await submit(fleet, a, 7);
--- a/packages/fleet/test/fleet.ts
+++ b/packages/fleet/test/fleet.ts
@@ -8,7 +8,7 @@
   UpstreamId,
   silentLogger,
 } from '@tanagercart/base';
-import type { Millis } from '@tanagercart/base';
+import type { Clock, Millis } from '@tanagercart/base';
 import type { Configuration, Engine } from '@tanagercart/config';
 import type { LayerRange } from '@tanagercart/layers';
 import { MemoryDisk } from '@tanagercart/log';
@@ -28,8 +28,6 @@
   stepMsPerSequence: 0,
   stepMsPerThousandTokens: 0,
   readTokensPerSecond: 100_000,
-  chunkTokens: 512,
-  stepsPerPass: 1,
   loadSeconds: 4,
   loadsAtOnce: 6,
   reportLagMs: 100,
@@ -45,7 +43,7 @@
   return {
     version,
     routes: [],
-    services: [{ id: pool, healthPath: '/healthz', maxConnections: 10, engine }],
+    services: [{ id: pool, maxConnections: 10, engine }],
     accounts: [],
     limits: { headBytes: 16384, bodyBytes: 1048576, headMs: 3000, idleMs: 15000 },
   };
@@ -63,6 +61,13 @@
   /** Upstreams that do not answer. */
   readonly dark = new Set<UpstreamId>();
   readonly fences = new Map<UpstreamId, number[]>();
+  /** How long a load takes. */
+  loadMs: Millis = 0;
+  /** Loads in progress. */
+  loading = 0;
+  private readonly busy = new Set<UpstreamId>();
+
+  constructor(private readonly clock: Clock) {}
 
   place(upstream: UpstreamRecord, order: LayerOrder): Promise<OrderReply> {
     const { id } = upstream;
@@ -70,13 +75,22 @@
     const seen = this.fences.get(id) ?? [];
     if (order.ordersBefore !== seen.length) return Promise.resolve({ kind: 'conflict' });
     this.fences.set(id, [...seen, order.fence]);
-    this.held.set(id, order.layers);
+    void this.load(id, order.layers);
     return Promise.resolve({ kind: 'begun' });
   }
 
+  private async load(id: UpstreamId, layers: LayerRange): Promise<void> {
+    this.loading += 1;
+    this.busy.add(id);
+    if (this.loadMs > 0) await this.clock.sleep(this.loadMs);
+    this.held.set(id, layers);
+    this.busy.delete(id);
+    this.loading -= 1;
+  }
+
   async report(upstream: UpstreamRecord) {
     const report: UpstreamReport = {
-      busy: false,
+      busy: this.busy.has(upstream.id),
       orders: this.fences.get(upstream.id)?.length ?? 0,
       layers: this.held.get(upstream.id),
       slowness: this.slow.get(upstream.id) ?? 1,
@@ -106,7 +120,7 @@
   readonly clock = HeldClock.create();
   readonly random: SeededRandom;
   readonly network: MemoryNetwork;
-  readonly upstreams = new FakeUpstreams();
+  readonly upstreams = new FakeUpstreams(this.clock);
   readonly nodes = new Map<NodeId, ControlNode>();
   readonly disks = new Map<NodeId, MemoryDisk>();
   broken: unknown;
--- a/packages/layers/test/fixtures.ts
+++ b/packages/layers/test/fixtures.ts
@@ -20,8 +20,6 @@
     stepMsPerSequence: 0.004,
     stepMsPerThousandTokens: 0.005,
     readTokensPerSecond: 272_000,
-    chunkTokens: 512,
-    stepsPerPass: 2,
     loadSeconds: 14,
     loadsAtOnce: 6,
     reportLagMs: 200,
--- a/packages/relay/test/fixtures.ts
+++ b/packages/relay/test/fixtures.ts
@@ -41,7 +41,7 @@
     headers: [],
     body: Buffer.from('body'),
     route: routeOf(kind),
-    service: { id: desk, healthPath: '/healthz', maxConnections: 10, engine: undefined },
+    service: { id: desk, maxConnections: 10, engine: undefined },
     account: AccountId('quay'),
     priority: 1,
     work: undefined,
--- a/packages/soak/src/program.ts
+++ b/packages/soak/src/program.ts
@@ -33,6 +33,9 @@
 
 const calm: Control = { clockMs: 0, syncMs: 0, full: false };
 
+/** A process that ended by itself starts again after this time. */
+const restartMs = 300;
+
 /** Processes that run now. */
 const running = new Set<ChildProcess>();
 
@@ -48,6 +51,7 @@
   private process: ChildProcess | undefined;
   private control = calm;
   private expected = false;
+  private closed = false;
   private readonly log: WriteStream;
 
   private constructor(readonly options: ProgramOptions) {
@@ -64,7 +68,7 @@
 
   /** Starts the process, unless it runs. */
   async start(): Promise<void> {
-    if (this.process) return;
+    if (this.process || this.closed) return;
     const { name, command, address, env, folder } = this.options;
     await this.steer({});
     const shim = fileURLToPath(new URL('./shim.js', import.meta.url));
@@ -79,8 +83,10 @@
     this.expected = false;
     child.once('exit', (code, signal) => {
       running.delete(child);
-      if (!this.expected) this.ownEnds.push({ program: name, code, signal });
       if (this.process === child) this.process = undefined;
+      if (this.expected) return;
+      this.ownEnds.push({ program: name, code, signal });
+      setTimeout(() => void this.start(), restartMs).unref();
     });
   }
 
@@ -89,6 +95,12 @@
     await this.signal('SIGKILL');
   }
 
+  /** Kills the process for good. */
+  async close(): Promise<void> {
+    this.closed = true;
+    await this.kill();
+  }
+
   /** Asks the process to end, and kills it after `graceMs`. */
   async end(graceMs: number): Promise<void> {
     const child = this.process;
