The log is formed though the node that should form it ended before

Ruled out: forming by a majority of the named nodes, as a node that answered once might be part of a log that the others do not know of; a file alone, as the disk may be lost.

Change: a voter remembers on its disk, before all else, with whom it forms the log, and tells whether it does; the first of those that remember forms it once all named nodes answer that their disks are empty.

--- a/packages/fleet/src/voter.ts
+++ b/packages/fleet/src/voter.ts
@@ -4,7 +4,7 @@
 import type { Result } from 'neverthrow';
 import { Bell } from '@tanagercart/base';
 import type { Clock, Logger, Millis, NodeId, Random } from '@tanagercart/base';
-import { DiskStore, Raft, defaultLimits } from '@tanagercart/log';
+import { DiskStore, Raft, defaultLimits, rememberInitial } from '@tanagercart/log';
 import type { Disk, ProposeError, StoreError, Timing } from '@tanagercart/log';
 import type { Transport } from '@tanagercart/protocol';
 import { decodeOutcome, encodeCommand } from './command.js';
@@ -28,7 +28,7 @@
 
 export interface VoterOptions {
   readonly self: NodeId;
-  /** Nodes that form the log at the first start of all; none at any other start. */
+  /** Nodes that form the log at the first start of all; the disk remembers them for later ones. */
   readonly initial: readonly NodeId[];
   readonly disk: Disk;
   readonly transport: Transport;
@@ -110,13 +110,22 @@
     const { disk, random, logger } = this.o;
     const store = await DiskStore.open({ disk, random, logger, segmentBytes });
     if (store.isErr()) return err(store.error);
+    const initial = await rememberInitial(disk, this.o.initial);
+    if (initial.isErr()) return err(initial.error);
     const { hard, lastIndex } = store.value;
     logger.info('Opened the data folder.', { term: hard.term, lastIndex });
     const state = FleetState.create();
     state.onChange = () => this.changed.ring();
     this.held = state;
     const limits = { ...defaultLimits, snapshotEveryBytes: segmentBytes };
-    this.log = Raft.create({ ...this.o, store: store.value, machine: state, timing, limits });
+    this.log = Raft.create({
+      ...this.o,
+      initial: initial.value,
+      store: store.value,
+      machine: state,
+      timing,
+      limits,
+    });
     return ok(undefined);
   }
 }
--- a/packages/fleet/test/control.test.ts
+++ b/packages/fleet/test/control.test.ts
@@ -49,6 +49,37 @@
   assert.equal(await versionAt(fleet, a), 7);
 });
 
+test('a node that ends before it has formed the log forms it when it starts again', async () => {
+  const fleet = Fleet.create(13);
+  for (const id of [a, b]) fleet.run(id, [a, b, c]);
+  await fleet.clock.advance(400);
+  fleet.kill(a);
+  await fleet.clock.advance(300);
+  fleet.run(a);
+  fleet.run(c, [a, b, c]);
+  await fleet.until(() => fleet.leader !== undefined, 5000);
+  assert.equal(await submit(fleet, c, 7), 7);
+});
+
+test('where the node that should form the log lost its disk before, the next one forms it', async () => {
+  const fleet = Fleet.create(15);
+  for (const id of [a, b]) fleet.run(id, [a, b, c]);
+  await fleet.clock.advance(400);
+  fleet.wipe(a);
+  fleet.run(a);
+  fleet.run(c, [a, b, c]);
+  await fleet.until(() => fleet.leader !== undefined, 5000);
+  assert.equal(await submit(fleet, a, 7), 7);
+  await fleet.until(() => [a, b, c].every((id) => fleet.nodes.get(id)!.votes));
+});
+
+test('an empty node that is started later than the first time forms nothing', async () => {
+  const fleet = Fleet.create(14);
+  for (const id of [a, b, c]) fleet.run(id);
+  await fleet.clock.advance(5000);
+  assert.equal(fleet.leader, undefined);
+});
+
 test('a leader that loses its disk right after its word joins again as another voter', async () => {
   for (const seed of [5, 6, 7]) {
     const fleet = await Fleet.start(seed);
--- a/packages/fleet/test/fleet.ts
+++ b/packages/fleet/test/fleet.ts
@@ -131,9 +131,14 @@
     this.network = MemoryNetwork.create(this.clock, this.random);
   }
 
+  /** A fleet of which no node runs yet. */
+  static create(seed: number): Fleet {
+    return new Fleet(seed);
+  }
+
   /** Starts nodes that form a log. */
   static async start(seed: number, names: readonly string[] = ['a', 'b', 'c']): Promise<Fleet> {
-    const fleet = new Fleet(seed);
+    const fleet = Fleet.create(seed);
     const initial = names.map(NodeId);
     for (const id of initial) fleet.run(id, initial);
     await fleet.until(() => fleet.leader !== undefined);
--- a/packages/log/src/changes.ts
+++ b/packages/log/src/changes.ts
@@ -40,6 +40,7 @@
     core.o.transport.serve('inspect', async () => ({
       disk: core.store.disk,
       empty: core.store.lastIndex === 0,
+      forms: core.o.initial.length > 0,
       term: core.term,
     }));
     core.o.transport.serve('voters', (_, call) => changes.change(call));
--- a/packages/log/src/index.ts
+++ b/packages/log/src/index.ts
@@ -8,3 +8,4 @@
 export * from './raft.js';
 export * from './cluster.js';
 export * from './restore.js';
+export * from './firststart.js';
--- a/packages/protocol/src/logmessage.ts
+++ b/packages/protocol/src/logmessage.ts
@@ -104,6 +104,8 @@
   readonly disk: string;
   /** Whether the disk holds neither entries nor a snapshot. */
   readonly empty: boolean;
+  /** Whether the node knows with whom it forms the log at the first start of all. */
+  readonly forms: boolean;
   readonly term: number;
 }
 
