Entries pass a lost upstream by for as long as it is lost

An upstream that ends without a word stays on record as ready; a suspicion lasts four seconds, and then each of 62 entries tried it anew.

Ruled out: stages short of memory as the main cause (the earlier reading of these refusals): the four held nothing any more.

Change: the leader names upstreams that it takes for lost, by its heartbeats or by two entries that did not reach them, to all entries, until they are heard again.

--- a/packages/fleet/src/control.ts
+++ b/packages/fleet/src/control.ts
@@ -15,6 +15,7 @@
   EntryRecord,
   ReadReply,
   StrikeReply,
+  Suspicion,
   SubmitReply,
   Transport,
   UpstreamRecord,
@@ -212,7 +213,7 @@
       entries: roster.entries,
       voters: this.steward.nodes,
       loads: [...roster.loads.values()],
-      suspicions: roster.suspicions,
+      suspicions: this.suspicions(roster, placer),
       slow: pacer.slow,
     });
     const sweeper = Sweeper.create({
@@ -250,6 +251,14 @@
     );
   }
 
+  /** Upstreams that entries should pass by: failed lately, or lost though nobody asks them now. */
+  private suspicions(roster: Roster, placer: Placer): readonly Suspicion[] {
+    const records = [...this.voter.state.upstreams.values()];
+    const lost = records.filter((r) => r.phase === 'ready' && placer.isLost(r));
+    const told = roster.suspicions.filter((s) => !lost.some((r) => r.id === s.id));
+    return [...told, ...lost.map(({ id, born }) => ({ id, born, ageMs: 0 }))];
+  }
+
   private abdicate(): void {
     this.reign?.placer.end();
     this.reign = undefined;
--- a/packages/fleet/src/placer.ts
+++ b/packages/fleet/src/placer.ts
@@ -143,7 +143,8 @@
     return Math.max(0, engine.loadsAtOnce - this.placing.size);
   }
 
-  private isLost(record: UpstreamRecord): boolean {
+  /** Whether an upstream seems to be gone, though it never said so. */
+  isLost(record: UpstreamRecord): boolean {
     const { roster, heartbeatMs } = this.o;
     const silence = roster.silenceOf(record.id);
     if (silence > heartbeatMs * missedHeartbeats) return true;
--- a/packages/fleet/test/view.test.ts
+++ b/packages/fleet/test/view.test.ts
@@ -1,7 +1,14 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { err, ok } from 'neverthrow';
-import { DataCentreId, HeldClock, NodeId, createStop, silentLogger } from '@tanagercart/base';
+import {
+  DataCentreId,
+  HeldClock,
+  NodeId,
+  UpstreamId,
+  createStop,
+  silentLogger,
+} from '@tanagercart/base';
 import type { Configuration } from '@tanagercart/config';
 import { encode } from '@tanagercart/protocol';
 import type { EntryRecord, Transport } from '@tanagercart/protocol';
@@ -89,6 +96,20 @@
   await fleet.until(() => view.quarantined.has('f1'), 500);
 });
 
+test('an entry passes an upstream by for as long as it is silent, also where nobody asks it', async () => {
+  const { fleet, view } = await withEntry(31);
+  await fleet.live(['u1', 'u2'], 2000);
+  const silent = () => view.upstreams.get(UpstreamId('u1'))!;
+  assert.equal(view.suspectedAt(silent()), undefined);
+  await fleet.live(['u2'], 6000);
+  for (let i = 0; i < 10; i += 1) {
+    assert.notEqual(view.suspectedAt(silent()), undefined);
+    await fleet.live(['u2'], 1000);
+  }
+  await fleet.live(['u1', 'u2'], 1500);
+  assert.equal(view.suspectedAt(silent()), undefined);
+});
+
 test('an entry learns which upstreams are slow, and when they are fast again', async () => {
   const { fleet, view } = await withEntry(26);
   const [node] = fleet.nodes.values();
