Measure what log lines cost a request

Cause: the cost of logging was not measured.

Change: npm run bench -- logging: requests through the relay with a silent logger and with lines at their bound, and one line alone.

--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -26,6 +26,7 @@
   'recovery',
   'relay',
   'capacity',
+  'logging',
 ];
 
 async function main(args: readonly string[]): Promise<number> {
