--- a/packages/fleet/test/fleet.ts
+++ b/packages/fleet/test/fleet.ts
@@ -123,6 +123,8 @@
   readonly upstreams = new FakeUpstreams(this.clock);
   readonly nodes = new Map<NodeId, ControlNode>();
   readonly disks = new Map<NodeId, MemoryDisk>();
+  /** Nodes that are told to each that starts; may change. */
+  seeds: readonly NodeId[] = ['a', 'b', 'c'].map(NodeId);
   broken: unknown;
   private beats = 1;
 
@@ -152,7 +154,7 @@
     const node = ControlNode.create({
       self: id,
       initial,
-      seeds: () => [NodeId('a'), NodeId('b'), NodeId('c')],
+      seeds: () => this.seeds,
       disk,
       transport: this.network.attach(id),
       clock: this.clock,
