--- a/packages/soak/src/program.ts
+++ b/packages/soak/src/program.ts
@@ -86,7 +86,10 @@
       if (this.process === child) this.process = undefined;
       if (this.expected) return;
       this.ownEnds.push({ program: name, code, signal });
-      setTimeout(() => void this.start(), restartMs).unref();
+      const restart = () => {
+        void this.start();
+      };
+      setTimeout(restart, restartMs).unref();
     });
   }
 
