--- a/packages/soak/src/program.ts
+++ b/packages/soak/src/program.ts
@@ -51,7 +51,9 @@
   private process: ChildProcess | undefined;
   private control = calm;
   private expected = false;
+  private starting = false;
   private closed = false;
+  private steered = 0;
   private readonly log: WriteStream;
 
   private constructor(readonly options: ProgramOptions) {
@@ -62,15 +64,17 @@
     return new Program(options);
   }
 
-  get isRunning(): boolean {
-    return this.process !== undefined;
-  }
-
   /** Starts the process, unless it runs. */
   async start(): Promise<void> {
-    if (this.process || this.closed) return;
-    const { name, command, address, env, folder } = this.options;
+    if (this.process || this.starting || this.closed) return;
+    this.starting = true;
     await this.steer({});
+    this.starting = false;
+    if (!this.closed) this.spawn();
+  }
+
+  private spawn(): void {
+    const { name, command, address, env, folder } = this.options;
     const shim = fileURLToPath(new URL('./shim.js', import.meta.url));
     const child = spawn(process.execPath, ['--import', shim, ...command], {
       env: { ...env, SOAK_CONTROL: `${folder}/${name}.json`, SOAK_ADDRESS: address },
@@ -126,8 +130,11 @@
     this.control = { ...this.control, ...change };
     const { folder, name } = this.options;
     const path = `${folder}/${name}.json`;
-    await writeFile(`${path}.new`, JSON.stringify(this.control));
-    await rename(`${path}.new`, path);
+    // Faults overlap: each writes a file of its own, and the last one to be renamed counts.
+    this.steered += 1;
+    const draft = `${path}.${this.steered}`;
+    await writeFile(draft, JSON.stringify(this.control));
+    await rename(draft, path);
   }
 
   /** Empties the data folder. */
