Read bodies of bounded size in one place

Change: base/body does it; what a body that is too large or breaks off means stays with each caller. No behaviour changes.

--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -1,3 +1,4 @@
+export * from './body.js';
 export * from './id.js';
 export * from './heap.js';
 export * from './clock.js';
--- a/packages/entry/src/body.ts
+++ b/packages/entry/src/body.ts
@@ -1,8 +1,9 @@
 /** Reads request bodies with a limit, and sends JSON. */
 
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { err, ok } from 'neverthrow';
+import { err } from 'neverthrow';
 import type { Result } from 'neverthrow';
+import { gather } from '@tanagercart/base';
 
 /** Reads a whole body of at most `limit` bytes; the rest of a longer one is left unread. */
 export async function readBody(
@@ -10,15 +11,8 @@
   limit: number,
 ): Promise<Result<Buffer, 'too-large'>> {
   if (Number(req.headers['content-length'] ?? 0) > limit) return err('too-large');
-  const chunks: Buffer[] = [];
-  let size = 0;
   // The request stays open, so that a refusal can still be sent.
-  for await (const chunk of req.iterator({ destroyOnReturn: false }) as AsyncIterable<Buffer>) {
-    size += chunk.length;
-    if (size > limit) return err('too-large');
-    chunks.push(chunk);
-  }
-  return ok(Buffer.concat(chunks));
+  return gather(req.iterator({ destroyOnReturn: false }) as AsyncIterable<Buffer>, limit);
 }
 
 /** Parses JSON; undefined where it is malformed. */
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -1,6 +1,6 @@
 /** Serves requests: chooses a target, sends, and tries again where that is allowed. */
 
-import { unreachable } from '@tanagercart/base';
+import { gather, unreachable } from '@tanagercart/base';
 import type { Clock, Logger, Metrics, Millis, Random, UpstreamId } from '@tanagercart/base';
 import type { UpstreamRecord } from '@tanagercart/protocol';
 import { comebackMs } from './comeback.js';
@@ -390,7 +390,7 @@
     if (end === 'complete') return { kind: 'delivered' };
     return { kind: 'failed', failure: 'broken', detail: 'the stream broke off' };
   }
-  const whole = await gather(answer);
+  const whole = await wholeOf(answer);
   if (!whole) return { kind: 'failed', failure: 'broken', detail: 'the answer broke off' };
   if (status >= 500 && isRepeatable(call)) {
     return { kind: 'failed', failure: 'failed', detail: `status ${status}`, answer: whole };
@@ -399,13 +399,12 @@
   return { kind: 'delivered' };
 }
 
-/** The whole body of an answer; undefined where it broke off or is too large to be gathered. */
-async function gather(answer: UpstreamAnswer): Promise<WholeAnswer | undefined> {
-  const parts: Uint8Array[] = [];
+/** The whole answer; undefined where its body broke off. */
+async function wholeOf({ head, body }: UpstreamAnswer): Promise<WholeAnswer | undefined> {
   try {
-    for await (const chunk of answer.body) parts.push(chunk);
+    const bytes = await gather(body, Infinity);
+    return bytes.isOk() ? { head, body: bytes.value } : undefined;
   } catch {
     return undefined;
   }
-  return { head: answer.head, body: Buffer.concat(parts) };
 }
--- a/packages/standin/src/http.ts
+++ b/packages/standin/src/http.ts
@@ -2,6 +2,7 @@
 
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
+import { gather } from '@tanagercart/base';
 
 /** Largest body that is read, in bytes. */
 const bodyLimit = 8 * 1024 * 1024;
@@ -20,14 +21,9 @@
 
 /** Reads a request's body as JSON. */
 export async function readJson(req: IncomingMessage): Promise<unknown> {
-  const chunks: Buffer[] = [];
-  let size = 0;
-  for await (const chunk of req as AsyncIterable<Buffer>) {
-    size += chunk.length;
-    if (size > bodyLimit) throw new RangeError('body too large');
-    chunks.push(chunk);
-  }
-  return size === 0 ? {} : JSON.parse(Buffer.concat(chunks).toString());
+  const body = await gather(req as AsyncIterable<Buffer>, bodyLimit);
+  if (body.isErr()) throw new RangeError('body too large');
+  return body.value.length === 0 ? {} : JSON.parse(body.value.toString());
 }
 
 /** Answers with JSON. */
