A reign holds what a leader keeps, and the roster alone says which upstream is lost

Change: fleet/reign has the parts of one term; fleet/roster says what is lost and what entries pass by, and looks a suspicion up directly. No behaviour changes.

--- a/packages/fleet/src/control.ts
+++ b/packages/fleet/src/control.ts
@@ -15,24 +15,18 @@
   EntryRecord,
   ReadReply,
   StrikeReply,
-  Suspicion,
   SubmitReply,
   Transport,
   UpstreamRecord,
   WatchCall,
   WatchReply,
 } from '@tanagercart/protocol';
-import { BulletinBoard } from './bulletin.js';
-import { Intake } from './intake.js';
 import { LeaderLink } from './leader.js';
 import type { NoLeader } from './leader.js';
-import { Pacer } from './pacer.js';
-import { Placer } from './placer.js';
 import type { OrderClient } from './placer.js';
-import { Roster } from './roster.js';
+import { Reign } from './reign.js';
 import type { Document } from './state.js';
 import { Steward } from './steward.js';
-import { Sweeper } from './sweeper.js';
 import { Voter } from './voter.js';
 
 /** How often the duties of a leader are looked at. */
@@ -44,9 +38,6 @@
 /** Changes that come together reach an entry together: a change waits this long for others. */
 const gatherMs: Millis = 5;
 
-/** Time of the leader that one answer takes on a small machine: no entry is answered more often. */
-const answerMsPerEntry: Millis = 2;
-
 /** How long a node that does not lead waits for changes of the entries. */
 const followMs: Millis = 500;
 
@@ -67,19 +58,6 @@
   readonly onBroken: (error: unknown) => void;
 }
 
-/** What a leader keeps for the time that it leads. */
-interface Reign {
-  readonly term: number;
-  readonly roster: Roster;
-  readonly intake: Intake;
-  readonly placer: Placer;
-  readonly pacer: Pacer;
-  readonly sweeper: Sweeper;
-  readonly board: BulletinBoard;
-  /** When each entry was answered last. */
-  readonly answeredAt: Map<NodeId, Millis>;
-}
-
 /** One node of the control plane. */
 export class ControlNode {
   private readonly voter: Voter;
@@ -180,7 +158,7 @@
     const { raft } = this.voter;
     if (raft && this.voter.leads) await raft.handOver();
     this.stopping.abort();
-    this.reign?.placer.end();
+    this.reign?.end();
     await this.tasks.join();
   }
 
@@ -199,34 +177,12 @@
     if (!voter.leads) return undefined;
     const { term } = voter.raft!;
     if (this.reign?.term === term) return this.reign;
-    this.reign?.placer.end();
-    const roster = Roster.create(o.clock);
-    const logger = o.logger.part('upstreams');
-    const isOrdered = (id: Announcement['id']) => this.reign?.placer.isOrdered(id) ?? false;
-    const intake = Intake.create({ voter, clock: o.clock, logger, isOrdered });
-    const placer = Placer.create(
-      { ...o, voter, roster, intake, logger: o.logger.part('layers') },
-      term,
-    );
-    const pacer = Pacer.create({ ...o, logger });
-    const gather = (): Bulletin => ({
-      entries: roster.entries,
-      voters: this.steward.nodes,
-      loads: [...roster.loads.values()],
-      suspicions: this.suspicions(roster, placer),
-      slow: pacer.slow,
-    });
-    const sweeper = Sweeper.create({
-      clock: o.clock,
-      logger,
-      forget: async (upstreams) => (await voter.propose({ kind: 'forget', upstreams })).isOk(),
-    });
-    const board = BulletinBoard.create({ clock: o.clock, revision: () => roster.revision, gather });
-    this.reign = { term, roster, intake, placer, pacer, sweeper, board, answeredAt: new Map() };
+    this.reign?.end();
+    this.reign = Reign.create({ ...o, voter, nodes: () => this.steward.nodes }, term);
     return this.reign;
   }
 
-  /** Task: places layers while this node leads. */
+  /** Task: looks after the upstreams while this node leads. */
   private async doDuties(): Promise<void> {
     const { clock } = this.o;
     const { signal } = this.stopping;
@@ -234,33 +190,13 @@
       const reign = this.currentReign();
       if (!reign && this.reign) this.abdicate();
       const config = reign && this.configuration();
-      if (reign && config) {
-        reign.placer.step(config);
-        reign.pacer.step(this.stages(config));
-        reign.sweeper.step(this.voter.state.upstreams);
-      }
+      if (reign && config) reign.step(config);
       await clock.sleep(dutyMs, signal);
     }
   }
 
-  /** Upstreams that hold layers. */
-  private stages(config: Configuration): readonly UpstreamRecord[] {
-    const engines = new Set(config.services.filter((s) => s.engine).map((s) => s.id));
-    return [...this.voter.state.upstreams.values()].filter(
-      (r) => r.phase === 'ready' && r.layers !== undefined && engines.has(r.service),
-    );
-  }
-
-  /** Upstreams that entries should pass by: failed lately, or lost though nobody asks them now. */
-  private suspicions(roster: Roster, placer: Placer): readonly Suspicion[] {
-    const records = [...this.voter.state.upstreams.values()];
-    const lost = records.filter((r) => r.phase === 'ready' && placer.isLost(r));
-    const told = roster.suspicions.filter((s) => !lost.some((r) => r.id === s.id));
-    return [...told, ...lost.map(({ id, born }) => ({ id, born, ageMs: 0 }))];
-  }
-
   private abdicate(): void {
-    this.reign?.placer.end();
+    this.reign?.end();
     this.reign = undefined;
   }
 
@@ -308,7 +244,7 @@
     if (reign.roster.hearEntry(from, call)) changed.ring();
     const isNew = state.index > call.since || call.since === 0;
     if (!isNew) await changed.waitUpTo(call.waitMs, this.o.clock, this.stopping.signal);
-    await this.pace(reign, from, isNew ? 0 : gatherMs);
+    await reign.pace(from, isNew ? 0 : gatherMs);
     if (this.currentReign() !== reign) return this.notLeader();
     return {
       kind: 'update',
@@ -319,16 +255,6 @@
     };
   }
 
-  /** Waits for changes that come together, and until an entry may be answered again. */
-  private async pace(reign: Reign, from: NodeId, leastMs: Millis): Promise<void> {
-    const { clock } = this.o;
-    const now = clock.now();
-    const lastAt = reign.answeredAt.get(from) ?? -Infinity;
-    const dueAt = Math.max(now + leastMs, lastAt + answerMsPerEntry * reign.roster.entryCount);
-    if (dueAt > now) await clock.sleep(dueAt - now);
-    reign.answeredAt.set(from, clock.now());
-  }
-
   private async onBeat(announcement: Announcement): Promise<BeatReply> {
     const reign = this.currentReign();
     return reign ? reign.intake.take(announcement, reign.roster) : this.notLeader();
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -10,6 +10,7 @@
 export * from './placer.js';
 export * from './pacer.js';
 export * from './sweeper.js';
+export * from './reign.js';
 export * from './control.js';
 export * from './view.js';
 export * from './watcher.js';
--- a/packages/fleet/src/placer.ts
+++ b/packages/fleet/src/placer.ts
@@ -7,7 +7,6 @@
 import type { UpstreamLoad, UpstreamRecord } from '@tanagercart/protocol';
 import type { Result } from 'neverthrow';
 import type { Intake } from './intake.js';
-import { entriesToLose } from './roster.js';
 import type { Roster } from './roster.js';
 import type { Voter } from './voter.js';
 
@@ -53,10 +52,6 @@
 /** A service is placed at the latest this long after its first upstream was announced. */
 const latestMs: Millis = 4000;
 
-/** Heartbeats that an upstream may miss, and where requests failed at it besides. */
-const missedHeartbeats = 3.2;
-const missedWhenSuspected = 1.5;
-
 /** Pause after an order, beyond the lag of reports, before the upstream is looked at. */
 const retryMs: Millis = 100;
 
@@ -76,7 +71,6 @@
   readonly orders: OrderClient;
   readonly clock: Clock;
   readonly logger: Logger;
-  readonly heartbeatMs: Millis;
 }
 
 interface Arrivals {
@@ -121,7 +115,7 @@
     const { engine } = service;
     if (!engine) return;
     const records = [...this.o.voter.state.upstreams.values()].filter(
-      (r) => r.service === service.id && r.phase === 'ready' && !this.isLost(r),
+      (r) => r.service === service.id && r.phase === 'ready' && !this.o.roster.isLost(r),
     );
     if (records.length === 0 || !this.isStill(service, records)) return;
     const { loads } = this.o.roster;
@@ -143,17 +137,6 @@
     return Math.max(0, engine.loadsAtOnce - this.placing.size);
   }
 
-  /** Whether an upstream seems to be gone, though it never said so. */
-  isLost(record: UpstreamRecord): boolean {
-    const { roster, heartbeatMs } = this.o;
-    const silence = roster.silenceOf(record.id);
-    if (silence > heartbeatMs * missedHeartbeats) return true;
-    if (roster.isUnfit(record.id, record.born)) return true;
-    const entries = roster.suspectedBy(record.id, record.born);
-    if (entries >= entriesToLose) return true;
-    return entries > 0 && silence > heartbeatMs * missedWhenSuspected;
-  }
-
   /** Whether to place now: at a start from nothing, all upstreams should have announced themselves. */
   private isStill(service: Service, records: readonly UpstreamRecord[]): boolean {
     const now = this.o.clock.now();
@@ -255,7 +238,7 @@
   private isWanted(record: UpstreamRecord): boolean {
     const now = this.o.voter.state.upstreams.get(record.id);
     if (this.ended || now?.born !== record.born || now.phase !== 'ready') return false;
-    return !this.isLost(record);
+    return !this.o.roster.isLost(record);
   }
 
   private nextToken(): number {
--- a/packages/fleet/src/roster.ts
+++ b/packages/fleet/src/roster.ts
@@ -6,6 +6,7 @@
   EntryRecord,
   Suspicion,
   UpstreamLoad,
+  UpstreamRecord,
   WatchCall,
 } from '@tanagercart/protocol';
 import { sumByUpstream } from './load.js';
@@ -24,7 +25,11 @@
 const unfitMs: Millis = 20_000;
 
 /** Entries that must not reach an upstream for it to count as lost at once. */
-export const entriesToLose = 2;
+const entriesToLose = 2;
+
+/** Heartbeats that an upstream may miss, and where requests failed at it besides. */
+const missedHeartbeats = 3.2;
+const missedWhenSuspected = 1.5;
 
 /** Suspicions nearer to each other than this are of one failure. */
 const oneFailureMs: Millis = 700;
@@ -59,12 +64,16 @@
   private readonly suspects = new Map<UpstreamId, Suspect>();
   private readonly since: Millis;
 
-  private constructor(private readonly clock: Clock) {
+  private constructor(
+    private readonly clock: Clock,
+    private readonly heartbeatMs: Millis,
+  ) {
     this.since = clock.now();
   }
 
-  static create(clock: Clock): Roster {
-    return new Roster(clock);
+  /** `heartbeatMs` is the time between two announcements of an upstream. */
+  static create(clock: Clock, heartbeatMs: Millis): Roster {
+    return new Roster(clock, heartbeatMs);
   }
 
   /** Takes note of what an entry tells; whether others should learn of it at once. */
@@ -86,9 +95,23 @@
     return true;
   }
 
-  /** How long an upstream was silent; since this term began where it was not heard in it. */
-  silenceOf(id: UpstreamId): Millis {
-    return this.clock.now() - (this.upstreamSeen.get(id)?.at ?? this.since);
+  /** Whether an upstream seems to be gone, though it never said so. */
+  isLost({ id, born }: UpstreamRecord): boolean {
+    const { heartbeatMs } = this;
+    const silentMs = this.silenceOf(id);
+    if (silentMs > heartbeatMs * missedHeartbeats) return true;
+    if (this.isUnfit(id, born)) return true;
+    const entries = this.suspectedBy(id, born);
+    if (entries >= entriesToLose) return true;
+    return entries > 0 && silentMs > heartbeatMs * missedWhenSuspected;
+  }
+
+  /** Upstreams that entries should pass by: failed lately, or lost though nobody asks them now. */
+  toPassBy(records: Iterable<UpstreamRecord>): readonly Suspicion[] {
+    const lost = [...records].filter((r) => r.phase === 'ready' && this.isLost(r));
+    const isLost = new Set(lost.map((r) => r.id));
+    const told = this.suspicions.filter((s) => !isLost.has(s.id));
+    return [...told, ...lost.map(({ id, born }) => ({ id, born, ageMs: 0 }))];
   }
 
   /** Entries that were heard lately. */
@@ -115,8 +138,7 @@
     const now = this.clock.now();
     return [...this.suspects].flatMap(([id, { born, at }]) => {
       if (this.isUnfit(id, born)) return [{ id, born, ageMs: 0 }];
-      const heardAt = this.upstreamSeen.get(id)?.at ?? -Infinity;
-      return now - at < suspicionMs && heardAt <= at ? [{ id, born, ageMs: now - at }] : [];
+      return this.isFresh(id, at) ? [{ id, born, ageMs: now - at }] : [];
     });
   }
 
@@ -130,8 +152,20 @@
 
   /** How many entries did not reach an incarnation, which was not heard since. */
   suspectedBy(id: UpstreamId, born: number): number {
-    const isCurrent = this.suspicions.some((s) => s.id === id && s.born === born);
-    return isCurrent ? this.suspects.get(id)!.by.size : 0;
+    const suspect = this.suspects.get(id);
+    if (suspect?.born !== born) return 0;
+    return this.isUnfit(id, born) || this.isFresh(id, suspect.at) ? suspect.by.size : 0;
+  }
+
+  /** Whether a suspicion of `at` still counts: nothing was heard of the upstream since. */
+  private isFresh(id: UpstreamId, at: Millis): boolean {
+    const heardAt = this.upstreamSeen.get(id)?.at ?? -Infinity;
+    return this.clock.now() - at < suspicionMs && heardAt <= at;
+  }
+
+  /** How long an upstream was silent; since this term began where it was not heard in it. */
+  private silenceOf(id: UpstreamId): Millis {
+    return this.clock.now() - (this.upstreamSeen.get(id)?.at ?? this.since);
   }
 
   /** Whether an entry has another phase than before, or was not heard lately. */
--- a/packages/fleet/test/roster.test.ts
+++ b/packages/fleet/test/roster.test.ts
@@ -9,7 +9,7 @@
 
 function fixture() {
   const clock = HeldClock.create();
-  const roster = Roster.create(clock);
+  const roster = Roster.create(clock, 1000);
   let sequence = 0;
   const beat = () => {
     sequence += 1;
