--- a/packages/log/src/diskname.ts
+++ b/packages/log/src/diskname.ts
@@ -3,9 +3,9 @@
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import type { Logger, Random } from '@tanagercart/base';
-import { decode, encode } from '@tanagercart/protocol';
 import type { Disk } from './disk.js';
-import { encodeRecord, fileHeader, readFileHeader, readRecord } from './record.js';
+import { fileHeader } from './record.js';
+import { readRecordFile, storeError, writeRecordFile } from './recordfile.js';
 import type { StoreError } from './store.js';
 
 /** Holds the name and the fingerprint of `mark`. */
@@ -45,15 +45,9 @@
 
 async function readName(disk: Disk): Promise<Result<Named | undefined, StoreError>> {
   const names = await disk.list();
-  if (names.isErr()) return err({ detail: `${names.error.file}: ${names.error.detail}` });
+  if (names.isErr()) return err(storeError(names.error));
   if (!names.value.includes(nameFile)) return ok(undefined);
-  const bytes = await disk.read(nameFile);
-  if (bytes.isErr()) return err({ detail: `${nameFile}: ${bytes.error.detail}` });
-  const header = readFileHeader(bytes.value);
-  const record = header.kind === 'record' ? readRecord(bytes.value, header.next) : header;
-  if (record.kind === 'record') return ok(decode<Named>(record.body));
-  const offset = header.kind === 'record' ? header.next : 0;
-  return err({ detail: `${nameFile}: offset ${offset}: damaged` });
+  return readRecordFile<Named>(disk, nameFile);
 }
 
 async function writeName(disk: Disk, name: string): Promise<Result<string, StoreError>> {
@@ -63,15 +57,10 @@
     .andThen(() => disk.sync(fresh))
     .andThen(() => disk.rename(fresh, markFile))
     .andThen(() => disk.fingerprint(markFile));
-  if (marked.isErr()) return err({ detail: `${marked.error.file}: ${marked.error.detail}` });
+  if (marked.isErr()) return err(storeError(marked.error));
   const named: Named = { name, fingerprint: marked.value };
-  const draft = `${nameFile}.new`;
-  const saved = await disk
-    .write(draft, 0, Buffer.concat([fileHeader(), encodeRecord(encode(named))]))
-    .andThen(() => disk.sync(draft))
-    .andThen(() => disk.rename(draft, nameFile))
-    .andThen(() => disk.syncFolder());
-  return saved.map(() => name).mapErr((e) => ({ detail: `${e.file}: ${e.detail}` }));
+  const saved = await writeRecordFile(disk, nameFile, named);
+  return saved.map(() => name).mapErr(storeError);
 }
 
 function drawName(random: Random): string {
--- a/packages/log/src/diskstore.ts
+++ b/packages/log/src/diskstore.ts
@@ -9,6 +9,7 @@
 import { nameOf } from './diskname.js';
 import type { Entries } from './entries.js';
 import { encodeRecord, fileHeader } from './record.js';
+import { storeError, writeRecordFile } from './recordfile.js';
 import { loadFolder, segmentName, snapshotName } from './recovery.js';
 import type { LogRecord, Segment } from './recovery.js';
 import type { HardState, Snapshot, Store, StoreError } from './store.js';
@@ -106,7 +107,9 @@
   }
 
   async saveSnapshot(snapshot: Snapshot, keepFrom: number): Promise<Result<void, StoreError>> {
-    const saved = await this.guard(() => this.writeSnapshot(snapshot));
+    const saved = await this.guard(async () =>
+      writeRecordFile(this.o.disk, snapshotName(snapshot.index), snapshot),
+    );
     if (saved.isErr()) return saved;
     const before = this.kept;
     this.kept = snapshot;
@@ -169,18 +172,6 @@
       .andThen(() => disk.syncFolder());
   }
 
-  private async writeSnapshot(snapshot: Snapshot): Promise<Result<void, DiskError>> {
-    const { disk } = this.o;
-    const bytes = Buffer.concat([fileHeader(), encodeRecord(encode(snapshot))]);
-    const file = snapshotName(snapshot.index);
-    const draft = `${file}.new`;
-    return disk
-      .write(draft, 0, bytes)
-      .andThen(() => disk.sync(draft))
-      .andThen(() => disk.rename(draft, file))
-      .andThen(() => disk.syncFolder());
-  }
-
   /** Removes the earlier snapshot, and segments from the oldest on that hold nothing later. */
   private async removeOld(before: Snapshot | undefined): Promise<Result<void, DiskError>> {
     const { disk } = this.o;
@@ -203,7 +194,7 @@
     if (this.broken) return err(this.broken);
     const done = await step();
     if (done.isOk()) return ok(undefined);
-    this.broken = { detail: `${done.error.file}: ${done.error.detail}` };
+    this.broken = storeError(done.error);
     return err(this.broken);
   }
 }
--- a/packages/log/src/recovery.ts
+++ b/packages/log/src/recovery.ts
@@ -8,6 +8,7 @@
 import type { Disk } from './disk.js';
 import { Entries } from './entries.js';
 import { fileHeaderBytes, readFileHeader, readRecord } from './record.js';
+import { damaged, readRecordFile, storeError } from './recordfile.js';
 import type { HardState, Snapshot, StoreError } from './store.js';
 
 /** Digits of the number in a file's name. */
@@ -51,7 +52,7 @@
 /** Reads snapshot and segments; cuts a torn tail, and reports any other damage. */
 export async function loadFolder(disk: Disk, logger: Logger): Promise<Result<Folder, StoreError>> {
   const listed = await disk.list();
-  if (listed.isErr()) return err({ detail: `${listed.error.file}: ${listed.error.detail}` });
+  if (listed.isErr()) return err(storeError(listed.error));
   const names = [...listed.value].sort();
   const snapshot = await loadSnapshot(disk, names);
   if (snapshot.isErr()) return err(snapshot.error);
@@ -81,13 +82,7 @@
 ): Promise<Result<Snapshot | undefined, StoreError>> {
   const file = names.filter((n) => n.startsWith('snapshot-') && !n.endsWith('.new')).at(-1);
   if (!file) return ok(undefined);
-  const bytes = await disk.read(file);
-  if (bytes.isErr()) return err({ detail: `${file}: ${bytes.error.detail}` });
-  const header = readFileHeader(bytes.value);
-  if (header.kind !== 'record') return damaged(file, 0, header);
-  const record = readRecord(bytes.value, header.next);
-  if (record.kind !== 'record') return damaged(file, header.next, record);
-  return ok(decode<Snapshot>(record.body));
+  return readRecordFile<Snapshot>(disk, file);
 }
 
 async function loadSegment(
@@ -179,12 +174,3 @@
   entries.append([entry]);
   return true;
 }
-
-function damaged(
-  file: string,
-  offset: number,
-  found: ReturnType<typeof readRecord>,
-): Result<never, StoreError> {
-  const detail = found.kind === 'damaged' ? found.detail : 'the file is cut short';
-  return err({ detail: `${file}: offset ${offset}: ${detail}` });
-}
