--- a/packages/fleet/src/placer.ts
+++ b/packages/fleet/src/placer.ts
@@ -2,7 +2,7 @@
 
 import type { Clock, Logger, Millis, UpstreamId } from '@tanagercart/base';
 import type { Configuration, Engine, Service } from '@tanagercart/config';
-import { planLayers } from '@tanagercart/layers';
+import { planLayers, textOf } from '@tanagercart/layers';
 import type { Holder, LayerRange } from '@tanagercart/layers';
 import type { UpstreamLoad, UpstreamRecord } from '@tanagercart/protocol';
 import type { Result } from 'neverthrow';
@@ -251,10 +251,6 @@
   return `${record.id} ${record.born}`;
 }
 
-function textOf(layers: LayerRange): string {
-  return `${layers.from}-${layers.to}`;
-}
-
 function overlap(a: LayerRange, b: LayerRange): LayerRange | undefined {
   const from = Math.max(a.from, b.from);
   const to = Math.min(a.to, b.to);
--- a/packages/layers/src/stage.ts
+++ b/packages/layers/src/stage.ts
@@ -8,6 +8,11 @@
   readonly to: number;
 }
 
+/** A range as it is logged. */
+export function textOf({ from, to }: LayerRange): string {
+  return `${from}-${to}`;
+}
+
 /** An upstream through which a path may go. */
 export interface Stage {
   readonly id: UpstreamId;
