Find the best node of a rendezvous in one place

Cause: keepers of accounts and watchers of upstreams each looked for the heaviest candidate; the keepers hashed every node again for every account.

Change: base/hash has it, over candidates that are hashed once. Of two equal weights the first by name wins now for keepers too, as elsewhere; before, the first in the order of the state did (one in 2^32). No other behaviour changes.

--- a/packages/base/src/hash.ts
+++ b/packages/base/src/hash.ts
@@ -31,6 +31,28 @@
   return (h ^ (h >>> 16)) >>> 0;
 }
 
+/** A name with its hash, which is worked out once. */
+export interface Hashed<T extends string> {
+  readonly id: T;
+  readonly hash: number;
+}
+
+/** The best candidate for a hashed key by rendezvous hashing; of equal ones the first by name. */
+export function heaviest<T extends string>(
+  key: number,
+  candidates: readonly Hashed<T>[],
+): T | undefined {
+  let best: T | undefined;
+  let most = -1;
+  for (const { id, hash } of candidates) {
+    const weight = mixHashes(key, hash);
+    if (weight < most || (weight === most && best !== undefined && best < id)) continue;
+    best = id;
+    most = weight;
+  }
+  return best;
+}
+
 /** Orders `candidates` for `key` by rendezvous hashing, best first. */
 export function rendezvous<T extends string>(key: string, candidates: readonly T[]): readonly T[] {
   return candidates
--- a/packages/limits/src/keepers.ts
+++ b/packages/limits/src/keepers.ts
@@ -1,7 +1,7 @@
 /** Which node keeps which account, before and after the last change of the live nodes. */
 
-import { hash32, mixHashes } from '@tanagercart/base';
-import type { AccountId, NodeId } from '@tanagercart/base';
+import { hash32, heaviest } from '@tanagercart/base';
+import type { AccountId, Hashed, NodeId } from '@tanagercart/base';
 
 /** Chosen keepers that are remembered at most. */
 const remembered = 20_000;
@@ -9,28 +9,19 @@
 /** One set of live nodes, with the keepers found among them. */
 class Choice {
   private readonly found = new Map<AccountId, NodeId | undefined>();
+  private readonly candidates: readonly Hashed<NodeId>[];
 
-  constructor(readonly nodes: readonly NodeId[]) {}
+  constructor(readonly nodes: readonly NodeId[]) {
+    this.candidates = nodes.map((id) => ({ id, hash: hash32(id) }));
+  }
 
   of(account: AccountId): NodeId | undefined {
     if (!this.found.has(account)) {
       if (this.found.size >= remembered) this.found.clear();
-      this.found.set(account, this.choose(account));
+      this.found.set(account, heaviest(hash32(account), this.candidates));
     }
     return this.found.get(account);
   }
-
-  /** The best node by rendezvous hashing. */
-  private choose(account: AccountId): NodeId | undefined {
-    const hash = hash32(account);
-    let best: NodeId | undefined;
-    let bestWeight = -1;
-    for (const node of this.nodes) {
-      const weight = mixHashes(hash, hash32(node));
-      if (weight > bestWeight) [best, bestWeight] = [node, weight];
-    }
-    return best;
-  }
 }
 
 /** Finds the keepers of accounts by rendezvous hashing, so that few accounts move with a node. */
--- a/packages/membership/src/assignment.ts
+++ b/packages/membership/src/assignment.ts
@@ -1,16 +1,13 @@
 /** Which upstreams a node watches, worked out anew only when nodes or upstreams changed. */
 
-import { hash32, mixHashes } from '@tanagercart/base';
-import type { NodeId, UpstreamId } from '@tanagercart/base';
+import { hash32, heaviest } from '@tanagercart/base';
+import type { Hashed, NodeId, UpstreamId } from '@tanagercart/base';
 import type { SharedState, Upstream } from '@tanagercart/state';
 
 /** What the assignment reads of the shared state. */
 export type AssignedState = Pick<SharedState, 'nodes' | 'upstreams' | 'view' | 'rosterVersion'>;
 
-interface Candidate {
-  readonly id: NodeId;
-  readonly hash: number;
-}
+type Candidate = Hashed<NodeId>;
 
 /** Assigns each upstream to the first of its `ownersOf`, without ranking the others. */
 export class Assignment {
@@ -32,7 +29,7 @@
   /** The node that watches an upstream; undefined where no node is known. */
   watcherOf(u: { readonly id: UpstreamId; readonly dataCentre: string }): NodeId | undefined {
     this.observeNodes();
-    return bestOf(this.near.get(u.dataCentre) ?? this.candidates, hash32(u.id))?.id;
+    return heaviest(hash32(u.id), this.near.get(u.dataCentre) ?? this.candidates);
   }
 
   /** The recorded upstreams that this node watches. */
@@ -60,16 +57,3 @@
     });
   }
 }
-
-/** The candidate of the highest weight for a name; of equal ones the first by id. */
-function bestOf(candidates: readonly Candidate[], name: number): Candidate | undefined {
-  let best: Candidate | undefined;
-  let most = -1;
-  for (const c of candidates) {
-    const weight = mixHashes(name, c.hash);
-    if (weight < most || (weight === most && best && best.id < c.id)) continue;
-    best = c;
-    most = weight;
-  }
-  return best;
-}
