Tests and the logging bench build calls, views and relays in one place

Change: the fixtures of relay and layers are reached as their packages' ./test; the tests keep their assertions. The test of the crowd uses the engine of the others and fails without the estimate as before.

--- a/packages/bench/src/logging.ts
+++ b/packages/bench/src/logging.ts
@@ -2,24 +2,16 @@
 
 import { ok } from 'neverthrow';
 import {
-  AccountId,
   BoundedSink,
   BunyanLogger,
-  DataCentreId,
   RequestId,
-  SeededRandom,
   ServedMetrics,
-  ServiceId,
   SystemClock,
-  UpstreamId,
   silentLogger,
 } from '@tanagercart/base';
 import type { Logger } from '@tanagercart/base';
-import { RouteId } from '@tanagercart/config';
-import { FleetView } from '@tanagercart/fleet';
-import { encode } from '@tanagercart/protocol';
-import { Health, Loads, Relay, RetryBudget, Targets } from '@tanagercart/relay';
-import type { Call, Caller, UpstreamClient } from '@tanagercart/relay';
+import type { Caller, Relay, UpstreamClient } from '@tanagercart/relay';
+import { callOf, relayOf, upstreamOf, viewOf } from '@tanagercart/relay/test';
 import type { Report } from './report.js';
 
 const requests = 4000;
@@ -31,8 +23,6 @@
 const rounds = 5;
 
 const microsPerMilli = 1000;
-const desk = ServiceId('desk');
-const north = DataCentreId('north');
 
 const client: UpstreamClient = {
   send: async () =>
@@ -49,73 +39,16 @@
   yield Buffer.alloc(800);
 }
 
-function relayWith(logger: Logger, seed: number): Relay {
+function relayWith(logger: Logger): Relay {
   const clock = SystemClock.create();
-  const random = SeededRandom.create(seed);
-  const view = FleetView.create({ clock, logger: silentLogger, read: () => undefined });
-  const upstreams = ['u1', 'u2', 'u3'].map((id) => ({
-    id: UpstreamId(id),
-    born: 1,
-    service: desk,
-    address: `${id}:1`,
-    dataCentre: north,
-    phase: 'ready' as const,
-    slots: 6,
-    accelerator: undefined,
-    layers: undefined,
-  }));
-  const bulletin = encode({ entries: [], voters: [], loads: [], suspicions: [], slow: [] });
-  const update = { kind: 'update', index: 1, whole: true, document: undefined } as const;
-  view.take({ ...update, upstreams, quarantined: [], bulletin }, clock.now(), []);
-  const health = Health.create(clock);
-  const loads = Loads.create();
-  const isSuspected = () => false;
-  const bounds = { ratio: 1, slack: 10, windowMs: 1000 };
-  return Relay.create({
+  const view = viewOf(
     clock,
-    random,
-    logger,
-    client,
-    targets: Targets.create({ view, health, loads, random, dataCentre: north, isSuspected }),
-    health,
-    loads,
-    budget: RetryBudget.create(clock, bounds, () => 1),
-    metrics: ServedMetrics.create(),
-    quarantine: { isEmpty: () => true, has: () => false, strike: () => undefined },
-  });
-}
-
-function callOf(id: string, now: number): Call {
-  const service = { id: desk, maxConnections: 10, engine: undefined };
-  return {
-    id: RequestId(id),
-    method: 'POST',
-    path: '/desk/1',
-    headers: [],
-    body: Buffer.from('body'),
-    route: {
-      id: RouteId('r'),
-      host: 'figs.example',
-      prefix: '/desk/',
-      kind: 'idempotent',
-      timeoutMs: 1000,
-      objectiveMs: 300,
-      pauseMs: undefined,
-      priority: 1,
-      shares: [{ service: desk, weight: 1 }],
-      maxAttempts: 2,
-      open: false,
-    },
-    service,
-    account: AccountId('quay'),
-    priority: 1,
-    work: undefined,
-    lastEvent: undefined,
-    startedAt: now,
-    callerDeadline: undefined,
-  };
+    ['u1', 'u2', 'u3'].map((id) => upstreamOf(id)),
+  );
+  return relayOf({ clock, client, view, logger, metrics: ServedMetrics.create() }).relay;
 }
 
+/** Takes an answer and does nothing with it. */
 function caller(): Caller {
   return {
     gone: new AbortController().signal,
@@ -131,7 +64,8 @@
 async function microsFor(relay: Relay, count: number): Promise<number> {
   const from = process.cpuUsage();
   for (let i = 0; i < count; i += 1) {
-    await relay.serve(callOf(`a${i}`, performance.now()), caller());
+    const call = { id: RequestId(`a${i}`), startedAt: performance.now() };
+    await relay.serve(callOf('idempotent', call), caller());
   }
   const { user, system } = process.cpuUsage(from);
   return (user + system) / count;
@@ -154,9 +88,9 @@
       return true;
     },
   });
-  const without = await least(relayWith(silentLogger, seed));
+  const without = await least(relayWith(silentLogger));
   const logger = BunyanLogger.create('entry', 'info', sink);
-  const atBound = await least(relayWith(logger, seed));
+  const atBound = await least(relayWith(logger));
   const line = await microsOfLine(logger);
   const figure = (name: string, value: number, unit: string) => ({ name, value, unit });
   return {
--- a/packages/relay/test/crowd.test.ts
+++ b/packages/relay/test/crowd.test.ts
@@ -10,38 +10,22 @@
   silentLogger,
 } from '@tanagercart/base';
 import type { Millis } from '@tanagercart/base';
-import type { Engine } from '@tanagercart/config';
 import { FleetView, sumByUpstream } from '@tanagercart/fleet';
-import { encode } from '@tanagercart/protocol';
+import { engine as engineOf } from '@tanagercart/layers/test';
 import type { EntryRecord, UpstreamLoad, UpstreamRecord } from '@tanagercart/protocol';
 import { Health, Loads, Targets } from '../src/index.js';
-import { callOf } from './fixtures.js';
+import { bulletinOf, callOf } from './fixtures.js';
 
 const pool = ServiceId('pool');
 const north = DataCentreId('north');
 
-const engine: Engine = {
-  slots: 134,
-  layerCount: 80,
-  layerMb: 1750,
-  tokenBytes: 610_388,
-  activationBytes: 30_519,
-  pipeMbps: 6500,
-  stepMs: 0.85,
-  stepMsPerSequence: 0.004,
-  stepMsPerThousandTokens: 0.005,
-  readTokensPerSecond: 272_000,
-  loadSeconds: 14,
-  loadsAtOnce: 6,
-  reportLagMs: 200,
-  usualPrompt: 772,
-  usualAnswer: 150,
-  delays: [],
-  accelerators: [{ name: 'card', memoryMb: 21_600, stepFactor: 16, readFactor: 8 }],
-};
+/** Stages of one kind, with memory for ten layers and as many tokens as that leaves. */
+const engine = engineOf();
+const card = engine.accelerators.find((a) => a.name === 'middle')!;
 
 /** Tokens x layers that one stage of ten layers holds beside them. */
-const capacity = ((21_600 - 10 * 1750) * 1e6 * 80) / 610_388;
+const capacity =
+  ((card.memoryMb - 10 * engine.layerMb) * 1e6 * engine.layerCount) / engine.tokenBytes;
 
 /** Parallel chains of eight equal stages. */
 function chains(count: number): readonly UpstreamRecord[] {
@@ -50,7 +34,7 @@
     const id = UpstreamId(`u${i}`);
     const layers = { from, to: from + 10 };
     const rest = { born: 1, service: pool, dataCentre: north, phase: 'ready', slots: 134 } as const;
-    return { id, address: `${id}:1`, accelerator: 'card', layers, ...rest };
+    return { id, address: `${id}:1`, accelerator: card.name, layers, ...rest };
   });
 }
 
@@ -95,13 +79,7 @@
   exchange(): void {
     const before = this.choosers.map((c) => c.told);
     const sums = sumByUpstream(before.flat());
-    const bulletin = encode({
-      entries: this.entries,
-      voters: [],
-      loads: [...sums.values()],
-      suspicions: [],
-      slow: [],
-    });
+    const bulletin = bulletinOf({ entries: this.entries, loads: [...sums.values()] });
     for (const chooser of this.choosers) {
       const update = { kind: 'update', index: 1, whole: true, document: undefined } as const;
       const { upstreams } = this;
--- a/packages/relay/test/fixtures.ts
+++ b/packages/relay/test/fixtures.ts
@@ -1,8 +1,21 @@
 import { err, ok } from 'neverthrow';
-import { AccountId, DataCentreId, RequestId, ServiceId, UpstreamId } from '@tanagercart/base';
-import type { CallKind, Route } from '@tanagercart/config';
+import {
+  AccountId,
+  DataCentreId,
+  RequestId,
+  SeededRandom,
+  ServiceId,
+  StatsdMetrics,
+  UpstreamId,
+  silentLogger,
+} from '@tanagercart/base';
+import type { Clock, Logger, Metrics } from '@tanagercart/base';
+import type { CallKind, Configuration, Route } from '@tanagercart/config';
 import { RouteId } from '@tanagercart/config';
-import type { UpstreamRecord } from '@tanagercart/protocol';
+import { FleetView } from '@tanagercart/fleet';
+import { encode } from '@tanagercart/protocol';
+import type { Bulletin, UpstreamRecord } from '@tanagercart/protocol';
+import { Health, Loads, Relay, RetryBudget, Targets } from '../src/index.js';
 import type {
   AnswerHead,
   Attempt,
@@ -67,6 +80,80 @@
   };
 }
 
+/** An encoded bulletin that tells nothing but what is given. */
+export function bulletinOf(change: Partial<Bulletin> = {}): Uint8Array {
+  return encode({ entries: [], voters: [], loads: [], suspicions: [], slow: [], ...change });
+}
+
+/** A configuration that a view is to hold: packed, and how it is read. */
+export interface HeldDocument {
+  readonly packed: Uint8Array;
+  readonly read: (text: string) => Configuration | undefined;
+}
+
+/** A view that was told of some upstreams. */
+export function viewOf(
+  clock: Clock,
+  upstreams: readonly UpstreamRecord[],
+  document?: HeldDocument,
+): FleetView {
+  const read = document?.read ?? (() => undefined);
+  const view = FleetView.create({ clock, logger: silentLogger, read });
+  const update = {
+    kind: 'update',
+    index: 1,
+    whole: true,
+    upstreams,
+    document: document?.packed,
+    quarantined: [],
+    bulletin: bulletinOf(),
+  } as const;
+  if (!view.take(update, clock.now(), [])) throw new Error('the view refused its document');
+  return view;
+}
+
+/** What a relay is made of, where it matters. */
+export interface RelayParts {
+  readonly clock: Clock;
+  readonly client: UpstreamClient;
+  readonly view: FleetView;
+  readonly logger?: Logger;
+  readonly metrics?: Metrics;
+  /** Repeats that it may send. */
+  readonly slack?: number;
+  readonly quarantined?: readonly string[];
+}
+
+/** A relay, the loads that it counts and the strikes that it tells. */
+export function relayOf(parts: RelayParts) {
+  const { clock, client, view, logger = silentLogger, slack = 100, quarantined = [] } = parts;
+  const health = Health.create(clock);
+  const loads = Loads.create();
+  const random = SeededRandom.create(1);
+  const dataCentre = DataCentreId('north');
+  const isSuspected = () => false;
+  const struck: string[] = [];
+  const relay = Relay.create({
+    clock,
+    random,
+    logger,
+    client,
+    targets: Targets.create({ view, health, loads, random, dataCentre, isSuspected }),
+    health,
+    loads,
+    budget: RetryBudget.create(clock, { ratio: 0, slack, windowMs: 10_000 }, () => 1),
+    metrics: parts.metrics ?? StatsdMetrics.create(),
+    quarantine: {
+      isEmpty: () => quarantined.length === 0,
+      has: (fingerprint) => quarantined.includes(fingerprint),
+      strike: (fingerprint) => {
+        struck.push(fingerprint);
+      },
+    },
+  });
+  return { relay, loads, struck };
+}
+
 /** Remembers what a caller was sent. */
 export class FakeCaller implements Caller {
   readonly leaving = new AbortController();
--- a/packages/relay/test/relay.test.ts
+++ b/packages/relay/test/relay.test.ts
@@ -1,32 +1,24 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import {
-  DataCentreId,
-  SeededRandom,
-  StatsdMetrics,
-  SystemClock,
-  silentLogger,
-} from '@tanagercart/base';
+import { SystemClock } from '@tanagercart/base';
 import type { CallKind } from '@tanagercart/config';
-import { FleetView } from '@tanagercart/fleet';
-import { encode } from '@tanagercart/protocol';
 import type { UpstreamRecord } from '@tanagercart/protocol';
-import { Health, Loads, Relay, RetryBudget, Targets, fingerprintOf } from '../src/index.js';
+import { fingerprintOf } from '../src/index.js';
 import type { Call } from '../src/index.js';
-import { FakeCaller, FakeClient, callOf, events, routeOf, upstreamOf } from './fixtures.js';
+import {
+  FakeCaller,
+  FakeClient,
+  callOf,
+  events,
+  relayOf,
+  routeOf,
+  upstreamOf,
+  viewOf,
+} from './fixtures.js';
 import type { Script } from './fixtures.js';
 
 const pair = [upstreamOf('one'), upstreamOf('two')];
 
-function viewOf(upstreams: readonly UpstreamRecord[]): FleetView {
-  const clock = SystemClock.create();
-  const view = FleetView.create({ clock, logger: silentLogger, read: () => undefined });
-  const update = { kind: 'update', index: 1, whole: true, document: undefined } as const;
-  const bulletin = encode({ entries: [], voters: [], loads: [], suspicions: [], slow: [] });
-  view.take({ ...update, quarantined: [], bulletin, upstreams }, clock.now(), []);
-  return view;
-}
-
 function relayFor(
   client: FakeClient,
   upstreams: readonly UpstreamRecord[],
@@ -34,44 +26,8 @@
   quarantined: readonly string[] = [],
 ) {
   const clock = SystemClock.create();
-  const health = Health.create(clock);
-  const loads = Loads.create();
-  const targets = Targets.create({
-    view: viewOf(upstreams),
-    health,
-    loads,
-    random: SeededRandom.create(1),
-    dataCentre: DataCentreId('north'),
-    isSuspected: () => false,
-  });
-  const budget = RetryBudget.create(clock, { ratio: 0, slack, windowMs: 10_000 }, () => 1);
-  const metrics = StatsdMetrics.create();
-  const struck: string[] = [];
-  const quarantine = {
-    isEmpty: () => quarantined.length === 0,
-    has: (fingerprint: string) => quarantined.includes(fingerprint),
-    strike: (fingerprint: string) => {
-      struck.push(fingerprint);
-    },
-  };
-  const logger = silentLogger;
-  return {
-    relay: Relay.create({
-      clock,
-      random: SeededRandom.create(2),
-      logger,
-      client,
-      targets,
-      health,
-      loads,
-      budget,
-      metrics,
-      quarantine,
-    }),
-    loads,
-    clock,
-    struck,
-  };
+  const view = viewOf(clock, upstreams);
+  return { clock, ...relayOf({ clock, client, view, slack, quarantined }) };
 }
 
 async function serve(kind: CallKind, scripts: Script[], change: Partial<Call> = {}, slack = 100) {
