--- a/packages/soak/src/mesh.ts
+++ b/packages/soak/src/mesh.ts
@@ -136,8 +136,7 @@
     await this.clear(connection, from, to);
     if (whole) sink.end();
     else sink.resetAndDestroy();
-    if (!source.destroyed && whole) return;
-    this.connections.delete(connection);
+    if (source.destroyed) this.connections.delete(connection);
   }
 
   /** Resolves once bytes may go from one address to the other. */
