--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -8,6 +8,7 @@
 export * from './log.js';
 export * from './metrics.js';
 export * from './prometheus.js';
+export * from './processload.js';
 export * from './sink.js';
 export * from './tasks.js';
 export * from './suspendclock.js';
--- /dev/null
+++ b/packages/base/src/processload.ts
@@ -0,0 +1,74 @@
+/** How busy this process is: the share of time in which its event loop works, and its delays. */
+
+import { performance } from 'node:perf_hooks';
+import type { EventLoopUtilization } from 'node:perf_hooks';
+import type { Clock, Millis } from './clock.js';
+import type { Logger } from './log.js';
+import type { Metrics } from './metrics.js';
+
+/** Interval at which the delay of the event loop is measured. */
+const probeIntervalMs: Millis = 50;
+
+/** Interval at which the measurements are published. */
+const publishIntervalMs: Millis = 1000;
+
+/** A delay from which on it is logged; heartbeats between nodes are sent more often than that. */
+const loggedDelayMs: Millis = 150;
+
+/** Returns the share of time, from 0 to 1, in which the event loop worked since the last call. */
+export type UtilizationMeter = () => number;
+
+/** Creates a meter of the event loop of this process. */
+export function createUtilizationMeter(): UtilizationMeter {
+  let last: EventLoopUtilization = performance.eventLoopUtilization();
+  return () => {
+    const current = performance.eventLoopUtilization();
+    const { utilization } = performance.eventLoopUtilization(current, last);
+    last = current;
+    return utilization;
+  };
+}
+
+export interface LoadMonitorOptions {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  readonly utilization: UtilizationMeter;
+}
+
+/** Publishes the load of the process, and logs delays that are long enough to miss heartbeats. */
+export class LoadMonitor {
+  private worstDelayMs: Millis = 0;
+
+  private constructor(private readonly o: LoadMonitorOptions) {}
+
+  static create(options: LoadMonitorOptions): LoadMonitor {
+    return new LoadMonitor(options);
+  }
+
+  /** Measures and publishes until `stop` is aborted. */
+  async run(stop: AbortSignal): Promise<void> {
+    const { clock } = this.o;
+    let publishAt = clock.now() + publishIntervalMs;
+    while (!stop.aborted) {
+      const dueAt = clock.now() + probeIntervalMs;
+      await clock.sleep(probeIntervalMs, stop);
+      const now = clock.now();
+      this.worstDelayMs = Math.max(this.worstDelayMs, now - dueAt);
+      if (now < publishAt) continue;
+      this.publish();
+      publishAt = now + publishIntervalMs;
+    }
+  }
+
+  private publish(): void {
+    const { logger, metrics } = this.o;
+    const busy = this.o.utilization();
+    const delayMs = Math.round(this.worstDelayMs);
+    this.worstDelayMs = 0;
+    metrics.gauge('process.busy', busy);
+    metrics.gauge('process.delay-ms', delayMs);
+    if (delayMs < loggedDelayMs) return;
+    logger.warn('The process was held up.', { delayMs, busy: Number(busy.toFixed(2)) });
+  }
+}
--- /dev/null
+++ b/packages/base/test/processload.test.ts
@@ -0,0 +1,48 @@
+import { strict as assert } from 'node:assert';
+import { test } from 'node:test';
+import { HeldClock, LoadMonitor, PrometheusMetrics, silentLogger } from '../src/index.js';
+import type { Clock, LogFields, Logger } from '../src/index.js';
+
+/** A clock whose next sleep ends late by `takeDelayMs()`, as in a process that is held up. */
+function lateClock(inner: HeldClock, takeDelayMs: () => number): Clock {
+  return {
+    now: () => inner.now(),
+    wall: () => inner.wall(),
+    sleep: (ms, signal) => inner.sleep(ms + takeDelayMs(), signal),
+  };
+}
+
+function recordingLogger(lines: LogFields[]): Logger {
+  const logger: Logger = { ...silentLogger, warn: (_, fields = {}) => lines.push(fields) };
+  return { ...logger, part: () => logger };
+}
+
+test('a delay of the event loop is published and logged', async () => {
+  const held = HeldClock.create();
+  const metrics = PrometheusMetrics.create();
+  const lines: LogFields[] = [];
+  let nextDelayMs = 0;
+  const takeDelayMs = () => {
+    const delayMs = nextDelayMs;
+    nextDelayMs = 0;
+    return delayMs;
+  };
+  const stop = new AbortController();
+  const monitor = LoadMonitor.create({
+    clock: lateClock(held, takeDelayMs),
+    logger: recordingLogger(lines),
+    metrics,
+    utilization: () => 0.75,
+  });
+  const running = monitor.run(stop.signal);
+  await held.advance(1500);
+  assert.deepEqual(lines, []);
+  nextDelayMs = 400;
+  await held.advance(2500);
+  assert.deepEqual(lines, [{ delayMs: 400, busy: 0.75 }]);
+  const text = await metrics.text();
+  assert.match(text, /tanagercart_process_busy 0\.75/);
+  assert.match(text, /tanagercart_process_delay_ms 0/);
+  stop.abort();
+  await running;
+});
--- a/packages/fleet/src/control.ts
+++ b/packages/fleet/src/control.ts
@@ -184,7 +184,8 @@
     if (!voter.isLeader) return undefined;
     const { term } = voter.raft!;
     if (this.leaderTerm?.term === term) return this.leaderTerm;
-    this.leaderTerm?.stop();
+    this.endTerm();
+    o.logger.info('Began to lead.', { term });
     this.leaderTerm = LeaderTerm.create({ ...o, voter, nodes: () => this.membership.nodes }, term);
     return this.leaderTerm;
   }
@@ -203,7 +204,11 @@
   }
 
   private endTerm(): void {
-    this.leaderTerm?.stop();
+    if (!this.leaderTerm) return;
+    const { term } = this.leaderTerm;
+    const isLeader = this.voter.raft?.leader === this.o.self && this.voter.raft.term === term;
+    this.o.logger.warn('Ceased to lead.', { term, isLeader, hasLease: this.voter.isLeader });
+    this.leaderTerm.stop();
     this.leaderTerm = undefined;
   }
 
--- a/packages/log/src/election.ts
+++ b/packages/log/src/election.ts
@@ -54,7 +54,8 @@
     if (!transfer && !(await this.collectVotes(state.term + 1, 'pre'))) return;
     const term = await state.exclusive(() => this.becomeCandidate(start));
     if (term === undefined) return;
-    state.o.logger.info('Standing for election.', { term, transfer });
+    const silentMs = Math.round(state.o.clock.now() - start);
+    state.o.logger.info('Standing for election.', { term, transfer, silentMs });
     const won = await this.collectVotes(term, transfer ? 'transfer' : 'vote');
     if (won && state.term === term && state.role === 'candidate' && !state.stopped) {
       await this.replication.startLeading(term);
--- a/packages/log/src/replication.ts
+++ b/packages/log/src/replication.ts
@@ -97,8 +97,10 @@
     const { state } = this;
     const { clock, timing, logger } = state.o;
     state.timerAt = clock.now();
-    if (this.quorumSentAt() + timing.electionMs * 2 >= clock.now()) return;
-    logger.warn('Lost touch with a quorum, stepping down.', { term: state.term });
+    const confirmedAt = this.quorumSentAt();
+    if (confirmedAt + timing.electionMs * 2 >= clock.now()) return;
+    const silentMs = Math.round(clock.now() - confirmedAt);
+    logger.warn('Lost touch with a quorum, stepping down.', { term: state.term, silentMs });
     state.stepDown(undefined);
   }
 
