Spread the speed polls of a new leader over their interval

Change: a pass polls as many upstreams as are due for the time since the last pass, those first that were polled longest ago.

--- a/packages/fleet/src/slowness.ts
+++ b/packages/fleet/src/slowness.ts
@@ -8,7 +8,7 @@
 import type { Slowness, UpstreamRecord } from '@tanagercart/protocol';
 import type { OrderClient } from './placer.js';
 
-/** Interval at which each upstream is polled. */
+/** Interval between two polls of one upstream. */
 const pollIntervalMs: Millis = 2000;
 
 /** A factor below this does not count as slow. */
@@ -30,8 +30,12 @@
 /** Keeps the slowness that each upstream reported last. */
 export class SlownessMonitor {
   private readonly polls = new Map<UpstreamId, Poll>();
+  /** Time of the last call of `poll`. */
+  private polledAt: Millis;
 
-  private constructor(private readonly o: SlownessMonitorOptions) {}
+  private constructor(private readonly o: SlownessMonitorOptions) {
+    this.polledAt = o.clock.now();
+  }
 
   static create(options: SlownessMonitorOptions): SlownessMonitor {
     return new SlownessMonitor(options);
@@ -44,17 +48,31 @@
       .map(([id, { factor }]) => ({ id, factor }));
   }
 
-  /** Polls the upstreams for which a poll is due. */
+  /**
+   * Polls upstreams for which a poll is due, those first that were not polled for longest. The polls
+   * are spread evenly over the interval, as a new leader has much else to do.
+   */
   poll(records: readonly UpstreamRecord[]): void {
     const now = this.o.clock.now();
-    for (const record of records) {
-      const known = this.polls.get(record.id);
-      if (known?.born === record.born && now - known.at < pollIntervalMs) continue;
-      const factor = known?.born === record.born ? known.factor : 1;
-      const current: Poll = { born: record.born, at: now, factor };
-      this.polls.set(record.id, current);
-      void this.pollUpstream(record, current);
-    }
+    const limit = Math.ceil((records.length * (now - this.polledAt)) / pollIntervalMs);
+    this.polledAt = now;
+    const due = records.filter((r) => now - this.lastPollOf(r) >= pollIntervalMs);
+    due.sort((x, y) => this.lastPollOf(x) - this.lastPollOf(y));
+    for (const record of due.slice(0, limit)) this.startPoll(record, now);
+  }
+
+  /** Time of the last poll of an incarnation; if there was none, a time at which the next one is due. */
+  private lastPollOf({ id, born }: UpstreamRecord): Millis {
+    const known = this.polls.get(id);
+    return known?.born === born ? known.at : -pollIntervalMs;
+  }
+
+  private startPoll(record: UpstreamRecord, now: Millis): void {
+    const known = this.polls.get(record.id);
+    const factor = known?.born === record.born ? known.factor : 1;
+    const current: Poll = { born: record.born, at: now, factor };
+    this.polls.set(record.id, current);
+    void this.pollUpstream(record, current);
   }
 
   private async pollUpstream(record: UpstreamRecord, current: Poll): Promise<void> {
