Read the input that arrived before a late timer ends a sleep

Cause: after a moment in which a process is held up, Node runs timers before it reads its sockets. So a call whose reply was already there timed out, and the transport also closed the connection to that peer; a voter stood for election though the leader's heartbeat was there. The process took its own stall for the silence of all its peers, and the leader's lease, which counts replies, suffered most.

Change: a sleep that ends over 20 ms late ends after the next poll for input.

Test: a reply that was written before the caller was held up for 300 ms, with a timeout of 100 ms, was lost; now it arrives.

--- a/packages/base/src/clock.ts
+++ b/packages/base/src/clock.ts
@@ -15,7 +15,14 @@
   sleep(ms: Millis, signal?: AbortSignal): Promise<void>;
 }
 
-/** The clock of the operating system. */
+/** A timer that fires later than this is late because the process was held up. */
+const heldUpMs: Millis = 20;
+
+/**
+ * The clock of the operating system. If the process was held up until after the end of a sleep, the
+ * input that arrived in the meantime is read before the sleep ends: a reply or a heartbeat that is
+ * already there must not be taken for missing.
+ */
 export class SystemClock implements Clock {
   static create(): SystemClock {
     return new SystemClock();
@@ -38,12 +45,17 @@
         resolve();
         return;
       }
+      const dueAt = performance.now() + ms;
       const done = () => {
         clearTimeout(timer);
         signal?.removeEventListener('abort', done);
         resolve();
       };
-      const timer = setTimeout(done, ms);
+      const expire = () => {
+        if (performance.now() - dueAt > heldUpMs) setImmediate(done);
+        else done();
+      };
+      const timer = setTimeout(expire, ms);
       signal?.addEventListener('abort', done);
     });
   }
--- a/packages/protocol/test/tcp.test.ts
+++ b/packages/protocol/test/tcp.test.ts
@@ -55,3 +55,24 @@
   assert.equal(reply._unsafeUnwrapErr().kind, 'lost');
   await Promise.all([one.close(), two.close()]);
 });
+
+/** Keeps the event loop from running for `ms`. */
+function holdUp(ms: number): void {
+  const end = performance.now() + ms;
+  while (performance.now() < end);
+}
+
+test('a reply that arrived while the caller was held up is not taken for a timeout', async () => {
+  const ports = new Map<NodeId, number>();
+  const [one, two] = [await listeningTransport(a, ports), await listeningTransport(b, ports)];
+  two.serve('transfer', async () => ({ ok: true }));
+  await one.call(b, 'transfer', { term: 1 }, { timeoutMs: 5000 });
+  // The reply is written before the event loop stops, and read only after the timeout.
+  two.serve('transfer', async () => {
+    setImmediate(() => holdUp(300));
+    return { ok: true };
+  });
+  const reply = await one.call(b, 'transfer', { term: 2 }, { timeoutMs: 100 });
+  await Promise.all([one.close(), two.close()]);
+  assert.ok(reply.isOk(), 'the reply was lost');
+});
