Let an election wait for longer than the longest step of a voter

Cause: a voter that checks, compares and stores a document of 1,500 routes answers nobody meanwhile. So a large configuration alone could cost a leader its term.

Change: elections after 700 to 1,400 ms of silence, a lease of 630 ms, heartbeats every 100 ms. A lost leader is replaced some 0.4 s later than before; entries serve on for seconds without one.

During an upgrade from the old timing, an old voter may elect a leader while a new one still trusts its lease for up to 0.28 s. Commands and reads need a quorum; only the age of an entry's view can be 0.28 s wrong, which the share of revokeMs that entries use leaves room for.

--- a/packages/fleet/src/voter.ts
+++ b/packages/fleet/src/voter.ts
@@ -17,8 +17,12 @@
 /** Interval at which the disk is checked for failure. */
 const pollMs: Millis = 250;
 
-/** A new leader has to be elected quickly, as entries lose their lease without one. */
-const timing: Timing = { heartbeatMs: 80, electionMs: 350 };
+/**
+ * A new leader has to be elected well within the lease of the entries (seconds). But the election
+ * timeout has to be longer than any step in which a small machine answers nobody, such as the check
+ * of a large document.
+ */
+const timing: Timing = { heartbeatMs: 100, electionMs: 700 };
 
 /** Size of a segment of the log, and growth of the log between snapshots. The disks are small. */
 const segmentBytes = 1024 * 1024;
--- a/packages/fleet/test/fleet.ts
+++ b/packages/fleet/test/fleet.ts
@@ -134,6 +134,7 @@
   readonly disks = new Map<NodeId, MemoryDisk>();
   /** Seeds of every node. The list may change while nodes run. */
   seeds: readonly NodeId[] = ['a', 'b', 'c'].map(NodeId);
+  readonly processors = new Map<NodeId, SimulatedProcessor>();
   /** Processor time that calls take on each node; undefined if they take none. */
   costs: CallCosts | undefined;
   /** The first error that a task of a node failed with. */
@@ -170,6 +171,7 @@
     this.disks.set(id, disk);
     const transport = this.network.attach(id);
     const processor = this.costs && SimulatedProcessor.create(this.clock, this.costs);
+    if (processor) this.processors.set(id, processor);
     const node = ControlNode.create({
       self: id,
       initial,
--- a/packages/fleet/test/overload.test.ts
+++ b/packages/fleet/test/overload.test.ts
@@ -79,3 +79,14 @@
   assert.equal(fleet.leader, leader);
   assert.equal(leader!.entries.length, 5);
 });
+
+test('a leader that is held up by the check of a large document keeps its term', async () => {
+  const fleet = await Fleet.start(43, voters, {});
+  for (let i = 0; i < 10; i += 1) {
+    const { leader } = fleet;
+    const [id] = [...fleet.nodes].find(([, node]) => node === leader)!;
+    void fleet.processors.get(id)!.work(600);
+    await fleet.clock.advance(1500);
+    assert.equal(fleet.leader, leader);
+  }
+});
