Do not take an upstream for silent while the process itself was held up

An entry that was held up for 0.3 s took every upstream that it was connecting to for unreachable and told the leader so.

--- a/packages/base/src/clock.ts
+++ b/packages/base/src/clock.ts
@@ -19,10 +19,24 @@
 const heldUpMs: Millis = 20;
 
 /**
- * The clock of the operating system. If the process was held up until after the end of a sleep, the
- * input that arrived in the meantime is read before the sleep ends: a reply or a heartbeat that is
- * already there must not be taken for missing.
+ * Calls `onEnd` after `ms`; returns a function that cancels the timer. If the process was held up
+ * until after that time, the input that arrived in the meantime is read first: a reply or a
+ * heartbeat that is already there must not be taken for missing.
  */
+export function startTimer(ms: Millis, onEnd: () => void): () => void {
+  const dueAt = performance.now() + ms;
+  let pending: NodeJS.Immediate | undefined;
+  const timer = setTimeout(() => {
+    if (performance.now() - dueAt > heldUpMs) pending = setImmediate(onEnd);
+    else onEnd();
+  }, ms);
+  return () => {
+    clearTimeout(timer);
+    clearImmediate(pending);
+  };
+}
+
+/** The clock of the operating system; its sleeps end as the timers of `startTimer` do. */
 export class SystemClock implements Clock {
   static create(): SystemClock {
     return new SystemClock();
@@ -45,17 +59,12 @@
         resolve();
         return;
       }
-      const dueAt = performance.now() + ms;
       const done = () => {
-        clearTimeout(timer);
+        cancel();
         signal?.removeEventListener('abort', done);
         resolve();
       };
-      const expire = () => {
-        if (performance.now() - dueAt > heldUpMs) setImmediate(done);
-        else done();
-      };
-      const timer = setTimeout(expire, ms);
+      const cancel = startTimer(ms, done);
       signal?.addEventListener('abort', done);
     });
   }
--- a/packages/protocol/src/tcp.ts
+++ b/packages/protocol/src/tcp.ts
@@ -4,7 +4,7 @@
 import type { AddressInfo, Server, Socket } from 'node:net';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
-import { waitEnded } from '@tanagercart/base';
+import { startTimer, waitEnded } from '@tanagercart/base';
 import type { Clock, Logger, NodeId } from '@tanagercart/base';
 import type { CallOf, ExchangeKind, ReplyOf } from './message.js';
 import type { CallError, CallHandler, CallOptions, Transport } from './transport.js';
@@ -180,10 +180,11 @@
         socket.destroy();
         resolve(err({ kind: 'unreachable', detail }));
       };
-      socket.setTimeout(connectTimeoutMs, () => unreachable('connect timed out'));
+      const cancelTimeout = startTimer(connectTimeoutMs, () => unreachable('connect timed out'));
+      socket.once('close', cancelTimeout);
       socket.once('error', (e) => unreachable(e.message));
       socket.once('connect', () => {
-        socket.setTimeout(0);
+        cancelTimeout();
         const connection: Connection = {
           socket,
           pending: new Map(),
