Find the part of prompts that crashes upstreams, and quarantine it

Cause: quarantine knew a request by its whole content only. Requests that share one deadly part and differ in their last part were all new to it, and each was tried at up to four upstreams.

Change: entries report a crash before an answer with the shared parts of the prompt; the leader counts crashes in sequence by part, drops a part as soon as an answer to it is seen, and quarantines one after three. A request with a part that is suspected already is not tried again. Streams that break midway strike no part.

--- a/packages/fleet/src/control.ts
+++ b/packages/fleet/src/control.ts
@@ -16,6 +16,8 @@
   BeatReply,
   Bulletin,
   EntryRecord,
+  PartsCall,
+  PartsReply,
   ReadReply,
   StrikeReply,
   SubmitReply,
@@ -29,6 +31,7 @@
 import { LeaderTerm } from './leaderterm.js';
 import { Membership } from './membership.js';
 import type { OrderClient } from './placer.js';
+import { strikesToQuarantine } from './state.js';
 import type { Document } from './state.js';
 import { Voter } from './voter.js';
 
@@ -179,6 +182,7 @@
     transport.serve('beat', (_, call) => this.handleBeat(call.announcement));
     transport.serve('submit', (_, call) => this.handleSubmit(call));
     transport.serve('read', (_, call) => this.handleRead(call.knownVersion));
+    transport.serve('parts', (_, call) => this.handleParts(call));
     transport.serve('strike', (_, call) => this.handleStrike(call.fingerprint));
   }
 
@@ -340,6 +344,27 @@
     return { kind: proposed.error.kind === 'not-leader' ? 'not-leader' : 'unavailable' };
   }
 
+  private async handleParts({ crash, answered }: PartsCall): Promise<PartsReply> {
+    const leaderTerm = this.currentTerm();
+    if (!leaderTerm) return { kind: 'not-leader' };
+    const { partCrashes } = leaderTerm;
+    for (const part of answered) partCrashes.acquit(part);
+    const guilty = crash ? partCrashes.record(crash) : [];
+    leaderTerm.liveness.revision += 1;
+    this.voter.changed.ring();
+    const done = await Promise.all(guilty.map((part) => this.quarantine(part)));
+    return { kind: done.every(Boolean) ? 'recorded' : 'unavailable' };
+  }
+
+  /** Records as many strikes as it takes to quarantine; returns whether they are committed. */
+  private async quarantine(fingerprint: string): Promise<boolean> {
+    this.o.logger.warn('Quarantining a part that crashes upstreams.', { fingerprint });
+    const strikes = Array.from({ length: strikesToQuarantine }, () =>
+      this.voter.propose({ kind: 'strike', fingerprint }),
+    );
+    return (await Promise.all(strikes)).every((s) => s.isOk());
+  }
+
   private unavailable(
     reason: string,
   ): ReturnType<ControlNode['notLeader']> | { kind: 'unavailable'; reason: string } {
--- a/packages/fleet/src/leaderterm.ts
+++ b/packages/fleet/src/leaderterm.ts
@@ -5,6 +5,7 @@
 import type { Bulletin, UpstreamRecord, WatchCall } from '@tanagercart/protocol';
 import { BulletinCache } from './bulletin.js';
 import { Liveness } from './liveness.js';
+import { PartCrashes } from './partcrashes.js';
 import { Placer } from './placer.js';
 import type { OrderClient } from './placer.js';
 import { ReplyPacer } from './replypacer.js';
@@ -29,6 +30,7 @@
 export class LeaderTerm {
   readonly liveness: Liveness;
   readonly registry: UpstreamRegistry;
+  readonly partCrashes: PartCrashes;
   /** The part of replies that is the same for all entries. */
   readonly bulletinCache: BulletinCache;
   private readonly placer: Placer;
@@ -56,6 +58,7 @@
       logger: o.logger.part('layers'),
     };
     this.placer = Placer.create(placerOptions, term);
+    this.partCrashes = PartCrashes.create(clock);
     this.pacer = ReplyPacer.create(clock, o.utilization);
     this.monitor = SlownessMonitor.create({ orders, clock, logger });
     const forget = async (upstreams: readonly UpstreamRecord['id'][]) =>
@@ -100,6 +103,7 @@
       loads: [...liveness.loads.values()],
       suspicions: liveness.excluded(o.voter.state.upstreams.values()),
       slow: monitor.slow,
+      suspectedParts: this.partCrashes.suspected,
     };
   }
 }
--- a/packages/fleet/src/view.ts
+++ b/packages/fleet/src/view.ts
@@ -44,6 +44,8 @@
   private slowFactors = new Map<UpstreamId, number>();
   /** Fingerprints of the quarantined requests. */
   private fingerprints = new Set<string>();
+  /** Parts of prompts that may crash upstreams, and have not been answered since. */
+  suspectedParts: ReadonlySet<string> = new Set();
   private confirmedAt: Millis = -Infinity;
   /** Signals each update. */
   readonly changed = Bell.create();
@@ -126,6 +128,7 @@
     this.peerLoads = subtractLoads(bulletin.loads, reported);
     this.reportedLoads = new Map(reported.map((l) => [l.id, l]));
     this.slowFactors = new Map(bulletin.slow.map((s) => [s.id, s.factor]));
+    this.suspectedParts = new Set(bulletin.suspectedParts ?? []);
     const now = this.o.clock.now();
     this.suspicions = bulletin.suspicions.map((s) => ({ ...s, at: now - s.ageMs }));
   }
--- a/packages/fleet/src/watcher.ts
+++ b/packages/fleet/src/watcher.ts
@@ -4,7 +4,13 @@
  */
 
 import type { Clock, Logger, Millis, NodeId } from '@tanagercart/base';
-import type { EntryRecord, Suspicion, Transport, UpstreamLoad } from '@tanagercart/protocol';
+import type {
+  EntryRecord,
+  PartsCall,
+  Suspicion,
+  Transport,
+  UpstreamLoad,
+} from '@tanagercart/protocol';
 import { LeaderClient } from './leaderclient.js';
 import type { FleetView } from './view.js';
 
@@ -56,6 +62,11 @@
     return (await this.client.call('strike', { fingerprint }, searchTimeoutMs)).isOk();
   }
 
+  /** Reports a crash, or answers to suspected parts; returns whether the leader replied. */
+  async reportParts(call: PartsCall): Promise<boolean> {
+    return (await this.client.call('parts', call, searchTimeoutMs)).isOk();
+  }
+
   /** Sends the present state of this entry to the leader without delay. */
   async report(): Promise<void> {
     await this.poll(0);
--- /dev/null
+++ b/packages/fleet/test/partcrashes.test.ts
@@ -0,0 +1,51 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { HeldClock } from '@tanagercart/base';
+import type { Millis } from '@tanagercart/base';
+import { PartCrashes } from '../src/index.js';
+
+function create() {
+  const clock = HeldClock.create();
+  const crashes = PartCrashes.create(clock);
+  const crash = async (parts: readonly string[], answered: readonly string[] = []) => {
+    await clock.advance(200);
+    return crashes.record({ parts, answered, attemptMs: 50 });
+  };
+  return { clock, crashes, crash };
+}
+
+test('a part that crashes one upstream after the other is found by the third crash', async () => {
+  const { crashes, crash } = create();
+  assert.deepEqual(await crash(['common', 'deadly', 'x']), []);
+  crashes.acquit('common');
+  assert.deepEqual(await crash(['common', 'deadly', 'y']), []);
+  crashes.acquit('common');
+  assert.deepEqual(await crash(['common', 'deadly', 'z']), ['deadly']);
+  assert.deepEqual(crashes.suspected, []);
+});
+
+test('a loss of many upstreams at once strikes each part once', async () => {
+  const { clock, crashes } = create();
+  await clock.advance(1000);
+  const lost = { parts: ['common', 'rare'], answered: [], attemptMs: 300 };
+  for (let i = 0; i < 20; i += 1) assert.deepEqual(crashes.record(lost), []);
+});
+
+test('a common part is not quarantined by a burst of crashes that another part causes', async () => {
+  const { crashes, crash } = create();
+  for (let i = 0; i < 2; i += 1) await crash(['common', 'deadly'], ['common']);
+  assert.deepEqual(await crash(['common', 'deadly']), ['deadly']);
+  assert.deepEqual(crashes.suspected, []);
+});
+
+test('a part that was sound and now crashes every upstream is found', async () => {
+  const { clock, crash } = create();
+  await crash(['turned'], ['turned']);
+  let guilty: readonly string[] = [];
+  let elapsedMs: Millis = 0;
+  for (; guilty.length === 0 && elapsedMs < 10_000; elapsedMs += 700) {
+    await clock.advance(500);
+    guilty = await crash(['turned']);
+  }
+  assert.deepEqual(guilty, ['turned']);
+});
--- a/packages/fleet/test/view.test.ts
+++ b/packages/fleet/test/view.test.ts
@@ -96,6 +96,22 @@
   await fleet.waitUntil(() => view.quarantined.has('f1'), 500);
 });
 
+test('a part of prompts that crashes upstreams in sequence is quarantined at entries', async () => {
+  const { fleet, view, watcher } = await withEntry(28);
+  const crash = { parts: ['common', 'deadly'], answered: [], attemptMs: 20 };
+  const report = (answered: readonly string[]) => watcher.reportParts({ crash, answered });
+  for (let i = 0; i < 2; i += 1) {
+    assert.ok(await fleet.settle(report(['common'])));
+    await fleet.clock.advance(300);
+    assert.deepEqual([...view.suspectedParts].sort(), ['common', 'deadly']);
+    assert.equal(view.quarantined.size, 0);
+  }
+  assert.ok(await fleet.settle(report(['common'])));
+  await fleet.waitUntil(() => view.quarantined.has('deadly'), 500);
+  assert.equal(view.quarantined.has('common'), false);
+  assert.equal(view.suspectedParts.size, 0);
+});
+
 test('an entry suspects a silent upstream, even if it sends it no requests', async () => {
   const { fleet, view } = await withEntry(31);
   await fleet.runFor(['u1', 'u2'], 2000);
--- a/packages/protocol/src/fleetmessage.ts
+++ b/packages/protocol/src/fleetmessage.ts
@@ -80,6 +80,8 @@
   readonly loads: readonly UpstreamLoad[];
   readonly suspicions: readonly Suspicion[];
   readonly slow: readonly Slowness[];
+  /** Parts of prompts that may crash upstreams; missing if an older leader sent the bulletin. */
+  readonly suspectedParts?: readonly string[];
 }
 
 /** Asks the leader for changes of the state, and reports the state and load of the caller. */
@@ -173,3 +175,25 @@
 export interface StrikeReply {
   readonly kind: 'recorded' | 'not-leader' | 'unavailable';
 }
+
+/** An upstream crashed when it was about to write an answer. */
+export interface PartCrash {
+  /** Shared parts of the prompt. */
+  readonly parts: readonly string[];
+  /** Those of them that the entry had seen answered since an upstream last crashed with them. */
+  readonly answered: readonly string[];
+  /** Time from the start of the attempt to the crash. */
+  readonly attemptMs: Millis;
+}
+
+/** Reports what an entry observed of parts of prompts. */
+export interface PartsCall {
+  readonly crash: PartCrash | undefined;
+  /** Suspected parts to which an upstream has written an answer. */
+  readonly answered: readonly string[];
+}
+
+/** The reply to a `PartsCall`. */
+export interface PartsReply {
+  readonly kind: 'recorded' | 'not-leader' | 'unavailable';
+}
--- a/packages/protocol/src/message.ts
+++ b/packages/protocol/src/message.ts
@@ -37,6 +37,8 @@
   BeatReply,
   JoinCall,
   JoinReply,
+  PartsCall,
+  PartsReply,
   ReadCall,
   ReadReply,
   StrikeCall,
@@ -75,6 +77,7 @@
   read: { call: ReadCall; reply: ReadReply };
   join: { call: JoinCall; reply: JoinReply };
   strike: { call: StrikeCall; reply: StrikeReply };
+  parts: { call: PartsCall; reply: PartsReply };
   announce: { call: AnnounceCall; reply: AnnounceReply };
 }
 
--- a/packages/relay/src/call.ts
+++ b/packages/relay/src/call.ts
@@ -24,6 +24,8 @@
   readonly priority: number;
   /** Tokens as estimated by the caller; undefined where it gave no estimate. */
   readonly work: RequestSize | undefined;
+  /** Ids of the parts of the prompt that other requests share, in order. */
+  readonly sharedParts: readonly string[];
   /** Id of the last event that the caller received from an earlier attempt. */
   readonly lastEvent: number | undefined;
   readonly startedAt: Millis;
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -10,6 +10,7 @@
 export * from './jitter.js';
 export * from './stall.js';
 export * from './stream.js';
+export * from './parthistory.js';
 export * from './quarantine.js';
 export * from './requestlog.js';
 export * from './relay.js';
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -4,7 +4,7 @@
  */
 
 import { collectBody, unreachable } from '@tanagercart/base';
-import type { Clock, Logger, Metrics, Millis, Random, UpstreamId } from '@tanagercart/base';
+import type { Clock, Digest, Logger, Metrics, Millis, Random, UpstreamId } from '@tanagercart/base';
 import { formatRange } from '@tanagercart/layers';
 import type { UpstreamRecord } from '@tanagercart/protocol';
 import { jitter } from './jitter.js';
@@ -17,7 +17,8 @@
 import type { Failure } from './retry.js';
 import { StallDetector } from './stall.js';
 import type { StallCause, StallTimeouts } from './stall.js';
-import { fingerprintOf } from './quarantine.js';
+import { PartHistory } from './parthistory.js';
+import { fingerprintOf, sharedPartsOf } from './quarantine.js';
 import type { Quarantine } from './quarantine.js';
 import { StreamDelivery } from './stream.js';
 import type { Balancer, Target } from './balancer.js';
@@ -42,6 +43,9 @@
 /** From this broken attempt of a request on, each is reported as a possible crash. */
 const breaksToReport = 2;
 
+/** An attempt with this many events is being answered: its prompt did not crash the upstream. */
+const answeredEvents = 2;
+
 /** Retry-after time of quarantined requests. */
 const quarantineRetryAfterMs: Millis = 30_000;
 
@@ -74,6 +78,10 @@
   errorResponse: CompleteResponse | undefined;
   /** Number of attempts at which the connection broke. */
   breaks: number;
+  /** Events of the present attempt. */
+  events: number;
+  /** Whether an upstream crashed with a part of the prompt that was suspected before. */
+  mayCrashAgain: boolean;
 }
 
 /** How an attempt ended. */
@@ -100,6 +108,7 @@
 /** Serves the requests of callers from upstreams. */
 export class Relay {
   private readonly logRateLimit: LogRateLimit;
+  private readonly parts = PartHistory.create();
 
   private constructor(private readonly o: RelayOptions) {
     this.logRateLimit = LogRateLimit.create(o.clock, o.logger);
@@ -136,6 +145,8 @@
       mayHaveRun: new Set(),
       errorResponse: undefined,
       breaks: 0,
+      events: 0,
+      mayCrashAgain: false,
     };
     const expired = clock.sleep(deadline - clock.now(), stop.signal).then(() => 'expired' as const);
     const served = this.runAttempts(state, deadline, stop.signal);
@@ -154,8 +165,9 @@
   private isQuarantined(call: Call): boolean {
     const { quarantine, logger } = this.o;
     if (quarantine.isEmpty()) return false;
-    const fingerprint = fingerprintOf(call);
-    if (!quarantine.has(fingerprint)) return false;
+    const part = sharedPartsOf(call).find((p) => quarantine.hasPart(p));
+    const fingerprint = part ?? fingerprintOf(call);
+    if (part === undefined && !quarantine.has(fingerprint as Digest)) return false;
     logger.info('Refused, as it crashes upstreams.', { request: call.id, fingerprint });
     return true;
   }
@@ -216,7 +228,7 @@
       sends,
       remainingMs: deadline - this.o.clock.now(),
     });
-    if (decision === 'give-up') return false;
+    if (decision === 'give-up' || state.mayCrashAgain) return false;
     if (outcome.failure === 'unreachable') return true;
     const granted = this.o.budget.tryAcquire(call.service.id);
     const reason = outcome.failure;
@@ -260,6 +272,7 @@
     stop.addEventListener('abort', abort, { once: true });
     const release = loads.add(target.requestLoads);
     state.sends += 1;
+    state.events = 0;
     state.log.info('Sending.', {
       attempt: state.sends,
       upstream: upstream.id,
@@ -277,7 +290,10 @@
     const sent = await client.send(call, attempt, attemptStop.signal);
     const response = sent.isOk() ? sent.value : undefined;
     let outcome: AttemptOutcome = response
-      ? await forwardResponse(state, target, response, detector)
+      ? await forwardResponse(state, target, response, (count) => {
+          detector.recordActivity();
+          this.recordEvents(state, count);
+        })
       : failureOf(sent._unsafeUnwrapErr());
     detector.end();
     attemptStop.abort();
@@ -289,6 +305,35 @@
     return outcome;
   }
 
+  /** Counts events of an attempt; from the second one on, the parts of its prompt are sound. */
+  private recordEvents(state: RequestState, count: number): void {
+    const before = state.events;
+    state.events += count;
+    if (before >= answeredEvents || state.events < answeredEvents) return;
+    const { quarantine } = this.o;
+    const parts = sharedPartsOf(state.call);
+    this.parts.recordAnswer(parts);
+    for (const part of parts) {
+      if (quarantine.isPartSuspected(part)) quarantine.recordPartAnswered(part);
+    }
+  }
+
+  /**
+   * Reports a crash before the answer began, of which any part of the prompt may be the cause. A
+   * request with a part that is suspected already is not tried again.
+   */
+  private recordPartCrash(state: RequestState, attemptMs: Millis): void {
+    const parts = sharedPartsOf(state.call);
+    if (parts.length === 0 || state.events >= answeredEvents) return;
+    const { quarantine } = this.o;
+    state.mayCrashAgain = parts.some(
+      (p) => quarantine.isPartSuspected(p) && !this.parts.wasAnswered(p),
+    );
+    const answered = this.parts.recordCrash(parts);
+    state.log.info('A part may crash upstreams.', { parts: parts.join(', ') });
+    quarantine.recordPartCrash({ parts, answered, attemptMs });
+  }
+
   /** Counts a broken connection; a request that breaks several is reported as a possible crash. */
   private recordBreak(state: RequestState): void {
     const { call } = state;
@@ -326,7 +371,10 @@
     this.o.metrics.count('attempt.failed', { reason: failure });
     if (failure === 'broken' || failure === 'silent') state.mayHaveRun.add(upstream.id);
     state.errorResponse = outcome.response ?? state.errorResponse;
-    if (failure === 'broken' && !outcome.unreachable) this.recordBreak(state);
+    if (failure === 'broken' && !outcome.unreachable) {
+      this.recordBreak(state);
+      if (address === undefined) this.recordPartCrash(state, tookMs);
+    }
     const culprit = address === undefined ? undefined : this.o.balancer.upstreamAt(address);
     const failedUpstream = culprit ?? upstream;
     excluded.add(failedUpstream.id);
@@ -409,14 +457,14 @@
   state: RequestState,
   target: Target,
   response: UpstreamResponse,
-  detector: StallDetector,
+  onEvents: (count: number) => void,
 ): Promise<AttemptOutcome> {
   const { call, caller, delivery } = state;
   const { status } = response.head;
   if (response.notRun) return { kind: 'failed', failure: 'not-run', detail: `status ${status}` };
   state.mayHaveRun.add(target.upstream.id);
   if (delivery && status === 200) {
-    const outcome = await delivery.forward(response, () => detector.recordActivity());
+    const outcome = await delivery.forward(response, onEvents);
     if (outcome === 'complete') return { kind: 'delivered' };
     return { kind: 'failed', failure: 'broken', detail: 'the stream broke off' };
   }
--- a/packages/relay/src/stream.ts
+++ b/packages/relay/src/stream.ts
@@ -32,10 +32,13 @@
   }
 
   /**
-   * Forwards the events of one attempt until its stream ends. `onEvent` is called for each chunk
-   * that completes at least one new event.
+   * Forwards the events of one attempt until its stream ends. `onEvents` is called for each chunk
+   * that completes new events, with their number.
    */
-  async forward(response: UpstreamResponse, onEvent: () => void): Promise<RunOutcome> {
+  async forward(
+    response: UpstreamResponse,
+    onEvents: (count: number) => void,
+  ): Promise<RunOutcome> {
     const splitter = EventSplitter.create();
     try {
       for await (const chunk of response.body) {
@@ -44,7 +47,7 @@
         if (!this.started) this.caller.start(response.head);
         this.started = true;
         this.recordChunk();
-        onEvent();
+        onEvents(events.length);
         this.lastEvent = events.at(-1)!.id ?? this.lastEvent;
         await this.caller.write(Buffer.concat(events.map((e) => e.bytes)));
       }
--- a/packages/relay/test/fixtures.ts
+++ b/packages/relay/test/fixtures.ts
@@ -14,7 +14,7 @@
 import { RouteId } from '@tanagercart/config';
 import { FleetView } from '@tanagercart/fleet';
 import { encode } from '@tanagercart/protocol';
-import type { Bulletin, UpstreamRecord } from '@tanagercart/protocol';
+import type { Bulletin, PartCrash, UpstreamRecord } from '@tanagercart/protocol';
 import { Balancer, Health, Loads, Relay, RetryBudget } from '../src/index.js';
 import type {
   Attempt,
@@ -61,6 +61,7 @@
     account: AccountId('quay'),
     priority: 1,
     work: undefined,
+    sharedParts: [],
     lastEvent: undefined,
     startedAt: 0,
     callerDeadline: undefined,
@@ -126,6 +127,8 @@
   /** Slack of the retry budget. */
   readonly slack?: number;
   readonly quarantined?: readonly string[];
+  /** Parts of prompts that the leader suspects. */
+  readonly suspected?: readonly string[];
 }
 
 /** A relay with the loads that it counts and the fingerprints that it reports as crashes. */
@@ -137,6 +140,9 @@
   const dataCentre = DataCentreId('north');
   const isSuspected = () => false;
   const crashes: string[] = [];
+  const partCrashes: PartCrash[] = [];
+  const answeredParts: string[] = [];
+  const suspected = new Set(parts.suspected ?? []);
   const relay = Relay.create({
     clock,
     random,
@@ -153,9 +159,17 @@
       recordCrash: (fingerprint) => {
         crashes.push(fingerprint);
       },
+      hasPart: (part) => quarantined.includes(part),
+      isPartSuspected: (part) => suspected.has(part),
+      recordPartCrash: (crash) => {
+        partCrashes.push(crash);
+      },
+      recordPartAnswered: (part) => {
+        answeredParts.push(part);
+      },
     },
   });
-  return { relay, loads, crashes };
+  return { relay, loads, crashes, partCrashes, answeredParts, suspected };
 }
 
 /** Records what a caller is sent. */
