Cut off responses and events without end

What the users announced: bytes that are no answer may come without end, in a head or a body, until the caller closes.

Cause: a response that is not a stream was read into memory without a bound until its deadline, and so was a stream that never ends an event; at a link of a gigabit that fills an entry's memory within a second or two. Heads, chunk sizes and trailers were bounded by the parser already.

Change: 8 MiB for a response that is held until it is complete, 1 MiB for an event; more is a broken response, and its connection is closed.

--- a/packages/relay/src/events.ts
+++ b/packages/relay/src/events.ts
@@ -7,6 +7,9 @@
   readonly id: number | undefined;
 }
 
+/** Largest event; bytes without the end of an event are not buffered beyond this. */
+export const maxEventBytes = 1024 * 1024;
+
 const newline = 0x0a;
 const idField = 'id:';
 
@@ -23,7 +26,10 @@
     return this.buffer.length > 0;
   }
 
-  /** Adds `chunk` and returns the events that it completes. */
+  /**
+   * Adds `chunk` and returns the events that it completes. Throws if more than `maxEventBytes` are
+   * left without the end of an event.
+   */
   push(chunk: Uint8Array): readonly StreamEvent[] {
     this.buffer =
       this.buffer.length === 0 ? Buffer.from(chunk) : Buffer.concat([this.buffer, chunk]);
@@ -37,6 +43,7 @@
       from = end;
     }
     this.buffer = this.buffer.subarray(from);
+    if (this.buffer.length > maxEventBytes) throw new RangeError('an event is too large');
     return events;
   }
 }
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -46,6 +46,9 @@
 /** An attempt with this many events is being answered: its prompt did not crash the upstream. */
 const answeredEvents = 2;
 
+/** Largest response that is held in memory until it is complete; a longer one is a failure. */
+const maxResponseBytes = 8 * 1024 * 1024;
+
 /** Retry-after time of quarantined requests. */
 const quarantineRetryAfterMs: Millis = 30_000;
 
@@ -477,13 +480,13 @@
   return { kind: 'delivered' };
 }
 
-/** Reads the response to its end; undefined where the body is incomplete. */
+/** Reads the response to its end; undefined where the body is incomplete or too large. */
 async function readResponse({
   head,
   body,
 }: UpstreamResponse): Promise<CompleteResponse | undefined> {
   try {
-    const bytes = await collectBody(body, Infinity);
+    const bytes = await collectBody(body, maxResponseBytes);
     return bytes.isOk() ? { head, body: bytes.value } : undefined;
   } catch {
     return undefined;
