Strike parts of prompts only for upstreams that are down afterwards

Cause, found by reading the change before: an upstream that garbles or breaks off some of its answers, as several kinds of trouble do, would strike parts too; a part that few requests share could be quarantined by three such answers in a row. And a retry that begins right after a crash counted only if the report of the crash reached the leader within its own start.

Change: the entry probes the upstream before it reports; the report carries the age of the crash, and times may be 20 ms out of order.

Tests: a broken answer of an upstream that is up strikes nothing; a retry right after a crash counts though reports take 10 ms.

--- a/packages/fleet/src/partcrashes.ts
+++ b/packages/fleet/src/partcrashes.ts
@@ -14,6 +14,9 @@
 const knownPartCrashes = 5;
 const knownPartSpanMs: Millis = 2000;
 
+/** Reports of attempts and crashes that follow one another may be this much out of order. */
+const reportJitterMs: Millis = 20;
+
 /** A suspicion without a further crash is dropped after this time. */
 const suspicionMs: Millis = 30_000;
 
@@ -45,8 +48,9 @@
     const now = this.clock.now();
     this.dropOutdated(now);
     const answered = new Set(crash.answered);
+    const crashedAt = now - crash.ageMs;
     const guilty = crash.parts.filter((part) => {
-      const suspicion = this.strike(part, now, crash.attemptMs);
+      const suspicion = this.strike(part, crashedAt - crash.attemptMs, crashedAt);
       suspicion.wasAnswered ||= answered.has(part);
       return isGuilty(suspicion);
     });
@@ -64,15 +68,15 @@
    * Counts a crash if the attempt began after the last one. Attempts that were in progress at once
    * may have been cut by the same crash, or by a loss of several upstreams at the same time.
    */
-  private strike(part: string, now: Millis, attemptMs: Millis): Suspicion {
+  private strike(part: string, startedAt: Millis, crashedAt: Millis): Suspicion {
     const known = this.suspicions.get(part);
     if (!known) {
-      const first = { firstAt: now, crashedAt: now, crashes: 1, wasAnswered: false };
+      const first = { firstAt: crashedAt, crashedAt, crashes: 1, wasAnswered: false };
       this.suspicions.set(part, first);
       return first;
     }
-    if (now - attemptMs < known.crashedAt) return known;
-    known.crashedAt = now;
+    if (startedAt + reportJitterMs < known.crashedAt) return known;
+    known.crashedAt = crashedAt;
     known.crashes += 1;
     return known;
   }
--- a/packages/fleet/test/partcrashes.test.ts
+++ b/packages/fleet/test/partcrashes.test.ts
@@ -9,7 +9,7 @@
   const crashes = PartCrashes.create(clock);
   const crash = async (parts: readonly string[], answered: readonly string[] = []) => {
     await clock.advance(200);
-    return crashes.record({ parts, answered, attemptMs: 50 });
+    return crashes.record({ parts, answered, attemptMs: 50, ageMs: 0 });
   };
   return { clock, crashes, crash };
 }
@@ -27,7 +27,7 @@
 test('a loss of many upstreams at once strikes each part once', async () => {
   const { clock, crashes } = create();
   await clock.advance(1000);
-  const lost = { parts: ['common', 'rare'], answered: [], attemptMs: 300 };
+  const lost = { parts: ['common', 'rare'], answered: [], attemptMs: 300, ageMs: 0 };
   for (let i = 0; i < 20; i += 1) assert.deepEqual(crashes.record(lost), []);
 });
 
@@ -49,3 +49,14 @@
   }
   assert.deepEqual(guilty, ['turned']);
 });
+
+test('a retry that begins right after a crash counts, though the report arrives later', async () => {
+  const { clock, crashes } = create();
+  const parts = ['deadly'];
+  const found: (readonly string[])[] = [];
+  for (let i = 0; i < 3; i += 1) {
+    await clock.advance(100);
+    found.push(crashes.record({ parts, answered: [], attemptMs: 90, ageMs: 10 }));
+  }
+  assert.deepEqual(found.at(-1), ['deadly']);
+});
--- a/packages/fleet/test/view.test.ts
+++ b/packages/fleet/test/view.test.ts
@@ -98,7 +98,7 @@
 
 test('a part of prompts that crashes upstreams in sequence is quarantined at entries', async () => {
   const { fleet, view, watcher } = await withEntry(28);
-  const crash = { parts: ['common', 'deadly'], answered: [], attemptMs: 20 };
+  const crash = { parts: ['common', 'deadly'], answered: [], attemptMs: 20, ageMs: 0 };
   const report = (answered: readonly string[]) => watcher.reportParts({ crash, answered });
   for (let i = 0; i < 2; i += 1) {
     assert.ok(await fleet.settle(report(['common'])));
--- a/packages/protocol/src/fleetmessage.ts
+++ b/packages/protocol/src/fleetmessage.ts
@@ -184,6 +184,8 @@
   readonly answered: readonly string[];
   /** Time from the start of the attempt to the crash. */
   readonly attemptMs: Millis;
+  /** Time since the crash. */
+  readonly ageMs: Millis;
 }
 
 /** Reports what an entry observed of parts of prompts. */
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -322,19 +322,37 @@
   }
 
   /**
-   * Reports a crash before the answer began, of which any part of the prompt may be the cause. A
-   * request with a part that is suspected already is not tried again.
+   * Looks for a crash where an attempt broke before the answer began. A request with a part that is
+   * suspected already is not tried again.
    */
-  private recordPartCrash(state: RequestState, attemptMs: Millis): void {
+  private recordEarlyBreak(state: RequestState, upstream: UpstreamRecord, attemptMs: Millis): void {
     const parts = sharedPartsOf(state.call);
     if (parts.length === 0 || state.events >= answeredEvents) return;
     const { quarantine } = this.o;
     state.mayCrashAgain = parts.some(
       (p) => quarantine.isPartSuspected(p) && !this.parts.wasAnswered(p),
     );
+    void this.reportIfCrashed(state, upstream, parts, attemptMs);
+  }
+
+  /**
+   * Reports the parts of a prompt if the upstream is down after the attempt broke. One that still
+   * replies did not crash: it broke off or garbled an answer.
+   */
+  private async reportIfCrashed(
+    { call }: RequestState,
+    upstream: UpstreamRecord,
+    parts: readonly string[],
+    attemptMs: Millis,
+  ): Promise<void> {
+    const { clock, client, logger, quarantine } = this.o;
+    const crashedAt = clock.now();
+    const probed = await client.probe(call, upstream);
+    if (probed.kind !== 'unreachable') return;
     const answered = this.parts.recordCrash(parts);
-    state.log.info('A part may crash upstreams.', { parts: parts.join(', ') });
-    quarantine.recordPartCrash({ parts, answered, attemptMs });
+    const ageMs = clock.now() - crashedAt;
+    logger.info('A part may crash upstreams.', { request: call.id, parts: parts.join(', ') });
+    quarantine.recordPartCrash({ parts, answered, attemptMs, ageMs });
   }
 
   /** Counts a broken connection; a request that breaks several is reported as a possible crash. */
@@ -376,7 +394,7 @@
     state.errorResponse = outcome.response ?? state.errorResponse;
     if (failure === 'broken' && !outcome.unreachable) {
       this.recordBreak(state);
-      if (address === undefined) this.recordPartCrash(state, tookMs);
+      if (address === undefined) this.recordEarlyBreak(state, upstream, tookMs);
     }
     const culprit = address === undefined ? undefined : this.o.balancer.upstreamAt(address);
     const failedUpstream = culprit ?? upstream;
--- a/packages/relay/test/parts.test.ts
+++ b/packages/relay/test/parts.test.ts
@@ -7,13 +7,17 @@
 const parts = ['aa', 'bb'].map((id) => `part desk ${id}`);
 
 /** Serves requests with two shared parts, one after the other, each with its own attempts. */
-async function serveAll(requests: readonly Script[][], options: Partial<RelayParts> = {}) {
+async function serveAll(
+  requests: readonly Script[][],
+  options: Partial<RelayParts> & { readonly isDown?: boolean } = {},
+) {
   const clock = HeldClock.create();
   const view = viewOf(
     clock,
     ['u1', 'u2', 'u3', 'u4'].map((id) => upstreamOf(id)),
   );
   const client = new FakeClient(requests.flat());
+  client.probeResult = { kind: options.isDown === false ? 'waiting' : 'unreachable' };
   const fixture = relayOf({ clock, client, view, ...options });
   const received: string[] = [];
   for (let i = 0; i < requests.length; i += 1) {
@@ -47,6 +51,11 @@
   );
 });
 
+test('a broken answer of an upstream that is still up strikes no part', async () => {
+  const { partCrashes } = await serveAll([[crash, answer]], { isDown: false });
+  assert.deepEqual(partCrashes, []);
+});
+
 test('a stream that breaks off midway strikes no part', async () => {
   const { partCrashes } = await serveAll([[{ kind: 'cut', chunks: [events(1, 3)] }, answer]]);
   assert.deepEqual(partCrashes, []);
