Do not let replies that were due early delay later ones

Found by reading: a reply whose caller could not wait for its turn still took that turn, so under overload the next turn moved further and further ahead, and calls waited their full patience long after the load had gone.

Change: a turn is taken at the time at which the reply is sent.

Test: after 20 s of overload, a call to the idle leader waited 1,400 ms; now less than 50 ms.

--- a/packages/fleet/src/replypacer.ts
+++ b/packages/fleet/src/replypacer.ts
@@ -58,9 +58,9 @@
     const now = this.clock.now();
     this.adjust(now);
     const spacingMs = Math.min(this.spacingMs, maxRoundMs / Math.max(1, callers));
-    const turnAt = Math.max(now + minDelayMs, this.nextAt);
-    this.nextAt = turnAt + spacingMs;
-    const dueAt = Math.min(turnAt, call.arrivedAt + call.holdMs + patienceMs);
+    const latestAt = call.arrivedAt + call.holdMs + patienceMs;
+    const dueAt = Math.min(Math.max(now + minDelayMs, this.nextAt), latestAt);
+    this.nextAt = dueAt + spacingMs;
     if (dueAt > now) await this.clock.sleep(dueAt - now);
   }
 
--- a/packages/fleet/test/replypacer.test.ts
+++ b/packages/fleet/test/replypacer.test.ts
@@ -54,3 +54,25 @@
   await clock.advance(600);
   assert.equal(pending, 0);
 });
+
+test('replies that could not wait for their turn do not delay later ones', async () => {
+  const clock = HeldClock.create();
+  let utilization = 1;
+  const pacer = ReplyPacer.create(clock, () => utilization);
+  let stopped = false;
+  const call = async () => {
+    while (!stopped) await pacer.wait(68, { arrivedAt: clock.now(), holdMs: 0 }, 0);
+  };
+  for (let i = 0; i < 68; i += 1) void call();
+  await clock.advance(20_000);
+  utilization = 0;
+  stopped = true;
+  await clock.advance(1000);
+  let answeredAt = Infinity;
+  void pacer.wait(68, { arrivedAt: clock.now(), holdMs: 1000 }, 0).then(() => {
+    answeredAt = clock.now();
+  });
+  const askedAt = clock.now();
+  await clock.advance(2000);
+  assert.ok(answeredAt - askedAt < 50, `${answeredAt - askedAt} ms`);
+});
