--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -11,6 +11,7 @@
 export * from './stall.js';
 export * from './stream.js';
 export * from './parthistory.js';
+export * from './partwatch.js';
 export * from './quarantine.js';
 export * from './requestlog.js';
 export * from './relay.js';
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -17,7 +17,7 @@
 import type { Failure } from './retry.js';
 import { StallDetector } from './stall.js';
 import type { StallCause, StallTimeouts } from './stall.js';
-import { PartHistory } from './parthistory.js';
+import { PartWatch } from './partwatch.js';
 import { fingerprintOf, sharedPartsOf } from './quarantine.js';
 import type { Quarantine } from './quarantine.js';
 import { StreamDelivery } from './stream.js';
@@ -43,9 +43,6 @@
 /** From this broken attempt of a request on, each is reported as a possible crash. */
 const breaksToReport = 2;
 
-/** An attempt with this many events is being answered: its prompt did not crash the upstream. */
-const answeredEvents = 2;
-
 /** Largest response that is held in memory until it is complete; a longer one is a failure. */
 const maxResponseBytes = 8 * 1024 * 1024;
 
@@ -111,10 +108,11 @@
 /** Serves the requests of callers from upstreams. */
 export class Relay {
   private readonly logRateLimit: LogRateLimit;
-  private readonly parts = PartHistory.create();
+  private readonly parts: PartWatch;
 
   private constructor(private readonly o: RelayOptions) {
     this.logRateLimit = LogRateLimit.create(o.clock, o.logger);
+    this.parts = PartWatch.create(o);
   }
 
   static create(options: RelayOptions): Relay {
@@ -295,7 +293,8 @@
     let outcome: AttemptOutcome = response
       ? await forwardResponse(state, target, response, (count) => {
           detector.recordActivity();
-          this.recordEvents(state, count);
+          this.parts.recordEvents(call, state.events, count);
+          state.events += count;
         })
       : failureOf(sent._unsafeUnwrapErr());
     detector.end();
@@ -308,53 +307,6 @@
     return outcome;
   }
 
-  /** Counts events of an attempt; from the second one on, the parts of its prompt are sound. */
-  private recordEvents(state: RequestState, count: number): void {
-    const before = state.events;
-    state.events += count;
-    if (before >= answeredEvents || state.events < answeredEvents) return;
-    const { quarantine } = this.o;
-    const parts = sharedPartsOf(state.call);
-    this.parts.recordAnswer(parts);
-    for (const part of parts) {
-      if (quarantine.isPartSuspected(part)) quarantine.recordPartAnswered(part);
-    }
-  }
-
-  /**
-   * Looks for a crash where an attempt broke before the answer began. A request with a part that is
-   * suspected already is not tried again.
-   */
-  private recordEarlyBreak(state: RequestState, upstream: UpstreamRecord, attemptMs: Millis): void {
-    const parts = sharedPartsOf(state.call);
-    if (parts.length === 0 || state.events >= answeredEvents) return;
-    const { quarantine } = this.o;
-    state.mayCrashAgain = parts.some(
-      (p) => quarantine.isPartSuspected(p) && !this.parts.wasAnswered(p),
-    );
-    void this.reportIfCrashed(state, upstream, parts, attemptMs);
-  }
-
-  /**
-   * Reports the parts of a prompt if the upstream is down after the attempt broke. One that still
-   * replies did not crash: it broke off or garbled an answer.
-   */
-  private async reportIfCrashed(
-    { call }: RequestState,
-    upstream: UpstreamRecord,
-    parts: readonly string[],
-    attemptMs: Millis,
-  ): Promise<void> {
-    const { clock, client, logger, quarantine } = this.o;
-    const crashedAt = clock.now();
-    const probed = await client.probe(call, upstream);
-    if (probed.kind !== 'unreachable') return;
-    const answered = this.parts.recordCrash(parts);
-    const ageMs = clock.now() - crashedAt;
-    logger.info('A part may crash upstreams.', { request: call.id, parts: parts.join(', ') });
-    quarantine.recordPartCrash({ parts, answered, attemptMs, ageMs });
-  }
-
   /** Counts a broken connection; a request that breaks several is reported as a possible crash. */
   private recordBreak(state: RequestState): void {
     const { call } = state;
@@ -394,7 +346,9 @@
     state.errorResponse = outcome.response ?? state.errorResponse;
     if (failure === 'broken' && !outcome.unreachable) {
       this.recordBreak(state);
-      if (address === undefined) this.recordEarlyBreak(state, upstream, tookMs);
+      if (address === undefined) {
+        state.mayCrashAgain = this.parts.recordBreak(state.call, upstream, state.events, tookMs);
+      }
     }
     const culprit = address === undefined ? undefined : this.o.balancer.upstreamAt(address);
     const failedUpstream = culprit ?? upstream;
