Start test entries by one function of the fleet

The set-up of an entry stood three times in the tests of fleet. No assertion is changed; the fleet's seeds are now the nodes that it is started with. The description of the load in the overload test was wrong: it is 80 heartbeats and 20 changes a second in all.

With the spacing of replies switched off in the build, the overload test fails as before (the configuration is not acknowledged).

--- a/packages/fleet/test/fleet.ts
+++ b/packages/fleet/test/fleet.ts
@@ -6,6 +6,7 @@
   SeededRandom,
   ServiceId,
   UpstreamId,
+  createStopController,
   silentLogger,
 } from '@tanagercart/base';
 import type { Clock, Millis } from '@tanagercart/base';
@@ -13,8 +14,13 @@
 import type { LayerRange } from '@tanagercart/layers';
 import { MemoryDisk } from '@tanagercart/log';
 import { MemoryNetwork } from '@tanagercart/protocol';
-import type { Announcement, UpstreamRecord } from '@tanagercart/protocol';
-import { ControlNode } from '../src/index.js';
+import type {
+  Announcement,
+  EntryRecord,
+  UpstreamLoad,
+  UpstreamRecord,
+} from '@tanagercart/protocol';
+import { ControlNode, FleetView, Watcher } from '../src/index.js';
 import type { LayerOrder, OrderClient, OrderReply, UpstreamReport } from '../src/index.js';
 import { SimulatedProcessor } from './processor.js';
 import type { CallCosts } from './processor.js';
@@ -160,6 +166,7 @@
     const fleet = Fleet.create(seed);
     fleet.costs = costs;
     const initial = names.map(NodeId);
+    fleet.seeds = initial;
     for (const id of initial) fleet.startNode(id, initial);
     await fleet.waitUntil(() => fleet.leader !== undefined);
     return fleet;
@@ -193,6 +200,40 @@
     return node;
   }
 
+  /** Starts an entry that follows the leader, and calls `onCall` before each of its calls. */
+  startEntry(
+    node: NodeId,
+    options: { readonly loads?: readonly UpstreamLoad[]; readonly onCall?: () => void } = {},
+  ): { readonly view: FleetView; readonly watcher: Watcher } {
+    const { loads = [], onCall } = options;
+    const view = FleetView.create({
+      clock: this.clock,
+      logger: silentLogger,
+      parse: (text) => JSON.parse(text) as Configuration,
+    });
+    const entry: EntryRecord = {
+      node,
+      dataCentre: DataCentreId('north'),
+      address: `${node}:1`,
+      phase: 'ready',
+    };
+    const watcher = Watcher.create({
+      transport: this.network.attach(node),
+      clock: this.clock,
+      logger: silentLogger,
+      view,
+      seeds: () => this.seeds,
+      entry: () => {
+        onCall?.();
+        return entry;
+      },
+      loads: () => loads,
+      suspicions: () => [],
+    });
+    void watcher.run(createStopController().signal);
+    return { view, watcher };
+  }
+
   /** Kills a process. Its disk keeps synced data. */
   kill(id: NodeId): void {
     this.network.detach(id);
--- a/packages/fleet/test/overload.test.ts
+++ b/packages/fleet/test/overload.test.ts
@@ -1,43 +1,20 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import {
-  DataCentreId,
-  NodeId,
-  UpstreamId,
-  createStopController,
-  silentLogger,
-} from '@tanagercart/base';
+import { NodeId, UpstreamId } from '@tanagercart/base';
 import type { Millis } from '@tanagercart/base';
-import type { Configuration } from '@tanagercart/config';
-import { FleetView, Watcher } from '../src/index.js';
 import { Fleet, documentOf } from './fleet.js';
 
 const voters = ['a', 'b', 'c', 'd', 'e'];
 
-/** Starts entries that report load at many upstreams. */
+/** Starts entries that report load at an upstream. */
 function startEntries(fleet: Fleet, count: number): void {
-  for (let i = 0; i < count; i += 1) {
-    const node = NodeId(`entry-${i}`);
-    const parse = (text: string) => JSON.parse(text) as Configuration;
-    const view = FleetView.create({ clock: fleet.clock, logger: silentLogger, parse });
-    const dataCentre = DataCentreId('north');
-    const watcher = Watcher.create({
-      transport: fleet.network.attach(node),
-      clock: fleet.clock,
-      logger: silentLogger,
-      view,
-      seeds: () => voters.map(NodeId),
-      entry: () => ({ node, dataCentre, address: `${node}:1`, phase: 'ready' }),
-      loads: () => [{ id: UpstreamId('u0'), sequences: 1, entered: 1, tokenLayers: 1 }],
-      suspicions: () => [],
-    });
-    void watcher.run(createStopController().signal);
-  }
+  const loads = [{ id: UpstreamId('u0'), sequences: 1, entered: 1, tokenLayers: 1 }];
+  for (let i = 0; i < count; i += 1) fleet.startEntry(NodeId(`entry-${i}`), { loads });
 }
 
 /**
- * Lets 100 upstreams send heartbeats and 20 others change, each 20 times a second, for `ms`. Returns
- * how many of the samples found no leader that holds its lease.
+ * For `ms`, lets 100 upstreams send 80 heartbeats a second in turn, and 20 others change 20 times a
+ * second. Returns how many of the samples found no leader that holds its lease.
  */
 async function changeUpstreams(fleet: Fleet, ms: Millis): Promise<number> {
   const end = fleet.clock.now() + ms;
--- a/packages/fleet/test/view.test.ts
+++ b/packages/fleet/test/view.test.ts
@@ -1,47 +1,16 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { err, ok } from 'neverthrow';
-import {
-  DataCentreId,
-  HeldClock,
-  NodeId,
-  UpstreamId,
-  createStopController,
-  silentLogger,
-} from '@tanagercart/base';
-import type { Configuration } from '@tanagercart/config';
+import { HeldClock, NodeId, UpstreamId } from '@tanagercart/base';
 import { encode } from '@tanagercart/protocol';
-import type { EntryRecord, Transport } from '@tanagercart/protocol';
-import { FleetView, LeaderClient, Watcher } from '../src/index.js';
+import type { Transport } from '@tanagercart/protocol';
+import { LeaderClient } from '../src/index.js';
 import { Fleet, announcementOf, documentOf } from './fleet.js';
 
 async function withEntry(seed: number) {
   const fleet = await Fleet.start(seed);
-  const { clock } = fleet;
-  const view = FleetView.create({
-    clock,
-    logger: silentLogger,
-    parse: (text) => JSON.parse(text) as Configuration,
-  });
   const self = NodeId('entry');
-  const entry: EntryRecord = {
-    node: self,
-    dataCentre: DataCentreId('north'),
-    address: 'entry:1',
-    phase: 'ready',
-  };
-  const watcher = Watcher.create({
-    transport: fleet.network.attach(self),
-    clock,
-    logger: silentLogger,
-    view,
-    seeds: () => [NodeId('a'), NodeId('b'), NodeId('c')],
-    entry: () => entry,
-    loads: () => [],
-    suspicions: () => [],
-  });
-  void watcher.run(createStopController().signal);
-  return { fleet, view, self, watcher };
+  return { fleet, self, ...fleet.startEntry(self) };
 }
 
 test('an entry receives documents and upstreams soon after they are accepted', async () => {
@@ -148,23 +117,7 @@
   const calls = new Map<NodeId, number>();
   for (let i = 0; i < count; i += 1) {
     const node = NodeId(`entry-${i}`);
-    const parse = (text: string) => JSON.parse(text) as Configuration;
-    const view = FleetView.create({ clock: fleet.clock, logger: silentLogger, parse });
-    const dataCentre = DataCentreId('north');
-    const watcher = Watcher.create({
-      transport: fleet.network.attach(node),
-      clock: fleet.clock,
-      logger: silentLogger,
-      view,
-      seeds: () => [NodeId('a'), NodeId('b'), NodeId('c')],
-      entry: () => {
-        calls.set(node, (calls.get(node) ?? 0) + 1);
-        return { node, dataCentre, address: `${node}:1`, phase: 'ready' };
-      },
-      loads: () => [],
-      suspicions: () => [],
-    });
-    void watcher.run(createStopController().signal);
+    fleet.startEntry(node, { onCall: () => calls.set(node, (calls.get(node) ?? 0) + 1) });
   }
   await fleet.clock.advance(500);
   return { fleet, calls };
