--- a/packages/bench/src/logging.ts
+++ b/packages/bench/src/logging.ts
@@ -30,6 +30,7 @@
       head: { status: 200, reason: 'OK', headers: [], closeDelimited: false },
       notRun: false,
       culprit: undefined,
+      rateLimit: { kind: 'unlimited' },
       body: bodyOf(),
     }),
   probe: () => Promise.resolve({ kind: 'waiting' }),
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -17,6 +17,7 @@
 import type { Failure } from './retry.js';
 import { StallDetector } from './stall.js';
 import type { StallCause, StallTimeouts } from './stall.js';
+import { NamedLimits } from './namedlimits.js';
 import { PartWatch } from './partwatch.js';
 import { fingerprintOf, sharedPartsOf } from './quarantine.js';
 import type { Quarantine } from './quarantine.js';
@@ -109,10 +110,12 @@
 export class Relay {
   private readonly logRateLimit: LogRateLimit;
   private readonly parts: PartWatch;
+  private readonly limits: NamedLimits;
 
   private constructor(private readonly o: RelayOptions) {
     this.logRateLimit = LogRateLimit.create(o.clock, o.logger);
     this.parts = PartWatch.create(o);
+    this.limits = NamedLimits.create(o.logger);
   }
 
   static create(options: RelayOptions): Relay {
@@ -290,6 +293,7 @@
     const attempt = { upstream, path, remainingMs, lastEvent: delivery?.lastEvent };
     const sent = await client.send(call, attempt, attemptStop.signal);
     const response = sent.isOk() ? sent.value : undefined;
+    if (response) this.limits.record(call.id, upstream, response);
     let outcome: AttemptOutcome = response
       ? await forwardResponse(state, target, response, (count) => {
           detector.recordActivity();
--- a/packages/relay/src/upstream.ts
+++ b/packages/relay/src/upstream.ts
@@ -18,9 +18,18 @@
   readonly lastEvent: number | undefined;
 }
 
+/** What a response says of the rate at which its upstream accepts requests. */
+export type RateLimit =
+  /** Requests per second that the upstream accepts from all nodes together. */
+  | { readonly kind: 'limited'; readonly perSecond: number }
+  | { readonly kind: 'unlimited' }
+  /** The limit that the upstream named cannot be read. */
+  | { readonly kind: 'malformed'; readonly text: string };
+
 /** A response whose head was received and whose body is still to be read. */
 export interface UpstreamResponse {
   readonly head: ResponseHead;
+  readonly rateLimit: RateLimit;
   /** Whether the upstream reports that it did not run the request and will not. */
   readonly notRun: boolean;
   /** Address of the upstream that caused the failure, where it is not the one that responded. */
--- a/packages/relay/test/endless.test.ts
+++ b/packages/relay/test/endless.test.ts
@@ -31,6 +31,7 @@
         head: { status, reason: '', headers: [], closeDelimited: true },
         notRun: false,
         culprit: undefined,
+        rateLimit: { kind: 'unlimited' as const },
         body: body(),
       }),
   };
--- a/packages/relay/test/fixtures.ts
+++ b/packages/relay/test/fixtures.ts
@@ -263,6 +263,7 @@
     head: { status, reason: '', headers: [], closeDelimited: false },
     notRun,
     culprit: undefined,
+    rateLimit: { kind: 'unlimited' },
     body: bodyOf(chunks, cut),
   };
 }
