--- /dev/null
+++ b/packages/relay/test/namedlimit.test.ts
@@ -0,0 +1,113 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { ok } from 'neverthrow';
+import { HeldClock, RequestId, SeededRandom } from '@tanagercart/base';
+import type { Clock, Millis } from '@tanagercart/base';
+import type { Attempt, Call, UpstreamClient, UpstreamResponse } from '../src/index.js';
+import { FakeCaller, callOf, relayOf, upstreamOf, viewOf } from './fixtures.js';
+
+const upstreams = ['one', 'two', 'three'].map((id) => upstreamOf(id));
+
+const workMs: Millis = 50;
+
+/** Time for which the limit is spread, length of a window, and delay after an entry was told. */
+const [contactMs, windowMs, reactionMs] = [3000, 4000, 500];
+
+/** A request that an upstream received. */
+interface Arrival {
+  readonly upstream: string;
+  readonly entry: number;
+  readonly at: Millis;
+}
+
+/** Upstreams that name a limit from `from` to `to`, if they have one, and note what they receive. */
+class LimitedUpstreams {
+  readonly arrivals: Arrival[] = [];
+  /** When each entry was first told of each limit, by "upstream entry". */
+  readonly toldAt = new Map<string, Millis>();
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly limits: Readonly<Record<string, number>>,
+    private readonly from: Millis,
+    private readonly to: Millis,
+  ) {}
+
+  clientOf(entry: number): UpstreamClient {
+    return {
+      send: async (_: Call, { upstream }: Attempt) => {
+        this.arrivals.push({ upstream: upstream.id, entry, at: this.clock.now() });
+        await this.clock.sleep(workMs);
+        return ok(this.responseOf(upstream.id, entry));
+      },
+      probe: () => Promise.resolve({ kind: 'waiting' }),
+    };
+  }
+
+  private responseOf(upstream: string, entry: number): UpstreamResponse {
+    const now = this.clock.now();
+    const perSecond = this.limits[upstream];
+    const names = perSecond !== undefined && now >= this.from && now < this.to;
+    const key = `${upstream} ${entry}`;
+    if (names && !this.toldAt.has(key)) this.toldAt.set(key, now);
+    return {
+      head: { status: 200, reason: '', headers: [], closeDelimited: false },
+      rateLimit: names ? { kind: 'limited', perSecond } : { kind: 'unlimited' },
+      notRun: false,
+      culprit: undefined,
+      body: emptyBody(),
+    };
+  }
+
+  /** The most requests in a window, of entries that had been told, less those allowed. */
+  worstExcess(upstream: string): number {
+    const told = (a: Arrival) => this.toldAt.get(`${a.upstream} ${a.entry}`) ?? Infinity;
+    const counted = this.arrivals
+      .filter((a) => a.upstream === upstream && a.at < this.to && a.at >= told(a) + reactionMs)
+      .map((a) => a.at);
+    const judged = counted.filter((at) => at >= this.from + contactMs);
+    const inWindow = (end: Millis) => counted.filter((a) => a > end - windowMs && a <= end).length;
+    const allowed = (this.limits[upstream]! * 1.5 * windowMs) / 1000 + 5;
+    return Math.max(0, ...judged.map(inWindow)) - allowed;
+  }
+}
+
+async function* emptyBody(): AsyncGenerator<Uint8Array> {
+  yield Buffer.from('figs');
+}
+
+/** Plays `perSecond` requests a second at eight entries that share the upstreams. */
+async function play(limits: Readonly<Record<string, number>>, perSecond: number, forMs: Millis) {
+  const clock = HeldClock.create();
+  const served = new LimitedUpstreams(clock, limits, 2000, forMs - 4000);
+  const view = viewOf(clock, upstreams);
+  const relays = Array.from(
+    { length: 8 },
+    (_, i) => relayOf({ clock, client: served.clientOf(i), view }).relay,
+  );
+  const random = SeededRandom.create(7);
+  const callers: FakeCaller[] = [];
+  for (let n = 0; clock.now() < forMs; n += 1) {
+    const caller = new FakeCaller();
+    callers.push(caller);
+    const call = callOf('idempotent', { id: RequestId(`r${n}`), startedAt: clock.now() });
+    void relays[Math.floor(random.next() * relays.length)]!.serve(call, caller);
+    await clock.advance((2 * 1000 * random.next()) / perSecond);
+  }
+  await clock.advance(2000);
+  return { served, callers };
+}
+
+test(
+  'entries together do not send an upstream more requests than the limit that it named',
+  { todo: 'listed in KNOWN-RED.txt' },
+  async () => {
+    const { served, callers } = await play({ one: 4, two: 4 }, 40, 20_000);
+    for (const upstream of ['one', 'two']) {
+      const excess = served.worstExcess(upstream);
+      assert.ok(excess <= 0, `${excess} requests too many in 4 s`);
+    }
+    const answered = callers.filter((c) => c.head?.status === 200).length;
+    assert.equal(answered, callers.length, 'the third upstream serves what they do not take');
+  },
+);
