--- a/packages/relay/test/fixtures.ts
+++ b/packages/relay/test/fixtures.ts
@@ -178,12 +178,13 @@
   const pacer = Pacer.create({ ...(parts.peers ?? aloneOn(clock)), clock, logger, metrics });
   const permitWaitMs = (upstream: UpstreamRecord) => pacer.waitMsOf(upstream);
   const balancerParts = { view, health, loads, random, dataCentre, isSuspected, permitWaitMs };
+  const balancer = Balancer.create(balancerParts);
   const relay = Relay.create({
     clock,
     random,
     logger,
     client,
-    balancer: Balancer.create(balancerParts),
+    balancer,
     health,
     loads,
     budget: RetryBudget.create(clock, { ratio: 0, slack, windowMs: 10_000 }, () => 1),
@@ -205,7 +206,7 @@
       },
     },
   });
-  return { relay, loads, crashes, partCrashes, answeredParts, suspected };
+  return { relay, balancer, loads, crashes, partCrashes, answeredParts, suspected };
 }
 
 /** Records what a caller is sent. */
--- a/packages/relay/test/namedlimit.test.ts
+++ b/packages/relay/test/namedlimit.test.ts
@@ -3,9 +3,19 @@
 import { ok } from 'neverthrow';
 import { HeldClock, NodeId, RequestId, SeededRandom } from '@tanagercart/base';
 import type { Clock, Millis } from '@tanagercart/base';
+import { engine as engineOf } from '@tanagercart/layers/test';
 import { MemoryNetwork } from '@tanagercart/protocol';
 import type { Attempt, Call, UpstreamClient, UpstreamResponse } from '../src/index.js';
-import { FakeCaller, callOf, relayOf, upstreamOf, viewOf } from './fixtures.js';
+import {
+  FakeCaller,
+  FakeClient,
+  callOf,
+  desk,
+  relayOf,
+  selectionOf,
+  upstreamOf,
+  viewOf,
+} from './fixtures.js';
 
 const upstreams = ['one', 'two', 'three'].map((id) => upstreamOf(id));
 
@@ -110,3 +120,41 @@
   const answered = callers.filter((c) => c.head?.status === 200).length;
   assert.equal(answered, callers.length, 'the third upstream serves what they do not take');
 });
+
+test('requests that no upstream accepts soon enough are refused at once as not run', async () => {
+  const limits = { one: 1, two: 1, three: 1 };
+  const { served, callers } = await play(limits, 20, 20_000);
+  for (const upstream of Object.keys(limits)) {
+    const excess = served.worstExcess(upstream);
+    assert.ok(excess <= 0, `${excess} requests too many in 4 s`);
+  }
+  const refusals = callers.flatMap((c) => (c.refusal ? [c.refusal] : []));
+  assert.ok(refusals.length > 100);
+  for (const refusal of refusals) {
+    assert.ok(refusal.kind === 'not-run' && refusal.reason === 'limited');
+    assert.ok(refusal.retryAfterMs > 200 && refusal.retryAfterMs < 2500);
+  }
+  assert.equal(callers.filter((c) => c.received === '').length, 0);
+  const whileLimited = served.arrivals.filter((a) => a.at >= 3000 && a.at < 16_000).length;
+  assert.ok(whileLimited >= 3 * 13 * 0.85, `${whileLimited} requests in 13 s at 3 a second`);
+});
+
+test('a stage without a permit is a later stage of a path, and not the first', () => {
+  const clock = HeldClock.create();
+  const engine = engineOf({ layerCount: 20 });
+  const service = { id: desk, maxConnections: 10, engine };
+  const stageAt = (id: string, from: number, to: number) =>
+    upstreamOf(id, { accelerator: 'large', layers: { from, to } });
+  const view = viewOf(clock, [stageAt('first', 0, 10), stageAt('both', 0, 20)]);
+  const { balancer } = relayOf({ clock, view, client: new FakeClient([]) });
+  const call = callOf('resumable-stream', { service });
+  const withoutPermit = new Set([upstreamOf('both').id]);
+  const target = balancer.pick(call, selectionOf({ withoutPermit }));
+  assert.ok(typeof target !== 'string');
+  assert.deepEqual(
+    target.path?.map((p) => p.stage.id),
+    ['first', 'both'],
+  );
+  const none = new Set([...withoutPermit, upstreamOf('first').id]);
+  assert.equal(balancer.pick(call, selectionOf({ withoutPermit: none })), 'limited');
+});
