--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -9,6 +9,8 @@
 export * from './retry.js';
 export * from './jitter.js';
 export * from './stall.js';
+export * from './permitwait.js';
+export * from './outcome.js';
 export * from './stream.js';
 export * from './parthistory.js';
 export * from './partwatch.js';
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -3,28 +3,29 @@
  * kind of the route, the deadline and the retry budget allow it.
  */
 
-import { collectBody, unreachable } from '@tanagercart/base';
 import type { Clock, Digest, Logger, Metrics, Millis, Random, UpstreamId } from '@tanagercart/base';
 import { formatRange } from '@tanagercart/layers';
 import type { Pacer } from '@tanagercart/pacing';
 import type { UpstreamRecord } from '@tanagercart/protocol';
 import { jitter } from './jitter.js';
 import { deadlineOf, isRepeatable, isStream } from './call.js';
-import type { Call, Caller, ResponseHead } from './call.js';
+import type { Call, Caller } from './call.js';
 import type { RetryBudget } from './budget.js';
 import type { Health } from './health.js';
 import type { Loads } from './loads.js';
 import { decideRetry } from './retry.js';
-import type { Failure } from './retry.js';
 import { StallDetector } from './stall.js';
-import type { StallCause, StallTimeouts } from './stall.js';
+import type { StallTimeouts } from './stall.js';
 import { PartWatch } from './partwatch.js';
 import { fingerprintOf, sharedPartsOf } from './quarantine.js';
 import type { Quarantine } from './quarantine.js';
 import { StreamDelivery } from './stream.js';
 import type { Balancer, NoTarget, Target } from './balancer.js';
 import { LogRateLimit, RequestLog } from './requestlog.js';
-import type { SendError, UpstreamClient, UpstreamResponse } from './upstream.js';
+import { failureOf, readResponse, sendResponse, stallFailure } from './outcome.js';
+import type { AttemptOutcome, CompleteResponse } from './outcome.js';
+import { maxPermitWaitMs } from './permitwait.js';
+import type { UpstreamClient, UpstreamResponse } from './upstream.js';
 
 /** Fraction of the remaining time after which an unanswered attempt is abandoned for another. */
 const responseTimeoutRatio = 0.5;
@@ -44,21 +45,9 @@
 /** Most upstreams that one attempt asks for a permit. */
 const maxPermitRefusals = 6;
 
-/**
- * Share of its latency target for which a request of the highest priority waits for a permit. Those
- * of lower priorities wait less, so that they do not take the permits that are due before then.
- */
-const permitWaitShare = 0.5;
-
-/** Longest wait for a permit of a stream that has begun, before its caller disconnects. */
-const resumedPermitWaitMs: Millis = 1000;
-
 /** From this broken attempt of a request on, each is reported as a possible crash. */
 const breaksToReport = 2;
 
-/** Largest response that is held in memory until it is complete; a longer one is a failure. */
-const maxResponseBytes = 8 * 1024 * 1024;
-
 /** Retry-after time of quarantined requests. */
 const quarantineRetryAfterMs: Millis = 30_000;
 
@@ -98,27 +87,6 @@
   mayCrashAgain: boolean;
 }
 
-/** How an attempt ended. */
-type AttemptOutcome =
-  | { readonly kind: 'delivered' }
-  | {
-      readonly kind: 'failed';
-      readonly failure: Failure;
-      readonly detail: string;
-      /** Address of the upstream that caused the failure, where it is another one. */
-      readonly culprit?: string;
-      /** Whether the upstream that caused the failure could not be reached. */
-      readonly unreachable?: boolean;
-      /** The error response of the upstream, if it sent one. */
-      readonly response?: CompleteResponse;
-    };
-
-/** A response whose body was read to its end. */
-interface CompleteResponse {
-  readonly head: ResponseHead;
-  readonly body: Uint8Array;
-}
-
 /** Serves the requests of callers from upstreams. */
 export class Relay {
   private readonly logRateLimit: LogRateLimit;
@@ -415,55 +383,11 @@
   return { firstEventMs, gapMs: maxGapMs, probeMs };
 }
 
-/** Longest wait for a permit; `isStarted` for a stream of which the caller has received a part. */
-export function maxPermitWaitMs({ route, priority }: Call, isStarted: boolean): Millis {
-  if (isStarted) return resumedPermitWaitMs;
-  return (route.latencyTargetMs * permitWaitShare) / (1 + Math.max(0, priority));
-}
-
 /** Whether no upstream but this one and earlier ones may run the request. */
 function isLastUpstream({ call, mayHaveRun }: RequestState, upstream: UpstreamId): boolean {
   return new Set([...mayHaveRun, upstream]).size >= call.route.maxAttempts;
 }
 
-/** Sends a complete response to the caller. */
-function sendResponse(response: CompleteResponse, caller: Caller): void {
-  caller.start(response.head);
-  void caller.write(response.body);
-  caller.end();
-}
-
-/** The outcome of an attempt without a response. */
-function failureOf(error: SendError): AttemptOutcome {
-  const failure = error.kind === 'unreachable' ? 'unreachable' : 'broken';
-  return { kind: 'failed', failure, detail: 'detail' in error ? error.detail : error.kind };
-}
-
-/** The outcome of an attempt that the stall detector ended. */
-function stallFailure(cause: StallCause): AttemptOutcome {
-  switch (cause.kind) {
-    case 'blocked':
-      return {
-        kind: 'failed',
-        failure: 'broken',
-        detail: 'a stage is not reached',
-        culprit: cause.address,
-        unreachable: true,
-      };
-    case 'unreachable':
-      return {
-        kind: 'failed',
-        failure: 'silent',
-        detail: 'the upstream is not reached',
-        unreachable: true,
-      };
-    case 'silent':
-      return { kind: 'failed', failure: 'silent', detail: 'no answer' };
-    default:
-      return unreachable(cause);
-  }
-}
-
 /**
  * Forwards a response to the caller. An error response to a repeatable request is not forwarded, as
  * another attempt may succeed.
@@ -491,16 +415,3 @@
   sendResponse(complete, caller);
   return { kind: 'delivered' };
 }
-
-/** Reads the response to its end; undefined where the body is incomplete or too large. */
-async function readResponse({
-  head,
-  body,
-}: UpstreamResponse): Promise<CompleteResponse | undefined> {
-  try {
-    const bytes = await collectBody(body, maxResponseBytes);
-    return bytes.isOk() ? { head, body: bytes.value } : undefined;
-  } catch {
-    return undefined;
-  }
-}
