Tell all entries of the limits that one of them was told of

What upstreams saw: until each entry had read the limit in a response of its own, it sent freely.

Cause: knowledge of a limit spread only through the owner of its permits, whom an entry asks once it knows. Ruled out: owners that do not answer (33 calls of thousands, around a cut).

Change: entries report what responses told them to the leader, whose bulletin carries it.

Test: 'a limit that one entry was told of reaches the others and those that start later'; the messages had no field for it before.

--- a/packages/fleet/src/control.ts
+++ b/packages/fleet/src/control.ts
@@ -284,7 +284,7 @@
     if (!leaderTerm) return this.notLeader();
     const { state, changed } = this.voter;
     const arrivedAt = this.o.clock.now();
-    if (leaderTerm.liveness.recordEntry(from, call)) changed.ring();
+    if (leaderTerm.recordEntry(from, call)) changed.ring();
     const hasChanges = state.index > call.since || call.since === 0;
     if (!hasChanges) await changed.waitUpTo(call.waitMs, this.o.clock, this.stopping.signal);
     await leaderTerm.paceReply(call, arrivedAt, hasChanges ? 0 : batchDelayMs);
--- a/packages/fleet/src/leaderterm.ts
+++ b/packages/fleet/src/leaderterm.ts
@@ -3,6 +3,7 @@
 import type { Clock, Logger, Millis, NodeId, UtilizationMeter } from '@tanagercart/base';
 import type { Configuration } from '@tanagercart/config';
 import type { Bulletin, UpstreamRecord, WatchCall } from '@tanagercart/protocol';
+import { NamedLimits } from '@tanagercart/pacing';
 import { BulletinCache } from './bulletin.js';
 import { Liveness } from './liveness.js';
 import { PartCrashes } from './partcrashes.js';
@@ -31,6 +32,7 @@
   readonly liveness: Liveness;
   readonly registry: UpstreamRegistry;
   readonly partCrashes: PartCrashes;
+  private readonly limits: NamedLimits;
   /** The part of replies that is the same for all entries. */
   readonly bulletinCache: BulletinCache;
   private readonly placer: Placer;
@@ -59,6 +61,7 @@
     };
     this.placer = Placer.create(placerOptions, term);
     this.partCrashes = PartCrashes.create(clock);
+    this.limits = NamedLimits.create(clock, logger);
     this.pacer = ReplyPacer.create(clock, o.utilization);
     this.monitor = SlownessMonitor.create({ orders, clock, logger });
     const forget = async (upstreams: readonly UpstreamRecord['id'][]) =>
@@ -76,6 +79,14 @@
     return new LeaderTerm(options, term);
   }
 
+  /** Records the call of an entry; returns whether other entries should be informed at once. */
+  recordEntry(from: NodeId, call: WatchCall): boolean {
+    const { liveness, limits } = this;
+    const changes = (call.limits ?? []).filter((notice) => limits.record(notice, { from }));
+    if (changes.length > 0) liveness.revision += 1;
+    return liveness.recordEntry(from, call) || changes.length > 0;
+  }
+
   /** Orders layers, polls the speed of upstreams and removes old records, where these are due. */
   reconcile(config: Configuration): void {
     const { upstreams } = this.o.voter.state;
@@ -104,6 +115,7 @@
       suspicions: liveness.excluded(o.voter.state.upstreams.values()),
       slow: monitor.slow,
       suspectedParts: this.partCrashes.suspected,
+      limits: this.limits.notices,
     };
   }
 }
--- a/packages/fleet/src/view.ts
+++ b/packages/fleet/src/view.ts
@@ -9,6 +9,7 @@
   Bulletin,
   DocumentUpdate,
   EntryRecord,
+  LimitNotice,
   Suspicion,
   UpstreamLoad,
   UpstreamRecord,
@@ -25,6 +26,8 @@
   readonly logger: Logger;
   /** Parses an accepted document; returns undefined if it cannot be parsed. */
   readonly parse: (text: string) => Configuration | undefined;
+  /** Receives what other entries were told of the limits of upstreams, with each update. */
+  readonly onLimits: (notices: readonly LimitNotice[]) => void;
 }
 
 /** The state of the fleet as an entry has received it from the leader. */
@@ -129,6 +132,7 @@
     this.reportedLoads = new Map(reported.map((l) => [l.id, l]));
     this.slowFactors = new Map(bulletin.slow.map((s) => [s.id, s.factor]));
     this.suspectedParts = new Set(bulletin.suspectedParts ?? []);
+    this.o.onLimits(bulletin.limits ?? []);
     const now = this.o.clock.now();
     this.suspicions = bulletin.suspicions.map((s) => ({ ...s, at: now - s.ageMs }));
   }
--- a/packages/fleet/src/watcher.ts
+++ b/packages/fleet/src/watcher.ts
@@ -6,6 +6,7 @@
 import type { Clock, Logger, Millis, NodeId } from '@tanagercart/base';
 import type {
   EntryRecord,
+  LimitNotice,
   PartsCall,
   Suspicion,
   Transport,
@@ -40,6 +41,8 @@
   readonly loads: () => readonly UpstreamLoad[];
   /** Upstreams that failed requests of this entry. */
   readonly suspicions: () => readonly Suspicion[];
+  /** What responses told this entry of the limits of upstreams lately. */
+  readonly limits: () => readonly LimitNotice[];
 }
 
 /** Keeps the view of an entry up to date. */
@@ -85,12 +88,13 @@
   }
 
   private async poll(waitMs: Millis): Promise<boolean> {
-    const { clock, view, entry, loads, suspicions } = this.o;
+    const { clock, view, entry, loads, suspicions, limits } = this.o;
     const sentAt = clock.now();
     const call = {
       entry: entry(),
       loads: loads(),
       suspicions: suspicions(),
+      limits: limits(),
       since: view.index,
       documentVersion: view.document.version,
       waitMs,
--- a/packages/fleet/test/fleet.ts
+++ b/packages/fleet/test/fleet.ts
@@ -17,6 +17,7 @@
 import type {
   Announcement,
   EntryRecord,
+  LimitNotice,
   UpstreamLoad,
   UpstreamRecord,
 } from '@tanagercart/protocol';
@@ -114,6 +115,14 @@
   }
 }
 
+/** What an entry of a test reports, and what it does on news. */
+interface EntryOptions {
+  readonly loads?: readonly UpstreamLoad[];
+  readonly limits?: () => readonly LimitNotice[];
+  readonly onLimits?: (notices: readonly LimitNotice[]) => void;
+  readonly onCall?: () => void;
+}
+
 export function announcementOf(id: string, change: Partial<Announcement> = {}): Announcement {
   return {
     id: UpstreamId(id),
@@ -203,13 +212,14 @@
   /** Starts an entry that follows the leader, and calls `onCall` before each of its calls. */
   startEntry(
     node: NodeId,
-    options: { readonly loads?: readonly UpstreamLoad[]; readonly onCall?: () => void } = {},
+    options: EntryOptions = {},
   ): { readonly view: FleetView; readonly watcher: Watcher } {
-    const { loads = [], onCall } = options;
+    const { loads = [], limits = () => [], onLimits = () => undefined, onCall } = options;
     const view = FleetView.create({
       clock: this.clock,
       logger: silentLogger,
       parse: (text) => JSON.parse(text) as Configuration,
+      onLimits,
     });
     const entry: EntryRecord = {
       node,
@@ -229,6 +239,7 @@
       },
       loads: () => loads,
       suspicions: () => [],
+      limits,
     });
     void watcher.run(createStopController().signal);
     return { view, watcher };
--- a/packages/fleet/test/view.test.ts
+++ b/packages/fleet/test/view.test.ts
@@ -3,7 +3,7 @@
 import { err, ok } from 'neverthrow';
 import { HeldClock, NodeId, UpstreamId } from '@tanagercart/base';
 import { encode } from '@tanagercart/protocol';
-import type { Transport } from '@tanagercart/protocol';
+import type { LimitNotice, Transport } from '@tanagercart/protocol';
 import { LeaderClient } from '../src/index.js';
 import { Fleet, announcementOf, documentOf } from './fleet.js';
 
@@ -56,6 +56,27 @@
   assert.equal(view.document.version, 8);
 });
 
+test('a limit that one entry was told of reaches the others and those that start later', async () => {
+  const fleet = await Fleet.start(31);
+  const { id, born } = announcementOf('u1');
+  const told = { upstream: id, born, perSecond: 2, ageMs: 0 };
+  let named: readonly LimitNotice[] = [told];
+  fleet.startEntry(NodeId('first'), { limits: () => named });
+  const learned = new Map<string, number | undefined>();
+  const learner = (node: string) => ({
+    onLimits: (notices: readonly LimitNotice[]) => {
+      for (const n of notices) learned.set(node, n.perSecond);
+    },
+  });
+  fleet.startEntry(NodeId('second'), learner('second'));
+  await fleet.waitUntil(() => learned.get('second') === 2, 700);
+  fleet.startEntry(NodeId('late'), learner('late'));
+  await fleet.waitUntil(() => learned.get('late') === 2, 700);
+  named = [{ ...told, perSecond: undefined }];
+  const ended = () => ['second', 'late'].every((n) => learned.get(n) === undefined);
+  await fleet.waitUntil(ended, 700);
+});
+
 test('a request is quarantined at entries after three strikes', async () => {
   const { fleet, view, watcher } = await withEntry(25);
   for (let i = 0; i < 2; i += 1) assert.ok(await fleet.settle(watcher.strike('f1')));
--- a/packages/pacing/src/namedlimits.ts
+++ b/packages/pacing/src/namedlimits.ts
@@ -6,6 +6,12 @@
 /** A limit that nothing has confirmed for this long has lapsed. */
 const maxAgeMs: Millis = 60_000;
 
+/** The end of a limit is passed on for this long, so that all have heard of it. */
+const endedMs: Millis = 10_000;
+
+/** A limit that changes by a smaller share than this is not logged again. */
+const loggedChange = 0.1;
+
 /** An incarnation of an upstream. */
 export type Incarnation = Pick<UpstreamRecord, 'id' | 'born'>;
 
@@ -15,6 +21,8 @@
   readonly perSecond: number | undefined;
   /** Time at which the upstream said so. */
   readonly at: Millis;
+  /** The limit that was logged last. */
+  readonly logged: number | undefined;
 }
 
 /** Keeps the newest notice of each upstream that has named a limit, and logs each change. */
@@ -35,6 +43,16 @@
     return this.limitOf(upstream)?.perSecond;
   }
 
+  /** All limits, and those that ended lately, for other nodes. */
+  get notices(): readonly LimitNotice[] {
+    const now = this.clock.now();
+    return [...this.known].flatMap(([upstream, { born, perSecond, at }]) => {
+      const ageMs = now - at;
+      const isNews = ageMs < (perSecond === undefined ? endedMs : maxAgeMs);
+      return isNews ? [{ upstream, born, perSecond, ageMs }] : [];
+    });
+  }
+
   /** What this node knows of the limit of an upstream, for another node. */
   noticeOf(upstream: Incarnation): LimitNotice {
     const limit = this.limitOf(upstream);
@@ -48,7 +66,7 @@
 
   /**
    * Records a notice unless a newer one is known; `source` is logged with the change. Returns
-   * whether the limit has changed.
+   * whether a limit has begun or ended.
    */
   record({ upstream, born, perSecond, ageMs }: LimitNotice, source: LogFields): boolean {
     const at = this.clock.now() - ageMs;
@@ -57,13 +75,17 @@
     if (!known && perSecond === undefined) return false;
     if (ageMs >= maxAgeMs || (known && (known.born > born || known.at > at))) return false;
     if (!known) this.dropLapsed();
-    const previous = known?.born === born ? known.perSecond : undefined;
-    this.known.set(upstream, { born, perSecond, at });
-    if (perSecond === previous) return false;
-    const named = perSecond !== undefined;
-    const message = named ? 'Upstream named a limit.' : 'Upstream names no limit.';
-    this.logger.info(message, { ...source, upstream, perSecond, previous, ageMs });
-    return true;
+    const before = known?.born === born ? known : undefined;
+    const previous = before?.logged;
+    const isLogged = isChanged(previous, perSecond);
+    const logged = isLogged ? perSecond : previous;
+    this.known.set(upstream, { born, perSecond, at, logged });
+    if (isLogged) {
+      const named = perSecond !== undefined;
+      const message = named ? 'Upstream named a limit.' : 'Upstream names no limit.';
+      this.logger.info(message, { ...source, upstream, perSecond, previous, ageMs });
+    }
+    return (before?.perSecond === undefined) !== (perSecond === undefined);
   }
 
   private limitOf({ id, born }: Incarnation): KnownLimit | undefined {
@@ -77,3 +99,9 @@
     for (const [id, { at }] of this.known) if (now - at >= maxAgeMs) this.known.delete(id);
   }
 }
+
+/** Whether a limit has begun, ended or changed so much that it is worth a line. */
+function isChanged(previous: number | undefined, perSecond: number | undefined): boolean {
+  if (previous === undefined || perSecond === undefined) return previous !== perSecond;
+  return Math.abs(perSecond - previous) > previous * loggedChange;
+}
--- a/packages/pacing/src/pacer.ts
+++ b/packages/pacing/src/pacer.ts
@@ -1,5 +1,6 @@
 /** The entry's side of permits: holds requests until their upstream accepts them, or refuses them. */
 
+import { silentLogger } from '@tanagercart/base';
 import type {
   Clock,
   Logger,
@@ -23,6 +24,12 @@
 /** A node that did not answer is not asked again for this long. */
 const avoidMs: Millis = 1000;
 
+/** What responses told this node is reported to others for this long. */
+const reportMs: Millis = 2500;
+
+/** Time that news may have been under way in addition to its age. */
+const transitMs: Millis = 100;
+
 /** A permit that was not used within this time after it was due has expired. */
 const permitLifetimeMs: Millis = 300;
 
@@ -52,6 +59,8 @@
 /** Paces the requests of this entry to upstreams that have named a limit. */
 export class Pacer {
   private readonly limits: NamedLimits;
+  /** What responses to this entry told of limits, without what other nodes know. */
+  private readonly observed: NamedLimits;
   private readonly server: PermitServer;
   private readonly directory: OwnerDirectory;
   private readonly freeFrom = new Map<UpstreamId, FreeFrom>();
@@ -61,6 +70,7 @@
 
   private constructor(private readonly o: PacerOptions) {
     this.limits = NamedLimits.create(o.clock, o.logger);
+    this.observed = NamedLimits.create(o.clock, silentLogger);
     this.server = PermitServer.create(o.clock, this.limits);
     this.directory = OwnerDirectory.create(o.self);
   }
@@ -86,11 +96,24 @@
     }
     const perSecond = limit.kind === 'limited' ? limit.perSecond : undefined;
     const notice = { upstream: upstream.id, born: upstream.born, perSecond, ageMs: 0 };
+    this.observed.record(notice, {});
     const changed = this.limits.record(notice, { request });
     // The next call for a permit tells the owner of a limit; without a limit there is none.
     if (changed && limit.kind === 'unlimited') void this.tellOwner(notice);
   }
 
+  /** What responses told this entry of limits lately, for the other nodes. */
+  get reports(): readonly LimitNotice[] {
+    return this.observed.notices.filter((n) => n.ageMs < reportMs);
+  }
+
+  /** Records what other entries were told of limits. */
+  learn(notices: readonly LimitNotice[]): void {
+    for (const n of notices) {
+      this.limits.record({ ...n, ageMs: n.ageMs + transitMs }, { source: 'bulletin' });
+    }
+  }
+
   /** Time until a permit of the upstream may be free, as far as this entry knows; 0 at the least. */
   waitMsOf(upstream: Incarnation): Millis {
     if (this.limits.perSecondOf(upstream) === undefined) return 0;
--- a/packages/pacing/test/pacer.test.ts
+++ b/packages/pacing/test/pacer.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { NodeId, RequestId } from '@tanagercart/base';
+import { HeldClock, NodeId, RequestId, silentLogger } from '@tanagercart/base';
+import { NamedLimits } from '../src/index.js';
 import { PacerFleet, heldClockOf, upstream } from './fleet.js';
 
 const windowMs = 4000;
@@ -147,3 +148,18 @@
   const [node] = fleet.pacers.keys();
   assert.equal(await fleet.send(node!, 0), 'granted');
 });
+
+test('a limit that varies slightly with each response is logged once and reported as no news', () => {
+  const lines: string[] = [];
+  const info = (message: string) => {
+    lines.push(message);
+  };
+  const logger = { ...silentLogger, info };
+  const limits = NamedLimits.create(HeldClock.create(), logger);
+  const changes = [8, 8.1, 7.9, 8.2, 12].map((perSecond) =>
+    limits.record({ upstream: upstream.id, born: 1, perSecond, ageMs: 0 }, {}),
+  );
+  assert.deepEqual(changes, [true, false, false, false, false]);
+  assert.equal(lines.length, 2);
+  assert.equal(limits.perSecondOf(upstream), 12);
+});
--- a/packages/protocol/src/fleetmessage.ts
+++ b/packages/protocol/src/fleetmessage.ts
@@ -4,6 +4,7 @@
  */
 
 import type { DataCentreId, Millis, NodeId, ServiceId, UpstreamId } from '@tanagercart/base';
+import type { LimitNotice } from './permitmessage.js';
 
 /** The state of an upstream. Within one incarnation it only moves forward in this order. */
 export type UpstreamPhase = 'ready' | 'draining' | 'gone';
@@ -82,6 +83,8 @@
   readonly slow: readonly Slowness[];
   /** Parts of prompts that may crash upstreams; missing if an older leader sent the bulletin. */
   readonly suspectedParts?: readonly string[];
+  /** Limits that upstreams name or have just ceased to name; missing in bulletins of older leaders. */
+  readonly limits?: readonly LimitNotice[];
 }
 
 /** Asks the leader for changes of the state, and reports the state and load of the caller. */
@@ -90,6 +93,8 @@
   readonly entry: EntryRecord | undefined;
   readonly loads: readonly UpstreamLoad[];
   readonly suspicions: readonly Suspicion[];
+  /** What responses told the caller of limits since a short while; missing in older entries. */
+  readonly limits?: readonly LimitNotice[];
   /** Log index up to which the caller has received the state; 0 if it has none. */
   readonly since: number;
   /** Version of the caller's document; 0 if it has none. */
--- a/packages/relay/test/balancer.test.ts
+++ b/packages/relay/test/balancer.test.ts
@@ -69,7 +69,12 @@
 
   private createEntry(): Entry {
     const { clock, random } = this;
-    const view = FleetView.create({ clock, logger: silentLogger, parse: () => undefined });
+    const view = FleetView.create({
+      clock,
+      logger: silentLogger,
+      parse: () => undefined,
+      onLimits: () => undefined,
+    });
     const loads = Loads.create();
     const health = Health.create(clock);
     const isSuspected = () => false;
--- a/packages/relay/test/fixtures.ts
+++ b/packages/relay/test/fixtures.ts
@@ -118,7 +118,12 @@
   document?: PackedDocument,
 ): FleetView {
   const read = document?.read ?? (() => undefined);
-  const view = FleetView.create({ clock, logger: silentLogger, parse: read });
+  const view = FleetView.create({
+    clock,
+    logger: silentLogger,
+    parse: read,
+    onLimits: () => undefined,
+  });
   const update = {
     kind: 'update',
     index: 1,
