--- a/packages/soak/src/fault.ts
+++ b/packages/soak/src/fault.ts
@@ -65,7 +65,14 @@
   /** Removes a voter for good and starts one with an empty disk at another address. */
   | { readonly kind: 'replace'; readonly index: number }
   /** An upstream announces that it is draining, and then stops. */
-  | { readonly kind: 'leave'; readonly index: number };
+  | { readonly kind: 'leave'; readonly index: number }
+  /** An upstream names a limit of `perSecond` requests in its responses for `forMs`. */
+  | {
+      readonly kind: 'limit';
+      readonly index: number;
+      readonly perSecond: number;
+      readonly forMs: Millis;
+    };
 
 /** A fault and when it begins, in milliseconds after the start of the run's faults. */
 export interface TimedFault {
@@ -101,6 +108,23 @@
   return faults;
 }
 
+/**
+ * Draws `count` limits of upstreams between `fromMs` and `toMs`. They are drawn apart from the other
+ * faults, so that a seed keeps the faults that it had before there were limits.
+ */
+export function randomLimits(
+  random: Random,
+  { fromMs, toMs, count }: Omit<RandomFaultOptions, 'minDiskLossGapMs'>,
+): readonly TimedFault[] {
+  return Array.from({ length: count }, () => {
+    const forMs = between(random, 5000, toMs - fromMs);
+    const atMs = between(random, fromMs, toMs - forMs);
+    const perSecond = between(random, 5, 40) / 10;
+    const index = Math.floor(random.next() * 8);
+    return { atMs, fault: { kind: 'limit', index, perSecond, forMs } };
+  });
+}
+
 /** All kinds of faults; the last two lose a disk. */
 const faultKinds = [
   'kill',
