Try upstreams without a limit, however many others refuse a permit

Found by reading: an attempt that six limited upstreams had refused was itself refused, though a dearer upstream without a limit was there. Now it goes to those after six refusals.

Test: 'a request goes to an upstream without a limit, however many others have no permit'; before, refused as not run with twelve limited upstreams.

Also from reading: waits that are over are dropped, a notice of a newer incarnation always replaces that of an older one, the owner's reply to a notice is used, dead code is gone.

--- a/packages/pacing/src/namedlimits.ts
+++ b/packages/pacing/src/namedlimits.ts
@@ -73,7 +73,7 @@
     const known = this.known.get(upstream);
     // An upstream that never named a limit takes no memory.
     if (!known && perSecond === undefined) return false;
-    if (ageMs >= maxAgeMs || (known && (known.born > born || known.at > at))) return false;
+    if (ageMs >= maxAgeMs || (known && isNewer(known, born, at))) return false;
     if (!known) this.dropLapsed();
     const before = known?.born === born ? known : undefined;
     const previous = before?.logged;
@@ -100,6 +100,11 @@
   }
 }
 
+/** Whether what is known is newer than a notice of the incarnation `born` at the time `at`. */
+function isNewer(known: KnownLimit, born: number, at: Millis): boolean {
+  return known.born === born ? known.at > at : known.born > born;
+}
+
 /** Whether a limit has begun, ended or changed so much that it is worth a line. */
 function isChanged(previous: number | undefined, perSecond: number | undefined): boolean {
   if (previous === undefined || perSecond === undefined) return previous !== perSecond;
--- a/packages/pacing/src/pacer.ts
+++ b/packages/pacing/src/pacer.ts
@@ -114,9 +114,14 @@
     }
   }
 
+  /** Whether requests to the upstream need a permit. */
+  isLimited(upstream: Incarnation): boolean {
+    return this.limits.perSecondOf(upstream) !== undefined;
+  }
+
   /** Time until a permit of the upstream may be free, as far as this entry knows; 0 at the least. */
   waitMsOf(upstream: Incarnation): Millis {
-    if (this.limits.perSecondOf(upstream) === undefined) return 0;
+    if (!this.isLimited(upstream)) return 0;
     const free = this.freeFrom.get(upstream.id);
     return free?.born === upstream.born ? Math.max(0, free.at - this.o.clock.now()) : 0;
   }
@@ -128,14 +133,14 @@
   async acquire(upstream: Incarnation, maxWaitMs: Millis, stop: AbortSignal): Promise<Permit> {
     const { clock, metrics } = this.o;
     for (let tries = 0; tries < maxTries; tries += 1) {
-      if (this.limits.perSecondOf(upstream) === undefined) return { kind: 'granted' };
+      if (!this.isLimited(upstream)) return { kind: 'granted' };
       const askedAt = clock.now();
       const reply = await this.ask(upstream, maxWaitMs);
       if (reply.kind === 'unlimited') return { kind: 'granted' };
       metrics.count('permit.answered', { outcome: reply.kind });
       const { waitMs } = reply;
       if (reply.kind === 'refused') {
-        this.freeFrom.set(upstream.id, { born: upstream.born, at: clock.now() + waitMs });
+        this.recordWait(upstream, waitMs);
         return { kind: 'refused', waitMs };
       }
       await clock.sleep(waitMs, stop);
@@ -164,6 +169,13 @@
     return this.reserveOwnShare(upstream, maxWaitMs);
   }
 
+  /** Records for how long an upstream has no permits, and drops the waits that are over. */
+  private recordWait({ id, born }: Incarnation, waitMs: Millis): void {
+    const now = this.o.clock.now();
+    for (const [other, { at }] of this.freeFrom) if (at <= now) this.freeFrom.delete(other);
+    this.freeFrom.set(id, { born, at: now + waitMs });
+  }
+
   /** Takes a permit from an even share of the limit. */
   private reserveOwnShare(upstream: Incarnation, maxWaitMs: Millis): PermitReply {
     const { clock, nodes } = this.o;
@@ -179,7 +191,9 @@
   /** Tells the owner of an upstream's permits what this node knows of its limit. */
   private async tellOwner(notice: LimitNotice): Promise<void> {
     const [owner] = this.directory.ownersOf(notice.upstream, this.o.nodes());
-    if (owner !== this.o.self) await this.callNode(owner, 'notice', notice);
+    if (owner === this.o.self) return;
+    const reply = await this.callNode(owner, 'notice', notice);
+    if (reply) this.limits.record(reply, { from: owner });
   }
 
   private isAvoided(node: NodeId): boolean {
--- a/packages/pacing/src/permitserver.ts
+++ b/packages/pacing/src/permitserver.ts
@@ -33,11 +33,6 @@
     return new PermitServer(clock, limits);
   }
 
-  /** Number of schedules in use. */
-  get size(): number {
-    return this.schedules.size;
-  }
-
   /** Gives one permit to the node `from`, or refuses it. */
   handle(from: NodeId, { notice, maxWaitMs, asStandby }: PermitCall): PermitReply {
     const { clock, limits } = this;
--- a/packages/relay/src/balancer.ts
+++ b/packages/relay/src/balancer.ts
@@ -7,6 +7,7 @@
 import type { Engine } from '@tanagercart/config';
 import { findPath } from '@tanagercart/layers';
 import type { Path, RequestSize, Stage } from '@tanagercart/layers';
+import type { Pacer } from '@tanagercart/pacing';
 import type { UpstreamLoad, UpstreamRecord } from '@tanagercart/protocol';
 import type { FleetView } from '@tanagercart/fleet';
 import type { Call } from './call.js';
@@ -36,7 +37,7 @@
   /** If set, only these may receive it; later stages of a path are not restricted. */
   readonly receivers: ReadonlySet<UpstreamId> | undefined;
   /** Upstreams that may not receive it, as no permit is free; they may be later stages. */
-  readonly withoutPermit: ReadonlySet<UpstreamId>;
+  readonly withoutPermit: ReadonlySet<UpstreamId> | 'all-limited';
   /** Longest wait for a permit. */
   readonly maxWaitMs: Millis;
 }
@@ -47,8 +48,7 @@
   readonly loads: Loads;
   readonly random: Random;
   readonly dataCentre: DataCentreId;
-  /** Time until a permit to send a request to the upstream may be free. */
-  readonly permitWaitMs: (upstream: UpstreamRecord) => Millis;
+  readonly pacer: Pick<Pacer, 'isLimited' | 'waitMsOf'>;
   /** Whether other entries lately reported that the upstream is unreachable. */
   readonly isSuspected: (upstream: UpstreamRecord) => boolean;
 }
@@ -86,7 +86,7 @@
 
   /** Time until the first permit that requests to the service wait for; 0 where none waits. */
   nextPermitMs(call: Call): Millis {
-    const waits = this.ready(call).map((u) => this.o.permitWaitMs(u));
+    const waits = this.ready(call).map((u) => this.o.pacer.waitMsOf(u));
     const next = Math.min(...waits.filter((ms) => ms > 0));
     return Number.isFinite(next) ? next : 0;
   }
@@ -157,10 +157,12 @@
   }
 
   /** Wait until the upstream accepts the request; infinite where that would be too late. */
-  private entryWaitMs(upstream: UpstreamRecord, selection: Selection): Millis {
-    if (selection.withoutPermit.has(upstream.id)) return Infinity;
-    const waitMs = this.o.permitWaitMs(upstream);
-    return waitMs > selection.maxWaitMs ? Infinity : waitMs;
+  private entryWaitMs(upstream: UpstreamRecord, { withoutPermit, maxWaitMs }: Selection): Millis {
+    const { pacer } = this.o;
+    if (!pacer.isLimited(upstream)) return 0;
+    if (withoutPermit === 'all-limited' || withoutPermit.has(upstream.id)) return Infinity;
+    const waitMs = pacer.waitMsOf(upstream);
+    return waitMs > maxWaitMs ? Infinity : waitMs;
   }
 
   private ready(call: Call): readonly UpstreamRecord[] {
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -42,7 +42,7 @@
 /** Mean retry-after time of refused requests, before jitter. */
 const meanRetryAfterMs: Millis = 400;
 
-/** Most upstreams that one attempt asks for a permit. */
+/** After this many refusals of permits, an attempt goes only to upstreams without a limit. */
 const maxPermitRefusals = 6;
 
 /** From this broken attempt of a request on, each is reported as a possible crash. */
@@ -197,20 +197,22 @@
     const { call, excluded } = state;
     const { balancer, pacer } = this.o;
     const maxWaitMs = maxPermitWaitMs(call, state.delivery?.started ?? false);
-    const withoutPermit = new Set<UpstreamId>();
-    while (withoutPermit.size < maxPermitRefusals) {
+    const refused = new Set<UpstreamId>();
+    for (;;) {
       // Once the route's attempts are used up, only upstreams that may have run it get it again.
       const attemptsExhausted = state.mayHaveRun.size >= call.route.maxAttempts;
       const receivers = attemptsExhausted ? state.mayHaveRun : undefined;
+      const withoutPermit = refused.size < maxPermitRefusals ? refused : 'all-limited';
       const target = balancer.pick(call, { excluded, receivers, withoutPermit, maxWaitMs });
       if (typeof target === 'string') return target;
       const { upstream } = target;
       const permit = await pacer.acquire(upstream, maxWaitMs, stop);
-      if (stop.aborted || permit.kind === 'granted') return target;
-      withoutPermit.add(upstream.id);
-      state.log.info('No permit.', { upstream: upstream.id, waitMs: Math.round(permit.waitMs) });
+      if (stop.aborted) return target;
+      if (permit.kind === 'refused') {
+        refused.add(upstream.id);
+        state.log.info('No permit.', { upstream: upstream.id, waitMs: Math.round(permit.waitMs) });
+      } else return target;
     }
-    return 'limited';
   }
 
   /** Whether the request may be sent again; takes a retry from the budget where it needs one. */
--- a/packages/relay/test/balancer.test.ts
+++ b/packages/relay/test/balancer.test.ts
@@ -78,8 +78,8 @@
     const loads = Loads.create();
     const health = Health.create(clock);
     const isSuspected = () => false;
-    const permitWaitMs = () => 0;
-    const rest = { view, health, loads, random, dataCentre: north, isSuspected, permitWaitMs };
+    const pacer = { isLimited: () => false, waitMsOf: () => 0 };
+    const rest = { view, health, loads, random, dataCentre: north, isSuspected, pacer };
     return { view, loads, balancer: Balancer.create(rest), reported: [] };
   }
 
--- a/packages/relay/test/fixtures.ts
+++ b/packages/relay/test/fixtures.ts
@@ -181,8 +181,7 @@
   const suspected = new Set(parts.suspected ?? []);
   const metrics = parts.metrics ?? StatsdMetrics.create();
   const pacer = Pacer.create({ ...(parts.peers ?? aloneOn(clock)), clock, logger, metrics });
-  const permitWaitMs = (upstream: UpstreamRecord) => pacer.waitMsOf(upstream);
-  const balancerParts = { view, health, loads, random, dataCentre, isSuspected, permitWaitMs };
+  const balancerParts = { view, health, loads, random, dataCentre, isSuspected, pacer };
   const balancer = Balancer.create(balancerParts);
   const relay = Relay.create({
     clock,
@@ -211,7 +210,7 @@
       },
     },
   });
-  return { relay, balancer, loads, crashes, partCrashes, answeredParts, suspected };
+  return { relay, balancer, pacer, loads, crashes, partCrashes, answeredParts, suspected };
 }
 
 /** Records what a caller is sent. */
--- a/packages/relay/test/namedlimit.test.ts
+++ b/packages/relay/test/namedlimit.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { ok } from 'neverthrow';
-import { HeldClock, NodeId, RequestId, SeededRandom } from '@tanagercart/base';
+import { DataCentreId, HeldClock, NodeId, RequestId, SeededRandom } from '@tanagercart/base';
 import type { Clock, Millis } from '@tanagercart/base';
 import { engine as engineOf } from '@tanagercart/layers/test';
 import { MemoryNetwork } from '@tanagercart/protocol';
@@ -146,7 +146,10 @@
   const stageAt = (id: string, from: number, to: number) =>
     upstreamOf(id, { accelerator: 'large', layers: { from, to } });
   const view = viewOf(clock, [stageAt('first', 0, 10), stageAt('both', 0, 20)]);
-  const { balancer } = relayOf({ clock, view, client: new FakeClient([]) });
+  const { balancer, pacer } = relayOf({ clock, view, client: new FakeClient([]) });
+  for (const id of ['first', 'both']) {
+    pacer.record(RequestId('r'), upstreamOf(id), { kind: 'limited', perSecond: 1 });
+  }
   const call = callOf('resumable-stream', { service });
   const withoutPermit = new Set([upstreamOf('both').id]);
   const target = balancer.pick(call, selectionOf({ withoutPermit }));
@@ -158,3 +161,16 @@
   const none = new Set([...withoutPermit, upstreamOf('first').id]);
   assert.equal(balancer.pick(call, selectionOf({ withoutPermit: none })), 'limited');
 });
+
+test('a request goes to an upstream without a limit, however many others have no permit', async () => {
+  const clock = HeldClock.create();
+  const limited = Array.from({ length: 12 }, (_, i) => upstreamOf(`limited-${i}`));
+  const remote = upstreamOf('remote', { dataCentre: DataCentreId('south') });
+  const view = viewOf(clock, [...limited, remote]);
+  const client = new FakeClient([{ kind: 'answer', status: 200, chunks: ['figs'] }]);
+  const { relay, pacer } = relayOf({ clock, view, client });
+  for (const u of limited) pacer.record(RequestId('r'), u, { kind: 'limited', perSecond: 0.5 });
+  const caller = new FakeCaller();
+  await relay.serve(callOf('idempotent'), caller);
+  assert.equal(caller.received, '200 figs ended');
+});
