Do not send a request to an upstream that left while it waited for a permit

Found by reading: a request may wait for a permit for up to a second, and its target is picked before. An upstream that announced in this time that it leaves still got it, within the time that is allowed but for nothing. Now the target is picked anew.

Test: 'a request that waits for a permit is not sent to an upstream that leaves meanwhile', failed before.

--- a/packages/relay/src/balancer.ts
+++ b/packages/relay/src/balancer.ts
@@ -91,6 +91,12 @@
     return Number.isFinite(next) ? next : 0;
   }
 
+  /** Whether an upstream that was picked may still receive requests. */
+  isReady({ id, born }: UpstreamRecord): boolean {
+    const record = this.o.view.upstreams.get(id);
+    return record?.born === born && record.phase === 'ready';
+  }
+
   /** The upstream at an address, unless it is gone. */
   upstreamAt(address: string): UpstreamRecord | undefined {
     return [...this.o.view.upstreams.values()].find(
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -211,7 +211,7 @@
       if (permit.kind === 'refused') {
         refused.add(upstream.id);
         state.log.info('No permit.', { upstream: upstream.id, waitMs: Math.round(permit.waitMs) });
-      } else return target;
+      } else if (balancer.isReady(upstream)) return target;
     }
   }
 
--- a/packages/relay/test/namedlimit.test.ts
+++ b/packages/relay/test/namedlimit.test.ts
@@ -9,6 +9,7 @@
 import {
   FakeCaller,
   FakeClient,
+  bulletinOf,
   callOf,
   desk,
   relayOf,
@@ -162,6 +163,28 @@
   assert.equal(balancer.pick(call, selectionOf({ withoutPermit: none })), 'limited');
 });
 
+test('a request that waits for a permit is not sent to an upstream that leaves meanwhile', async () => {
+  const clock = HeldClock.create();
+  const view = viewOf(clock, [upstreamOf('one')]);
+  const client = new FakeClient([{ kind: 'answer', status: 200, chunks: ['figs'] }]);
+  const { relay, pacer } = relayOf({ clock, view, client });
+  pacer.record(RequestId('r'), upstreamOf('one'), { kind: 'limited', perSecond: 8 });
+  const caller = new FakeCaller();
+  const served = relay.serve(callOf('non-idempotent', { priority: 0 }), caller);
+  await clock.advance(100);
+  assert.equal(client.sent.length, 0, 'the permit is due after 125 ms');
+  const upstreams = [upstreamOf('one', { phase: 'draining' }), upstreamOf('two')];
+  const update = { kind: 'update', index: 2, whole: false, document: undefined } as const;
+  view.apply({ ...update, quarantined: [], bulletin: bulletinOf(), upstreams }, 0, []);
+  await clock.advance(100);
+  await served;
+  assert.deepEqual(
+    client.sent.map((a) => a.upstream.id),
+    ['two'],
+  );
+  assert.equal(caller.received, '200 figs ended');
+});
+
 test('a request goes to an upstream without a limit, however many others have no permit', async () => {
   const clock = HeldClock.create();
   const limited = Array.from({ length: 12 }, (_, i) => upstreamOf(`limited-${i}`));
