--- a/packages/relay/test/namedlimit.test.ts
+++ b/packages/relay/test/namedlimit.test.ts
@@ -173,9 +173,9 @@
   const served = relay.serve(callOf('non-idempotent', { priority: 0 }), caller);
   await clock.advance(100);
   assert.equal(client.sent.length, 0, 'the permit is due after 125 ms');
-  const upstreams = [upstreamOf('one', { phase: 'draining' }), upstreamOf('two')];
+  const records = [upstreamOf('one', { phase: 'draining' }), upstreamOf('two')];
   const update = { kind: 'update', index: 2, whole: false, document: undefined } as const;
-  view.apply({ ...update, quarantined: [], bulletin: bulletinOf(), upstreams }, 0, []);
+  view.apply({ ...update, quarantined: [], bulletin: bulletinOf(), upstreams: records }, 0, []);
   await clock.advance(100);
   await served;
   assert.deepEqual(
