--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -27,6 +27,7 @@
   'relay',
   'capacity',
   'logging',
+  'permits',
 ];
 
 async function main(args: readonly string[]): Promise<number> {
--- a/packages/protocol/test/tcp.test.ts
+++ b/packages/protocol/test/tcp.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { NodeId, SystemClock, silentLogger } from '@tanagercart/base';
+import { holdUp } from '@tanagercart/base/test';
 import { TcpTransport } from '../src/index.js';
 
 const a = NodeId('a');
@@ -56,12 +57,6 @@
   await Promise.all([one.close(), two.close()]);
 });
 
-/** Keeps the event loop from running for `ms`. */
-function holdUp(ms: number): void {
-  const end = performance.now() + ms;
-  while (performance.now() < end);
-}
-
 test('a reply that arrived while the caller was held up is not taken for a timeout', async () => {
   const ports = new Map<NodeId, number>();
   const [one, two] = [await listeningTransport(a, ports), await listeningTransport(b, ports)];
