--- a/packages/pacing/test/fleet.ts
+++ b/packages/pacing/test/fleet.ts
@@ -77,12 +77,6 @@
       await this.clock.advance(1000 / perSecond);
     }
   }
-
-  /** The most requests sent within `windowMs` after `from`. */
-  mostWithin(windowMs: Millis, from: Millis): number {
-    const sent = this.sentAt.filter((at) => at >= from);
-    return Math.max(0, ...sent.map((t) => sent.filter((s) => s > t - windowMs && s <= t).length));
-  }
 }
 
 /** The clock of a fleet as an object that a test can vary. */
--- a/packages/pacing/test/pacer.test.ts
+++ b/packages/pacing/test/pacer.test.ts
@@ -3,13 +3,7 @@
 import { HeldClock, NodeId, RequestId, silentLogger } from '@tanagercart/base';
 import { NamedLimits } from '../src/index.js';
 import { PacerFleet, heldClockOf, upstream } from './fleet.js';
-
-const windowMs = 4000;
-
-/** Most requests that an upstream with a limit may get in a window. */
-function allowed(perSecond: number): number {
-  return (perSecond * 1.5 * windowMs) / 1000 + 5;
-}
+import { allowedRequests, mostInWindow } from './limitrule.js';
 
 /** Least requests that entries should send in that time if there are more than enough. */
 function expected(perSecond: number, forMs: number): number {
@@ -27,8 +21,8 @@
     const fleet = new PacerFleet(count);
     fleet.name({ kind: 'limited', perSecond });
     await fleet.offer(60, 20_000, 150);
-    const most = fleet.mostWithin(windowMs, 0);
-    assert.ok(most <= allowed(perSecond), `${most} requests in 4 s`);
+    const most = mostInWindow(fleet.sentAt);
+    assert.ok(most <= allowedRequests(perSecond), `${most} requests in 4 s`);
     assert.ok(fleet.sentAt.length >= expected(perSecond, 20_000), `${fleet.sentAt.length} in all`);
   });
 }
@@ -42,8 +36,8 @@
   await fleet.offer(40, 3000, 150);
   fleet.unlist(owner!);
   await fleet.offer(40, 6000, 150);
-  const most = fleet.mostWithin(windowMs, 0);
-  assert.ok(most <= allowed(8), `${most} requests in 4 s`);
+  const most = mostInWindow(fleet.sentAt);
+  assert.ok(most <= allowedRequests(8), `${most} requests in 4 s`);
   const whileDown = fleet.sentAt.filter((at) => at > 6500 && at < 9000).length;
   assert.ok(whileDown >= 8, `${whileDown} requests while the owner was down`);
 });
@@ -55,8 +49,8 @@
   for (const node of others.slice(0, 4)) fleet.network.cut(node, owner!);
   fleet.name({ kind: 'limited', perSecond: 8 });
   await fleet.offer(40, 20_000, 150);
-  const most = fleet.mostWithin(windowMs, 0);
-  assert.ok(most <= allowed(8), `${most} requests in 4 s`);
+  const most = mostInWindow(fleet.sentAt);
+  assert.ok(most <= allowedRequests(8), `${most} requests in 4 s`);
 });
 
 test('an entry that reaches no other entry uses its share of a limit', async () => {
@@ -101,8 +95,11 @@
   const fleet = new PacerFleet(8);
   fleet.name({ kind: 'limited', perSecond: 0 });
   await fleet.offer(40, 20_000, 150);
-  const most = fleet.mostWithin(windowMs, 0);
-  assert.ok(fleet.sentAt.length >= 3 && most <= allowed(0), `${fleet.sentAt.length}, ${most}`);
+  const most = mostInWindow(fleet.sentAt);
+  assert.ok(
+    fleet.sentAt.length >= 3 && most <= allowedRequests(0),
+    `${fleet.sentAt.length}, ${most}`,
+  );
 });
 
 test('requests that may wait for longer get permits before those that may not', async () => {
--- a/packages/relay/test/namedlimit.test.ts
+++ b/packages/relay/test/namedlimit.test.ts
@@ -4,6 +4,7 @@
 import { DataCentreId, HeldClock, NodeId, RequestId, SeededRandom } from '@tanagercart/base';
 import type { Clock, Millis } from '@tanagercart/base';
 import { engine as engineOf } from '@tanagercart/layers/test';
+import { allowedRequests, contactMs, mostInWindow, reactionMs } from '@tanagercart/pacing/test';
 import { MemoryNetwork } from '@tanagercart/protocol';
 import type { Attempt, Call, UpstreamClient, UpstreamResponse } from '../src/index.js';
 import {
@@ -22,9 +23,6 @@
 
 const workMs: Millis = 50;
 
-/** Time for which the limit is spread, length of a window, and delay after an entry was told. */
-const [contactMs, windowMs, reactionMs] = [3000, 4000, 500];
-
 /** A request that an upstream received. */
 interface Arrival {
   readonly upstream: string;
@@ -77,10 +75,7 @@
     const counted = this.arrivals
       .filter((a) => a.upstream === upstream && a.at < this.to && a.at >= told(a) + reactionMs)
       .map((a) => a.at);
-    const judged = counted.filter((at) => at >= this.from + contactMs);
-    const inWindow = (end: Millis) => counted.filter((a) => a > end - windowMs && a <= end).length;
-    const allowed = (this.limits[upstream]! * 1.5 * windowMs) / 1000 + 5;
-    return Math.max(0, ...judged.map(inWindow)) - allowed;
+    return mostInWindow(counted, this.from + contactMs) - allowedRequests(this.limits[upstream]!);
   }
 }
 
