--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -15,5 +15,6 @@
 export * from './parthistory.js';
 export * from './partwatch.js';
 export * from './quarantine.js';
+export * from './fleetquarantine.js';
 export * from './requestlog.js';
 export * from './relay.js';
--- a/packages/relay/test/fixtures.ts
+++ b/packages/relay/test/fixtures.ts
@@ -23,6 +23,7 @@
   Call,
   Caller,
   ProbeResult,
+  Quarantine,
   Refusal,
   ResponseHead,
   Selection,
@@ -147,6 +148,8 @@
   /** Slack of the retry budget. */
   readonly slack?: number;
   readonly quarantined?: readonly string[];
+  /** Takes the place of the quarantine that only records what it is told. */
+  readonly quarantine?: Quarantine;
   /** Parts of prompts that the leader suspects. */
   readonly suspected?: readonly string[];
   /** The node, its connection to the other entries, and all entries; one alone by default. */
@@ -194,7 +197,7 @@
     budget: RetryBudget.create(clock, { ratio: 0, slack, windowMs: 10_000 }, () => 1),
     metrics,
     pacer,
-    quarantine: {
+    quarantine: parts.quarantine ?? {
       isEmpty: () => quarantined.length === 0,
       has: (fingerprint) => quarantined.includes(fingerprint),
       recordCrash: (fingerprint) => {
@@ -294,7 +297,8 @@
   }
 }
 
-function responseOf(
+/** A response with the given body, which breaks off at its end if `cut` is set. */
+export function responseOf(
   status: number,
   chunks: readonly string[],
   notRun = false,
