Reproduce that callers of an entry without links to upstreams are not served

The record: at each of the five entries every attempt ends as 'connect timeout' after 300 ms, four times, and the request is refused after 1.2 s; no line of any other kind. So such an entry goes on taking requests and has no other way to an upstream than its own links. What it reports of them to the leader, that they cannot be reached, made the leader move the layers of sound upstreams (five times 'Placing layers.' from 6.0 to 13.5 s). Ruled out: an overload (no entry held up), the leader (reached all the while), the others' share of the traffic.

The soak of the programs gets that fault: the links of an entry to all upstreams hang, are reset or are refused, while all else reaches it, with the users' rule as the check.

--- a/packages/soak/src/fault.ts
+++ b/packages/soak/src/fault.ts
@@ -64,6 +64,16 @@
   | { readonly kind: 'wipe'; readonly index: number; readonly downMs: Millis }
   /** Removes a voter for good and starts one with an empty disk at another address. */
   | { readonly kind: 'replace'; readonly index: number }
+  /**
+   * An entry loses its links to all upstreams for `forMs`; callers and other programs reach it. New
+   * connections hang, or are refused; open ones hang, are reset, or live on.
+   */
+  | {
+      readonly kind: 'detach';
+      readonly index: number;
+      readonly how: 'hang' | 'reset' | 'refuse';
+      readonly forMs: Millis;
+    }
   /** An upstream announces that it is draining, and then stops. */
   | { readonly kind: 'leave'; readonly index: number }
   /** An upstream names a limit of `perSecond` requests in its responses for `forMs`. */
@@ -125,6 +135,23 @@
   });
 }
 
+/**
+ * Draws `count` entries that lose their links to all upstreams between `fromMs` and `toMs`, apart
+ * from the other faults, as `randomLimits` does.
+ */
+export function randomDetachments(
+  random: Random,
+  { fromMs, toMs, count }: Omit<RandomFaultOptions, 'minDiskLossGapMs'>,
+): readonly TimedFault[] {
+  return Array.from({ length: count }, () => {
+    const forMs = between(random, 4000, Math.max(4000, toMs - fromMs));
+    const atMs = between(random, fromMs, Math.max(fromMs, toMs - forMs));
+    const how = pick(random, ['hang', 'reset', 'refuse'] as const);
+    const index = Math.floor(random.next() * 8);
+    return { atMs, fault: { kind: 'detach', index, how, forMs } };
+  });
+}
+
 /** All kinds of faults; the last two lose a disk. */
 const faultKinds = [
   'kill',
--- a/packages/soak/src/proxy.ts
+++ b/packages/soak/src/proxy.ts
@@ -78,9 +78,15 @@
 
   /** Resets the open connections of an address. */
   reset(address: string): void {
-    for (const { inbound, outbound } of this.connectionsOf(address)) {
-      inbound.resetAndDestroy();
-      outbound.resetAndDestroy();
+    for (const connection of this.connectionsOf(address)) resetConnection(connection);
+  }
+
+  /** Stops forwarding on the open connections from an address to others, or resets them. */
+  detach(from: string, to: ReadonlySet<string>, how: 'hang' | 'reset'): void {
+    for (const connection of this.connections) {
+      if (connection.from !== from || !to.has(connection.to)) continue;
+      if (how === 'reset') resetConnection(connection);
+      else connection.blackholed = true;
     }
   }
 
@@ -157,6 +163,11 @@
   }
 }
 
+function resetConnection({ inbound, outbound }: Connection): void {
+  inbound.resetAndDestroy();
+  outbound.resetAndDestroy();
+}
+
 /** Resolves once a socket accepts more bytes, or is closed. */
 function waitForDrain(socket: Socket): Promise<void> {
   return new Promise((resolve) => {
--- a/packages/soak/src/shim.ts
+++ b/packages/soak/src/shim.ts
@@ -18,6 +18,9 @@
   readonly syncMs: number;
   /** Whether writes to files fail for lack of space. */
   readonly full: boolean;
+  /** Addresses to which connections cannot be opened, and what becomes of the attempts. */
+  readonly unreachable?:
+    { readonly addresses: readonly string[]; readonly how: 'hang' | 'refuse' } | undefined;
 }
 
 /** Interval at which the control file is read, in milliseconds. */
@@ -44,14 +47,29 @@
 const dateNow = Date.now;
 Date.now = () => dateNow() + faults.clockMs;
 
+/** A port at which nothing listens. */
+const closedPort = 1;
+
 interface ConnectTarget {
   host?: string;
+  port?: number;
   localAddress?: string;
 }
 
-const { connect } = net.Socket.prototype;
-net.Socket.prototype.connect = function connectThroughProxy(this: net.Socket, ...args: unknown[]) {
+const { connect } = net.Socket.prototype as { connect: (...args: never[]) => net.Socket };
+net.Socket.prototype.connect = function connectThroughProxy(
+  this: net.Socket & { connecting: boolean },
+  ...args: unknown[]
+) {
   const options = (Array.isArray(args[0]) ? args[0][0] : args[0]) as ConnectTarget;
+  const { unreachable } = faults;
+  if (unreachable?.addresses.includes(options.host ?? '')) {
+    if (unreachable.how === 'hang') {
+      this.connecting = true;
+      return this;
+    }
+    options.port = closedPort;
+  }
   const proxied = proxyAddress(options.host ?? '');
   if (proxied !== options.host) {
     options.host = proxied;
