Reach upstreams over another entry where the own link is lost

Cause: an entry has its own links only. It went on taking requests, tried four upstreams for 300 ms each and refused; and it told the leader that all upstreams could not be reached, which then moved the layers of sound ones. The class of fault: what one node sees is taken for the state of another.

Now an entry that does not get a connection to an upstream within 100 ms asks another entry for a tunnel (HTTP CONNECT, at a port for peers), which only connects to upstreams of its own view. With two upstreams that others reach and it does not, an entry counts as detached: it connects over others at once, tries its own links once a second beside that, tells the leader so, is not asked by others, and its word on upstreams is not passed on. A stream whose connection hangs on a broken link is resumed, and its upstream not held to have failed. Tunnels serve one request, a reset passes through them, and an answer without a length that comes through one is not taken for whole. An entry that stops waits for the tunnels over it.

Ruled out: taking such an entry off the list of callers (they keep addresses for up to 15 s, and all entries of a data centre may be cut off); passing the request on to another entry (it would be admitted, counted and retried twice).

--- a/packages/base/src/random.ts
+++ b/packages/base/src/random.ts
@@ -9,6 +9,12 @@
 /** The random numbers of the JavaScript engine. */
 export const systemRandom: Random = { next: () => Math.random() };
 
+/** Returns the values in random order. */
+export function shuffle<T>(values: readonly T[], random: Random): readonly T[] {
+  const keyed = values.map((value) => ({ value, key: random.next() }));
+  return keyed.sort((a, b) => a.key - b.key).map(({ value }) => value);
+}
+
 /** A seeded generator (mulberry32); equal seeds give equal sequences. */
 export class SeededRandom implements Random {
   private constructor(private state: number) {}
--- a/packages/fleet/src/liveness.ts
+++ b/packages/fleet/src/liveness.ts
@@ -190,12 +190,13 @@
     return this.clock.now() - (this.upstreamSeen.get(id)?.at ?? this.startedAt);
   }
 
-  /** Records the state of an entry; returns whether its phase is new or it had been silent. */
+  /** Records the state of an entry; returns whether it is a new one or it had been silent. */
   private recordEntryState(from: NodeId, { entry, loads }: WatchCall, now: Millis): boolean {
     if (!entry) return false;
     const known = this.entrySeen.get(from);
     this.entrySeen.set(from, { entry, at: now, loads });
-    return known?.entry.phase !== entry.phase || now - known.at > entryTimeoutMs;
+    if (!known || now - known.at > entryTimeoutMs) return true;
+    return known.entry.phase !== entry.phase || known.entry.isDetached !== entry.isDetached;
   }
 
   /**
--- a/packages/protocol/src/fleetmessage.ts
+++ b/packages/protocol/src/fleetmessage.ts
@@ -47,6 +47,8 @@
   readonly dataCentre: DataCentreId;
   readonly address: string;
   readonly phase: EntryPhase;
+  /** Whether it has lost its own links to upstreams; missing in older entries. */
+  readonly isDetached?: boolean;
 }
 
 /** The load that requests in progress cause at an upstream. */
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -10,6 +10,7 @@
 export * from './transport.js';
 export * from './frame.js';
 export * from './tcp.js';
+export * from './tunnel.js';
 export * from './memorynetwork.js';
 export * from './gatemessage.js';
 export * from './limitmessage.js';
--- /dev/null
+++ b/packages/protocol/src/tunnel.ts
@@ -0,0 +1,157 @@
+/**
+ * Tunnels between nodes: a node connects to an address on behalf of a peer that cannot reach it
+ * itself (HTTP CONNECT, RFC 9110), and passes the bytes on both ways.
+ */
+
+import { createServer, request as httpRequest } from 'node:http';
+import type { Server } from 'node:http';
+import { createConnection } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+import { startTimer } from '@tanagercart/base';
+
+/** Time for the server of a tunnel to connect to the target, in milliseconds. */
+const targetTimeoutMs = 200;
+
+/** Silence after which the operating system probes both connections of a tunnel. */
+const keepAliveMs = 2000;
+
+/** Why a tunnel was not opened. */
+export type TunnelError =
+  /** The peer was not reached, or has no tunnels. */
+  | { readonly kind: 'no-peer'; readonly detail: string }
+  /** The peer did not reach the target, or does not connect to it. */
+  | { readonly kind: 'no-target'; readonly detail: string };
+
+/** An address as `host:port`. */
+interface Endpoint {
+  readonly host: string;
+  readonly port: number;
+}
+
+/** Accepts the tunnels of peers. */
+export class TunnelServer {
+  private readonly server: Server;
+  private readonly tunnels = new Set<Socket>();
+
+  /** `isAllowed` tells whether peers may connect to an address, given as `host:port`. */
+  private constructor(isAllowed: (target: string) => boolean) {
+    this.server = createServer((_, response) => {
+      response.writeHead(405, { Connection: 'close' });
+      response.end();
+    });
+    this.server.on('connect', (request, stream, head: Buffer) => {
+      const target = request.url ?? '';
+      if (isAllowed(target)) this.connect(target, stream as Socket, head);
+      else refuse(stream as Socket, '403 Forbidden');
+    });
+    this.server.on('clientError', (_, socket) => socket.destroy());
+  }
+
+  static create(isAllowed: (target: string) => boolean): TunnelServer {
+    return new TunnelServer(isAllowed);
+  }
+
+  /** Number of open tunnels. */
+  get active(): number {
+    return this.tunnels.size;
+  }
+
+  /** Starts to accept tunnels; resolves with the port, which `port` 0 leaves to the system. */
+  listen(host: string, port: number): Promise<Result<number, Error>> {
+    return new Promise((resolve) => {
+      this.server.once('error', (e) => resolve(err(e)));
+      this.server.listen(port, host, () =>
+        resolve(ok((this.server.address() as AddressInfo).port)),
+      );
+    });
+  }
+
+  /** Accepts no more tunnels; open ones stay until one of their ends closes. */
+  close(): void {
+    this.server.close();
+  }
+
+  private connect(target: string, client: Socket, head: Buffer): void {
+    const upstream = createConnection({
+      ...endpointOf(target),
+      noDelay: true,
+      allowHalfOpen: true,
+    });
+    const cancelTimeout = startTimer(targetTimeoutMs, () => upstream.destroy(new Error('timeout')));
+    const fail = () => refuse(client, '502 Bad Gateway');
+    upstream.once('error', fail);
+    upstream.once('close', cancelTimeout);
+    client.once('error', () => upstream.destroy());
+    upstream.once('connect', () => {
+      cancelTimeout();
+      upstream.off('error', fail);
+      this.tunnels.add(client);
+      client.once('close', () => this.tunnels.delete(client));
+      client.write('HTTP/1.1 200 Connected\r\n\r\n');
+      if (head.length > 0) upstream.write(head);
+      join(client, upstream);
+    });
+  }
+}
+
+/** Opens a tunnel over a peer to `target`, an address as `host:port`. */
+export function openTunnel(
+  peer: Endpoint,
+  target: string,
+  timeoutMs: number,
+): Promise<Result<Socket, TunnelError>> {
+  return new Promise((resolve) => {
+    const request = httpRequest({ ...peer, method: 'CONNECT', path: target, agent: false });
+    const cancelTimeout = startTimer(timeoutMs, () => request.destroy(new Error('timeout')));
+    const fail = (error: TunnelError) => {
+      cancelTimeout();
+      resolve(err(error));
+    };
+    request.once('error', (e) => fail({ kind: 'no-peer', detail: e.message }));
+    request.once('response', (response) => {
+      response.resume();
+      fail({ kind: 'no-peer', detail: `status ${response.statusCode}` });
+    });
+    request.once('connect', (response, stream, head: Buffer) => {
+      const socket = stream;
+      if (response.statusCode !== 200) {
+        socket.destroy();
+        fail({ kind: 'no-target', detail: `status ${response.statusCode}` });
+        return;
+      }
+      cancelTimeout();
+      socket.setNoDelay(true);
+      if (head.length > 0) socket.unshift(head);
+      resolve(ok(socket));
+    });
+    request.end();
+  });
+}
+
+/** Passes bytes both ways. A reset of one connection resets the other, so that it shows. */
+function join(a: Socket, b: Socket): void {
+  for (const [from, to] of [
+    [a, b],
+    [b, a],
+  ] as const) {
+    from.setNoDelay(true);
+    from.setKeepAlive(true, keepAliveMs);
+    from.pipe(to);
+    from.on('error', () => to.resetAndDestroy());
+    from.once('close', () => {
+      if (!from.readableEnded) to.resetAndDestroy();
+    });
+  }
+}
+
+function refuse(client: Socket, status: string): void {
+  client.on('error', () => undefined);
+  client.end(`HTTP/1.1 ${status}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`);
+}
+
+function endpointOf(target: string): Endpoint {
+  const colon = target.lastIndexOf(':');
+  return { host: target.slice(0, colon), port: Number(target.slice(colon + 1)) };
+}
--- /dev/null
+++ b/packages/protocol/test/tunnel.test.ts
@@ -0,0 +1,120 @@
+import assert from 'node:assert/strict';
+import { once } from 'node:events';
+import { createConnection, createServer } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
+import { test } from 'node:test';
+import { setTimeout } from 'node:timers/promises';
+import { TunnelServer, openTunnel } from '../src/index.js';
+
+const host = '127.0.0.1';
+
+/** A server that calls `serve` with each connection, and a tunnel server that may connect to it. */
+async function start(serve: (socket: Socket) => void, isAllowed = () => true) {
+  const target = createServer({ allowHalfOpen: true }, (socket) => {
+    socket.on('error', () => undefined);
+    serve(socket);
+  });
+  target.listen(0, host);
+  await once(target, 'listening');
+  const { port } = target.address() as AddressInfo;
+  const tunnels = TunnelServer.create(isAllowed);
+  const peer = { host, port: (await tunnels.listen(host, 0))._unsafeUnwrap() };
+  const close = () => {
+    target.close();
+    tunnels.close();
+  };
+  return { tunnels, peer, address: `${host}:${port}`, close };
+}
+
+async function textOf(socket: Socket): Promise<string> {
+  let text = '';
+  for await (const chunk of socket) text += String(chunk);
+  return text;
+}
+
+test('bytes pass both ways, and each end shows at the other side', async () => {
+  const { tunnels, peer, address, close } = await start((socket) => {
+    let text = '';
+    socket.on('data', (bytes) => {
+      text += String(bytes);
+    });
+    socket.on('end', () => socket.end(`got ${text}`));
+  });
+  const socket = (await openTunnel(peer, address, 1000))._unsafeUnwrap();
+  assert.equal(tunnels.active, 1);
+  const answer = textOf(socket);
+  socket.end('figs');
+  assert.equal(await answer, 'got figs');
+  close();
+});
+
+test('a reset of the target resets the tunnel, so that no answer looks complete', async () => {
+  const { peer, address, close } = await start((socket) => {
+    socket.write('half');
+    socket.once('data', () => socket.resetAndDestroy());
+  });
+  const socket = (await openTunnel(peer, address, 1000))._unsafeUnwrap();
+  socket.write('go on');
+  await assert.rejects(textOf(socket), { code: 'ECONNRESET' });
+  close();
+});
+
+test('the end of the client closes the connection to the target', async () => {
+  let onClosed = () => undefined as void;
+  const closed = new Promise<void>((resolve) => {
+    onClosed = resolve;
+  });
+  const { tunnels, peer, address, close } = await start((socket) => {
+    socket.once('close', onClosed);
+    socket.once('end', () => socket.end());
+    socket.resume();
+  });
+  const socket = (await openTunnel(peer, address, 1000))._unsafeUnwrap();
+  socket.destroy();
+  await closed;
+  while (tunnels.active > 0) await setTimeout(5);
+  close();
+});
+
+test('a target that refuses, or that peers may not connect to, is told from a lost peer', async () => {
+  const open = await start(() => undefined);
+  const refusing = (await openTunnel(open.peer, `${host}:1`, 1000))._unsafeUnwrapErr();
+  assert.equal(refusing.kind, 'no-target');
+  open.close();
+  const closed = await start(
+    () => undefined,
+    () => false,
+  );
+  const forbidden = (await openTunnel(closed.peer, closed.address, 1000))._unsafeUnwrapErr();
+  assert.equal(forbidden.kind, 'no-target');
+  closed.close();
+  const lost = (await openTunnel({ host, port: 1 }, closed.address, 1000))._unsafeUnwrapErr();
+  assert.equal(lost.kind, 'no-peer');
+});
+
+test('a peer that does not answer in time is lost', async () => {
+  const silent = createServer((socket) => {
+    socket.on('error', () => undefined);
+  });
+  silent.listen(0, host);
+  await once(silent, 'listening');
+  const { port } = silent.address() as AddressInfo;
+  const result = await openTunnel({ host, port }, `${host}:9`, 50);
+  assert.equal(result._unsafeUnwrapErr().kind, 'no-peer');
+  silent.close();
+});
+
+test('malformed requests for a tunnel end no other tunnel', async () => {
+  const { peer, address, close } = await start((socket) => socket.pipe(socket));
+  const sound = (await openTunnel(peer, address, 1000))._unsafeUnwrap();
+  for (const text of ['CONNECT\r\n\r\n', 'GET / HTTP/1.1\r\nHost: x\r\n\r\n', '\0\0\r\n\r\n']) {
+    const socket = createConnection(peer);
+    socket.on('error', () => undefined);
+    socket.write(text);
+    socket.resume();
+    await once(socket, 'close');
+  }
+  sound.end('figs');
+  assert.equal(await textOf(sound), 'figs');
+  close();
+});
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -4,6 +4,8 @@
 export * from './loads.js';
 export * from './estimate.js';
 export * from './health.js';
+export * from './directlinks.js';
+export * from './connector.js';
 export * from './budget.js';
 export * from './balancer.js';
 export * from './retry.js';
--- a/packages/relay/src/outcome.ts
+++ b/packages/relay/src/outcome.ts
@@ -20,6 +20,8 @@
       readonly culprit?: string;
       /** Whether the upstream that caused the failure could not be reached. */
       readonly unreachable?: boolean;
+      /** Whether the way to the upstream failed, and not the upstream. */
+      readonly isPathAtFault?: boolean;
       /** The error response of the upstream, if it sent one. */
       readonly response?: CompleteResponse;
     };
@@ -54,6 +56,13 @@
         detail: 'the upstream is not reached',
         unreachable: true,
       };
+    case 'cut-off':
+      return {
+        kind: 'failed',
+        failure: 'silent',
+        detail: 'the own link to the upstream is broken',
+        isPathAtFault: true,
+      };
     case 'silent':
       return { kind: 'failed', failure: 'silent', detail: 'no answer' };
     default:
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -338,6 +338,7 @@
       const { events } = state;
       state.mayCrashAgain = this.crashes.recordBreak(state.call, upstream, events, tookMs);
     }
+    if (outcome.isPathAtFault) return;
     const culprit = address === undefined ? undefined : this.o.balancer.upstreamAt(address);
     const failedUpstream = culprit ?? upstream;
     excluded.add(failedUpstream.id);
--- a/packages/relay/src/stall.ts
+++ b/packages/relay/src/stall.ts
@@ -14,6 +14,8 @@
   | { readonly kind: 'waiting' }
   /** It waits for a stage that it cannot reach. */
   | { readonly kind: 'blocked'; readonly address: string }
+  /** It is up, but the connection of the attempt is over a link that is broken. */
+  | { readonly kind: 'cut-off' }
   /** The upstream does not respond to the probe. */
   | { readonly kind: 'unreachable' };
 
--- a/packages/relay/test/fixtures.ts
+++ b/packages/relay/test/fixtures.ts
@@ -209,7 +209,7 @@
       },
     },
   });
-  return { relay, balancer, pacer, loads, crashes, answered, suspected };
+  return { relay, balancer, health, pacer, loads, crashes, answered, suspected };
 }
 
 /** Records what a caller is sent. */
--- a/packages/relay/test/relay.test.ts
+++ b/packages/relay/test/relay.test.ts
@@ -177,6 +177,18 @@
   assert.equal(later.sent.length, 0);
 });
 
+test('an attempt whose link broke is resumed, and its upstream is not held to have failed', async () => {
+  const client = new FakeClient([{ kind: 'hang' }, { ...success, chunks: [events(1, 3)] }]);
+  client.probeResult = { kind: 'cut-off' };
+  const route = routeOf('resumable-stream', { maxAttempts: 1 });
+  const { relay, clock, health } = relayFor(client, [upstreamOf('u1')]);
+  const caller = new FakeCaller();
+  const served = relay.serve(callOf('resumable-stream', { route, startedAt: clock.now() }), caller);
+  await served;
+  assert.match(caller.received, /^200 .* ended$/s);
+  assert.deepEqual(health.suspicions, []);
+});
+
 test('a request limited to one upstream waits for it until the deadline', async () => {
   const route = routeOf('idempotent', { maxAttempts: 1, timeoutMs: 200 });
   const { received, sent } = await serve('idempotent', [{ kind: 'hang' }, success], { route });
