Find owners of accounts and of permits by one table

Two copies of rendezvous hashing with a cache, in limits and in pacing, become `OwnerTable` in base. Permits of upstreams get others, as the two copies weighed nodes by different hashes: while a fleet is upgraded, an upstream that names a limit has two owners, as while lists of entries differ.

--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -4,6 +4,7 @@
 export * from './clock.js';
 export * from './random.js';
 export * from './hash.js';
+export * from './owners.js';
 export * from './invariant.js';
 export * from './log.js';
 export * from './metrics.js';
--- a/packages/pacing/src/pacer.ts
+++ b/packages/pacing/src/pacer.ts
@@ -1,6 +1,6 @@
 /** The entry's side of permits: holds requests until their upstream accepts them, or refuses them. */
 
-import { silentLogger } from '@tanagercart/base';
+import { OwnerTable, silentLogger } from '@tanagercart/base';
 import type {
   Clock,
   Logger,
@@ -13,7 +13,6 @@
 import type { CallOf, LimitNotice, PermitReply, ReplyOf, Transport } from '@tanagercart/protocol';
 import { NamedLimits } from './namedlimits.js';
 import type { Incarnation } from './namedlimits.js';
-import { OwnerDirectory } from './owners.js';
 import { PermitSchedule, permitRate } from './permitschedule.js';
 import { PermitServer } from './permitserver.js';
 import type { RateLimit } from './ratelimit.js';
@@ -62,7 +61,8 @@
   /** What responses to this entry told of limits, without what other nodes know. */
   private readonly observed: NamedLimits;
   private readonly server: PermitServer;
-  private readonly directory: OwnerDirectory;
+  /** Owners of permits, and the standbys that are asked where an owner fails. */
+  private owners = OwnerTable.create<UpstreamId, NodeId>([]);
   private readonly freeFrom = new Map<UpstreamId, FreeFrom>();
   private readonly unansweredAt = new Map<NodeId, Millis>();
   /** Schedules of an even share of a limit, while no node answers. */
@@ -72,7 +72,6 @@
     this.limits = NamedLimits.create(o.clock, o.logger);
     this.observed = NamedLimits.create(o.clock, silentLogger);
     this.server = PermitServer.create(o.clock, this.limits);
-    this.directory = OwnerDirectory.create(o.self);
   }
 
   /** Creates a pacer that also answers the calls of other nodes. */
@@ -152,10 +151,13 @@
 
   /** Asks the owner, then the standby; decides by this entry's own share where neither answers. */
   private async ask(upstream: Incarnation, maxWaitMs: Millis): Promise<PermitReply> {
-    const { self, nodes, metrics } = this.o;
-    for (const [rank, owner] of this.directory.ownersOf(upstream.id, nodes()).entries()) {
+    const { self, metrics } = this.o;
+    const owners = this.currentOwners();
+    const first = owners.ownerOf(upstream.id) ?? self;
+    for (const owner of [first, owners.standbyOf(upstream.id)]) {
       if (owner === undefined || this.isAvoided(owner)) continue;
-      const call = { notice: this.limits.noticeOf(upstream), maxWaitMs, asStandby: rank > 0 };
+      const asStandby = owner !== first;
+      const call = { notice: this.limits.noticeOf(upstream), maxWaitMs, asStandby };
       const reply =
         owner === self
           ? this.server.handle(self, call)
@@ -188,10 +190,16 @@
     return { ...schedule.reserve(rate, maxWaitMs, now), notice };
   }
 
+  private currentOwners(): OwnerTable<UpstreamId, NodeId> {
+    const nodes = this.o.nodes();
+    if (!this.owners.isFor(nodes)) this.owners = OwnerTable.create(nodes);
+    return this.owners;
+  }
+
   /** Tells the owner of an upstream's permits what this node knows of its limit. */
   private async tellOwner(notice: LimitNotice): Promise<void> {
-    const [owner] = this.directory.ownersOf(notice.upstream, this.o.nodes());
-    if (owner === this.o.self) return;
+    const owner = this.currentOwners().ownerOf(notice.upstream);
+    if (owner === undefined || owner === this.o.self) return;
     const reply = await this.callNode(owner, 'notice', notice);
     if (reply) this.limits.record(reply, { from: owner });
   }
--- a/packages/pacing/test/fleet.ts
+++ b/packages/pacing/test/fleet.ts
@@ -3,6 +3,7 @@
 import {
   HeldClock,
   NodeId,
+  OwnerTable,
   RequestId,
   SeededRandom,
   StatsdMetrics,
@@ -11,7 +12,7 @@
 } from '@tanagercart/base';
 import type { Clock, Millis } from '@tanagercart/base';
 import { MemoryNetwork } from '@tanagercart/protocol';
-import { OwnerDirectory, Pacer } from '../src/index.js';
+import { Pacer } from '../src/index.js';
 import type { Incarnation, RateLimit } from '../src/index.js';
 
 export const upstream: Incarnation = { id: UpstreamId('u1'), born: 1 };
@@ -51,8 +52,9 @@
 
   /** The owner and the standby of the upstream. */
   get owners(): readonly NodeId[] {
-    const [owner, standby] = OwnerDirectory.create(NodeId('x')).ownersOf(upstream.id, this.listed);
-    return standby === undefined ? [owner] : [owner, standby];
+    const table = OwnerTable.create<UpstreamId, NodeId>(this.listed);
+    const owners = [table.ownerOf(upstream.id), table.standbyOf(upstream.id)];
+    return owners.filter((node) => node !== undefined);
   }
 
   /** Every entry reads this limit in a response. */
