--- a/packages/protocol/test/tunnel.test.ts
+++ b/packages/protocol/test/tunnel.test.ts
@@ -3,7 +3,7 @@
 import { createConnection, createServer } from 'node:net';
 import type { AddressInfo, Socket } from 'node:net';
 import { test } from 'node:test';
-import { setTimeout } from 'node:timers/promises';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { TunnelServer, openTunnel } from '../src/index.js';
 
 const host = '127.0.0.1';
@@ -72,7 +72,33 @@
   const socket = (await openTunnel(peer, address, 1000))._unsafeUnwrap();
   socket.destroy();
   await closed;
-  while (tunnels.active > 0) await setTimeout(5);
+  while (tunnels.active > 0) await sleep(5);
+  close();
+});
+
+test('a client that leaves before the target is reached leaves no connection behind', async () => {
+  const open = new Set<Socket>();
+  let client: Socket | undefined;
+  const { tunnels, peer, address, close } = await start(
+    (socket) => {
+      open.add(socket.resume());
+      socket.once('close', () => open.delete(socket));
+      socket.once('end', () => socket.end());
+    },
+    () => {
+      client!.resetAndDestroy();
+      return true;
+    },
+  );
+  for (let i = 0; i < 20; i += 1) {
+    client = createConnection(peer);
+    client.on('error', () => undefined);
+    client.write(`CONNECT ${address} HTTP/1.1\r\nHost: x\r\n\r\n`);
+    await once(client, 'close');
+    await sleep(10);
+  }
+  assert.equal(tunnels.active, 0);
+  assert.equal(open.size, 0);
   close();
 });
 
