End a suspicion after its time, though no further crash is reported

Found by reading: outdated suspicions were dropped only with the next report, so a part that was struck once kept its requests from a second attempt for as long as no entry saw it answered. The test failed before (still suspected after 31 s).

--- a/packages/fleet/src/crashes.ts
+++ b/packages/fleet/src/crashes.ts
@@ -50,6 +50,7 @@
 
   /** Parts and requests that were struck by crashes and have not been answered since. */
   get suspected(): readonly string[] {
+    this.dropOutdated(this.clock.now());
     return [...this.suspicions].filter(([, s]) => isPublished(s)).map(([subject]) => subject);
   }
 
--- a/packages/fleet/test/crashes.test.ts
+++ b/packages/fleet/test/crashes.test.ts
@@ -101,3 +101,11 @@
   }
   assert.deepEqual(crashes.suspected, []);
 });
+
+test('a suspicion ends after a while, though no further crash is reported', async () => {
+  const { clock, crashes, crash } = create();
+  await crash(['rare']);
+  assert.deepEqual(crashes.suspected, ['rare']);
+  await clock.advance(31_000);
+  assert.deepEqual(crashes.suspected, []);
+});
