Report a crash until the leader has counted it, and count reports in any order

Found by reading: a crash that was reported while no leader was there was lost after 1.5 s, and a reply that it could not be recorded counted as recorded. As reports may then come twice or after later ones, the leader counts attempts that overlap no counted one, in any order, where it compared with the last one only.

The tests failed before: a request with three crashes that were reported during a cut of 2.5 s was never quarantined; with the repeated reports alone neither, as they arrived out of order.

--- a/packages/fleet/src/crashes.ts
+++ b/packages/fleet/src/crashes.ts
@@ -26,11 +26,19 @@
  */
 const crashesToPublishRequest = 2;
 
+/** Bounds the crashes that are remembered of one suspicion. */
+const maxCrashes = 16;
+
+/** An attempt that ended in a crash, by the clock of the leader. */
+interface CrashedAttempt {
+  readonly startedAt: Millis;
+  readonly crashedAt: Millis;
+}
+
 interface Suspicion {
   readonly kind: 'request' | 'part';
-  readonly firstAt: Millis;
-  crashedAt: Millis;
-  crashes: number;
+  /** Attempts that followed one another, in any order. */
+  readonly attempts: CrashedAttempt[];
   /** Whether an entry had seen an answer to the part before a crash. */
   wasAnswered: boolean;
   /** The request that caused all crashes; undefined where several did, or it is not known. */
@@ -90,8 +98,9 @@
   }
 
   /**
-   * Counts a crash if the attempt began after the last one. Attempts that were in progress at once
-   * may have been cut by the same crash, or by a loss of several upstreams at the same time.
+   * Counts a crash if its attempt overlaps none that is counted. Attempts that were in progress at
+   * once may have been cut by the same crash, or by a loss of several upstreams at the same time; and
+   * a report may come twice, or after later ones.
    */
   private strike(
     subject: string,
@@ -103,38 +112,46 @@
     },
   ): Suspicion {
     const { kind, request, startedAt, crashedAt } = crash;
+    const attempt = { startedAt, crashedAt };
     const known = this.suspicions.get(subject);
     if (!known) {
       const first: Suspicion = {
         kind,
-        firstAt: crashedAt,
-        crashedAt,
-        crashes: 1,
+        attempts: [attempt],
         wasAnswered: false,
         soleRequest: request,
       };
       this.suspicions.set(subject, first);
       return first;
     }
-    if (startedAt + reportJitterMs < known.crashedAt) return known;
-    known.crashedAt = crashedAt;
-    known.crashes += 1;
+    if (known.attempts.some((other) => overlap(attempt, other))) return known;
+    known.attempts.push(attempt);
+    if (known.attempts.length > maxCrashes) known.attempts.shift();
     if (known.soleRequest !== request) known.soleRequest = undefined;
     return known;
   }
 
   private dropOutdated(now: Millis): void {
-    for (const [subject, { crashedAt }] of this.suspicions) {
-      if (now - crashedAt > suspicionMs) this.suspicions.delete(subject);
+    for (const [subject, { attempts }] of this.suspicions) {
+      if (now - lastCrashOf(attempts) > suspicionMs) this.suspicions.delete(subject);
     }
   }
 }
 
-function isPublished({ kind, crashes }: Suspicion): boolean {
-  return kind === 'part' || crashes >= crashesToPublishRequest;
+function isPublished({ kind, attempts }: Suspicion): boolean {
+  return kind === 'part' || attempts.length >= crashesToPublishRequest;
+}
+
+function isGuilty({ attempts, wasAnswered }: Suspicion): boolean {
+  if (!wasAnswered) return attempts.length >= crashesToQuarantine;
+  const spanMs = lastCrashOf(attempts) - Math.min(...attempts.map((a) => a.crashedAt));
+  return attempts.length >= knownPartCrashes && spanMs >= knownPartSpanMs;
+}
+
+function lastCrashOf(attempts: readonly CrashedAttempt[]): Millis {
+  return Math.max(...attempts.map((a) => a.crashedAt));
 }
 
-function isGuilty({ crashes, wasAnswered, firstAt, crashedAt }: Suspicion): boolean {
-  if (!wasAnswered) return crashes >= crashesToQuarantine;
-  return crashes >= knownPartCrashes && crashedAt - firstAt >= knownPartSpanMs;
+function overlap(a: CrashedAttempt, b: CrashedAttempt): boolean {
+  return a.startedAt + reportJitterMs < b.crashedAt && b.startedAt + reportJitterMs < a.crashedAt;
 }
--- a/packages/fleet/src/watcher.ts
+++ b/packages/fleet/src/watcher.ts
@@ -60,9 +60,10 @@
     return new Watcher(options);
   }
 
-  /** Reports a crash, or answers to what is suspected; returns whether the leader replied. */
+  /** Reports a crash, or answers to what is suspected; returns whether it is recorded. */
   async reportCrash(call: CrashCall): Promise<boolean> {
-    return (await this.client.call('parts', call, searchTimeoutMs)).isOk();
+    const reply = await this.client.call('parts', call, searchTimeoutMs);
+    return reply.isOk() && reply.value.kind === 'recorded';
   }
 
   /** Sends the present state of this entry to the leader without delay. */
--- a/packages/fleet/test/crashes.test.ts
+++ b/packages/fleet/test/crashes.test.ts
@@ -109,3 +109,17 @@
   await clock.advance(31_000);
   assert.deepEqual(crashes.suspected, []);
 });
+
+test('reports count once each, in whatever order they come', async () => {
+  const { clock, crashes } = create();
+  await clock.advance(10_000);
+  const crashOf = (ageMs: Millis) => ({
+    request: 'f1',
+    parts: [],
+    answered: [],
+    attemptMs: 50,
+    ageMs,
+  });
+  for (const ageMs of [200, 800, 200, 800]) assert.deepEqual(crashes.record(crashOf(ageMs)), []);
+  assert.deepEqual(crashes.record(crashOf(500)), ['f1']);
+});
--- a/packages/relay/test/deadlyrequest.test.ts
+++ b/packages/relay/test/deadlyrequest.test.ts
@@ -66,7 +66,7 @@
   const upstreams = ['u1', 'u2', 'u3'].map((id) => upstreamOf(id));
   const relays = ['e1', 'e2', 'e3', 'e4'].map((name) => {
     const { view, watcher } = fleet.startEntry(NodeId(name));
-    const quarantine = FleetQuarantine.create(view, watcher);
+    const quarantine = FleetQuarantine.create(view, watcher, clock);
     return relayOf({ clock, client, view: viewOf(clock, upstreams), quarantine }).relay;
   });
   const sound: FakeCaller[] = [];
@@ -95,3 +95,18 @@
     assert.ok(last.every((received) => received === '200 fine ended'));
   });
 }
+
+test('a crash that is reported while no leader is there counts once there is one', async () => {
+  const fleet = await Fleet.start(43);
+  const { view, watcher } = fleet.startEntry(NodeId('e1'));
+  const quarantine = FleetQuarantine.create(view, watcher, fleet.clock);
+  await fleet.clock.advance(1000);
+  for (const node of fleet.nodes.keys()) fleet.network.cut(NodeId('e1'), node);
+  for (let i = 0; i < 3; i += 1) {
+    quarantine.recordCrash({ request: 'f1', parts: [], answered: [], attemptMs: 20, ageMs: 0 });
+    await fleet.clock.advance(200);
+  }
+  await fleet.clock.advance(2500);
+  fleet.network.heal();
+  await fleet.waitUntil(() => view.quarantined.has('f1'), 4000);
+});
