Count links that are lost for the second time

Found by reading: a broken link kept the time at which it first broke, so links that had not been tried since an entry was last detached did not count when they broke again, and the entry was not known as detached. The test failed before.

--- a/packages/relay/src/directlinks.ts
+++ b/packages/relay/src/directlinks.ts
@@ -18,7 +18,7 @@
 export type Way = 'direct' | 'detour' | 'both';
 
 interface BrokenLink {
-  readonly since: Millis;
+  readonly failedAt: Millis;
   triedAt: Millis;
 }
 
@@ -39,7 +39,7 @@
   get isDetached(): boolean {
     const now = this.clock.now();
     const recent = [...this.broken.values()].filter(
-      (link) => link.since > this.reachedAt && now - link.triedAt < forgetMs,
+      (link) => link.failedAt > this.reachedAt && now - link.triedAt < forgetMs,
     );
     return recent.length >= brokenToDetach;
   }
@@ -56,8 +56,7 @@
     for (const [other, { triedAt }] of this.broken) {
       if (now - triedAt >= forgetMs) this.broken.delete(other);
     }
-    const since = this.broken.get(address)?.since ?? now;
-    this.broken.set(address, { since, triedAt: now });
+    this.broken.set(address, { failedAt: now, triedAt: now });
     this.triedAt = now;
   }
 
--- a/packages/relay/test/connector.test.ts
+++ b/packages/relay/test/connector.test.ts
@@ -156,3 +156,17 @@
   await clock.advance(10);
   assert.equal((await connect('u3')).over, 'direct u3');
 });
+
+test('links that are lost for the second time count again', async () => {
+  const { clock, links, connector, connect } = create();
+  links.own = 'hangs';
+  for (const address of ['u1', 'u2']) await connect(address);
+  links.own = 'whole';
+  await clock.advance(1200);
+  await connect('u3');
+  assert.equal(connector.isDetached, false);
+  links.own = 'hangs';
+  await clock.advance(1200);
+  for (const address of ['u1', 'u2']) await connect(address);
+  assert.ok(connector.isDetached);
+});
