--- a/packages/soak/src/fault.ts
+++ b/packages/soak/src/fault.ts
@@ -135,23 +135,6 @@
   });
 }
 
-/**
- * Draws `count` entries that lose their links to all upstreams between `fromMs` and `toMs`, apart
- * from the other faults, as `randomLimits` does.
- */
-export function randomDetachments(
-  random: Random,
-  { fromMs, toMs, count }: Omit<RandomFaultOptions, 'minDiskLossGapMs'>,
-): readonly TimedFault[] {
-  return Array.from({ length: count }, () => {
-    const forMs = between(random, 4000, Math.max(4000, toMs - fromMs));
-    const atMs = between(random, fromMs, Math.max(fromMs, toMs - forMs));
-    const how = pick(random, ['hang', 'reset', 'refuse'] as const);
-    const index = Math.floor(random.next() * 8);
-    return { atMs, fault: { kind: 'detach', index, how, forMs } };
-  });
-}
-
 /** All kinds of faults; the last two lose a disk. */
 const faultKinds = [
   'kill',
