--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -19,7 +19,7 @@
 import type { ConfigurationLease } from '@tanagercart/membership';
 import type { Disk } from '@tanagercart/log';
 import { maintainPlacement } from '@tanagercart/placement';
-import { TcpTransport } from '@tanagercart/protocol';
+import { TcpTransport, parseHostPort } from '@tanagercart/protocol';
 import type { NodeAddress } from '@tanagercart/protocol';
 import { Owner } from '@tanagercart/scheduling';
 import { checksFencing } from '@tanagercart/settings';
@@ -27,7 +27,7 @@
 import { Proposer } from '@tanagercart/state';
 import type { Replica } from '@tanagercart/state';
 import { HttpPlacementClient, createPool } from '@tanagercart/upstream';
-import { configuredAddress, parseHostPort, withPort } from './address.js';
+import { configuredAddress, withPort } from './address.js';
 import { ControlPlane } from './controlplane.js';
 import { Directory } from './directory.js';
 import { reportGauges } from './gauges.js';
--- a/packages/node/src/server.ts
+++ b/packages/node/src/server.ts
@@ -4,7 +4,8 @@
 import type { AddressInfo } from 'node:net';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
-import { parseHostPort, withPort } from './address.js';
+import { parseHostPort } from '@tanagercart/protocol';
+import { withPort } from './address.js';
 
 /**
  * Listens on `host:port` and resolves with the bound address, whose port differs from the given one
--- a/packages/protocol/src/address.ts
+++ b/packages/protocol/src/address.ts
@@ -1,4 +1,4 @@
-/** The addresses of a node. */
+/** Addresses: of a node, and as host and port. */
 
 import type { DataCentreId, NodeId } from '@tanagercart/base';
 
@@ -11,3 +11,16 @@
   /** Base URL for callers. */
   readonly entry: string;
 }
+
+/** A host and a port; the host of an IPv6 address has no brackets. */
+export interface HostPort {
+  readonly host: string;
+  readonly port: number;
+}
+
+/** Splits `host:port` and removes the brackets around an IPv6 host. */
+export function parseHostPort(address: string): HostPort {
+  const colon = address.lastIndexOf(':');
+  const host = address.slice(0, colon).replace(/[[\]]/g, '');
+  return { host, port: Number(address.slice(colon + 1)) };
+}
--- a/packages/protocol/src/tcp.ts
+++ b/packages/protocol/src/tcp.ts
@@ -6,6 +6,7 @@
 import type { Result } from 'neverthrow';
 import { startTimer, waitEnded } from '@tanagercart/base';
 import type { Clock, Logger, NodeId } from '@tanagercart/base';
+import { parseHostPort } from './address.js';
 import type { CallOf, ExchangeKind, ReplyOf } from './message.js';
 import type { CallError, CallHandler, CallOptions, Transport } from './transport.js';
 import { decodeFrames, encodeFrame } from './frame.js';
@@ -171,9 +172,7 @@
     if (!address) {
       return Promise.resolve(err({ kind: 'unreachable', detail: `no address of ${to}` }));
     }
-    const colon = address.lastIndexOf(':');
-    const host = address.slice(0, colon);
-    const port = Number(address.slice(colon + 1));
+    const { host, port } = parseHostPort(address);
     return new Promise((resolve) => {
       const socket = createConnection({ host, port, noDelay: true });
       const unreachable = (detail: string) => {
--- a/packages/protocol/src/tunnel.ts
+++ b/packages/protocol/src/tunnel.ts
@@ -10,6 +10,8 @@
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import { startTimer } from '@tanagercart/base';
+import { parseHostPort } from './address.js';
+import type { HostPort } from './address.js';
 
 /** Time for the server of a tunnel to connect to the target, in milliseconds. */
 const targetTimeoutMs = 200;
@@ -24,12 +26,6 @@
   /** The peer did not reach the target, or does not connect to it. */
   | { readonly kind: 'no-target'; readonly detail: string };
 
-/** An address as `host:port`. */
-interface Endpoint {
-  readonly host: string;
-  readonly port: number;
-}
-
 /** Accepts the tunnels of peers. */
 export class TunnelServer {
   private readonly server: Server;
@@ -75,7 +71,7 @@
 
   private connect(target: string, client: Socket, head: Buffer): void {
     const upstream = createConnection({
-      ...endpointOf(target),
+      ...parseHostPort(target),
       noDelay: true,
       allowHalfOpen: true,
     });
@@ -98,7 +94,7 @@
 
 /** Opens a tunnel over a peer to `target`, an address as `host:port`. */
 export function openTunnel(
-  peer: Endpoint,
+  peer: HostPort,
   target: string,
   timeoutMs: number,
 ): Promise<Result<Socket, TunnelError>> {
@@ -150,8 +146,3 @@
   client.on('error', () => undefined);
   client.end(`HTTP/1.1 ${status}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`);
 }
-
-function endpointOf(target: string): Endpoint {
-  const colon = target.lastIndexOf(':');
-  return { host: target.slice(0, colon), port: Number(target.slice(colon + 1)) };
-}
