--- a/packages/fleet/src/crashes.ts
+++ b/packages/fleet/src/crashes.ts
@@ -68,14 +68,10 @@
     this.dropOutdated(now);
     const answered = new Set(crash.answered);
     const crashedAt = now - crash.ageMs;
-    const startedAt = crashedAt - crash.attemptMs;
+    const attempt = { startedAt: crashedAt - crash.attemptMs, crashedAt };
+    const { request } = crash;
     const parts = crash.parts.filter((part) => {
-      const suspicion = this.strike(part, {
-        kind: 'part',
-        request: crash.request,
-        startedAt,
-        crashedAt,
-      });
+      const suspicion = this.strike('part', part, request, attempt);
       suspicion.wasAnswered ||= answered.has(part);
       return suspicion.soleRequest === undefined && isGuilty(suspicion);
     });
@@ -84,10 +80,8 @@
       this.suspicions.clear();
       return parts;
     }
-    const { request } = crash;
     if (request === undefined) return [];
-    const suspicion = this.strike(request, { kind: 'request', request, startedAt, crashedAt });
-    if (!isGuilty(suspicion)) return [];
+    if (!isGuilty(this.strike('request', request, request, attempt))) return [];
     this.suspicions.delete(request);
     return [request];
   }
@@ -103,32 +97,23 @@
    * a report may come twice, or after later ones.
    */
   private strike(
+    kind: Suspicion['kind'],
     subject: string,
-    crash: {
-      readonly kind: Suspicion['kind'];
-      readonly request: string | undefined;
-      readonly startedAt: Millis;
-      readonly crashedAt: Millis;
-    },
+    request: string | undefined,
+    attempt: CrashedAttempt,
   ): Suspicion {
-    const { kind, request, startedAt, crashedAt } = crash;
-    const attempt = { startedAt, crashedAt };
-    const known = this.suspicions.get(subject);
-    if (!known) {
-      const first: Suspicion = {
-        kind,
-        attempts: [attempt],
-        wasAnswered: false,
-        soleRequest: request,
-      };
-      this.suspicions.set(subject, first);
-      return first;
-    }
-    if (known.attempts.some((other) => overlap(attempt, other))) return known;
-    known.attempts.push(attempt);
-    if (known.attempts.length > maxCrashes) known.attempts.shift();
-    if (known.soleRequest !== request) known.soleRequest = undefined;
-    return known;
+    const suspicion = this.suspicions.get(subject) ?? {
+      kind,
+      attempts: [],
+      wasAnswered: false,
+      soleRequest: request,
+    };
+    this.suspicions.set(subject, suspicion);
+    if (suspicion.attempts.some((other) => overlap(attempt, other))) return suspicion;
+    suspicion.attempts.push(attempt);
+    if (suspicion.attempts.length > maxCrashes) suspicion.attempts.shift();
+    if (suspicion.soleRequest !== request) suspicion.soleRequest = undefined;
+    return suspicion;
   }
 
   private dropOutdated(now: Millis): void {
