Choose the entries to ask for tunnels beside the connector, with a test

The choice was written in the program of the entry, where no test reached it. The connector also kept a bound that its lists cannot exceed and an error text that nobody read.

--- a/packages/relay/src/connector.ts
+++ b/packages/relay/src/connector.ts
@@ -5,10 +5,11 @@
 
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
-import { waitEnded } from '@tanagercart/base';
-import type { Clock, Logger, Metrics, Millis, NodeId } from '@tanagercart/base';
-import type { TunnelError } from '@tanagercart/protocol';
+import { shuffle, waitEnded } from '@tanagercart/base';
+import type { Clock, Logger, Metrics, Millis, NodeId, Random } from '@tanagercart/base';
+import type { EntryRecord, TunnelError } from '@tanagercart/protocol';
 import { DirectLinks } from './directlinks.js';
+import type { Way } from './directlinks.js';
 
 /** Time for a connection over the own link. */
 export const directTimeoutMs: Millis = 300;
@@ -22,9 +23,6 @@
 /** An entry that was not reached is not asked again for this long. */
 const avoidPeerMs: Millis = 2000;
 
-/** Entries that are asked one after the other where the own link is broken. */
-const maxPeers = 2;
-
 /** Opens single connections of the type `C`. */
 export interface Links<C> {
   /** Connects over the own link to an upstream, given as `host:port`. */
@@ -42,6 +40,25 @@
   readonly far: readonly NodeId[];
 }
 
+/**
+ * The ready entries other than `self` that have links to upstreams, as far as is known. Where none
+ * has, all of them: an entry that counts as detached may have some of its links.
+ */
+export function peersOf(
+  entries: readonly EntryRecord[],
+  self: Pick<EntryRecord, 'node' | 'dataCentre'>,
+  random: Random,
+): Peers {
+  const ready = entries.filter((e) => e.phase === 'ready' && e.node !== self.node);
+  const attached = ready.filter((e) => e.isDetached !== true);
+  const shuffled = shuffle(attached.length > 0 ? attached : ready, random);
+  const isNear = (e: EntryRecord) => e.dataCentre === self.dataCentre;
+  return {
+    near: shuffled.filter(isNear).map((e) => e.node),
+    far: shuffled.filter((e) => !isNear(e)).map((e) => e.node),
+  };
+}
+
 export interface ConnectorOptions<C> {
   readonly clock: Clock;
   readonly logger: Logger;
@@ -119,22 +136,21 @@
   }
 
   /**
-   * Asks other entries. Where the own link is not known to be broken it is one, in another data
-   * centre if possible, as the entries of a data centre often lose their links together.
+   * Asks other entries, one after the other. Where the own link is not known to be broken it is one,
+   * in another data centre if possible, as the entries of a data centre often lose their links
+   * together; otherwise two.
    */
-  private async openDetour(address: string, way: 'direct' | 'detour' | 'both') {
+  private async openDetour(address: string, way: Way): Promise<Result<C, string>> {
     const { near, far } = this.usablePeers();
     const peers = way === 'direct' ? [far[0] ?? near[0]] : [near[0], far[0] ?? near[1]];
-    let detail = 'no other entry is known';
-    for (const peer of peers.slice(0, maxPeers)) {
+    for (const peer of peers) {
       if (peer === undefined) continue;
       const opened = await this.o.links.over(peer, address);
       this.o.metrics.count('detour', { outcome: opened.isOk() ? 'open' : opened.error.kind });
-      if (opened.isOk()) return ok<C, string>(opened.value);
-      detail = opened.error.detail;
+      if (opened.isOk()) return ok(opened.value);
       if (opened.error.kind === 'no-peer') this.peerFailedAt.set(peer, this.o.clock.now());
     }
-    return err<C>(detail);
+    return err('no other entry reaches it');
   }
 
   private usablePeers(): Peers {
--- a/packages/relay/test/connector.test.ts
+++ b/packages/relay/test/connector.test.ts
@@ -1,9 +1,17 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { err, ok } from 'neverthrow';
-import { HeldClock, NodeId, StatsdMetrics, silentLogger } from '@tanagercart/base';
+import {
+  DataCentreId,
+  HeldClock,
+  NodeId,
+  SeededRandom,
+  StatsdMetrics,
+  silentLogger,
+} from '@tanagercart/base';
 import type { Millis } from '@tanagercart/base';
-import { Connector, directTimeoutMs } from '../src/index.js';
+import type { EntryRecord } from '@tanagercart/protocol';
+import { Connector, directTimeoutMs, peersOf } from '../src/index.js';
 import type { Links } from '../src/index.js';
 
 /** What becomes of connections over a link. */
@@ -170,3 +178,25 @@
   for (const address of ['u1', 'u2']) await connect(address);
   assert.ok(connector.isDetached);
 });
+
+test('entries that are not ready, or detached where others are not, are not asked', () => {
+  const entryOf = (name: string, dataCentre: string, change: Partial<EntryRecord> = {}) => ({
+    node: NodeId(name),
+    dataCentre: DataCentreId(dataCentre),
+    address: `${name}:1`,
+    phase: 'ready' as const,
+    ...change,
+  });
+  const self = entryOf('self', 'north');
+  const detached = entryOf('detached', 'north', { isDetached: true });
+  const entries = [
+    self,
+    detached,
+    entryOf('a', 'north'),
+    entryOf('b', 'south'),
+    entryOf('stops', 'south', { phase: 'draining' }),
+  ];
+  const random = SeededRandom.create(1);
+  assert.deepEqual(peersOf(entries, self, random), { near: ['a'], far: ['b'] });
+  assert.deepEqual(peersOf([self, detached], self, random), { near: ['detached'], far: [] });
+});
