Ignore late replies, and differences to a document that was replaced

What operators would see: an entry that drains could route by a document that nobody sent, until it exits.

Cause: an entry that drains reports to the leader while its usual call is held, so two replies may cross. The view applied each to whatever it held: a difference to version 1 was applied to version 2, and pieces of the two were mixed under the number of a third; a reply at an older index brought an upstream that drains back to ready.

Ruled out: that the version in the text would give the mixture away. It is in a piece of its own, which a difference always carries.

Now a reply is ignored where it is older than what is known, and a difference where the base that its call named is not in force any more; the next call asks from there.

The test, run without the fix: a service of version 2 in version 3, and upstream u1 'ready' after 'draining'.

--- a/packages/fleet/src/view.ts
+++ b/packages/fleet/src/view.ts
@@ -13,6 +13,7 @@
   Suspicion,
   UpstreamLoad,
   UpstreamRecord,
+  WatchCall,
   WatchReply,
 } from '@tanagercart/protocol';
 import { addLoad, clampLoad } from './load.js';
@@ -21,6 +22,9 @@
 /** A reply to a watch call that carries an update. */
 type Update = Extract<WatchReply, { kind: 'update' }>;
 
+/** What a watch call said of the entry that sent it, on which its reply builds. */
+type ReportedState = Pick<WatchCall, 'loads' | 'documentVersion'>;
+
 export interface ViewOptions {
   readonly clock: Clock;
   readonly logger: Logger;
@@ -106,11 +110,12 @@
   }
 
   /**
-   * Applies the reply to a call that was sent at `sentAt` and reported the loads `reported`.
-   * Returns false if the document cannot be applied; the next call then asks for all of it.
+   * Applies the reply to `call`, which was sent at `sentAt`. Ignores a reply that is older than what
+   * is known. Returns false if the document cannot be applied; the next call then asks for all of it.
    */
-  apply(update: Update, sentAt: Millis, reported: readonly UpstreamLoad[]): boolean {
-    if (update.document && !this.applyDocument(decompressDocument(update.document))) {
+  apply(update: Update, sentAt: Millis, call: ReportedState): boolean {
+    if (!update.whole && update.index < this.index) return true;
+    if (update.document && !this.applyDocument(decompressDocument(update.document), call)) {
       this.inForce = { version: 0, text: '' };
       return false;
     }
@@ -119,7 +124,7 @@
     if (update.upstreams.length > 0 || update.whole) this.revision += 1;
     if (update.quarantined) this.fingerprints = new Set(update.quarantined);
     this.index = update.index;
-    this.applyBulletin(decode<Bulletin>(update.bulletin), reported);
+    this.applyBulletin(decode<Bulletin>(update.bulletin), call.loads);
     this.confirmedAt = sentAt;
     this.changed.ring();
     return true;
@@ -150,7 +155,10 @@
     this.records.set(record.id, record);
   }
 
-  private applyDocument(update: DocumentUpdate): boolean {
+  private applyDocument(update: DocumentUpdate, { documentVersion }: ReportedState): boolean {
+    if (update.version <= this.inForce.version) return true;
+    // Another reply has replaced the base of this difference meanwhile.
+    if (update.kind === 'delta' && documentVersion !== this.inForce.version) return true;
     const text =
       update.kind === 'whole' ? update.text : applyDelta(this.inForce.text, update.delta as Delta);
     if (text === undefined) return false;
@@ -159,16 +167,13 @@
       this.o.logger.error('Cannot read the document in force.', { version: update.version });
       return false;
     }
-    // A newer configuration stays in force even if the leader has not yet applied it.
-    if (update.version > this.inForce.version) {
-      this.inForce = { version: update.version, text };
-      this.routing = RoutingTable.create(config);
-      this.o.logger.info('Configuration in force.', {
-        version: update.version,
-        routes: config.routes.length,
-        kind: update.kind,
-      });
-    }
+    this.inForce = { version: update.version, text };
+    this.routing = RoutingTable.create(config);
+    this.o.logger.info('Configuration in force.', {
+      version: update.version,
+      routes: config.routes.length,
+      kind: update.kind,
+    });
     return true;
   }
 }
--- a/packages/fleet/src/watcher.ts
+++ b/packages/fleet/src/watcher.ts
@@ -97,7 +97,7 @@
     };
     const reply = await this.client.call('watch', call, searchTimeoutMs, waitMs);
     this.logConnection(reply.isOk());
-    return reply.isOk() && view.apply(reply.value, sentAt, call.loads);
+    return reply.isOk() && view.apply(reply.value, sentAt, call);
   }
 
   private logConnection(connected: boolean): void {
--- a/packages/fleet/test/view.test.ts
+++ b/packages/fleet/test/view.test.ts
@@ -1,12 +1,14 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { err, ok } from 'neverthrow';
-import { HeldClock, NodeId, UpstreamId } from '@tanagercart/base';
-import { encode } from '@tanagercart/protocol';
-import type { LimitNotice, Transport } from '@tanagercart/protocol';
-import { LeaderClient } from '../src/index.js';
+import { HeldClock, NodeId, UpstreamId, silentLogger } from '@tanagercart/base';
+import { deltaOf } from '@tanagercart/config';
+import type { Configuration } from '@tanagercart/config';
+import { compressDocument, encode } from '@tanagercart/protocol';
+import type { DocumentUpdate, LimitNotice, Transport } from '@tanagercart/protocol';
+import { FleetView, LeaderClient } from '../src/index.js';
 import type { Watcher } from '../src/index.js';
-import { Fleet, announcementOf, documentOf } from './fleet.js';
+import { Fleet, announcementOf, configuration, documentOf } from './fleet.js';
 
 async function withEntry(seed: number) {
   const fleet = await Fleet.start(seed);
@@ -206,3 +208,57 @@
   );
   assert.equal(client.leader, 'b');
 });
+
+/** A document whose only service is called `name`. */
+function documentWith(version: number, name: string) {
+  const base = configuration(version);
+  return {
+    version,
+    text: JSON.stringify({ ...base, services: [{ id: 'first' }, { id: name }, { id: 'last' }] }),
+  };
+}
+
+// An entry that drains reports to the leader while its usual call is held: two replies may cross.
+test('a late reply to an earlier call does not mix two documents or bring old records back', () => {
+  const view = FleetView.create({
+    clock: HeldClock.create(),
+    logger: silentLogger,
+    parse: (text) => JSON.parse(text) as Configuration,
+    onLimits: () => undefined,
+  });
+  const [first, second, third] = [
+    documentWith(1, 'one'),
+    documentWith(2, 'two'),
+    documentWith(3, 'one'),
+  ] as const;
+  const bulletin = encode({ entries: [], voters: [], loads: [], suspicions: [], slow: [] });
+  const phases = ['ready', 'draining', 'draining'] as const;
+  const apply = (index: number, update: DocumentUpdate, base: number) =>
+    view.apply(
+      {
+        kind: 'update',
+        index,
+        whole: base === 0,
+        upstreams: [announcementOf('u1', { phase: phases[index - 1]! })],
+        document: compressDocument(update),
+        quarantined: undefined,
+        bulletin,
+      },
+      0,
+      { loads: [], documentVersion: base },
+    );
+  const deltaFrom = ({ text }: typeof first, to: typeof first): DocumentUpdate => ({
+    kind: 'delta',
+    version: to.version,
+    delta: deltaOf(text, to.text),
+  });
+  assert.ok(apply(1, { kind: 'whole', ...first }, 0));
+  assert.ok(apply(2, deltaFrom(first, second), 1));
+  apply(3, deltaFrom(first, third), 1);
+  if (view.document.version === 3) assert.equal(view.document.text, third.text);
+  else assert.equal(view.document.text, second.text);
+  assert.ok(apply(1, deltaFrom(first, second), 1));
+  assert.equal(view.upstreams.get(UpstreamId('u1'))?.phase, 'draining');
+  assert.ok(apply(3, deltaFrom(second, third), 2));
+  assert.equal(view.document.text, third.text);
+});
--- a/packages/relay/test/balancer.test.ts
+++ b/packages/relay/test/balancer.test.ts
@@ -91,8 +91,8 @@
     for (const entry of this.entries) {
       const update = { kind: 'update', index: 1, whole: true, document: undefined } as const;
       const { upstreams } = this;
-      const { reported } = entry;
-      entry.view.apply({ ...update, quarantined: [], bulletin, upstreams }, 0, reported);
+      const call = { loads: entry.reported, documentVersion: 0 };
+      entry.view.apply({ ...update, quarantined: [], bulletin, upstreams }, 0, call);
       entry.reported = entry.loads.all;
     }
   }
--- a/packages/relay/test/fixtures.ts
+++ b/packages/relay/test/fixtures.ts
@@ -134,7 +134,8 @@
     quarantined: [],
     bulletin: bulletinOf(),
   } as const;
-  if (!view.apply(update, clock.now(), [])) throw new Error('the view rejected the configuration');
+  const applied = view.apply(update, clock.now(), { loads: [], documentVersion: 0 });
+  if (!applied) throw new Error('the view rejected the configuration');
   return view;
 }
 
--- a/packages/relay/test/namedlimit.test.ts
+++ b/packages/relay/test/namedlimit.test.ts
@@ -170,7 +170,8 @@
   assert.equal(client.sent.length, 0, 'the permit is due after 125 ms');
   const records = [upstreamOf('one', { phase: 'draining' }), upstreamOf('two')];
   const update = { kind: 'update', index: 2, whole: false, document: undefined } as const;
-  view.apply({ ...update, quarantined: [], bulletin: bulletinOf(), upstreams: records }, 0, []);
+  const news = { ...update, quarantined: [], bulletin: bulletinOf(), upstreams: records };
+  view.apply(news, 0, { loads: [], documentVersion: 0 });
   await clock.advance(100);
   await served;
   assert.deepEqual(
