Decide in the view whether an entry may answer requests

The length of an entry's lease was compared with the age of its view in two places of platform/, by the program and by its listener for callers. The view knows both now (isCurrent, leaseLeftMs). No behaviour changes: the tests of the ingress pass as they were, with the lease given to the view.

--- a/packages/fleet/src/view.ts
+++ b/packages/fleet/src/view.ts
@@ -28,6 +28,8 @@
 export interface ViewOptions {
   readonly clock: Clock;
   readonly logger: Logger;
+  /** Time for which a confirmation of the leader lets this entry answer requests. */
+  readonly leaseMs: Millis;
   /** Parses an accepted document; returns undefined if it cannot be parsed. */
   readonly parse: (text: string) => Configuration | undefined;
   /** Receives what other entries were told of the limits of upstreams, with each update. */
@@ -84,6 +86,16 @@
     return this.o.clock.now() - this.confirmedAt;
   }
 
+  /** Time until the lease of this entry runs out; 0 where it has. */
+  get leaseLeftMs(): Millis {
+    return Math.max(0, this.o.leaseMs - this.ageMs);
+  }
+
+  /** Whether the leader confirmed this state so lately that requests may be answered by it. */
+  get isCurrent(): boolean {
+    return this.leaseLeftMs > 0;
+  }
+
   /** Load that other entries cause at an upstream, by the last update. */
   peerLoadAt(id: UpstreamId): UpstreamLoad | undefined {
     return this.peerLoads.get(id);
--- a/packages/fleet/test/fleet.ts
+++ b/packages/fleet/test/fleet.ts
@@ -46,6 +46,9 @@
   accelerators: [{ name: 'card', memoryMb: 1000, stepFactor: 1, readFactor: 1 }],
 };
 
+/** Time after its acknowledgement within which a document is in force everywhere. */
+export const configApplyMs: Millis = 2000;
+
 export const pool = ServiceId('pool');
 
 export function configuration(version: number): Configuration {
@@ -218,6 +221,7 @@
     const view = FleetView.create({
       clock: this.clock,
       logger: silentLogger,
+      leaseMs: 4000,
       parse: (text) => JSON.parse(text) as Configuration,
       onLimits,
     });
--- a/packages/fleet/test/view.test.ts
+++ b/packages/fleet/test/view.test.ts
@@ -223,6 +223,7 @@
   const view = FleetView.create({
     clock: HeldClock.create(),
     logger: silentLogger,
+    leaseMs: 4000,
     parse: (text) => JSON.parse(text) as Configuration,
     onLimits: () => undefined,
   });
--- a/packages/relay/test/balancer.test.ts
+++ b/packages/relay/test/balancer.test.ts
@@ -72,6 +72,7 @@
     const view = FleetView.create({
       clock,
       logger: silentLogger,
+      leaseMs: 4000,
       parse: () => undefined,
       onLimits: () => undefined,
     });
--- a/packages/relay/test/fixtures.ts
+++ b/packages/relay/test/fixtures.ts
@@ -10,7 +10,7 @@
   UpstreamId,
   silentLogger,
 } from '@tanagercart/base';
-import type { Clock, Logger, Metrics } from '@tanagercart/base';
+import type { Millis, Clock, Logger, Metrics } from '@tanagercart/base';
 import type { CallKind, Configuration, Route } from '@tanagercart/config';
 import { RouteId } from '@tanagercart/config';
 import { FleetView } from '@tanagercart/fleet';
@@ -117,11 +117,13 @@
   clock: Clock,
   upstreams: readonly UpstreamRecord[],
   document?: PackedDocument,
+  leaseMs: Millis = 4000,
 ): FleetView {
   const read = document?.read ?? (() => undefined);
   const view = FleetView.create({
     clock,
     logger: silentLogger,
+    leaseMs,
     parse: read,
     onLimits: () => undefined,
   });
