Keep what an acknowledgement promises by design, not by speed

Cause: nothing bound an entry to what the leader acknowledges. The voter acknowledged once the log had the document; an entry without word from the leader answered requests with a key for 4 s, and those without a key for ever.

Ruled out, as the only cause: the spacing of replies (fleet/replypacer). Ruled out too: the size of the document (258 routes at that time).

Now the voter that acknowledges waits until the leader says that all entries that may answer have the document, for 0.7 s at most, and the lease of an entry ends configApplyMs + 0.65 s after it last asked the leader in vain; then it answers 503 to every request. An entry that lacks a document was confirmed before its commit, so it stops within configApplyMs of any acknowledgement.

Tried first and dropped: to let the leader hold the submission itself; an operator was then told of a cut off leader 0.7 s later, and the next leader was not tried (control.test.ts showed it).

--- a/packages/fleet/src/control.ts
+++ b/packages/fleet/src/control.ts
@@ -6,13 +6,15 @@
 import { isDeepStrictEqual } from 'node:util';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
-import { TaskGroup, createStopController } from '@tanagercart/base';
+import { TaskGroup, createStopController, waitEnded } from '@tanagercart/base';
 import type { Clock, Logger, Millis, NodeId, Random, UtilizationMeter } from '@tanagercart/base';
 import { deltaOf } from '@tanagercart/config';
 import type { Configuration } from '@tanagercart/config';
 import type { Disk } from '@tanagercart/log';
 import { decode } from '@tanagercart/protocol';
 import type {
+  AdoptionCall,
+  AdoptionReply,
   Announcement,
   BeatReply,
   Bulletin,
@@ -31,6 +33,7 @@
 import { LeaderTerm } from './leaderterm.js';
 import { Membership } from './membership.js';
 import type { OrderClient } from './placer.js';
+import { adoptionWaitMs } from './rollout.js';
 import { strikesToQuarantine } from './state.js';
 import type { Document } from './state.js';
 import { Voter } from './voter.js';
@@ -64,6 +67,8 @@
   /** Parses an accepted document; returns undefined if it cannot be parsed. */
   readonly parse: (text: string) => Configuration | undefined;
   readonly onBroken: (error: unknown) => void;
+  /** Time for which a confirmation by the leader lets an entry answer requests. */
+  readonly entryLeaseMs: Millis;
   /** Measures the load of this process. */
   readonly utilization: UtilizationMeter;
 }
@@ -148,13 +153,29 @@
       : err({ kind: 'no-leader', maybeDone: true });
   }
 
-  /** Puts a validated document in force; returns the version in force afterwards. */
+  /**
+   * Puts a validated document in force; returns the version in force afterwards, once entries that
+   * lack it cannot answer for long; see `Rollout`.
+   */
   async submit(document: Document): Promise<Result<number, NoLeader>> {
     const reply = await this.client.call('submit', document, forwardTimeoutMs);
     if (reply.isErr()) return err(reply.error);
-    return reply.value.kind === 'accepted'
-      ? ok(reply.value.inForce)
-      : err({ kind: 'no-leader', maybeDone: true });
+    if (reply.value.kind !== 'accepted') return err({ kind: 'no-leader', maybeDone: true });
+    const { inForce } = reply.value;
+    await this.awaitAdoption(inForce);
+    return ok(inForce);
+  }
+
+  /**
+   * Waits until the leader says that the entries have a committed version, or for the time that
+   * suffices without its word.
+   */
+  private async awaitAdoption(version: number): Promise<void> {
+    const stop = new AbortController();
+    const elapsed = this.o.clock.sleep(adoptionWaitMs, stop.signal);
+    const asked = this.client.call('adoption', { version }, adoptionWaitMs, adoptionWaitMs);
+    await Promise.race([elapsed, asked.then((reply) => (reply.isOk() ? undefined : elapsed))]);
+    stop.abort(waitEnded);
   }
 
   /** Reads the document in force from the leader. The read is linearizable. */
@@ -181,6 +202,7 @@
     transport.serve('watch', (from, call) => this.handleWatch(from, call));
     transport.serve('beat', (_, call) => this.handleBeat(call.announcement));
     transport.serve('submit', (_, call) => this.handleSubmit(call));
+    transport.serve('adoption', (_, call) => this.handleAdoption(call));
     transport.serve('read', (_, call) => this.handleRead(call.knownVersion));
     transport.serve('parts', (_, call) => this.handleCrash(call));
   }
@@ -330,6 +352,13 @@
     return proposed.isOk() ? { kind: 'accepted', inForce } : this.unavailable(proposed.error.kind);
   }
 
+  private async handleAdoption({ version }: AdoptionCall): Promise<AdoptionReply> {
+    const leaderTerm = this.currentTerm();
+    if (!leaderTerm) return this.notLeader();
+    await leaderTerm.rollout.wait(version);
+    return { kind: 'adopted' };
+  }
+
   private async handleRead(knownVersion: number): Promise<ReadReply> {
     const proposed = await this.voter.propose({ kind: 'barrier' });
     if (proposed.isErr()) return this.unavailable(proposed.error.kind);
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -10,6 +10,7 @@
 export * from './crashes.js';
 export * from './placer.js';
 export * from './replypacer.js';
+export * from './rollout.js';
 export * from './slowness.js';
 export * from './tombstone.js';
 export * from './leaderterm.js';
--- a/packages/fleet/src/leaderclient.ts
+++ b/packages/fleet/src/leaderclient.ts
@@ -6,7 +6,10 @@
 import type { CallOf, ExchangeKind, ReplyOf, Transport } from '@tanagercart/protocol';
 
 /** Exchanges that only the leader answers. */
-export type LeaderExchange = Extract<ExchangeKind, 'watch' | 'beat' | 'submit' | 'read' | 'parts'>;
+export type LeaderExchange = Extract<
+  ExchangeKind,
+  'watch' | 'beat' | 'submit' | 'adoption' | 'read' | 'parts'
+>;
 
 /** The error of a call that no leader answered. */
 export interface NoLeader {
--- a/packages/fleet/src/leaderterm.ts
+++ b/packages/fleet/src/leaderterm.ts
@@ -10,6 +10,7 @@
 import { Placer } from './placer.js';
 import type { OrderClient } from './placer.js';
 import { ReplyPacer } from './replypacer.js';
+import { Rollout } from './rollout.js';
 import { UpstreamRegistry } from './registry.js';
 import { SlownessMonitor } from './slowness.js';
 import { TombstoneCollector } from './tombstone.js';
@@ -25,6 +26,8 @@
   /** Known nodes with a disk, voters first. */
   readonly nodes: () => readonly NodeId[];
   readonly utilization: UtilizationMeter;
+  /** Time for which a confirmation by the leader lets an entry answer requests. */
+  readonly entryLeaseMs: Millis;
 }
 
 /** Tracks, places and removes upstreams during one term of the leader. */
@@ -32,6 +35,7 @@
   readonly liveness: Liveness;
   readonly registry: UpstreamRegistry;
   readonly crashes: CrashSuspicions;
+  readonly rollout: Rollout;
   private readonly limits: NamedLimits;
   /** The part of replies that is the same for all entries. */
   readonly bulletinCache: BulletinCache;
@@ -46,6 +50,7 @@
   ) {
     const { voter, clock, orders } = o;
     const logger = o.logger.part('upstreams');
+    this.rollout = Rollout.create(clock, o.entryLeaseMs);
     this.liveness = Liveness.create(clock, o.heartbeatMs);
     const { liveness } = this;
     const isPlacing = (id: UpstreamRecord['id']) => this.placer.isPlacing(id);
@@ -81,7 +86,8 @@
 
   /** Records the call of an entry; returns whether other entries should be informed at once. */
   recordEntry(from: NodeId, call: WatchCall): boolean {
-    const { liveness, limits } = this;
+    const { liveness, limits, rollout } = this;
+    rollout.recordCall(from, call);
     const changes = (call.limits ?? []).filter((notice) => limits.record(notice, { from }));
     if (changes.length > 0) liveness.revision += 1;
     return liveness.recordEntry(from, call) || changes.length > 0;
--- /dev/null
+++ b/packages/fleet/src/rollout.ts
@@ -0,0 +1,89 @@
+/**
+ * Tracks at the leader which entries have the newest document. The acknowledgement of a document
+ * promises that it is in force everywhere within a bound, so it waits until every entry that may
+ * answer requests has the document, or until those that lack it cannot answer beyond that bound.
+ */
+
+import { Bell } from '@tanagercart/base';
+import type { Clock, Millis, NodeId } from '@tanagercart/base';
+import type { WatchCall } from '@tanagercart/protocol';
+
+/** Longest time from the commit of a document for which its acknowledgement waits for entries. */
+export const adoptionWaitMs: Millis = 700;
+
+/** Allowance for the clocks of leader and entries, which may run at different rates. */
+const clockDriftMs: Millis = 50;
+
+/** Share of the time within which a revoked key stops working that a lease may last. */
+const revocationShare = 0.8;
+
+/** The times within which what operators change is in force everywhere. */
+export interface ChangeBounds {
+  /** For a document, from its acknowledgement. */
+  readonly configApplyMs: Millis;
+  /** For a key that is taken away, whether or not the entry is in touch with the voters. */
+  readonly revokeMs: Millis;
+}
+
+/**
+ * Time for which a confirmation by the leader lets an entry answer requests. An entry that has not
+ * heard of a document was last confirmed before its commit, so it stops answering within
+ * `configApplyMs` of an acknowledgement that comes `adoptionWaitMs` after the commit.
+ */
+export function entryLeaseMs({ configApplyMs, revokeMs }: ChangeBounds): Millis {
+  const leaseMs = configApplyMs + adoptionWaitMs - clockDriftMs;
+  return Math.min(leaseMs, revokeMs * revocationShare);
+}
+
+/** The document of an entry, as of its last call. */
+interface EntryState {
+  readonly version: number;
+  readonly at: Millis;
+}
+
+/** Tracks which entries have the newest document, during one term of the leader. */
+export class Rollout {
+  private readonly startedAt: Millis;
+  private readonly entries = new Map<NodeId, EntryState>();
+  /** Signals that an entry has received a document. */
+  private readonly adopted = Bell.create();
+
+  private constructor(
+    private readonly clock: Clock,
+    private readonly leaseMs: Millis,
+  ) {
+    this.startedAt = clock.now();
+  }
+
+  /** `leaseMs` is the lease of the entries. */
+  static create(clock: Clock, leaseMs: Millis): Rollout {
+    return new Rollout(clock, leaseMs);
+  }
+
+  /** Records the call of a node; only entries answer requests. */
+  recordCall(from: NodeId, { entry, documentVersion: version }: WatchCall): void {
+    if (!entry) return;
+    const known = this.entries.get(from);
+    this.entries.set(from, { version, at: this.clock.now() });
+    if (known?.version !== version) this.adopted.ring();
+  }
+
+  /** Waits until the entries have `version`, which is committed; for `adoptionWaitMs` at most. */
+  async wait(version: number): Promise<void> {
+    const { clock } = this;
+    const until = clock.now() + adoptionWaitMs;
+    while (!this.isAdopted(version) && clock.now() < until) {
+      await this.adopted.waitUpTo(until - clock.now(), clock);
+    }
+  }
+
+  /**
+   * Whether every entry whose lease may not have run out has `version`. At the start of a term,
+   * there may be entries that only the leader before has confirmed.
+   */
+  private isAdopted(version: number): boolean {
+    const leasedSince = this.clock.now() - this.leaseMs;
+    if (this.startedAt > leasedSince) return false;
+    return [...this.entries.values()].every((e) => e.version >= version || e.at <= leasedSince);
+  }
+}
--- a/packages/fleet/test/fleet.ts
+++ b/packages/fleet/test/fleet.ts
@@ -21,7 +21,7 @@
   UpstreamLoad,
   UpstreamRecord,
 } from '@tanagercart/protocol';
-import { ControlNode, FleetView, Watcher } from '../src/index.js';
+import { ControlNode, FleetView, Watcher, entryLeaseMs } from '../src/index.js';
 import type { LayerOrder, OrderClient, OrderReply, UpstreamReport } from '../src/index.js';
 import { SimulatedProcessor } from './processor.js';
 import type { CallCosts } from './processor.js';
@@ -49,6 +49,8 @@
 /** Time after its acknowledgement within which a document is in force everywhere. */
 export const configApplyMs: Millis = 2000;
 
+const leaseMs = entryLeaseMs({ configApplyMs, revokeMs: 5000 });
+
 export const pool = ServiceId('pool');
 
 export function configuration(version: number): Configuration {
@@ -206,6 +208,7 @@
       onBroken: (e) => {
         this.failure ??= e;
       },
+      entryLeaseMs: leaseMs,
       utilization: () => processor?.utilization() ?? 0,
     });
     this.nodes.set(id, node);
@@ -221,7 +224,7 @@
     const view = FleetView.create({
       clock: this.clock,
       logger: silentLogger,
-      leaseMs: 4000,
+      leaseMs,
       parse: (text) => JSON.parse(text) as Configuration,
       onLimits,
     });
--- a/packages/protocol/src/fleetmessage.ts
+++ b/packages/protocol/src/fleetmessage.ts
@@ -153,6 +153,16 @@
   | { readonly kind: 'not-leader'; readonly leader: NodeId | undefined }
   | { readonly kind: 'unavailable'; readonly reason: string };
 
+/** Asks the leader whether the entries have a committed version; held until they do. */
+export interface AdoptionCall {
+  readonly version: number;
+}
+
+/** The reply to an `AdoptionCall`. */
+export type AdoptionReply =
+  | { readonly kind: 'adopted' }
+  | { readonly kind: 'not-leader'; readonly leader: NodeId | undefined };
+
 /** Asks the leader for the newest document. */
 export interface ReadCall {
   /** Version that the caller has. */
--- a/packages/protocol/src/message.ts
+++ b/packages/protocol/src/message.ts
@@ -33,6 +33,8 @@
   VotersReply,
 } from './logmessage.js';
 import type {
+  AdoptionCall,
+  AdoptionReply,
   BeatCall,
   BeatReply,
   CrashCall,
@@ -73,6 +75,7 @@
   watch: { call: WatchCall; reply: WatchReply };
   beat: { call: BeatCall; reply: BeatReply };
   submit: { call: SubmitCall; reply: SubmitReply };
+  adoption: { call: AdoptionCall; reply: AdoptionReply };
   read: { call: ReadCall; reply: ReadReply };
   join: { call: JoinCall; reply: JoinReply };
   parts: { call: CrashCall; reply: CrashReply };
