Let entries find the next leader of a busy fleet

Cause: a search that feeds the overload which makes it fail. While no leader is known, every entry asks every voter again after 60 ms; the next leader begins with a queue of calls that nobody waits for any more. A call of a search is given up after 0.7 s, the connection is closed, and another call is queued behind the first one. Held calls wait 0.5 s longer, so the entries that reached it first kept it.

- A voter holds the call of an entry for up to 0.4 s while it knows no leader, and answers as soon as it knows one.
- It names a leader only if it has heard from it within three heartbeats; who is named so is waited for until the end of the search.

Tried and dropped: to wait longer for whoever is named, however silent. Ruled out: pauses that grow, as each entry then learns of the leader by its own clock.

The test fails before: three entries are late 3 s after the loss.

--- a/packages/fleet/src/control.ts
+++ b/packages/fleet/src/control.ts
@@ -47,6 +47,9 @@
 /** Delay of a reply about a change, so that changes in quick succession are sent together. */
 const batchDelayMs: Millis = 5;
 
+/** How long a voter holds the call of an entry while no leader is known. */
+const electionHoldMs: Millis = 400;
+
 /** How long the leader may hold the call of a follower that waits for changes. */
 const followHoldMs: Millis = 500;
 
@@ -297,11 +300,11 @@
   }
 
   private notLeader(): { readonly kind: 'not-leader'; readonly leader: NodeId | undefined } {
-    return { kind: 'not-leader', leader: this.voter.leader };
+    return { kind: 'not-leader', leader: this.voter.liveLeader };
   }
 
   private async handleWatch(from: NodeId, call: WatchCall): Promise<WatchReply> {
-    const leaderTerm = this.currentTerm();
+    const leaderTerm = call.entry ? await this.awaitLeader() : this.currentTerm();
     if (!leaderTerm) return this.notLeader();
     const { state, changed } = this.voter;
     const arrivedAt = this.o.clock.now();
@@ -319,6 +322,24 @@
     };
   }
 
+  /**
+   * Returns the current term if this node leads. While no leader is known, it waits for one, so that
+   * the entries do not ask all voters again and again in the meantime.
+   */
+  private async awaitLeader(): Promise<LeaderTerm | undefined> {
+    const { voter, o, stopping } = this;
+    const until = o.clock.now() + electionHoldMs;
+    for (;;) {
+      const leaderTerm = this.currentTerm();
+      const { raft, liveLeader } = voter;
+      const isElsewhere = liveLeader !== undefined && liveLeader !== o.self;
+      if (leaderTerm || isElsewhere || !raft || stopping.signal.aborted) return leaderTerm;
+      const leftMs = until - o.clock.now();
+      if (leftMs <= 0) return undefined;
+      await raft.changeWithin(leftMs);
+    }
+  }
+
   private async handleBeat(announcement: Announcement): Promise<BeatReply> {
     const leaderTerm = this.currentTerm();
     return leaderTerm
--- a/packages/fleet/src/leaderclient.ts
+++ b/packages/fleet/src/leaderclient.ts
@@ -50,7 +50,8 @@
 
   /**
    * Tries candidates until the leader has answered, for at most `withinMs`. The call must be
-   * idempotent, as several nodes may execute it. A call that the leader may hold for `holdMs` is
+   * idempotent, as several nodes may execute it. A leader that another node follows is waited for
+   * until the end, as it may be busy: one more call would only make it later. A call that the leader may hold for `holdMs` is
    * not repeated after a failure, which may have taken that long to notice.
    */
   async call<K extends LeaderExchange>(
@@ -63,6 +64,8 @@
     const deadline = clock.now() + withinMs;
     let maybeDone = false;
     let tried = new Set<NodeId>();
+    /** A node that another one follows as the leader: it runs, however late it replies. */
+    let followed: NodeId | undefined;
     for (;;) {
       const node = this.nextCandidate(tried);
       if (node === undefined) {
@@ -72,7 +75,8 @@
         continue;
       }
       tried.add(node);
-      const timeoutMs = Math.min(replyTimeoutMs, Math.max(1, deadline - clock.now())) + holdMs;
+      const leftMs = Math.max(1, deadline - clock.now());
+      const timeoutMs = (node === followed ? leftMs : Math.min(replyTimeoutMs, leftMs)) + holdMs;
       const reply = await this.o.transport.call(node, kind, call, { timeoutMs });
       if (reply.isErr()) {
         if (reply.error.kind !== 'unreachable') maybeDone = true;
@@ -86,6 +90,9 @@
       } else {
         this.leaderId = 'leader' in reply.value ? reply.value.leader : undefined;
         if (this.leaderId !== undefined && tried.has(this.leaderId)) this.leaderId = undefined;
+        followed = this.leaderId;
+        // A node that knows no leader may have waited for one, and is asked last.
+        if (followed === undefined) this.failedAt.set(node, clock.now());
       }
       if (clock.now() >= deadline) return err({ kind: 'no-leader', maybeDone });
     }
--- a/packages/fleet/src/voter.ts
+++ b/packages/fleet/src/voter.ts
@@ -24,6 +24,9 @@
  */
 const timing: Timing = { heartbeatMs: 100, electionMs: 700 };
 
+/** After this silence, three heartbeats, a follower does not name the leader to others. */
+const leaderSilenceMs: Millis = 3 * timing.heartbeatMs;
+
 /** Size of a segment of the log, and growth of the log between snapshots. The disks are small. */
 const segmentBytes = 1024 * 1024;
 
@@ -86,6 +89,11 @@
     return this.isLeader ? this.o.self : this.log?.leader;
   }
 
+  /** The leader, if this node has heard from it so lately that it is probably running. */
+  get liveLeader(): NodeId | undefined {
+    return this.log?.leaderWithin(leaderSilenceMs);
+  }
+
   /** Voters and learners of the log, as far as this node knows. */
   get members(): readonly NodeId[] {
     const { voters, learners } = this.log?.voterConfig ?? { voters: [], learners: [] };
--- a/packages/fleet/test/fleet.ts
+++ b/packages/fleet/test/fleet.ts
@@ -317,3 +317,10 @@
     }
   }
 }
+
+/** Starts entries that report load at an upstream; returns their views. */
+export function startEntries(fleet: Fleet, count: number): ReadonlyMap<NodeId, FleetView> {
+  const loads = [{ id: UpstreamId('u0'), sequences: 1, entered: 1, tokenLayers: 1 }];
+  const nodes = Array.from({ length: count }, (_, i) => NodeId(`entry-${i}`));
+  return new Map(nodes.map((node) => [node, fleet.startEntry(node, { loads }).view]));
+}
--- a/packages/fleet/test/inforce.test.ts
+++ b/packages/fleet/test/inforce.test.ts
@@ -1,10 +1,10 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { NodeId, UpstreamId } from '@tanagercart/base';
+import { NodeId } from '@tanagercart/base';
 import type { Millis } from '@tanagercart/base';
 import { adoptionWaitMs } from '../src/index.js';
 import type { ControlNode, FleetView } from '../src/index.js';
-import { Fleet, configApplyMs, documentOf } from './fleet.js';
+import { Fleet, configApplyMs, documentOf, startEntries } from './fleet.js';
 
 const voters = ['a', 'b', 'c', 'd', 'e'];
 
@@ -70,13 +70,6 @@
   }
 }
 
-/** Starts entries that report load at an upstream. */
-function startEntries(fleet: Fleet, count: number): ReadonlyMap<NodeId, FleetView> {
-  const loads = [{ id: UpstreamId('u0'), sequences: 1, entered: 1, tokenLayers: 1 }];
-  const nodes = Array.from({ length: count }, (_, i) => NodeId(`entry-${i}`));
-  return new Map(nodes.map((node) => [node, fleet.startEntry(node, { loads }).view]));
-}
-
 /** Cuts a node off from all voters; in one direction, its calls arrive and are not answered. */
 function cutOff(fleet: Fleet, node: NodeId, direction: 'both' | 'replies'): void {
   for (const voter of fleet.nodes.keys()) {
--- a/packages/fleet/test/overload.test.ts
+++ b/packages/fleet/test/overload.test.ts
@@ -1,17 +1,10 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { NodeId, UpstreamId } from '@tanagercart/base';
 import type { Millis } from '@tanagercart/base';
-import { Fleet, documentOf } from './fleet.js';
+import { Fleet, documentOf, startEntries } from './fleet.js';
 
 const voters = ['a', 'b', 'c', 'd', 'e'];
 
-/** Starts entries that report load at an upstream. */
-function startEntries(fleet: Fleet, count: number): void {
-  const loads = [{ id: UpstreamId('u0'), sequences: 1, entered: 1, tokenLayers: 1 }];
-  for (let i = 0; i < count; i += 1) fleet.startEntry(NodeId(`entry-${i}`), { loads });
-}
-
 /**
  * For `ms`, lets 100 upstreams send 80 heartbeats a second in turn, and 20 others change 20 times a
  * second. Returns how many of the samples found no leader that holds its lease.
@@ -41,6 +34,26 @@
   assert.ok(fleet.clock.now() - sentAt < 1000);
 });
 
+// Users count a machine as in touch 3 s after the loss of a core machine.
+test('the entries of a large fleet find the next leader while it is overloaded', async () => {
+  const fleet = await Fleet.start(62, voters, { watch: 5, beat: 2.5 });
+  const views = startEntries(fleet, 68);
+  await changeUpstreams(fleet, 5000);
+  const [lost] = [...fleet.nodes].find(([, node]) => node === fleet.leader)!;
+  const others = [...fleet.nodes.keys(), ...views.keys()].filter((node) => node !== lost);
+  for (const node of others) {
+    fleet.network.cut(lost, node);
+    fleet.network.cut(node, lost);
+  }
+  fleet.nodes.delete(lost);
+  await changeUpstreams(fleet, 3000);
+  const late = [...views].filter(([, view]) => view.ageMs > 2000);
+  assert.deepEqual(
+    late.map(([node, view]) => [node, Math.round(view.ageMs)]),
+    [],
+  );
+});
+
 test('a lapse of the lease within a term does not make the leader forget the entries', async () => {
   const fleet = await Fleet.start(42, voters);
   startEntries(fleet, 5);
--- a/packages/log/src/raft.ts
+++ b/packages/log/src/raft.ts
@@ -49,6 +49,19 @@
     return this.state.leader;
   }
 
+  /** The leader, if it is this node or has sent it a call within the last `ms`. */
+  leaderWithin(ms: Millis): NodeId | undefined {
+    const { state } = this;
+    const isHeard = state.role === 'leader' || state.o.clock.now() - state.timerAt <= ms;
+    return isHeard ? state.leader : undefined;
+  }
+
+  /** Resolves when the role, the leader or the commit index changes, or after `ms`. */
+  changeWithin(ms: Millis): Promise<void> {
+    const { changed, o, stopping } = this.state;
+    return changed.waitUpTo(ms, o.clock, stopping.signal);
+  }
+
   get term(): number {
     return this.state.term;
   }
