Parse documents for the placing of layers once a second at most

The leader parsed each document again after its commit, to read the engines of its services.

Now, while documents follow one another, layers are placed by one that is up to a second old. Loads of layers take seconds, so nothing is placed later that matters.

The test fails before: 10 documents in 2 s parsed, not 2.

--- a/packages/fleet/src/control.ts
+++ b/packages/fleet/src/control.ts
@@ -41,6 +41,9 @@
 /** Interval at which the leader reconciles the upstreams, and at which a follower retries. */
 const reconcileIntervalMs: Millis = 100;
 
+/** Time between two documents that the leader parses in order to place layers. */
+const parseIntervalMs: Millis = 1000;
+
 /** Time for a call to reach the leader. */
 const forwardTimeoutMs: Millis = 900;
 
@@ -89,8 +92,8 @@
   private lastSubmission: Promise<unknown> = Promise.resolve();
   /** The entries as the leader last reported them; used while another node leads. */
   private followed: readonly EntryRecord[] = [];
-  /** The document that was parsed last. */
-  private parsed: { version: number; config: Configuration | undefined } | undefined;
+  /** The document that was parsed last, and when. */
+  private parsed: { version: number; at: Millis; config: Configuration | undefined } | undefined;
 
   private constructor(private readonly o: ControlOptions) {
     const { transport, clock } = o;
@@ -289,13 +292,18 @@
     }
   }
 
-  /** The configuration in force, parsed once for each version. */
+  /**
+   * The configuration by which layers are placed. While documents follow one another quickly, it is
+   * an earlier one, as a large document takes long to parse.
+   */
   private configuration(): Configuration | undefined {
     const { version, text } = this.voter.state.document;
     if (version === 0) return undefined;
-    if (this.parsed?.version !== version) {
-      this.parsed = { version, config: this.o.parse(text) };
-    }
+    const { parsed } = this;
+    const now = this.o.clock.now();
+    const isRecent = parsed && (parsed.version === version || now - parsed.at < parseIntervalMs);
+    if (isRecent) return parsed.config;
+    this.parsed = { version, at: now, config: this.o.parse(text) };
     return this.parsed.config;
   }
 
--- a/packages/fleet/test/control.test.ts
+++ b/packages/fleet/test/control.test.ts
@@ -126,6 +126,25 @@
   assert.equal(await versionAt(fleet, others[1]!), 9);
 });
 
+test('a leader does not parse each of the documents that follow one another quickly', async () => {
+  const fleet = await Fleet.start(12);
+  await submit(fleet, a, 1);
+  await fleet.clock.advance(2000);
+  const before = fleet.parsed;
+  const from = fleet.clock.now();
+  for (let version = 2; version < 12; version += 1) {
+    void fleet.leader!.submit(documentOf(version));
+    await fleet.clock.advance(200);
+  }
+  const seconds = (fleet.clock.now() - from) / 1000;
+  assert.ok(
+    fleet.parsed - before <= Math.ceil(seconds),
+    `${fleet.parsed - before} in ${seconds} s`,
+  );
+  await fleet.clock.advance(1200);
+  assert.equal(await versionAt(fleet, b), 11);
+});
+
 const ids = ['u1', 'u2', 'u3', 'u4', 'u5'];
 
 /** Whether the records of the given upstreams cover all 20 layers. */
--- a/packages/fleet/test/fleet.ts
+++ b/packages/fleet/test/fleet.ts
@@ -159,6 +159,8 @@
   costs: CallCosts | undefined;
   /** The first error that a task of a node failed with. */
   failure: unknown;
+  /** Number of documents that nodes have parsed. */
+  parsed = 0;
   private sequence = 1;
 
   private constructor(seed: number) {
@@ -204,7 +206,10 @@
       logger: silentLogger,
       heartbeatMs: 1000,
       orders: this.upstreams,
-      parse: (text) => JSON.parse(text) as Configuration,
+      parse: (text) => {
+        this.parsed += 1;
+        return JSON.parse(text) as Configuration;
+      },
       onBroken: (e) => {
         this.failure ??= e;
       },
