--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -28,6 +28,7 @@
   'capacity',
   'logging',
   'permits',
+  'documents',
 ];
 
 async function main(args: readonly string[]): Promise<number> {
