Do not take a reply that was overtaken for a confirmation

Now such a reply changes nothing at all, and the age of a view never goes back to that of an earlier call.

The test, extended, fails before: the view of version 2 is 0 ms old, where it was last confirmed 3,000 ms ago, and its index is 3.

--- a/packages/fleet/src/leaderclient.ts
+++ b/packages/fleet/src/leaderclient.ts
@@ -51,8 +51,9 @@
   /**
    * Tries candidates until the leader has answered, for at most `withinMs`. The call must be
    * idempotent, as several nodes may execute it. A leader that another node follows is waited for
-   * until the end, as it may be busy: one more call would only make it later. A call that the leader may hold for `holdMs` is
-   * not repeated after a failure, which may have taken that long to notice.
+   * until the end, as it may be busy: one more call would only make it later. A call that the
+   * leader may hold for `holdMs` is not repeated after a failure, which may have taken that long to
+   * notice.
    */
   async call<K extends LeaderExchange>(
     kind: K,
--- a/packages/fleet/src/view.ts
+++ b/packages/fleet/src/view.ts
@@ -122,12 +122,13 @@
   }
 
   /**
-   * Applies the reply to `call`, which was sent at `sentAt`. Ignores a reply that is older than what
-   * is known. Returns false if the document cannot be applied; the next call then asks for all of it.
+   * Applies the reply to `call`, which was sent at `sentAt`, unless another reply has overtaken it.
+   * Returns false if the document cannot be applied; the next call then asks for all of it.
    */
   apply(update: Update, sentAt: Millis, call: ReportedState): boolean {
-    if (!update.whole && update.index < this.index) return true;
-    if (update.document && !this.applyDocument(decompressDocument(update.document), call)) {
+    const document = update.document && decompressDocument(update.document);
+    if (this.isOvertaken(update, document, call)) return true;
+    if (document && !this.applyDocument(document)) {
       this.inForce = { version: 0, text: '' };
       return false;
     }
@@ -137,7 +138,7 @@
     if (update.quarantined) this.fingerprints = new Set(update.quarantined);
     this.index = update.index;
     this.applyBulletin(decode<Bulletin>(update.bulletin), call.loads);
-    this.confirmedAt = sentAt;
+    this.confirmedAt = Math.max(sentAt, this.confirmedAt);
     this.changed.ring();
     return true;
   }
@@ -167,10 +168,18 @@
     this.records.set(record.id, record);
   }
 
-  private applyDocument(update: DocumentUpdate, { documentVersion }: ReportedState): boolean {
+  /** Whether another reply, to a call that was sent meanwhile, has replaced what this one changes. */
+  private isOvertaken(
+    update: Update,
+    document: DocumentUpdate | undefined,
+    call: ReportedState,
+  ): boolean {
+    if (!update.whole && update.index < this.index) return true;
+    return document?.kind === 'delta' && call.documentVersion !== this.inForce.version;
+  }
+
+  private applyDocument(update: DocumentUpdate): boolean {
     if (update.version <= this.inForce.version) return true;
-    // Another reply has replaced the base of this difference meanwhile.
-    if (update.kind === 'delta' && documentVersion !== this.inForce.version) return true;
     const text =
       update.kind === 'whole' ? update.text : applyDelta(this.inForce.text, update.delta as Delta);
     if (text === undefined) return false;
--- a/packages/fleet/test/view.test.ts
+++ b/packages/fleet/test/view.test.ts
@@ -219,9 +219,10 @@
 }
 
 // An entry that drains reports to the leader while its usual call is held: two replies may cross.
-test('a late reply to an earlier call does not mix two documents or bring old records back', () => {
+test('a late reply to an earlier call does not mix two documents or bring old records back', async () => {
+  const clock = HeldClock.create();
   const view = FleetView.create({
-    clock: HeldClock.create(),
+    clock,
     logger: silentLogger,
     leaseMs: 4000,
     parse: (text) => JSON.parse(text) as Configuration,
@@ -245,7 +246,7 @@
         quarantined: undefined,
         bulletin,
       },
-      0,
+      clock.now(),
       { loads: [], documentVersion: base },
     );
   const deltaFrom = ({ text }: typeof first, to: typeof first): DocumentUpdate => ({
@@ -255,9 +256,14 @@
   });
   assert.ok(apply(1, { kind: 'whole', ...first }, 0));
   assert.ok(apply(2, deltaFrom(first, second), 1));
+  await clock.advance(3000);
   apply(3, deltaFrom(first, third), 1);
   if (view.document.version === 3) assert.equal(view.document.text, third.text);
-  else assert.equal(view.document.text, second.text);
+  else {
+    assert.equal(view.document.text, second.text);
+    assert.equal(view.ageMs, 3000, 'what lacks the newest document is not confirmed by it');
+    assert.equal(view.index, 2);
+  }
   assert.ok(apply(1, deltaFrom(first, second), 1));
   assert.equal(view.upstreams.get(UpstreamId('u1'))?.phase, 'draining');
   assert.ok(apply(3, deltaFrom(second, third), 2));
