Keep answers of a later upstream out of a stream that has begun

Ruled out by tests that passed before: an earlier refusal that comes again on a kept connection (the id of the request tells it apart, and requests that may run once use no kept connection); a head that stops half-way, on new and kept connections, for all three kinds of request (502, never 200).

--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -377,7 +377,7 @@
 
 /**
  * Forwards a response to the caller. An error response to a repeatable request is not forwarded, as
- * another attempt may succeed.
+ * another attempt may succeed; nor is one after a stream has begun, of which it is no part.
  */
 async function forwardResponse(
   state: RequestState,
@@ -394,6 +394,7 @@
     if (outcome === 'complete') return { kind: 'delivered' };
     return { kind: 'failed', failure: 'broken', detail: 'the stream broke off' };
   }
+  if (delivery?.started) return { kind: 'failed', failure: 'failed', detail: `status ${status}` };
   const complete = await readResponse(response);
   if (!complete) return { kind: 'failed', failure: 'broken', detail: 'the answer broke off' };
   if (status >= 500 && isRepeatable(call)) {
--- a/packages/relay/src/stream.ts
+++ b/packages/relay/src/stream.ts
@@ -1,8 +1,10 @@
 /** Joins the event streams of one or more attempts into one: each event once and in order. */
 
 import type { Clock, Millis } from '@tanagercart/base';
+import { isRepeatable } from './call.js';
 import type { Call, Caller } from './call.js';
 import { EventSplitter } from './events.js';
+import type { StreamEvent } from './events.js';
 import type { UpstreamResponse } from './upstream.js';
 
 /** How the stream of one attempt ended. */
@@ -23,10 +25,11 @@
   private constructor(
     private readonly caller: Caller,
     private readonly clock: Clock,
+    private readonly isNumbered: boolean,
   ) {}
 
   static create(call: Call, caller: Caller, clock: Clock): StreamDelivery {
-    const delivery = new StreamDelivery(caller, clock);
+    const delivery = new StreamDelivery(caller, clock, isRepeatable(call));
     delivery.lastEvent = call.lastEvent;
     return delivery;
   }
@@ -42,14 +45,12 @@
     const splitter = EventSplitter.create();
     try {
       for await (const chunk of response.body) {
-        const events = splitter.push(chunk).filter((e) => this.isNew(e.id));
-        if (events.length === 0) continue;
-        if (!this.started) this.caller.start(response.head);
-        this.started = true;
-        this.recordChunk();
-        onEvents(events.length);
-        this.lastEvent = events.at(-1)!.id ?? this.lastEvent;
-        await this.caller.write(Buffer.concat(events.map((e) => e.bytes)));
+        const received = splitter.push(chunk);
+        const foreign = received.findIndex((e) => this.isForeign(e.id));
+        const own = foreign < 0 ? received : received.slice(0, foreign);
+        const events = own.filter((e) => this.isNew(e.id));
+        if (events.length > 0) await this.deliver(response, events, onEvents);
+        if (foreign >= 0) return 'broken';
       }
     } catch {
       return 'broken';
@@ -59,6 +60,20 @@
     return 'complete';
   }
 
+  /** Sends new events to the caller, after the head where they are the first ones. */
+  private async deliver(
+    { head }: UpstreamResponse,
+    events: readonly StreamEvent[],
+    onEvents: (count: number) => void,
+  ): Promise<void> {
+    if (!this.started) this.caller.start(head);
+    this.started = true;
+    this.recordChunk();
+    onEvents(events.length);
+    this.lastEvent = events.at(-1)!.id ?? this.lastEvent;
+    await this.caller.write(Buffer.concat(events.map((e) => e.bytes)));
+  }
+
   private recordChunk(): void {
     const now = this.clock.now();
     if (this.firstEventAt === undefined) this.firstEventAt = now;
@@ -66,6 +81,14 @@
     this.lastChunkAt = now;
   }
 
+  /**
+   * Whether bytes that end like an event are none of a resumable stream, all of whose events have an
+   * id, but something that an upstream wrote into it.
+   */
+  private isForeign(id: number | undefined): boolean {
+    return this.isNumbered && id === undefined;
+  }
+
   /** Whether the caller has not received the event yet; a resumed stream may repeat events. */
   private isNew(id: number | undefined): boolean {
     return id === undefined || this.lastEvent === undefined || id > this.lastEvent;
