Believe upstreams that say they leave or want no requests for a while

`Server-Leaving` and `Retry-After` of an upstream were read nowhere: an upstream that leaves got requests until its heartbeat reached the leader, and one that turned requests away got each next one.

The beliefs from an upstream's own answers (leaving, back-off, rate limit, not run) have one home now, relay/availability; docs/decisions/0083 says of each for how long it holds and what overrides it. Leaving is told to the leader, which records it as draining; it ends with the incarnation. A back-off binds the entry that was told, over retries, permits that were granted before, and tunnels that peers ask for.

A refused caller is told to come back once the first upstream is free, and 0.24 to 0.56 s later.

--- a/packages/bench/src/logging.ts
+++ b/packages/bench/src/logging.ts
@@ -28,9 +28,13 @@
   send: async () =>
     ok({
       head: { status: 200, reason: 'OK', headers: [], closeDelimited: false },
-      notRun: false,
       culprit: undefined,
-      rateLimit: { kind: 'unlimited' },
+      notices: {
+        isLeaving: false,
+        backOffMs: undefined,
+        rateLimit: { kind: 'unlimited' },
+        notRun: false,
+      },
       body: bodyOf(),
     }),
   probe: () => Promise.resolve({ kind: 'waiting' }),
--- a/packages/fleet/src/control.ts
+++ b/packages/fleet/src/control.ts
@@ -24,6 +24,7 @@
   ReadReply,
   SubmitReply,
   Transport,
+  UpstreamIncarnation,
   UpstreamRecord,
   WatchCall,
   WatchReply,
@@ -150,6 +151,11 @@
     return this.voter.state.upstreams.get(id);
   }
 
+  /** Records that an upstream told this node that it leaves, if this node leads. */
+  recordLeaving(upstream: UpstreamIncarnation): void {
+    this.currentTerm()?.registry.recordLeaving(upstream, { from: this.o.self });
+  }
+
   /** Sends the announcement of an upstream to the leader; resolves once it is committed. */
   async announce(announcement: Announcement): Promise<Result<void, NoLeader>> {
     const reply = await this.client.call('beat', { announcement }, forwardTimeoutMs);
--- a/packages/fleet/src/leaderterm.ts
+++ b/packages/fleet/src/leaderterm.ts
@@ -86,8 +86,9 @@
 
   /** Records the call of an entry; returns whether other entries should be informed at once. */
   recordEntry(from: NodeId, call: WatchCall): boolean {
-    const { liveness, limits, rollout } = this;
+    const { liveness, limits, rollout, registry } = this;
     rollout.recordCall(from, call);
+    for (const upstream of call.leaving ?? []) registry.recordLeaving(upstream, { from });
     const changes = (call.limits ?? []).filter((notice) => limits.record(notice, { from }));
     if (changes.length > 0) liveness.revision += 1;
     return liveness.recordEntry(from, call) || changes.length > 0;
--- a/packages/fleet/src/registry.ts
+++ b/packages/fleet/src/registry.ts
@@ -3,9 +3,15 @@
  * are written to the log.
  */
 
-import type { Clock, Logger, Millis, UpstreamId } from '@tanagercart/base';
+import type { Clock, LogFields, Logger, Millis, UpstreamId } from '@tanagercart/base';
 import { formatRange } from '@tanagercart/layers';
-import type { Announcement, BeatReply, UpstreamPhase, UpstreamRecord } from '@tanagercart/protocol';
+import type {
+  Announcement,
+  BeatReply,
+  UpstreamIncarnation,
+  UpstreamPhase,
+  UpstreamRecord,
+} from '@tanagercart/protocol';
 import type { Liveness } from './liveness.js';
 import type { Voter } from './voter.js';
 
@@ -27,6 +33,8 @@
 export class UpstreamRegistry {
   /** When an order to each upstream last succeeded. */
   private readonly placedAt = new Map<UpstreamId, Millis>();
+  /** Upstreams whose word that they leave is being committed. */
+  private readonly leaving = new Set<UpstreamId>();
 
   private constructor(private readonly o: UpstreamRegistryOptions) {}
 
@@ -51,6 +59,17 @@
     return { kind: 'unavailable', reason: done.error.kind };
   }
 
+  /** Records that an upstream said in an answer that it leaves; `source` is logged with it. */
+  recordLeaving({ id, born }: UpstreamIncarnation, source: LogFields): void {
+    const { voter, logger } = this.o;
+    const record = voter.state.upstreams.get(id);
+    if (record?.born !== born || record.phase !== 'ready' || this.leaving.has(id)) return;
+    logger.info('The upstream says that it leaves.', { ...source, upstream: id, born });
+    this.leaving.add(id);
+    const records = [{ ...record, phase: 'draining' as const }];
+    void voter.propose({ kind: 'upstreams', records }).then(() => this.leaving.delete(id));
+  }
+
   private logChange(record: UpstreamRecord): void {
     this.o.logger.info('Upstream changed.', {
       upstream: record.id,
--- a/packages/fleet/src/watcher.ts
+++ b/packages/fleet/src/watcher.ts
@@ -10,6 +10,7 @@
   LimitNotice,
   Suspicion,
   Transport,
+  UpstreamIncarnation,
   UpstreamLoad,
 } from '@tanagercart/protocol';
 import { LeaderClient } from './leaderclient.js';
@@ -41,6 +42,8 @@
   readonly loads: () => readonly UpstreamLoad[];
   /** Upstreams that failed requests of this entry. */
   readonly suspicions: () => readonly Suspicion[];
+  /** Upstreams that told this entry that they leave. */
+  readonly leaving: () => readonly UpstreamIncarnation[];
   /** What responses told this entry of the limits of upstreams lately. */
   readonly limits: () => readonly LimitNotice[];
 }
@@ -84,13 +87,14 @@
   }
 
   private async poll(waitMs: Millis): Promise<boolean> {
-    const { clock, view, entry, loads, suspicions, limits } = this.o;
+    const { clock, view, entry, loads, suspicions, limits, leaving } = this.o;
     const sentAt = clock.now();
     const call = {
       entry: entry(),
       loads: loads(),
       suspicions: suspicions(),
       limits: limits(),
+      leaving: leaving().filter((u) => isReadyIn(view, u)),
       since: view.index,
       documentVersion: view.document.version,
       waitMs,
@@ -113,3 +117,9 @@
     else logger.warn('Lost the leader.', fields);
   }
 }
+
+/** Whether the view still takes an incarnation of an upstream for ready. */
+function isReadyIn({ upstreams }: FleetView, { id, born }: UpstreamIncarnation): boolean {
+  const record = upstreams.get(id);
+  return record?.born === born && record.phase === 'ready';
+}
--- a/packages/fleet/test/fleet.ts
+++ b/packages/fleet/test/fleet.ts
@@ -18,6 +18,7 @@
   Announcement,
   EntryRecord,
   LimitNotice,
+  UpstreamIncarnation,
   UpstreamLoad,
   UpstreamRecord,
 } from '@tanagercart/protocol';
@@ -123,6 +124,7 @@
 /** What an entry of a test reports, and what it does on news. */
 interface EntryOptions {
   readonly loads?: readonly UpstreamLoad[];
+  readonly leaving?: () => readonly UpstreamIncarnation[];
   readonly limits?: () => readonly LimitNotice[];
   readonly onLimits?: (notices: readonly LimitNotice[]) => void;
   readonly onCall?: () => void;
@@ -225,7 +227,8 @@
     node: NodeId,
     options: EntryOptions = {},
   ): { readonly view: FleetView; readonly watcher: Watcher } {
-    const { loads = [], limits = () => [], onLimits = () => undefined, onCall } = options;
+    const { loads = [], limits = () => [], leaving = () => [], onCall } = options;
+    const { onLimits = () => undefined } = options;
     const view = FleetView.create({
       clock: this.clock,
       logger: silentLogger,
@@ -252,6 +255,7 @@
       loads: () => loads,
       suspicions: () => [],
       limits,
+      leaving,
     });
     void watcher.run(createStopController().signal);
     return { view, watcher };
--- a/packages/protocol/src/fleetmessage.ts
+++ b/packages/protocol/src/fleetmessage.ts
@@ -32,6 +32,9 @@
   readonly layers: LayerRange | undefined;
 }
 
+/** Tells one incarnation of an upstream from the others. */
+export type UpstreamIncarnation = Pick<UpstreamRecord, 'id' | 'born'>;
+
 /** The state of an upstream, as the upstream reported it. */
 export interface Announcement extends UpstreamRecord {
   /** Increases with each announcement of one incarnation. */
@@ -100,6 +103,8 @@
   readonly suspicions: readonly Suspicion[];
   /** What responses told the caller of limits since a short while; missing in older entries. */
   readonly limits?: readonly LimitNotice[];
+  /** Ready upstreams that told the caller that they leave; missing in older entries. */
+  readonly leaving?: readonly UpstreamIncarnation[];
   /** Log index up to which the caller has received the state; 0 if it has none. */
   readonly since: number;
   /** Version of the caller's document; 0 if it has none. */
--- a/packages/relay/src/balancer.ts
+++ b/packages/relay/src/balancer.ts
@@ -7,9 +7,9 @@
 import type { Engine } from '@tanagercart/config';
 import { findPath } from '@tanagercart/layers';
 import type { Path, RequestSize, Stage } from '@tanagercart/layers';
-import type { Pacer } from '@tanagercart/pacing';
 import type { UpstreamLoad, UpstreamRecord } from '@tanagercart/protocol';
 import type { FleetView } from '@tanagercart/fleet';
+import type { Availability } from './availability.js';
 import type { Call } from './call.js';
 import { estimateLoad } from './estimate.js';
 import type { Health } from './health.js';
@@ -25,10 +25,10 @@
 }
 
 /**
- * Why no target was found: no usable upstream, no path over those that there are, or none that
- * accepts a request soon enough.
+ * Why no target was found: no usable upstream, no path over those that there are, none with a permit
+ * soon enough, or none that does not want to be left alone for a while.
  */
-export type NoTarget = 'no-upstream' | 'no-path' | 'limited';
+export type NoTarget = 'no-upstream' | 'no-path' | 'limited' | 'backing-off';
 
 /** The targets that a request may have. */
 export interface Selection {
@@ -48,7 +48,7 @@
   readonly loads: Loads;
   readonly random: Random;
   readonly dataCentre: DataCentreId;
-  readonly pacer: Pick<Pacer, 'isLimited' | 'waitMsOf'>;
+  readonly availability: Pick<Availability, 'isLeaving' | 'backOffMsOf' | 'isLimited' | 'waitMsOf'>;
   /** Whether other entries lately reported that the upstream is unreachable. */
   readonly isSuspected: (upstream: UpstreamRecord) => boolean;
 }
@@ -80,21 +80,24 @@
       ? this.pickPath(call, engine, usable, selection)
       : this.pickUpstream(usable, selection);
     if (typeof target !== 'string') return target;
+    if (usable.some((u) => this.o.availability.backOffMsOf(u) > 0)) return 'backing-off';
     const limited = usable.some((u) => this.entryWaitMs(u, selection) === Infinity);
     return limited ? 'limited' : target;
   }
 
-  /** Time until the first permit that requests to the service wait for; 0 where none waits. */
-  nextPermitMs(call: Call): Millis {
-    const waits = this.ready(call).map((u) => this.o.pacer.waitMsOf(u));
+  /** Time until the first upstream accepts requests again for which these wait; 0 if they do not. */
+  nextFreeMs(call: Call): Millis {
+    const waits = this.ready(call).map((u) => this.o.availability.waitMsOf(u));
     const next = Math.min(...waits.filter((ms) => ms > 0));
     return Number.isFinite(next) ? next : 0;
   }
 
   /** Whether an upstream that was picked may still receive requests. */
-  isReady({ id, born }: UpstreamRecord): boolean {
-    const record = this.o.view.upstreams.get(id);
-    return record?.born === born && record.phase === 'ready';
+  isReady(upstream: UpstreamRecord): boolean {
+    const { view, availability } = this.o;
+    const record = view.upstreams.get(upstream.id);
+    if (record?.born !== upstream.born || record.phase !== 'ready') return false;
+    return !availability.isLeaving(upstream) && availability.backOffMsOf(upstream) === 0;
   }
 
   /** The upstream at an address, unless it is gone. */
@@ -164,16 +167,18 @@
 
   /** Wait until the upstream accepts the request; infinite where that would be too late. */
   private entryWaitMs(upstream: UpstreamRecord, { withoutPermit, maxWaitMs }: Selection): Millis {
-    const { pacer } = this.o;
-    if (!pacer.isLimited(upstream)) return 0;
+    const { availability } = this.o;
+    if (availability.backOffMsOf(upstream) > 0) return Infinity;
+    if (!availability.isLimited(upstream)) return 0;
     if (withoutPermit === 'all-limited' || withoutPermit.has(upstream.id)) return Infinity;
-    const waitMs = pacer.waitMsOf(upstream);
+    const waitMs = availability.waitMsOf(upstream);
     return waitMs > maxWaitMs ? Infinity : waitMs;
   }
 
   private ready(call: Call): readonly UpstreamRecord[] {
-    return [...this.o.view.upstreams.values()].filter(
-      (u) => u.service === call.service.id && u.phase === 'ready',
+    const { view, availability } = this.o;
+    return [...view.upstreams.values()].filter(
+      (u) => u.service === call.service.id && u.phase === 'ready' && !availability.isLeaving(u),
     );
   }
 
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -5,11 +5,11 @@
 
 import type { Clock, Logger, Metrics, Millis, Random, UpstreamId } from '@tanagercart/base';
 import { formatRange } from '@tanagercart/layers';
-import type { Pacer } from '@tanagercart/pacing';
 import type { UpstreamRecord } from '@tanagercart/protocol';
 import { jitter } from './jitter.js';
 import { deadlineOf, isRepeatable, isStream } from './call.js';
 import type { Call, Caller } from './call.js';
+import type { Availability } from './availability.js';
 import type { RetryBudget } from './budget.js';
 import type { Health } from './health.js';
 import type { Loads } from './loads.js';
@@ -39,7 +39,10 @@
 /** Fraction of its objective after which the upstream of a silent stream is probed. */
 const probeDelayRatio = 0.6;
 
-/** Mean retry-after time of refused requests, before jitter. */
+/**
+ * Mean retry-after time of refused requests, before jitter and in addition to the time until an
+ * upstream accepts requests again.
+ */
 const meanRetryAfterMs: Millis = 400;
 
 /** After this many refusals of permits, an attempt goes only to upstreams without a limit. */
@@ -59,7 +62,7 @@
   readonly budget: RetryBudget;
   readonly metrics: Metrics;
   readonly quarantine: Quarantine;
-  readonly pacer: Pacer;
+  readonly availability: Availability;
 }
 
 /** State of one request over all of its attempts. */
@@ -189,7 +192,7 @@
   /** Picks a target and waits for the permit to send it the request. */
   private async acquireTarget(state: RequestState, stop: AbortSignal): Promise<Target | NoTarget> {
     const { call, excluded } = state;
-    const { balancer, pacer } = this.o;
+    const { balancer, availability } = this.o;
     const maxWaitMs = maxPermitWaitMs(call, state.delivery?.started ?? false);
     const refused = new Set<UpstreamId>();
     for (;;) {
@@ -200,7 +203,7 @@
       const target = balancer.pick(call, { excluded, receivers, withoutPermit, maxWaitMs });
       if (typeof target === 'string') return target;
       const { upstream } = target;
-      const permit = await pacer.acquire(upstream, maxWaitMs, stop);
+      const permit = await availability.acquire(upstream, maxWaitMs, stop);
       if (stop.aborted) return target;
       if (permit.kind === 'refused') {
         refused.add(upstream.id);
@@ -248,8 +251,9 @@
     } else if (mayHaveRun.size > 0) {
       caller.refuse({ kind: 'unknown', reason });
     } else {
-      const meanMs = Math.max(meanRetryAfterMs, this.o.balancer.nextPermitMs(state.call));
-      const retryAfterMs = jitter(this.o.random, meanMs);
+      // Nobody is asked to come back before an upstream accepts requests again.
+      const freeMs = this.o.balancer.nextFreeMs(state.call);
+      const retryAfterMs = freeMs + jitter(this.o.random, meanRetryAfterMs);
       caller.refuse({ kind: 'not-run', reason, retryAfterMs });
     }
   }
@@ -287,7 +291,7 @@
     const attempt = { upstream, path, remainingMs, lastEvent: delivery?.lastEvent };
     const sent = await client.send(call, attempt, attemptStop.signal);
     const response = sent.isOk() ? sent.value : undefined;
-    if (response) this.o.pacer.record(call.id, upstream, response.rateLimit);
+    if (response) this.o.availability.record(call.id, upstream, response.notices);
     let outcome: AttemptOutcome = response
       ? await forwardResponse(state, target, response, (count) => {
           detector.recordActivity();
@@ -387,7 +391,9 @@
 ): Promise<AttemptOutcome> {
   const { call, caller, delivery } = state;
   const { status } = response.head;
-  if (response.notRun) return { kind: 'failed', failure: 'not-run', detail: `status ${status}` };
+  if (response.notices.notRun) {
+    return { kind: 'failed', failure: 'not-run', detail: `status ${status}` };
+  }
   state.mayHaveRun.add(target.upstream.id);
   if (delivery && status === 200) {
     const outcome = await delivery.forward(response, onEvents);
--- a/packages/relay/src/upstream.ts
+++ b/packages/relay/src/upstream.ts
@@ -3,8 +3,8 @@
 import type { Result } from 'neverthrow';
 import type { Millis } from '@tanagercart/base';
 import type { Path } from '@tanagercart/layers';
-import type { RateLimit } from '@tanagercart/pacing';
 import type { UpstreamRecord } from '@tanagercart/protocol';
+import type { UpstreamNotices } from './availability.js';
 import type { Call, ResponseHead } from './call.js';
 import type { ProbeResult } from './stall.js';
 
@@ -22,9 +22,7 @@
 /** A response whose head was received and whose body is still to be read. */
 export interface UpstreamResponse {
   readonly head: ResponseHead;
-  readonly rateLimit: RateLimit;
-  /** Whether the upstream reports that it did not run the request and will not. */
-  readonly notRun: boolean;
+  readonly notices: UpstreamNotices;
   /** Address of the upstream that caused the failure, where it is not the one that responded. */
   readonly culprit: string | undefined;
   /** Throws where the body ends before it is complete. */
--- a/packages/relay/test/balancer.test.ts
+++ b/packages/relay/test/balancer.test.ts
@@ -79,8 +79,13 @@
     const loads = Loads.create();
     const health = Health.create(clock);
     const isSuspected = () => false;
-    const pacer = { isLimited: () => false, waitMsOf: () => 0 };
-    const rest = { view, health, loads, random, dataCentre: north, isSuspected, pacer };
+    const availability = {
+      isLeaving: () => false,
+      backOffMsOf: () => 0,
+      isLimited: () => false,
+      waitMsOf: () => 0,
+    };
+    const rest = { view, health, loads, random, dataCentre: north, isSuspected, availability };
     return { view, loads, balancer: Balancer.create(rest), reported: [] };
   }
 
--- a/packages/relay/test/endless.test.ts
+++ b/packages/relay/test/endless.test.ts
@@ -4,7 +4,7 @@
 import { HeldClock } from '@tanagercart/base';
 import type { CallKind } from '@tanagercart/config';
 import type { UpstreamClient } from '../src/index.js';
-import { FakeCaller, callOf, relayOf, upstreamOf, viewOf } from './fixtures.js';
+import { FakeCaller, callOf, noticesOf, relayOf, upstreamOf, viewOf } from './fixtures.js';
 
 const chunk = Buffer.alloc(64 * 1024, 'x');
 
@@ -29,9 +29,8 @@
     send: async () =>
       ok({
         head: { status, reason: '', headers: [], closeDelimited: true },
-        notRun: false,
         culprit: undefined,
-        rateLimit: { kind: 'unlimited' as const },
+        notices: noticesOf(),
         body: body(),
       }),
   };
--- a/packages/relay/test/fixtures.ts
+++ b/packages/relay/test/fixtures.ts
@@ -17,7 +17,7 @@
 import { MemoryNetwork, encode } from '@tanagercart/protocol';
 import type { Bulletin, Transport, UpstreamCrash, UpstreamRecord } from '@tanagercart/protocol';
 import { Pacer } from '@tanagercart/pacing';
-import { Balancer, Health, Loads, Relay, RetryBudget } from '../src/index.js';
+import { Availability, Balancer, Health, Loads, Relay, RetryBudget } from '../src/index.js';
 import type {
   Attempt,
   Call,
@@ -28,6 +28,7 @@
   ResponseHead,
   Selection,
   UpstreamClient,
+  UpstreamNotices,
   UpstreamResponse,
 } from '../src/index.js';
 
@@ -186,7 +187,8 @@
   const suspected = new Set(parts.suspected ?? []);
   const metrics = parts.metrics ?? StatsdMetrics.create();
   const pacer = Pacer.create({ ...(parts.peers ?? aloneOn(clock)), clock, logger, metrics });
-  const balancerParts = { view, health, loads, random, dataCentre, isSuspected, pacer };
+  const availability = Availability.create({ clock, random, logger, metrics, pacer });
+  const balancerParts = { view, health, loads, random, dataCentre, isSuspected, availability };
   const balancer = Balancer.create(balancerParts);
   const relay = Relay.create({
     clock,
@@ -198,7 +200,7 @@
     loads,
     budget: RetryBudget.create(clock, { ratio: 0, slack, windowMs: 10_000 }, () => 1),
     metrics,
-    pacer,
+    availability,
     quarantine: parts.quarantine ?? {
       isEmpty: () => quarantined.length === 0,
       has: (subject) => quarantined.includes(subject),
@@ -212,7 +214,7 @@
       },
     },
   });
-  return { relay, balancer, health, pacer, loads, crashes, answered, suspected };
+  return { relay, balancer, health, pacer, availability, loads, crashes, answered, suspected };
 }
 
 /** Records what a caller is sent. */
@@ -296,6 +298,12 @@
   }
 }
 
+/** The notices of a response that says nothing of its upstream but what is given. */
+export function noticesOf(overrides: Partial<UpstreamNotices> = {}): UpstreamNotices {
+  const rateLimit = { kind: 'unlimited' } as const;
+  return { isLeaving: false, backOffMs: undefined, notRun: false, rateLimit, ...overrides };
+}
+
 /** A response with the given body, which breaks off at its end if `cut` is set. */
 export function responseOf(
   status: number,
@@ -305,9 +313,8 @@
 ): UpstreamResponse {
   return {
     head: { status, reason: '', headers: [], closeDelimited: false },
-    notRun,
+    notices: noticesOf({ notRun }),
     culprit: undefined,
-    rateLimit: { kind: 'unlimited' },
     body: bodyOf(chunks, cut),
   };
 }
--- a/packages/relay/test/namedlimit.test.ts
+++ b/packages/relay/test/namedlimit.test.ts
@@ -13,6 +13,7 @@
   bulletinOf,
   callOf,
   desk,
+  noticesOf,
   relayOf,
   selectionOf,
   upstreamOf,
@@ -62,8 +63,7 @@
     if (names && !this.toldAt.has(key)) this.toldAt.set(key, now);
     return {
       head: { status: 200, reason: '', headers: [], closeDelimited: false },
-      rateLimit: names ? { kind: 'limited', perSecond } : { kind: 'unlimited' },
-      notRun: false,
+      notices: noticesOf(names ? { rateLimit: { kind: 'limited', perSecond } } : {}),
       culprit: undefined,
       body: emptyBody(),
     };
