Do not let heartbeats that waited take away layers that were placed

Cause: the time in which the outcome of an order counts for more than heartbeats began before its record was committed. Where the commit took longer than that time, a heartbeat that had been sent before the load was taken for news. The emptied record made the placer order other layers, which made more changes, and the leader slower.

The change: the time begins with the commit, and the next two heartbeats do not count either, by their numbers; a heartbeat that repeats a change that is being committed shares its outcome. A load is polled at growing intervals (0.15 s, by half more each time, 1.5 s at most).

--- a/packages/fleet/src/control.ts
+++ b/packages/fleet/src/control.ts
@@ -6,7 +6,7 @@
 import { isDeepStrictEqual } from 'node:util';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
-import { TaskGroup, createStopController, waitEnded } from '@tanagercart/base';
+import { OwnerTable, TaskGroup, createStopController, waitEnded } from '@tanagercart/base';
 import type { Clock, Logger, Millis, NodeId, Random, UtilizationMeter } from '@tanagercart/base';
 import { deltaOf } from '@tanagercart/config';
 import type { Configuration } from '@tanagercart/config';
@@ -21,6 +21,8 @@
   CrashCall,
   CrashReply,
   EntryRecord,
+  HeartbeatsCall,
+  HeartbeatsReply,
   ReadReply,
   SubmitReply,
   Transport,
@@ -29,11 +31,13 @@
   WatchCall,
   WatchReply,
 } from '@tanagercart/protocol';
+import { HeartbeatCollector } from './heartbeats.js';
 import { LeaderClient } from './leaderclient.js';
 import type { NoLeader } from './leaderclient.js';
 import { LeaderTerm } from './leaderterm.js';
 import { Membership } from './membership.js';
 import type { OrderClient } from './placer.js';
+import { isUnchanged } from './registry.js';
 import { adoptionWaitMs } from './rollout.js';
 import { strikesToQuarantine } from './state.js';
 import type { Document } from './state.js';
@@ -54,6 +58,9 @@
 /** How long a voter holds the call of an entry while no leader is known. */
 const electionHoldMs: Millis = 400;
 
+/** A voter that has not answered the leader for this long is given no upstreams. */
+const heartbeatNodeSilenceMs: Millis = 500;
+
 /** How long the leader may hold the call of a follower that waits for changes. */
 const followHoldMs: Millis = 500;
 
@@ -85,6 +92,7 @@
   private readonly voter: Voter;
   private readonly membership: Membership;
   private readonly client: LeaderClient;
+  private readonly heartbeats: HeartbeatCollector;
   private readonly tasks: TaskGroup;
   private readonly stopping = createStopController();
   private leaderTerm: LeaderTerm | undefined;
@@ -107,6 +115,10 @@
       return leader === undefined ? this.membership.nodes : [leader, ...this.membership.nodes];
     };
     this.client = LeaderClient.create({ transport, clock, candidates });
+    this.heartbeats = HeartbeatCollector.create(clock, async (heartbeats) => {
+      const reply = await this.client.call('heartbeats', { heartbeats }, forwardTimeoutMs / 2);
+      return reply.map(() => undefined);
+    });
   }
 
   /** Creates a node, registers its call handlers and starts its tasks. */
@@ -158,6 +170,11 @@
 
   /** Sends the announcement of an upstream to the leader; resolves once it is committed. */
   async announce(announcement: Announcement): Promise<Result<void, NoLeader>> {
+    if (!this.isLeader && isUnchanged(this.upstream(announcement.id), announcement)) {
+      const collected = await this.heartbeats.add(announcement);
+      // A leader of an earlier version takes announcements one by one only.
+      if (collected.isOk()) return collected;
+    }
     const reply = await this.client.call('beat', { announcement }, forwardTimeoutMs);
     if (reply.isErr()) return err(reply.error);
     return reply.value.kind === 'accepted'
@@ -165,6 +182,20 @@
       : err({ kind: 'no-leader', maybeDone: true });
   }
 
+  /**
+   * The node to which an upstream should send its next heartbeats: this one, or another voter where
+   * this one leads, which has more to do than the others.
+   */
+  heartbeatNode(upstream: UpstreamRecord['id']): NodeId {
+    const { voter, o } = this;
+    const { raft } = voter;
+    if (!raft || !this.isLeader) return o.self;
+    const others = raft.voterConfig.voters
+      .map((m) => m.id)
+      .filter((id) => id !== o.self && raft.answeredWithin(id, heartbeatNodeSilenceMs));
+    return OwnerTable.create<UpstreamRecord['id'], NodeId>(others).ownerOf(upstream) ?? o.self;
+  }
+
   /**
    * Puts a validated document in force; returns the version in force afterwards, once entries that
    * lack it cannot answer for long; see `Rollout`.
@@ -213,6 +244,7 @@
     const { transport } = this.o;
     transport.serve('watch', (from, call) => this.handleWatch(from, call));
     transport.serve('beat', (_, call) => this.handleBeat(call.announcement));
+    transport.serve('heartbeats', (_, call) => this.handleHeartbeats(call));
     transport.serve('submit', (_, call) => this.handleSubmit(call));
     transport.serve('adoption', (_, call) => this.handleAdoption(call));
     transport.serve('read', (_, call) => this.handleRead(call.knownVersion));
@@ -361,6 +393,13 @@
       : this.notLeader();
   }
 
+  private async handleHeartbeats({ heartbeats }: HeartbeatsCall): Promise<HeartbeatsReply> {
+    const leaderTerm = this.currentTerm();
+    if (!leaderTerm) return this.notLeader();
+    for (const heartbeat of heartbeats) leaderTerm.liveness.recordHeartbeat(heartbeat);
+    return { kind: 'accepted' };
+  }
+
   /** Commits documents one at a time, as each is stored as a delta to the one before. */
   private handleSubmit(document: Document): Promise<SubmitReply> {
     const submission = this.lastSubmission.then(() => this.commitDocument(document));
--- a/packages/fleet/src/leaderclient.ts
+++ b/packages/fleet/src/leaderclient.ts
@@ -8,7 +8,7 @@
 /** Exchanges that only the leader answers. */
 export type LeaderExchange = Extract<
   ExchangeKind,
-  'watch' | 'beat' | 'submit' | 'adoption' | 'read' | 'parts'
+  'watch' | 'beat' | 'heartbeats' | 'submit' | 'adoption' | 'read' | 'parts'
 >;
 
 /** The error of a call that no leader answered. */
--- a/packages/fleet/src/leaderterm.ts
+++ b/packages/fleet/src/leaderterm.ts
@@ -12,7 +12,7 @@
 import { ReplyPacer } from './replypacer.js';
 import { Rollout } from './rollout.js';
 import { UpstreamRegistry } from './registry.js';
-import { SlownessMonitor } from './slowness.js';
+import { SlownessMonitor, pipelineStages } from './slowness.js';
 import { TombstoneCollector } from './tombstone.js';
 import type { Voter } from './voter.js';
 
@@ -98,7 +98,7 @@
   reconcile(config: Configuration): void {
     const { upstreams } = this.o.voter.state;
     this.placer.reconcile(config);
-    this.monitor.poll(pipelineStages(config, upstreams.values()));
+    if (!this.liveness.slow) this.monitor.poll(pipelineStages(config, upstreams.values()));
     this.collector.collect(upstreams);
   }
 
@@ -120,20 +120,9 @@
       voters: o.nodes(),
       loads: [...liveness.loads.values()],
       suspicions: liveness.excluded(o.voter.state.upstreams.values()),
-      slow: monitor.slow,
+      slow: liveness.slow ?? monitor.slow,
       suspectedParts: this.crashes.suspected,
       limits: this.limits.notices,
     };
   }
 }
-
-/** The ready upstreams of inference services that hold layers. */
-function pipelineStages(
-  config: Configuration,
-  records: Iterable<UpstreamRecord>,
-): readonly UpstreamRecord[] {
-  const engines = new Set(config.services.filter((s) => s.engine).map((s) => s.id));
-  return [...records].filter(
-    (r) => r.phase === 'ready' && r.layers !== undefined && engines.has(r.service),
-  );
-}
--- a/packages/fleet/src/liveness.ts
+++ b/packages/fleet/src/liveness.ts
@@ -5,8 +5,9 @@
 
 import type { Clock, Millis, NodeId, UpstreamId } from '@tanagercart/base';
 import type {
-  Announcement,
   EntryRecord,
+  PlainHeartbeat,
+  Slowness,
   Suspicion,
   UpstreamLoad,
   UpstreamRecord,
@@ -23,6 +24,9 @@
 /** Summed load is computed again after this time. */
 const loadSumMaxAgeMs: Millis = 100;
 
+/** The list of entries is made again after this time, as entries fall silent without a call. */
+const entryListMaxAgeMs: Millis = 40;
+
 /** A suspicion expires after this time, or with the next heartbeat. */
 const suspicionTimeoutMs: Millis = 4000;
 
@@ -45,6 +49,21 @@
   readonly entry: EntryRecord;
   readonly at: Millis;
   readonly loads: readonly UpstreamLoad[];
+  /** Slow upstreams among those that it polls; undefined if it polls none. */
+  readonly slow: readonly Slowness[] | undefined;
+}
+
+/** The entries that are listed for callers. */
+export interface EntryList {
+  readonly entries: readonly EntryRecord[];
+  /** Changes with each change of the list. */
+  readonly revision: number;
+}
+
+/** The list, when it was made, and the revision of what it was made from. */
+interface ListedEntries extends EntryList {
+  readonly at: Millis;
+  readonly seenRevision: number;
 }
 
 /** The load that all entries together caused at the time `at`. */
@@ -78,6 +97,7 @@
   private readonly upstreamSeen = new Map<UpstreamId, UpstreamSeen>();
   private readonly suspects = new Map<UpstreamId, Suspect>();
   private readonly startedAt: Millis;
+  private listed: ListedEntries = { entries: [], revision: 0, at: -Infinity, seenRevision: 0 };
   private loadSum: LoadSum = { at: -Infinity, loads: new Map() };
 
   private constructor(
@@ -102,8 +122,7 @@
   }
 
   /** Records an announcement; returns false if it is older than one of the same upstream. */
-  recordHeartbeat(announcement: Announcement): boolean {
-    const { id, born, sequence } = announcement;
+  recordHeartbeat({ id, born, sequence }: PlainHeartbeat): boolean {
     const known = this.upstreamSeen.get(id);
     const isOutdated =
       known && (known.born > born || (known.born === born && known.sequence > sequence));
@@ -112,6 +131,11 @@
     return true;
   }
 
+  /** Number of the last announcement of an upstream; undefined before the first of this term. */
+  sequenceOf(id: UpstreamId): number | undefined {
+    return this.upstreamSeen.get(id)?.sequence;
+  }
+
   /** Whether an upstream appears to have failed without announcing that it is gone. */
   isLost({ id, born }: UpstreamRecord): boolean {
     const { heartbeatMs } = this;
@@ -136,9 +160,31 @@
 
   /** Entries that have called recently. */
   get entries(): readonly EntryRecord[] {
+    return this.entryList.entries;
+  }
+
+  /** The same, with a number that changes with each change of the list. */
+  get entryList(): EntryList {
+    const now = this.clock.now();
+    const known = this.listed;
+    const isCurrent = known.seenRevision === this.revision && now - known.at < entryListMaxAgeMs;
+    if (isCurrent) return known;
+    const recent = [...this.entrySeen.values()].filter((e) => now - e.at < entryTimeoutMs);
+    const entries = recent.map((e) => e.entry);
+    const isSame =
+      entries.length === known.entries.length &&
+      entries.every((entry, i) => isSameEntry(entry, known.entries[i]!));
+    const list = isSame ? known : { entries, revision: known.revision + 1 };
+    this.listed = { ...list, at: now, seenRevision: this.revision };
+    return this.listed;
+  }
+
+  /** What the entries found slow; undefined while there is one that does not poll its share. */
+  get slow(): readonly Slowness[] | undefined {
     const now = this.clock.now();
     const recent = [...this.entrySeen.values()].filter((e) => now - e.at < entryTimeoutMs);
-    return recent.map((e) => e.entry);
+    if (recent.length === 0 || recent.some((e) => e.slow === undefined)) return undefined;
+    return recent.flatMap((e) => e.slow ?? []);
   }
 
   /** Number of entries that have called during this term. */
@@ -191,10 +237,11 @@
   }
 
   /** Records the state of an entry; returns whether it is a new one or it had been silent. */
-  private recordEntryState(from: NodeId, { entry, loads }: WatchCall, now: Millis): boolean {
+  private recordEntryState(from: NodeId, call: WatchCall, now: Millis): boolean {
+    const { entry, loads, slow } = call;
     if (!entry) return false;
     const known = this.entrySeen.get(from);
-    this.entrySeen.set(from, { entry, at: now, loads });
+    this.entrySeen.set(from, { entry, at: now, loads, slow });
     if (!known || now - known.at > entryTimeoutMs) return true;
     return known.entry.phase !== entry.phase || known.entry.isDetached !== entry.isDetached;
   }
@@ -220,3 +267,13 @@
     return changed;
   }
 }
+
+function isSameEntry(a: EntryRecord, b: EntryRecord): boolean {
+  return (
+    a.node === b.node &&
+    a.phase === b.phase &&
+    a.address === b.address &&
+    a.dataCentre === b.dataCentre &&
+    a.isDetached === b.isDetached
+  );
+}
--- a/packages/fleet/src/placer.ts
+++ b/packages/fleet/src/placer.ts
@@ -61,8 +61,10 @@
 /** Pause after an order, in addition to the lag of reports, before the upstream is polled. */
 const orderPauseMs: Millis = 100;
 
-/** Interval at which an upstream that loads layers is polled. */
+/** First interval at which an upstream that loads layers is polled, its growth, and its bound. */
 const loadPollMs: Millis = 150;
+const loadPollGrowth = 1.5;
+const maxLoadPollMs: Millis = 1500;
 
 /** Time after which a load has failed, in addition to three times its expected duration. */
 const loadSlackMs: Millis = 4000;
@@ -193,8 +195,8 @@
     const withdrawn = !record.layers || (await this.commitLayers(record, keptLayers));
     const done = withdrawn && (await this.executeOrder(engine, record, layers));
     if (done) {
-      registry.markPlaced(record.id);
       await this.commitLayers(record, layers);
+      registry.markPlaced(record.id, this.o.liveness);
     }
     logger.info(done ? 'Placed layers.' : 'Could not place layers.', fields);
     this.placements.delete(record.id);
@@ -243,8 +245,10 @@
     deadline: Millis,
   ): Promise<boolean> {
     const { clock, orders } = this.o;
+    let pollMs = loadPollMs;
     while (clock.now() < deadline && this.isEligible(record)) {
-      await clock.sleep(loadPollMs);
+      await clock.sleep(pollMs);
+      pollMs = Math.min(maxLoadPollMs, pollMs * loadPollGrowth);
       const report = await orders.report(record);
       if (report.isErr()) continue;
       this.started.set(keyOf(record), report.value.startedOrders);
--- a/packages/fleet/src/registry.ts
+++ b/packages/fleet/src/registry.ts
@@ -18,11 +18,29 @@
 /** For this long after an order, its outcome determines the recorded layers, not announcements. */
 const placementGraceMs: Millis = 1500;
 
+/**
+ * The same holds for as many announcements after it: they may have been sent before, and have waited
+ * in a queue of this node.
+ */
+const placementGraceBeats = 2;
+
 /** Within one incarnation, a record only moves to a phase of higher rank. */
 const phaseRank: Record<UpstreamPhase, number> = { ready: 0, draining: 1, gone: 2 };
 
+/** When the layers of an upstream were recorded, and the last announcement before. */
+interface Placement {
+  readonly at: Millis;
+  readonly sequence: number;
+}
+
+/** Records that are being committed. */
+interface PendingChange {
+  readonly records: readonly UpstreamRecord[];
+  readonly reply: Promise<BeatReply>;
+}
+
 export interface UpstreamRegistryOptions {
-  readonly voter: Voter;
+  readonly voter: Pick<Voter, 'state' | 'propose'>;
   readonly clock: Clock;
   readonly logger: Logger;
   /** Whether an order to the upstream is in progress. */
@@ -31,8 +49,10 @@
 
 /** Turns announcements into records of the replicated state. */
 export class UpstreamRegistry {
-  /** When an order to each upstream last succeeded. */
-  private readonly placedAt = new Map<UpstreamId, Millis>();
+  /** The last order to each upstream that succeeded. */
+  private readonly placed = new Map<UpstreamId, Placement>();
+  /** Changes that are being committed, by the upstream whose announcement they follow from. */
+  private readonly pending = new Map<UpstreamId, PendingChange>();
   /** Upstreams whose word that they leave is being committed. */
   private readonly leaving = new Set<UpstreamId>();
 
@@ -42,9 +62,10 @@
     return new UpstreamRegistry(options);
   }
 
-  /** Notes that an order to the upstream has succeeded. */
-  markPlaced(id: UpstreamId): void {
-    this.placedAt.set(id, this.o.clock.now());
+  /** Notes that the layers that an upstream was ordered to hold are recorded. */
+  markPlaced(id: UpstreamId, liveness: Liveness): void {
+    const sequence = liveness.sequenceOf(id) ?? 0;
+    this.placed.set(id, { at: this.o.clock.now(), sequence });
   }
 
   /** Registers an announcement; accepts it once all changes that follow from it are committed. */
@@ -52,7 +73,19 @@
     if (!liveness.recordHeartbeat(announcement)) return { kind: 'accepted' };
     const records = this.recordsFor(announcement);
     if (records.length === 0) return { kind: 'accepted' };
+    const { id } = announcement;
+    const pending = this.pending.get(id);
+    // The heartbeat was sent again, as its first acknowledgement is late.
+    if (pending && isSameList(pending.records, records)) return pending.reply;
     for (const r of records) this.logChange(r);
+    const change: PendingChange = { records, reply: this.commit(records) };
+    this.pending.set(id, change);
+    const reply = await change.reply;
+    if (this.pending.get(id) === change) this.pending.delete(id);
+    return reply;
+  }
+
+  private async commit(records: readonly UpstreamRecord[]): Promise<BeatReply> {
     const done = await this.o.voter.propose({ kind: 'upstreams', records });
     if (done.isOk()) return { kind: 'accepted' };
     if (done.error.kind === 'not-leader') return { kind: 'not-leader', leader: done.error.leader };
@@ -95,20 +128,46 @@
     );
     if (sameAddress.some((r) => r.born > announced.born)) return [];
     const replaced = sameAddress.map((r): UpstreamRecord => ({ ...r, phase: 'gone' }));
-    const record = this.merge(current, announced);
+    const record = this.merge(current, announced, sequence);
     return current && isSame(current, record) ? replaced : [...replaced, record];
   }
 
   /** Combines an announcement with the current record of the upstream. */
-  private merge(current: UpstreamRecord | undefined, announced: UpstreamRecord): UpstreamRecord {
+  private merge(
+    current: UpstreamRecord | undefined,
+    announced: UpstreamRecord,
+    sequence: number,
+  ): UpstreamRecord {
     if (!current || current.born < announced.born) return announced;
     const phase =
       phaseRank[announced.phase] > phaseRank[current.phase] ? announced.phase : current.phase;
-    const placedAt = this.placedAt.get(announced.id) ?? -Infinity;
-    const keepsLayers =
-      this.o.isPlacing(announced.id) || this.o.clock.now() - placedAt < placementGraceMs;
+    const keepsLayers = this.o.isPlacing(announced.id) || this.isJustPlaced(announced.id, sequence);
     return { ...announced, phase, layers: keepsLayers ? current.layers : announced.layers };
   }
+
+  /** Whether an announcement may have been sent before the last order was carried out. */
+  private isJustPlaced(id: UpstreamId, sequence: number): boolean {
+    const placement = this.placed.get(id);
+    if (!placement) return false;
+    const isRecent = this.o.clock.now() - placement.at < placementGraceMs;
+    return isRecent || sequence <= placement.sequence + placementGraceBeats;
+  }
+}
+
+function isSameList(a: readonly UpstreamRecord[], b: readonly UpstreamRecord[]): boolean {
+  return (
+    a.length === b.length &&
+    a.every((record, i) => {
+      const other = b[i]!;
+      return record.id === other.id && record.phase === other.phase && isSame(record, other);
+    })
+  );
+}
+
+/** Whether an announcement of an upstream changes nothing of its record. */
+export function isUnchanged(record: UpstreamRecord | undefined, announced: Announcement): boolean {
+  if (!record || phaseRank[announced.phase] > phaseRank[record.phase]) return false;
+  return isSame(record, { ...announced, phase: record.phase });
 }
 
 function isSame(a: UpstreamRecord, b: UpstreamRecord): boolean {
--- a/packages/fleet/src/slowness.ts
+++ b/packages/fleet/src/slowness.ts
@@ -1,12 +1,16 @@
 /**
- * Polls upstreams for their speed, at the leader. Protects against upstreams that become slow while
+ * Polls upstreams for their speed: each entry its share, and the leader all of them while an entry
+ * of an earlier version polls none. Protects against upstreams that become slow while
  * they continue to serve: every path through one is slow, and no request shows which of its stages
  * is the cause.
  */
 
-import type { Clock, Logger, Millis, UpstreamId } from '@tanagercart/base';
+import { OwnerTable } from '@tanagercart/base';
+import type { Clock, Logger, Millis, NodeId, UpstreamId } from '@tanagercart/base';
+import type { Configuration } from '@tanagercart/config';
 import type { Slowness, UpstreamRecord } from '@tanagercart/protocol';
 import type { OrderClient } from './placer.js';
+import type { FleetView } from './view.js';
 
 /** Interval between two polls of one upstream. */
 const pollIntervalMs: Millis = 2000;
@@ -14,6 +18,9 @@
 /** A factor below this does not count as slow. */
 const minSlowFactor = 1.3;
 
+/** Interval at which an entry looks which polls are due. */
+const shareIntervalMs: Millis = 100;
+
 export interface SlownessMonitorOptions {
   readonly orders: Pick<OrderClient, 'report'>;
   readonly clock: Clock;
@@ -56,11 +63,19 @@
     const now = this.o.clock.now();
     const limit = Math.ceil((records.length * (now - this.polledAt)) / pollIntervalMs);
     this.polledAt = now;
+    this.dropOthers(records);
     const due = records.filter((r) => now - this.lastPollOf(r) >= pollIntervalMs);
     due.sort((x, y) => this.lastPollOf(x) - this.lastPollOf(y));
     for (const record of due.slice(0, limit)) this.startPoll(record, now);
   }
 
+  /** Forgets upstreams that are polled no longer. */
+  private dropOthers(records: readonly UpstreamRecord[]): void {
+    if (this.polls.size <= records.length) return;
+    const polled = new Set(records.map((r) => r.id));
+    for (const id of this.polls.keys()) if (!polled.has(id)) this.polls.delete(id);
+  }
+
   /** Time of the last poll of an incarnation; if there was none, a time at which the next one is due. */
   private lastPollOf({ id, born }: UpstreamRecord): Millis {
     const known = this.polls.get(id);
@@ -86,3 +101,56 @@
     this.o.logger.info(message, { upstream: record.id, address: record.address, slowness });
   }
 }
+
+/** What an entry needs to poll its share. */
+export interface SlownessShareOptions extends SlownessMonitorOptions {
+  readonly self: NodeId;
+  readonly view: Pick<FleetView, 'entries' | 'upstreams' | 'table'>;
+}
+
+/** Polls the upstreams of which this entry is the owner by rendezvous hashing. */
+export class SlownessShare {
+  private readonly monitor: SlownessMonitor;
+  private owners = OwnerTable.create<UpstreamId, NodeId>([]);
+
+  private constructor(private readonly o: SlownessShareOptions) {
+    this.monitor = SlownessMonitor.create(o);
+  }
+
+  static create(options: SlownessShareOptions): SlownessShare {
+    return new SlownessShare(options);
+  }
+
+  /** Those of them that are slower than their kind. */
+  get slow(): readonly Slowness[] {
+    return this.monitor.slow;
+  }
+
+  /** Polls until `stop` is aborted. */
+  async run(stop: AbortSignal): Promise<void> {
+    while (!stop.aborted) {
+      this.poll();
+      await this.o.clock.sleep(shareIntervalMs, stop);
+    }
+  }
+
+  private poll(): void {
+    const { view, self } = this.o;
+    if (!view.table) return;
+    const ready = view.entries.filter((e) => e.phase === 'ready').map((e) => e.node);
+    if (!this.owners.isFor(ready)) this.owners = OwnerTable.create(ready);
+    const stages = pipelineStages(view.table.config, view.upstreams.values());
+    this.monitor.poll(stages.filter((u) => this.owners.ownerOf(u.id) === self));
+  }
+}
+
+/** The ready upstreams of inference services that hold layers. */
+export function pipelineStages(
+  config: Configuration,
+  records: Iterable<UpstreamRecord>,
+): readonly UpstreamRecord[] {
+  const engines = new Set(config.services.filter((s) => s.engine).map((s) => s.id));
+  return [...records].filter(
+    (r) => r.phase === 'ready' && r.layers !== undefined && engines.has(r.service),
+  );
+}
--- a/packages/fleet/src/watcher.ts
+++ b/packages/fleet/src/watcher.ts
@@ -8,6 +8,7 @@
   CrashCall,
   EntryRecord,
   LimitNotice,
+  Slowness,
   Suspicion,
   Transport,
   UpstreamIncarnation,
@@ -42,6 +43,8 @@
   readonly loads: () => readonly UpstreamLoad[];
   /** Upstreams that failed requests of this entry. */
   readonly suspicions: () => readonly Suspicion[];
+  /** Slow upstreams among those that this entry polls. */
+  readonly slow: () => readonly Slowness[];
   /** Upstreams that told this entry that they leave. */
   readonly leaving: () => readonly UpstreamIncarnation[];
   /** What responses told this entry of the limits of upstreams lately. */
@@ -87,13 +90,14 @@
   }
 
   private async poll(waitMs: Millis): Promise<boolean> {
-    const { clock, view, entry, loads, suspicions, limits, leaving } = this.o;
+    const { clock, view, entry, loads, suspicions, limits, leaving, slow } = this.o;
     const sentAt = clock.now();
     const call = {
       entry: entry(),
       loads: loads(),
       suspicions: suspicions(),
       limits: limits(),
+      slow: slow(),
       leaving: leaving().filter((u) => isReadyIn(view, u)),
       since: view.index,
       documentVersion: view.document.version,
--- a/packages/fleet/test/fleet.ts
+++ b/packages/fleet/test/fleet.ts
@@ -18,6 +18,7 @@
   Announcement,
   EntryRecord,
   LimitNotice,
+  Slowness,
   UpstreamIncarnation,
   UpstreamLoad,
   UpstreamRecord,
@@ -124,6 +125,7 @@
 /** What an entry of a test reports, and what it does on news. */
 interface EntryOptions {
   readonly loads?: readonly UpstreamLoad[];
+  readonly slow?: readonly Slowness[];
   readonly leaving?: () => readonly UpstreamIncarnation[];
   readonly limits?: () => readonly LimitNotice[];
   readonly onLimits?: (notices: readonly LimitNotice[]) => void;
@@ -227,7 +229,7 @@
     node: NodeId,
     options: EntryOptions = {},
   ): { readonly view: FleetView; readonly watcher: Watcher } {
-    const { loads = [], limits = () => [], leaving = () => [], onCall } = options;
+    const { loads = [], slow = [], limits = () => [], leaving = () => [], onCall } = options;
     const { onLimits = () => undefined } = options;
     const view = FleetView.create({
       clock: this.clock,
@@ -256,6 +258,7 @@
       suspicions: () => [],
       limits,
       leaving,
+      slow: () => slow,
     });
     void watcher.run(createStopController().signal);
     return { view, watcher };
--- /dev/null
+++ b/packages/fleet/test/registry.test.ts
@@ -0,0 +1,74 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { ok } from 'neverthrow';
+import { HeldClock, silentLogger } from '@tanagercart/base';
+import type { Announcement, UpstreamRecord } from '@tanagercart/protocol';
+import { FleetState, Liveness, UpstreamRegistry, encodeCommand } from '../src/index.js';
+import type { Command } from '../src/index.js';
+import { announcementOf } from './fleet.js';
+
+const heartbeatMs = 1200;
+const layers = { from: 4, to: 8 };
+
+/** A registry whose log takes `commitMs` to commit a command. */
+function start(commitMs: number) {
+  const clock = HeldClock.create();
+  const state = FleetState.create();
+  const proposed: Command[] = [];
+  const voter = {
+    state,
+    propose: async (command: Command) => {
+      proposed.push(command);
+      await clock.sleep(commitMs);
+      state.apply(state.index + 1, encodeCommand(command));
+      return ok({ kind: 'done' } as const);
+    },
+  };
+  const liveness = Liveness.create(clock, heartbeatMs);
+  const options = { voter, clock, logger: silentLogger, isPlacing: () => false };
+  const registry = UpstreamRegistry.create(options);
+  let sequence = 0;
+  const beat = (change: Partial<Announcement> = {}) => {
+    sequence += 1;
+    return registry.register(announcementOf('u1', { sequence, ...change }), liveness);
+  };
+  const record = () => state.upstreams.get(announcementOf('u1').id);
+  return { clock, voter, liveness, registry, proposed, beat, record };
+}
+
+test('a heartbeat that comes again before its change is committed is proposed once', async () => {
+  const { clock, proposed, beat, record } = start(500);
+  const replies = [beat(), beat(), beat()];
+  await clock.advance(600);
+  for (const reply of replies) assert.equal((await reply).kind, 'accepted');
+  assert.equal(proposed.length, 1);
+  void beat({ phase: 'draining' });
+  void beat({ phase: 'draining' });
+  await clock.advance(600);
+  assert.equal(proposed.length, 2);
+  assert.equal(record()?.phase, 'draining');
+});
+
+test('a heartbeat that was sent before the layers were placed does not take them away', async () => {
+  const { clock, voter, liveness, registry, beat, record } = start(2000);
+  void beat();
+  await clock.advance(2100);
+  // The upstream has loaded its layers, and their record takes long to commit.
+  const records: UpstreamRecord[] = [{ ...record()!, layers }];
+  const committed = voter.propose({ kind: 'upstreams', records });
+  await clock.advance(2100);
+  await committed;
+  registry.markPlaced(announcementOf('u1').id, liveness);
+  await clock.advance(1600);
+  void beat();
+  await clock.advance(2100);
+  assert.deepEqual(record()?.layers, layers);
+  void beat({ layers });
+  await clock.advance(heartbeatMs);
+  void beat({ layers });
+  await clock.advance(heartbeatMs);
+  // From now on, its own word counts again.
+  void beat({ layers: { from: 0, to: 4 } });
+  await clock.advance(2100);
+  assert.deepEqual(record()?.layers, { from: 0, to: 4 });
+});
--- a/packages/protocol/src/fleetmessage.ts
+++ b/packages/protocol/src/fleetmessage.ts
@@ -95,6 +95,22 @@
   readonly limits?: readonly LimitNotice[];
 }
 
+/** A load as id, sequences, entered and token layers; its fields would need more bytes than it does. */
+export type LoadRow = readonly [
+  id: UpstreamId,
+  sequences: number,
+  entered: number,
+  tokenLayers: number,
+];
+
+/** The bulletin for callers that name the revision of the list of entries that they have. */
+export interface CompactBulletin extends Omit<Bulletin, 'entries' | 'loads'> {
+  readonly entriesRevision: string;
+  /** Undefined if the caller has this revision. */
+  readonly entries: readonly EntryRecord[] | undefined;
+  readonly loadRows: readonly LoadRow[];
+}
+
 /** Asks the leader for changes of the state, and reports the state and load of the caller. */
 export interface WatchCall {
   /** The caller's own record; undefined if it is not an entry. */
@@ -105,10 +121,20 @@
   readonly limits?: readonly LimitNotice[];
   /** Ready upstreams that told the caller that they leave; missing in older entries. */
   readonly leaving?: readonly UpstreamIncarnation[];
+  /**
+   * Slow upstreams among those that the caller polls on behalf of all entries; missing in entries
+   * that poll none.
+   */
+  readonly slow?: readonly Slowness[];
   /** Log index up to which the caller has received the state; 0 if it has none. */
   readonly since: number;
   /** Version of the caller's document; 0 if it has none. */
   readonly documentVersion: number;
+  /**
+   * Revision of the caller's list of entries; empty if it has none. The reply then holds a
+   * `CompactBulletin`. Missing in earlier versions, which receive a `Bulletin`.
+   */
+  readonly entriesRevision?: string;
   /** Longest time for which the leader may hold the call to wait for a change. */
   readonly waitMs: Millis;
 }
@@ -131,10 +157,23 @@
       readonly document: Uint8Array | undefined;
       /** Fingerprints of requests that crash upstreams. */
       readonly quarantined: readonly string[] | undefined;
-      /** An encoded `Bulletin`, which the leader encodes once for all entries. */
+      /** An encoded `Bulletin` or `CompactBulletin`, which the leader encodes once for all callers. */
       readonly bulletin: Uint8Array;
     };
 
+/** A heartbeat that changes nothing of the record of its upstream. */
+export type PlainHeartbeat = Pick<Announcement, 'id' | 'born' | 'sequence'>;
+
+/** Forwards heartbeats that arrived shortly after one another to the leader. */
+export interface HeartbeatsCall {
+  readonly heartbeats: readonly PlainHeartbeat[];
+}
+
+/** The reply to a `HeartbeatsCall`. */
+export type HeartbeatsReply =
+  | { readonly kind: 'accepted' }
+  | { readonly kind: 'not-leader'; readonly leader: NodeId | undefined };
+
 /** Forwards the heartbeat of an upstream to the leader. */
 export interface BeatCall {
   readonly announcement: Announcement;
--- a/packages/protocol/src/message.ts
+++ b/packages/protocol/src/message.ts
@@ -39,6 +39,8 @@
   BeatReply,
   CrashCall,
   CrashReply,
+  HeartbeatsCall,
+  HeartbeatsReply,
   JoinCall,
   JoinReply,
   ReadCall,
@@ -74,6 +76,7 @@
   work: { call: WorkCall; reply: WorkReply };
   watch: { call: WatchCall; reply: WatchReply };
   beat: { call: BeatCall; reply: BeatReply };
+  heartbeats: { call: HeartbeatsCall; reply: HeartbeatsReply };
   submit: { call: SubmitCall; reply: SubmitReply };
   adoption: { call: AdoptionCall; reply: AdoptionReply };
   read: { call: ReadCall; reply: ReadReply };
