--- a/packages/fleet/src/bulletin.ts
+++ b/packages/fleet/src/bulletin.ts
@@ -5,17 +5,31 @@
  */
 
 import type { Clock, Millis } from '@tanagercart/base';
-import { encode } from '@tanagercart/protocol';
-import type { Bulletin } from '@tanagercart/protocol';
+import { decode, encode } from '@tanagercart/protocol';
+import type {
+  Bulletin,
+  CompactBulletin,
+  EntryRecord,
+  LoadRow,
+  UpstreamLoad,
+} from '@tanagercart/protocol';
 
 /** The bulletin is rebuilt after this time, even if the revision has not changed. */
-const maxAgeMs: Millis = 40;
+const minAgeMs: Millis = 40;
+
+/**
+ * The same in a large fleet, for each entry in it: a round of replies takes longer there, and each
+ * rebuilding too.
+ */
+const ageMsPerEntry: Millis = 1;
 
 export interface BulletinCacheOptions {
   readonly clock: Clock;
   /** A number that changes when entries should receive a new bulletin without delay. */
   readonly revision: () => number;
-  readonly build: () => Bulletin;
+  /** Number of entries that receive the bulletin. */
+  readonly entryCount: () => number;
+  readonly build: () => Bulletin | CompactBulletin;
 }
 
 interface CachedBulletin {
@@ -36,11 +50,38 @@
 
   /** The current bulletin, encoded. */
   get bytes(): Uint8Array {
-    const { clock, revision, build } = this.o;
+    const { clock, revision, entryCount, build } = this.o;
     const now = clock.now();
     const { last } = this;
+    const maxAgeMs = Math.max(minAgeMs, entryCount() * ageMsPerEntry);
     if (last && last.revision === revision() && now - last.at < maxAgeMs) return last.bytes;
     this.last = { at: now, revision: revision(), bytes: encode(build()) };
     return this.last.bytes;
   }
 }
+
+/** The bulletin of the leader, from either form. */
+export interface DecodedBulletin extends Omit<Bulletin, 'entries'> {
+  /** The list of entries; undefined if the caller has it. */
+  readonly entries: readonly EntryRecord[] | undefined;
+  /** Revision of that list; undefined in bulletins of earlier versions. */
+  readonly entriesRevision: string | undefined;
+}
+
+/** Decodes a bulletin of this version or an earlier one. */
+export function decodeBulletin(bytes: Uint8Array): DecodedBulletin {
+  const bulletin = decode<Bulletin | CompactBulletin>(bytes);
+  if (!('loadRows' in bulletin)) return { ...bulletin, entriesRevision: undefined };
+  const loads = bulletin.loadRows.map(([id, sequences, entered, tokenLayers]) => ({
+    id,
+    sequences,
+    entered,
+    tokenLayers,
+  }));
+  return { ...bulletin, loads };
+}
+
+/** A load in the form of a compact bulletin. */
+export function rowOf({ id, sequences, entered, tokenLayers }: UpstreamLoad): LoadRow {
+  return [id, sequences, entered, tokenLayers];
+}
--- a/packages/fleet/src/control.ts
+++ b/packages/fleet/src/control.ts
@@ -11,13 +11,11 @@
 import { deltaOf } from '@tanagercart/config';
 import type { Configuration } from '@tanagercart/config';
 import type { Disk } from '@tanagercart/log';
-import { decode } from '@tanagercart/protocol';
 import type {
   AdoptionCall,
   AdoptionReply,
   Announcement,
   BeatReply,
-  Bulletin,
   CrashCall,
   CrashReply,
   EntryRecord,
@@ -31,6 +29,8 @@
   WatchCall,
   WatchReply,
 } from '@tanagercart/protocol';
+import { decodeBulletin } from './bulletin.js';
+import type { DecodedBulletin } from './bulletin.js';
 import { HeartbeatCollector } from './heartbeats.js';
 import { LeaderClient } from './leaderclient.js';
 import type { NoLeader } from './leaderclient.js';
@@ -101,6 +101,7 @@
   private lastSubmission: Promise<unknown> = Promise.resolve();
   /** The entries as the leader last reported them; used while another node leads. */
   private followed: readonly EntryRecord[] = [];
+  private followedRevision = '';
   /** The document that was parsed last, and when. */
   private parsed: { version: number; at: Millis; config: Configuration | undefined } | undefined;
 
@@ -322,14 +323,21 @@
         suspicions: [],
         since: state.index,
         documentVersion: state.document.version,
+        entriesRevision: this.followedRevision,
         waitMs: followHoldMs,
       };
       const reply = await this.client.call('watch', call, forwardTimeoutMs, followHoldMs);
-      if (reply.isOk()) this.followed = decode<Bulletin>(reply.value.bulletin).entries;
+      if (reply.isOk()) this.followEntries(decodeBulletin(reply.value.bulletin));
       else await clock.sleep(reconcileIntervalMs, signal);
     }
   }
 
+  private followEntries({ entries, entriesRevision = '' }: DecodedBulletin): void {
+    if (!entries) return;
+    this.followed = entries;
+    this.followedRevision = entriesRevision;
+  }
+
   /**
    * The configuration by which layers are placed. While documents follow one another quickly, it is
    * an earlier one, as a large document takes long to parse.
@@ -364,7 +372,7 @@
       index: state.index,
       ...state.changesSince(call.since),
       document: state.documentUpdate(call.documentVersion),
-      bulletin: leaderTerm.bulletinCache.bytes,
+      bulletin: leaderTerm.bulletinFor(call),
     };
   }
 
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -7,6 +7,7 @@
 export * from './voter.js';
 export * from './membership.js';
 export * from './registry.js';
+export * from './heartbeats.js';
 export * from './crashes.js';
 export * from './placer.js';
 export * from './replypacer.js';
--- a/packages/fleet/src/leaderterm.ts
+++ b/packages/fleet/src/leaderterm.ts
@@ -2,9 +2,9 @@
 
 import type { Clock, Logger, Millis, NodeId, UtilizationMeter } from '@tanagercart/base';
 import type { Configuration } from '@tanagercart/config';
-import type { Bulletin, UpstreamRecord, WatchCall } from '@tanagercart/protocol';
+import type { Bulletin, CompactBulletin, UpstreamRecord, WatchCall } from '@tanagercart/protocol';
 import { NamedLimits } from '@tanagercart/pacing';
-import { BulletinCache } from './bulletin.js';
+import { BulletinCache, rowOf } from './bulletin.js';
 import { Liveness } from './liveness.js';
 import { CrashSuspicions } from './crashes.js';
 import { Placer } from './placer.js';
@@ -16,6 +16,9 @@
 import { TombstoneCollector } from './tombstone.js';
 import type { Voter } from './voter.js';
 
+/** What a bulletin holds: as earlier versions know it, or with the list of entries, or without. */
+type BulletinForm = 'full' | 'compact' | 'entries-known';
+
 export interface LeaderTermOptions {
   readonly voter: Voter;
   readonly clock: Clock;
@@ -37,8 +40,8 @@
   readonly crashes: CrashSuspicions;
   readonly rollout: Rollout;
   private readonly limits: NamedLimits;
-  /** The part of replies that is the same for all entries. */
-  readonly bulletinCache: BulletinCache;
+  /** The part of replies that is the same for all callers, in the forms that these know. */
+  private readonly bulletins: Readonly<Record<BulletinForm, BulletinCache>>;
   private readonly placer: Placer;
   private readonly monitor: SlownessMonitor;
   private readonly collector: TombstoneCollector;
@@ -72,12 +75,16 @@
     const forget = async (upstreams: readonly UpstreamRecord['id'][]) =>
       (await voter.propose({ kind: 'forget', upstreams })).isOk();
     this.collector = TombstoneCollector.create({ clock, logger, forget });
-    const revision = () => liveness.revision;
-    this.bulletinCache = BulletinCache.create({
-      clock,
-      revision,
-      build: () => this.buildBulletin(),
-    });
+    const cacheOf = (build: () => Bulletin | CompactBulletin) => {
+      const revision = () => liveness.revision;
+      const entryCount = () => liveness.entryCount;
+      return BulletinCache.create({ clock, revision, entryCount, build });
+    };
+    this.bulletins = {
+      full: cacheOf(() => this.buildBulletin()),
+      compact: cacheOf(() => this.buildCompact(true)),
+      'entries-known': cacheOf(() => this.buildCompact(false)),
+    };
   }
 
   static create(options: LeaderTermOptions, term: number): LeaderTerm {
@@ -113,6 +120,28 @@
     await this.pacer.wait(this.liveness.entryCount, { arrivedAt, holdMs }, minDelayMs);
   }
 
+  /** The encoded bulletin for the caller of a watch call. */
+  bulletinFor({ entriesRevision }: WatchCall): Uint8Array {
+    if (entriesRevision === undefined) return this.bulletins.full.bytes;
+    const isKnown = entriesRevision === this.entriesRevision;
+    return this.bulletins[isKnown ? 'entries-known' : 'compact'].bytes;
+  }
+
+  /** Revision of the list of entries, which differs from those of other leaders. */
+  private get entriesRevision(): string {
+    return `${this.term}.${this.liveness.entryList.revision}`;
+  }
+
+  private buildCompact(withEntries: boolean): CompactBulletin {
+    const { entries, loads, ...rest } = this.buildBulletin();
+    return {
+      ...rest,
+      entriesRevision: this.entriesRevision,
+      entries: withEntries ? entries : undefined,
+      loadRows: loads.map(rowOf),
+    };
+  }
+
   private buildBulletin(): Bulletin {
     const { liveness, monitor, o } = this;
     return {
--- a/packages/fleet/src/view.ts
+++ b/packages/fleet/src/view.ts
@@ -4,9 +4,8 @@
 import type { Clock, Logger, Millis, NodeId, UpstreamId } from '@tanagercart/base';
 import { RoutingTable, applyDelta } from '@tanagercart/config';
 import type { Configuration, Delta } from '@tanagercart/config';
-import { decode, decompressDocument } from '@tanagercart/protocol';
+import { decompressDocument } from '@tanagercart/protocol';
 import type {
-  Bulletin,
   DocumentUpdate,
   EntryRecord,
   LimitNotice,
@@ -16,6 +15,8 @@
   WatchCall,
   WatchReply,
 } from '@tanagercart/protocol';
+import { decodeBulletin } from './bulletin.js';
+import type { DecodedBulletin } from './bulletin.js';
 import { addLoad, clampLoad } from './load.js';
 import type { Document } from './state.js';
 
@@ -42,6 +43,8 @@
   index = 0;
   /** Entries that have called the leader recently, in any phase. */
   entries: readonly EntryRecord[] = [];
+  /** Revision of that list, by the leader that sent it; empty if it named none. */
+  entriesRevision = '';
   voters: readonly NodeId[] = [];
   /** The document in force; its version is 0 while none is known. */
   private inForce: Document = { version: 0, text: '' };
@@ -137,14 +140,17 @@
     if (update.upstreams.length > 0 || update.whole) this.revision += 1;
     if (update.quarantined) this.fingerprints = new Set(update.quarantined);
     this.index = update.index;
-    this.applyBulletin(decode<Bulletin>(update.bulletin), call.loads);
+    this.applyBulletin(decodeBulletin(update.bulletin), call.loads);
     this.confirmedAt = Math.max(sentAt, this.confirmedAt);
     this.changed.ring();
     return true;
   }
 
-  private applyBulletin(bulletin: Bulletin, reported: readonly UpstreamLoad[]): void {
-    this.entries = bulletin.entries;
+  private applyBulletin(bulletin: DecodedBulletin, reported: readonly UpstreamLoad[]): void {
+    if (bulletin.entries) {
+      this.entries = bulletin.entries;
+      this.entriesRevision = bulletin.entriesRevision ?? '';
+    }
     this.voters = bulletin.voters;
     this.peerLoads = subtractLoads(bulletin.loads, reported);
     this.reportedLoads = new Map(reported.map((l) => [l.id, l]));
--- a/packages/fleet/src/watcher.ts
+++ b/packages/fleet/src/watcher.ts
@@ -101,6 +101,7 @@
       leaving: leaving().filter((u) => isReadyIn(view, u)),
       since: view.index,
       documentVersion: view.document.version,
+      entriesRevision: view.entriesRevision,
       waitMs,
     };
     const reply = await this.client.call('watch', call, searchTimeoutMs, waitMs);
--- /dev/null
+++ b/packages/fleet/test/hundreds.test.ts
@@ -0,0 +1,84 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { NodeId } from '@tanagercart/base';
+import type { Millis } from '@tanagercart/base';
+import { Fleet, documentOf, startEntries } from './fleet.js';
+
+const voters = ['a', 'b', 'c', 'd', 'e'];
+const upstreamCount = 223;
+const heartbeatMs: Millis = 1200;
+
+/** Processor time for a call over HTTP on the smallest machines of today. */
+const httpMs: Millis = 3;
+
+/** Time within which operators wait for an acknowledgement. */
+const ackMs: Millis = 6000;
+
+/** Time from the start of all in which upstreams may be registered late. */
+const startMs: Millis = 8000;
+
+/**
+ * For `ms`, lets all upstreams send heartbeats over HTTP to the voter that the last response named.
+ * Returns the time that each of them was without an acknowledgement at most, after `startMs`.
+ */
+async function sendHeartbeats(fleet: Fleet, ms: Millis): Promise<ReadonlyMap<string, Millis>> {
+  const { clock } = fleet;
+  const end = clock.now() + ms;
+  const countedFrom = clock.now() + startMs;
+  const worst = new Map<string, Millis>();
+  const beat = async (id: string, at: Millis) => {
+    let to = NodeId(voters[Number(id.slice(1)) % voters.length]!);
+    let ackedAt = clock.now();
+    await clock.sleep(at);
+    while (clock.now() < end) {
+      const startedAt = clock.now();
+      const node = fleet.nodes.get(to);
+      await fleet.processors.get(to)?.work(httpMs);
+      const done = await node?.announce(fleet.nextAnnouncement(id));
+      const isInTime = clock.now() - startedAt < 1000;
+      if (done?.isOk() && isInTime) {
+        to = node!.heartbeatNode(fleet.nextAnnouncement(id).id);
+        ackedAt = clock.now();
+      } else to = NodeId(voters[Math.floor(fleet.random.next() * voters.length)]!);
+      const silentMs = clock.now() - Math.max(ackedAt, countedFrom);
+      worst.set(id, Math.max(worst.get(id) ?? 0, silentMs));
+      await clock.sleep(heartbeatMs);
+    }
+  };
+  for (let i = 0; i < upstreamCount; i += 1) void beat(`u${i}`, (i * heartbeatMs) / upstreamCount);
+  while (clock.now() < end) await clock.advance(20);
+  return worst;
+}
+
+test('no entry of a fleet of hundreds is silenced by a leader that is busy with heartbeats', async () => {
+  const fleet = await Fleet.start(81, voters, { watch: 2.5, beat: 2.5 }, httpMs);
+  const views = startEntries(fleet, 191);
+  const settled = sendHeartbeats(fleet, 24_000);
+  await fleet.clock.advance(3000);
+  const submittedAt = fleet.clock.now();
+  let ackedAt: Millis | undefined;
+  void fleet.nodes
+    .get(NodeId('b'))!
+    .submit(documentOf(7))
+    .then(() => {
+      ackedAt = fleet.clock.now();
+    });
+  await fleet.clock.advance(8000);
+  assert.ok(
+    ackedAt !== undefined && ackedAt - submittedAt < ackMs,
+    'the first document is acknowledged',
+  );
+  let silenced = 0;
+  let samples = 0;
+  for (let i = 0; i < 200; i += 1) {
+    await fleet.clock.advance(50);
+    for (const view of views.values()) {
+      samples += 1;
+      if (!view.isCurrent) silenced += 1;
+    }
+  }
+  assert.equal(silenced, 0, `${silenced} of ${samples} samples`);
+  const worst = await settled;
+  const late = [...worst].filter(([, ms]) => ms > 3 * heartbeatMs);
+  assert.deepEqual(late.slice(0, 5), []);
+});
