Count an entry's lease from the leader's reply, and hold calls for longer

Its replies are spaced to one round a second at most, and a call costs it some 5 ms there: the round alone takes all of its time.

The change: a reply says for how long the call was held, and confirms the state as of its end. Calls are held for up to 1.5 s in fleets of more than 128 entries, and layers are planned every 2 ms for each upstream.

--- a/packages/base/src/clock.ts
+++ b/packages/base/src/clock.ts
@@ -9,6 +9,11 @@
 export interface Clock {
   /** Monotonic time in milliseconds; it never goes back. */
   now(): Millis;
+  /**
+   * Monotonic time that may stand still while the machine is suspended, and that no step of the wall
+   * time changes. A duration by it is never longer than it was.
+   */
+  steady(): Millis;
   /** Wall time in milliseconds since 1970, for logs and stored records only. */
   wall(): Millis;
   /** Resolves after `ms` milliseconds, or at once when `signal` aborts; never rejects. */
@@ -47,6 +52,10 @@
     return performance.now();
   }
 
+  steady(): Millis {
+    return this.now();
+  }
+
   // eslint-disable-next-line class-methods-use-this
   wall(): Millis {
     return Date.now();
@@ -93,6 +102,10 @@
     return this.time;
   }
 
+  steady(): Millis {
+    return this.now();
+  }
+
   wall(): Millis {
     return this.time;
   }
--- a/packages/base/src/suspendclock.ts
+++ b/packages/base/src/suspendclock.ts
@@ -37,6 +37,10 @@
     return now + this.suspendedMs;
   }
 
+  steady(): Millis {
+    return this.inner.steady();
+  }
+
   wall(): Millis {
     return this.inner.wall();
   }
--- a/packages/base/test/output.test.ts
+++ b/packages/base/test/output.test.ts
@@ -38,6 +38,7 @@
   let wallAheadMs = 0;
   const clock = SuspendAwareClock.create({
     now: () => inner.now(),
+    steady: () => inner.steady(),
     wall: () => inner.wall() + wallAheadMs,
     sleep: () => Promise.resolve(),
   });
--- a/packages/fleet/src/leaderterm.ts
+++ b/packages/fleet/src/leaderterm.ts
@@ -16,6 +16,12 @@
 import { TombstoneCollector } from './tombstone.js';
 import type { Voter } from './voter.js';
 
+/**
+ * Time between two plans of the layers, for each upstream that is known. A plan takes longer the more
+ * there are, and the leader has more to do beside.
+ */
+const planIntervalPerUpstreamMs: Millis = 2;
+
 /** What a bulletin holds: as earlier versions know it, or with the list of entries, or without. */
 type BulletinForm = 'full' | 'compact' | 'entries-known';
 
@@ -46,6 +52,8 @@
   private readonly monitor: SlownessMonitor;
   private readonly collector: TombstoneCollector;
   private readonly pacer: ReplyPacer;
+  /** Time at which layers were last planned. */
+  private plannedAt: Millis = -Infinity;
 
   private constructor(
     private readonly o: LeaderTermOptions,
@@ -104,7 +112,11 @@
   /** Orders layers, polls the speed of upstreams and removes old records, where these are due. */
   reconcile(config: Configuration): void {
     const { upstreams } = this.o.voter.state;
-    this.placer.reconcile(config);
+    const now = this.o.clock.now();
+    if (now - this.plannedAt >= upstreams.size * planIntervalPerUpstreamMs) {
+      this.plannedAt = now;
+      this.placer.reconcile(config);
+    }
     if (!this.liveness.slow) this.monitor.poll(pipelineStages(config, upstreams.values()));
     this.collector.collect(upstreams);
   }
--- a/packages/fleet/src/rollout.ts
+++ b/packages/fleet/src/rollout.ts
@@ -35,9 +35,11 @@
   return Math.min(leaseMs, revokeMs * revocationShare);
 }
 
-/** The document of an entry, as of its last call. */
+/** What is known of an entry. */
 interface EntryState {
+  /** The version of its document, as of its last call. */
   readonly version: number;
+  /** Time of the latest call or reply that may have renewed its lease. */
   readonly at: Millis;
 }
 
@@ -68,6 +70,15 @@
     if (known?.version !== version) this.adopted.ring();
   }
 
+  /**
+   * Records a reply to a node. It renews the lease of an entry, whose document is known to be newer
+   * only once the entry calls again.
+   */
+  recordReply(to: NodeId): void {
+    const known = this.entries.get(to);
+    if (known) this.entries.set(to, { ...known, at: this.clock.now() });
+  }
+
   /** Waits until the entries have `version`, which is committed; for `adoptionWaitMs` at most. */
   async wait(version: number): Promise<void> {
     const { clock } = this;
--- a/packages/fleet/src/view.ts
+++ b/packages/fleet/src/view.ts
@@ -141,7 +141,9 @@
     if (update.quarantined) this.fingerprints = new Set(update.quarantined);
     this.index = update.index;
     this.applyBulletin(decodeBulletin(update.bulletin), call.loads);
-    this.confirmedAt = Math.max(sentAt, this.confirmedAt);
+    // The leader confirmed the state when it replied, which was `heldMs` after it received the call.
+    const repliedAt = Math.min(sentAt + (update.heldMs ?? 0), this.o.clock.now());
+    this.confirmedAt = Math.max(repliedAt, this.confirmedAt);
     this.changed.ring();
     return true;
   }
--- a/packages/fleet/src/watcher.ts
+++ b/packages/fleet/src/watcher.ts
@@ -21,8 +21,11 @@
 const baseHoldMs: Millis = 250;
 const baseHoldEntries = 32;
 
-/** Upper bound of the time for which the leader may hold a call in a larger fleet. */
-const maxHoldMs: Millis = 1000;
+/**
+ * Upper bound of the time for which the leader may hold a call in a larger fleet. The lease of an
+ * entry has to outlast the hold and a late reply.
+ */
+const maxHoldMs: Millis = 1500;
 
 /** Time for one search for the leader. */
 const searchTimeoutMs: Millis = 1500;
--- a/packages/fleet/test/view.test.ts
+++ b/packages/fleet/test/view.test.ts
@@ -7,9 +7,15 @@
 import { compressDocument, encode } from '@tanagercart/protocol';
 import type { DocumentUpdate, LimitNotice, Transport } from '@tanagercart/protocol';
 import { FleetView, LeaderClient } from '../src/index.js';
-import type { Watcher } from '../src/index.js';
+import type { ViewOptions, Watcher } from '../src/index.js';
 import { Fleet, announcementOf, configuration, documentOf } from './fleet.js';
 
+/** The options of a view on the clock of a fleet. */
+function viewOptions({ clock }: Fleet): ViewOptions {
+  const parse = (text: string) => JSON.parse(text) as Configuration;
+  return { clock, logger: silentLogger, leaseMs: 2650, parse, onLimits: () => undefined };
+}
+
 async function withEntry(seed: number, polls = false) {
   const fleet = await Fleet.start(seed);
   const self = NodeId('entry');
@@ -269,3 +275,20 @@
   assert.ok(apply(3, deltaFrom(second, third), 2));
   assert.equal(view.document.text, third.text);
 });
+
+test('a reply confirms the state as of its end, but never beyond the present', async () => {
+  const { fleet, view } = await withEntry(75);
+  await fleet.clock.advance(3000);
+  const update = { kind: 'update', whole: false, upstreams: [], document: undefined } as const;
+  const call = { loads: [], documentVersion: view.document.version };
+  const bulletin = encode({ entries: [], voters: [], loads: [], suspicions: [], slow: [] });
+  const reply = { ...update, index: view.index, quarantined: undefined, bulletin };
+  const ageAfter = (sentAgoMs: number, heldMs?: number) => {
+    const [fresh, now] = [FleetView.create(viewOptions(fleet)), fleet.clock.now()];
+    fresh.apply(heldMs === undefined ? reply : { ...reply, heldMs }, now - sentAgoMs, call);
+    return fresh.ageMs;
+  };
+  assert.equal(ageAfter(900, 700), 200);
+  assert.equal(ageAfter(900, 5000), 0);
+  assert.equal(ageAfter(900), 900, 'a leader of an earlier version does not say for how long');
+});
--- a/packages/pacing/test/fleet.ts
+++ b/packages/pacing/test/fleet.ts
@@ -85,6 +85,7 @@
 export function heldClockOf({ clock }: PacerFleet): Clock {
   return {
     now: () => clock.now(),
+    steady: () => clock.steady(),
     wall: () => clock.wall(),
     sleep: (ms, signal) => clock.sleep(ms, signal),
   };
--- a/packages/protocol/src/fleetmessage.ts
+++ b/packages/protocol/src/fleetmessage.ts
@@ -155,6 +155,11 @@
       readonly upstreams: readonly UpstreamRecord[];
       /** A compressed `DocumentUpdate`; undefined if the caller has the newest document. */
       readonly document: Uint8Array | undefined;
+      /**
+       * Time for which the leader held the call; the reply confirms the state at the end of that
+       * time. Missing in replies of earlier versions.
+       */
+      readonly heldMs?: Millis;
       /** Fingerprints of requests that crash upstreams. */
       readonly quarantined: readonly string[] | undefined;
       /** An encoded `Bulletin` or `CompactBulletin`, which the leader encodes once for all callers. */
