Answer a heartbeat that reaches no leader while its upstream waits

A heartbeat that changes nothing waited for the collected call (0.1 s and 0.45 s) and then for a call of its own (0.9 s), as a leader of an earlier version knows only the latter. Without a leader it took 1.39 s (held time), and an upstream turns elsewhere after one second; each wait also asked all voters again and again.

The change: heartbeats are collected only while the bulletin says that the leader is of this version, and have no second call.

--- a/packages/fleet/src/control.ts
+++ b/packages/fleet/src/control.ts
@@ -171,10 +171,9 @@
 
   /** Sends the announcement of an upstream to the leader; resolves once it is committed. */
   async announce(announcement: Announcement): Promise<Result<void, NoLeader>> {
-    if (!this.isLeader && isUnchanged(this.upstream(announcement.id), announcement)) {
-      const collected = await this.heartbeats.add(announcement);
-      // A leader of an earlier version takes announcements one by one only.
-      if (collected.isOk()) return collected;
+    const isPlain = isUnchanged(this.upstream(announcement.id), announcement);
+    if (isPlain && !this.isLeader && this.leaderTakesHeartbeats) {
+      return this.heartbeats.add(announcement);
     }
     const reply = await this.client.call('beat', { announcement }, forwardTimeoutMs);
     if (reply.isErr()) return err(reply.error);
@@ -353,6 +352,14 @@
     return this.parsed.config;
   }
 
+  /**
+   * Whether the leader takes collected heartbeats. One of an earlier version, which takes
+   * announcements one by one only, names no revision of its list of entries.
+   */
+  private get leaderTakesHeartbeats(): boolean {
+    return this.followedRevision !== '';
+  }
+
   private notLeader(): { readonly kind: 'not-leader'; readonly leader: NodeId | undefined } {
     return { kind: 'not-leader', leader: this.voter.liveLeader };
   }
