Forget a placement with the incarnation that it was for

Found by reading again: for two heartbeats after a placement, told by their numbers, an upstream's word on its layers does not count. The placement was kept by the id alone, and an upstream that restarts under its id counts anew. So after a restart at number 300 its layers would have been ignored for 300 heartbeats, unless they were placed again first.

The placement holds for its incarnation now.

--- a/packages/fleet/src/placer.ts
+++ b/packages/fleet/src/placer.ts
@@ -196,7 +196,7 @@
     const done = withdrawn && (await this.executeOrder(engine, record, layers));
     if (done) {
       await this.commitLayers(record, layers);
-      registry.markPlaced(record.id, this.o.liveness);
+      registry.markPlaced(record, this.o.liveness);
     }
     logger.info(done ? 'Placed layers.' : 'Could not place layers.', fields);
     this.placements.delete(record.id);
--- a/packages/fleet/src/registry.ts
+++ b/packages/fleet/src/registry.ts
@@ -29,6 +29,7 @@
 
 /** When the layers of an upstream were recorded, and the last announcement before. */
 interface Placement {
+  readonly born: number;
   readonly at: Millis;
   readonly sequence: number;
 }
@@ -63,9 +64,9 @@
   }
 
   /** Notes that the layers that an upstream was ordered to hold are recorded. */
-  markPlaced(id: UpstreamId, liveness: Liveness): void {
+  markPlaced({ id, born }: UpstreamIncarnation, liveness: Liveness): void {
     const sequence = liveness.sequenceOf(id) ?? 0;
-    this.placed.set(id, { at: this.o.clock.now(), sequence });
+    this.placed.set(id, { born, at: this.o.clock.now(), sequence });
   }
 
   /** Registers an announcement; accepts it once all changes that follow from it are committed. */
@@ -141,14 +142,14 @@
     if (!current || current.born < announced.born) return announced;
     const phase =
       phaseRank[announced.phase] > phaseRank[current.phase] ? announced.phase : current.phase;
-    const keepsLayers = this.o.isPlacing(announced.id) || this.isJustPlaced(announced.id, sequence);
+    const keepsLayers = this.o.isPlacing(announced.id) || this.isJustPlaced(announced, sequence);
     return { ...announced, phase, layers: keepsLayers ? current.layers : announced.layers };
   }
 
   /** Whether an announcement may have been sent before the last order was carried out. */
-  private isJustPlaced(id: UpstreamId, sequence: number): boolean {
+  private isJustPlaced({ id, born }: UpstreamIncarnation, sequence: number): boolean {
     const placement = this.placed.get(id);
-    if (!placement) return false;
+    if (placement?.born !== born) return false;
     const isRecent = this.o.clock.now() - placement.at < placementGraceMs;
     return isRecent || sequence <= placement.sequence + placementGraceBeats;
   }
--- a/packages/fleet/test/registry.test.ts
+++ b/packages/fleet/test/registry.test.ts
@@ -58,7 +58,7 @@
   const committed = voter.propose({ kind: 'upstreams', records });
   await clock.advance(2100);
   await committed;
-  registry.markPlaced(announcementOf('u1').id, liveness);
+  registry.markPlaced(record()!, liveness);
   await clock.advance(1600);
   void beat();
   await clock.advance(2100);
@@ -72,3 +72,16 @@
   await clock.advance(2100);
   assert.deepEqual(record()?.layers, { from: 0, to: 4 });
 });
+
+test('the counts of an incarnation before do not hide what an upstream says after its restart', async () => {
+  const { clock, liveness, registry, beat, record } = start(0);
+  void beat({ sequence: 300 });
+  await clock.advance(10);
+  registry.markPlaced(record()!, liveness);
+  await clock.advance(heartbeatMs * 2);
+  void beat({ born: 2, sequence: 1 });
+  await clock.advance(heartbeatMs);
+  void beat({ born: 2, sequence: 2, layers });
+  await clock.advance(heartbeatMs);
+  assert.deepEqual(record()?.layers, layers);
+});
