--- a/packages/bench/src/permits.ts
+++ b/packages/bench/src/permits.ts
@@ -10,7 +10,7 @@
 } from '@tanagercart/base';
 import { NamedLimits, Pacer } from '@tanagercart/pacing';
 import type { Millis } from '@tanagercart/base';
-import type { Incarnation } from '@tanagercart/pacing';
+import type { UpstreamIncarnation } from '@tanagercart/protocol';
 import { TcpTransport, encode } from '@tanagercart/protocol';
 import type { Report } from './report.js';
 
@@ -29,7 +29,7 @@
 /** Longest wait for a permit. */
 const maxWaitMs: Millis = 10;
 
-const upstream: Incarnation = { id: UpstreamId('i-0123456789'), born: 1_785_000_000_000 };
+const upstream: UpstreamIncarnation = { id: UpstreamId('i-0123456789'), born: 1_785_000_000_000 };
 
 const host = '127.0.0.1';
 
--- a/packages/fleet/src/liveness.ts
+++ b/packages/fleet/src/liveness.ts
@@ -169,8 +169,7 @@
     const known = this.listed;
     const isCurrent = known.seenRevision === this.revision && now - known.at < entryListMaxAgeMs;
     if (isCurrent) return known;
-    const recent = [...this.entrySeen.values()].filter((e) => now - e.at < entryTimeoutMs);
-    const entries = recent.map((e) => e.entry);
+    const entries = this.recentEntries(now).map((e) => e.entry);
     const isSame =
       entries.length === known.entries.length &&
       entries.every((entry, i) => isSameEntry(entry, known.entries[i]!));
@@ -181,8 +180,7 @@
 
   /** What the entries found slow; undefined while there is one that does not poll its share. */
   get slow(): readonly Slowness[] | undefined {
-    const now = this.clock.now();
-    const recent = [...this.entrySeen.values()].filter((e) => now - e.at < entryTimeoutMs);
+    const recent = this.recentEntries(this.clock.now());
     if (recent.length === 0 || recent.some((e) => e.slow === undefined)) return undefined;
     return recent.flatMap((e) => e.slow ?? []);
   }
@@ -225,6 +223,10 @@
     return this.isOutlier(id, born) || this.isFresh(id, suspect.at) ? suspect.reporters.size : 0;
   }
 
+  private recentEntries(now: Millis): readonly EntrySeen[] {
+    return [...this.entrySeen.values()].filter((e) => now - e.at < entryTimeoutMs);
+  }
+
   /** Whether a suspicion of the time `at` still holds, as no heartbeat has arrived since. */
   private isFresh(id: UpstreamId, at: Millis): boolean {
     const heartbeatAt = this.upstreamSeen.get(id)?.at ?? -Infinity;
--- a/packages/fleet/src/registry.ts
+++ b/packages/fleet/src/registry.ts
@@ -160,7 +160,7 @@
     a.length === b.length &&
     a.every((record, i) => {
       const other = b[i]!;
-      return record.id === other.id && record.phase === other.phase && isSame(record, other);
+      return record.id === other.id && isSame(record, other);
     })
   );
 }
--- a/packages/pacing/src/namedlimits.ts
+++ b/packages/pacing/src/namedlimits.ts
@@ -1,7 +1,7 @@
 /** What this node knows of the limits that upstreams name, from responses and from other nodes. */
 
 import type { Clock, Logger, LogFields, Millis, UpstreamId } from '@tanagercart/base';
-import type { LimitNotice, UpstreamRecord } from '@tanagercart/protocol';
+import type { LimitNotice, UpstreamIncarnation } from '@tanagercart/protocol';
 
 /** A limit that nothing has confirmed for this long has lapsed. */
 const maxAgeMs: Millis = 60_000;
@@ -12,9 +12,6 @@
 /** A limit that changes by a smaller share than this is not logged again. */
 const loggedChange = 0.1;
 
-/** An incarnation of an upstream. */
-export type Incarnation = Pick<UpstreamRecord, 'id' | 'born'>;
-
 /** The newest that is known of one upstream. */
 interface KnownLimit {
   readonly born: number;
@@ -39,7 +36,7 @@
   }
 
   /** Requests per second that an upstream accepts; undefined where no limit is known. */
-  perSecondOf(upstream: Incarnation): number | undefined {
+  perSecondOf(upstream: UpstreamIncarnation): number | undefined {
     return this.limitOf(upstream)?.perSecond;
   }
 
@@ -54,7 +51,7 @@
   }
 
   /** What this node knows of the limit of an upstream, for another node. */
-  noticeOf(upstream: Incarnation): LimitNotice {
+  noticeOf(upstream: UpstreamIncarnation): LimitNotice {
     const limit = this.limitOf(upstream);
     return {
       upstream: upstream.id,
@@ -88,7 +85,7 @@
     return (before?.perSecond === undefined) !== (perSecond === undefined);
   }
 
-  private limitOf({ id, born }: Incarnation): KnownLimit | undefined {
+  private limitOf({ id, born }: UpstreamIncarnation): KnownLimit | undefined {
     const limit = this.known.get(id);
     if (limit?.born !== born || this.clock.now() - limit.at >= maxAgeMs) return undefined;
     return limit;
--- a/packages/pacing/src/pacer.ts
+++ b/packages/pacing/src/pacer.ts
@@ -10,9 +10,15 @@
   RequestId,
   UpstreamId,
 } from '@tanagercart/base';
-import type { CallOf, LimitNotice, PermitReply, ReplyOf, Transport } from '@tanagercart/protocol';
+import type {
+  CallOf,
+  LimitNotice,
+  PermitReply,
+  ReplyOf,
+  Transport,
+  UpstreamIncarnation,
+} from '@tanagercart/protocol';
 import { NamedLimits } from './namedlimits.js';
-import type { Incarnation } from './namedlimits.js';
 import { PermitSchedule, permitRate } from './permitschedule.js';
 import { PermitServer } from './permitserver.js';
 import type { RateLimit } from './ratelimit.js';
@@ -87,7 +93,7 @@
   }
 
   /** Records what the response to a request says of the limit of its upstream. */
-  record(request: RequestId, upstream: Incarnation, limit: RateLimit): void {
+  record(request: RequestId, upstream: UpstreamIncarnation, limit: RateLimit): void {
     if (limit.kind === 'malformed') {
       const fields = { request, upstream: upstream.id, text: limit.text };
       this.o.logger.warn('Upstream named a malformed limit.', fields);
@@ -114,12 +120,12 @@
   }
 
   /** Whether requests to the upstream need a permit. */
-  isLimited(upstream: Incarnation): boolean {
+  isLimited(upstream: UpstreamIncarnation): boolean {
     return this.limits.perSecondOf(upstream) !== undefined;
   }
 
   /** Time until a permit of the upstream may be free, as far as this entry knows; 0 at the least. */
-  waitMsOf(upstream: Incarnation): Millis {
+  waitMsOf(upstream: UpstreamIncarnation): Millis {
     if (!this.isLimited(upstream)) return 0;
     const free = this.freeFrom.get(upstream.id);
     return free?.born === upstream.born ? Math.max(0, free.at - this.o.clock.now()) : 0;
@@ -129,7 +135,11 @@
    * Resolves once a request may be sent to the upstream, or with a refusal where that takes longer
    * than `maxWaitMs`. `stop` ends the wait.
    */
-  async acquire(upstream: Incarnation, maxWaitMs: Millis, stop: AbortSignal): Promise<Permit> {
+  async acquire(
+    upstream: UpstreamIncarnation,
+    maxWaitMs: Millis,
+    stop: AbortSignal,
+  ): Promise<Permit> {
     const { clock, metrics } = this.o;
     for (let tries = 0; tries < maxTries; tries += 1) {
       if (!this.isLimited(upstream)) return { kind: 'granted' };
@@ -150,7 +160,7 @@
   }
 
   /** Asks the owner, then the standby; decides by this entry's own share where neither answers. */
-  private async ask(upstream: Incarnation, maxWaitMs: Millis): Promise<PermitReply> {
+  private async ask(upstream: UpstreamIncarnation, maxWaitMs: Millis): Promise<PermitReply> {
     const { self, metrics } = this.o;
     const owners = this.currentOwners();
     const first = owners.ownerOf(upstream.id) ?? self;
@@ -172,14 +182,14 @@
   }
 
   /** Records for how long an upstream has no permits, and drops the waits that are over. */
-  private recordWait({ id, born }: Incarnation, waitMs: Millis): void {
+  private recordWait({ id, born }: UpstreamIncarnation, waitMs: Millis): void {
     const now = this.o.clock.now();
     for (const [other, { at }] of this.freeFrom) if (at <= now) this.freeFrom.delete(other);
     this.freeFrom.set(id, { born, at: now + waitMs });
   }
 
   /** Takes a permit from an even share of the limit. */
-  private reserveOwnShare(upstream: Incarnation, maxWaitMs: Millis): PermitReply {
+  private reserveOwnShare(upstream: UpstreamIncarnation, maxWaitMs: Millis): PermitReply {
     const { clock, nodes } = this.o;
     const notice = this.limits.noticeOf(upstream);
     if (notice.perSecond === undefined) return { kind: 'unlimited', notice };
--- a/packages/pacing/test/fleet.ts
+++ b/packages/pacing/test/fleet.ts
@@ -12,10 +12,11 @@
 } from '@tanagercart/base';
 import type { Clock, Millis } from '@tanagercart/base';
 import { MemoryNetwork } from '@tanagercart/protocol';
+import type { UpstreamIncarnation } from '@tanagercart/protocol';
 import { Pacer } from '../src/index.js';
-import type { Incarnation, RateLimit } from '../src/index.js';
+import type { RateLimit } from '../src/index.js';
 
-export const upstream: Incarnation = { id: UpstreamId('u1'), born: 1 };
+export const upstream: UpstreamIncarnation = { id: UpstreamId('u1'), born: 1 };
 
 /** Entries that share the limits of upstreams. */
 export class PacerFleet {
--- a/packages/relay/src/availability.ts
+++ b/packages/relay/src/availability.ts
@@ -13,7 +13,8 @@
   RequestId,
   UpstreamId,
 } from '@tanagercart/base';
-import type { Incarnation, Pacer, Permit, RateLimit } from '@tanagercart/pacing';
+import type { Pacer, Permit, RateLimit } from '@tanagercart/pacing';
+import type { UpstreamIncarnation } from '@tanagercart/protocol';
 
 /** What the answer to a request says of its upstream. */
 export interface UpstreamNotices {
@@ -63,7 +64,7 @@
   }
 
   /** Records what the answer to a request said of its upstream. */
-  record(request: RequestId, upstream: Incarnation, notices: UpstreamNotices): void {
+  record(request: RequestId, upstream: UpstreamIncarnation, notices: UpstreamNotices): void {
     const { logger, metrics, pacer } = this.o;
     pacer.record(request, upstream, notices.rateLimit);
     if (notices.isLeaving) this.recordLeaving(upstream, request);
@@ -80,7 +81,7 @@
   }
 
   /** Records that an upstream says it leaves; `request` is the one that it answered, if any. */
-  recordLeaving(upstream: Incarnation, request?: RequestId): void {
+  recordLeaving(upstream: UpstreamIncarnation, request?: RequestId): void {
     const { clock, logger, metrics } = this.o;
     const isNews = !this.isLeaving(upstream);
     this.update(upstream, { leavingAt: clock.now() });
@@ -90,40 +91,45 @@
   }
 
   /** Whether the upstream said that it leaves. */
-  isLeaving(upstream: Incarnation): boolean {
+  isLeaving(upstream: UpstreamIncarnation): boolean {
     return this.beliefOf(upstream)?.leavingAt !== undefined;
   }
 
   /** The upstreams that said so. */
-  get leaving(): readonly Incarnation[] {
+  get leaving(): readonly UpstreamIncarnation[] {
     return [...this.beliefs].flatMap(([id, { born, leavingAt }]) =>
       leavingAt === undefined ? [] : [{ id, born }],
     );
   }
 
   /** Time until the upstream accepts requests of this node again; 0 where it asked for no pause. */
-  backOffMsOf(upstream: Incarnation): Millis {
+  backOffMsOf(upstream: UpstreamIncarnation): Millis {
     const until = this.beliefOf(upstream)?.backOffUntil ?? -Infinity;
     return Math.max(0, until - this.o.clock.now());
   }
 
+  /** Whether the upstream takes requests of this node, as far as its answers say. */
+  acceptsRequests(upstream: UpstreamIncarnation): boolean {
+    return !this.isLeaving(upstream) && this.backOffMsOf(upstream) === 0;
+  }
+
   /** Whether requests to the upstream need a permit. */
-  isLimited(upstream: Incarnation): boolean {
+  isLimited(upstream: UpstreamIncarnation): boolean {
     return this.o.pacer.isLimited(upstream);
   }
 
   /** Time until a request may be sent to the upstream, as far as this entry knows. */
-  waitMsOf(upstream: Incarnation): Millis {
+  waitMsOf(upstream: UpstreamIncarnation): Millis {
     return Math.max(this.backOffMsOf(upstream), this.o.pacer.waitMsOf(upstream));
   }
 
   /** Waits for the permit to send a request, where the upstream named a limit. */
-  acquire(upstream: Incarnation, maxWaitMs: Millis, stop: AbortSignal): Promise<Permit> {
+  acquire(upstream: UpstreamIncarnation, maxWaitMs: Millis, stop: AbortSignal): Promise<Permit> {
     return this.o.pacer.acquire(upstream, maxWaitMs, stop);
   }
 
   /** Extends the back-off from an upstream; returns for how long it lasts from now. */
-  private startBackOff(upstream: Incarnation, askedMs: Millis): Millis {
+  private startBackOff(upstream: UpstreamIncarnation, askedMs: Millis): Millis {
     const { clock, random } = this.o;
     // The spread keeps the nodes that were told at once from returning at once.
     const forMs = Math.min(askedMs, maxBackOffMs) * (1 + backOffSpread * random.next());
@@ -132,12 +138,12 @@
     return until - clock.now();
   }
 
-  private beliefOf({ id, born }: Incarnation): Belief | undefined {
+  private beliefOf({ id, born }: UpstreamIncarnation): Belief | undefined {
     const belief = this.beliefs.get(id);
     return belief?.born === born ? belief : undefined;
   }
 
-  private update(upstream: Incarnation, change: Partial<Belief>): void {
+  private update(upstream: UpstreamIncarnation, change: Partial<Belief>): void {
     this.dropOutdated();
     const { id, born } = upstream;
     const known = this.beliefs.get(id);
--- a/packages/relay/src/balancer.ts
+++ b/packages/relay/src/balancer.ts
@@ -48,7 +48,10 @@
   readonly loads: Loads;
   readonly random: Random;
   readonly dataCentre: DataCentreId;
-  readonly availability: Pick<Availability, 'isLeaving' | 'backOffMsOf' | 'isLimited' | 'waitMsOf'>;
+  readonly availability: Pick<
+    Availability,
+    'acceptsRequests' | 'isLeaving' | 'backOffMsOf' | 'isLimited' | 'waitMsOf'
+  >;
   /** Whether other entries lately reported that the upstream is unreachable. */
   readonly isSuspected: (upstream: UpstreamRecord) => boolean;
 }
@@ -97,7 +100,7 @@
     const { view, availability } = this.o;
     const record = view.upstreams.get(upstream.id);
     if (record?.born !== upstream.born || record.phase !== 'ready') return false;
-    return !availability.isLeaving(upstream) && availability.backOffMsOf(upstream) === 0;
+    return availability.acceptsRequests(upstream);
   }
 
   /** The upstream at an address, unless it is gone. */
--- a/packages/relay/test/balancer.test.ts
+++ b/packages/relay/test/balancer.test.ts
@@ -80,6 +80,7 @@
     const health = Health.create(clock);
     const isSuspected = () => false;
     const availability = {
+      acceptsRequests: () => true,
       isLeaving: () => false,
       backOffMsOf: () => 0,
       isLimited: () => false,
