Serve the metrics of the bundled programs

Cause: prom-client is a CommonJS module, and the bundle has its default export only; the named ones are undefined there. Every request for metrics ended as an uncaught error, 'n is not a constructor', and got no answer, so that its connection stayed open.

The test starts a bundled entry and asks for its metrics: no answer in 10 s before, the gauge of the lease after.

--- a/packages/base/src/prometheus.ts
+++ b/packages/base/src/prometheus.ts
@@ -73,17 +73,18 @@
 
   /** Exports all metrics in the text format of Prometheus. */
   async text(): Promise<string> {
-    const { Counter, Gauge, Registry: RegistryClass } = await import('prom-client');
-    const registry: Registry = new RegistryClass();
+    // The default export is all that a bundle has of this module, which is in CommonJS.
+    const { default: client } = await import('prom-client');
+    const registry: Registry = new client.Registry();
     const registers = [registry];
     for (const [name, series] of this.counters) {
       const options = { name: exportedName(name, '_total'), help: name, registers };
-      const counter = new Counter({ ...options, labelNames: labelsOf(series) });
+      const counter = new client.Counter({ ...options, labelNames: labelsOf(series) });
       for (const { tags, value } of series.values()) counter.inc({ ...tags }, value);
     }
     for (const [name, series] of this.gauges) {
       const options = { name: exportedName(name), help: name, registers };
-      const gauge = new Gauge({ ...options, labelNames: labelsOf(series) });
+      const gauge = new client.Gauge({ ...options, labelNames: labelsOf(series) });
       for (const { tags, value } of series.values()) gauge.set({ ...tags }, value);
     }
     return `${await registry.metrics()}${this.histogramText()}`;
