Log for whom an acknowledgement waits, and steps of the wall clock

Now the leader says for each document how long it waited, how many entries lacked it then, how many it took for silent, and each process says when its clock counts a suspension.

A step of the wall clock was logged as 'The process was held up.'; the delay is measured by the steady clock now (the test fails before with that line).

--- a/packages/base/src/processload.ts
+++ b/packages/base/src/processload.ts
@@ -15,6 +15,9 @@
 /** A delay from which on it is logged; heartbeats between nodes are sent more often than that. */
 const loggedDelayMs: Millis = 150;
 
+/** A suspension from this length on is logged. */
+const loggedSuspensionMs: Millis = 100;
+
 /** Returns the share of time, from 0 to 1, in which the event loop worked since the last call. */
 export type UtilizationMeter = () => number;
 
@@ -36,9 +39,14 @@
   readonly utilization: UtilizationMeter;
 }
 
-/** Publishes the load of the process, and logs delays that are long enough to miss heartbeats. */
+/**
+ * Publishes the load of the process, and logs delays that are long enough to miss heartbeats, and
+ * times that its clock counts as a suspension.
+ */
 export class LoadMonitor {
   private worstDelayMs: Millis = 0;
+  /** Time that the clock has counted as suspensions. */
+  private suspendedMs: Millis = 0;
 
   private constructor(private readonly o: LoadMonitorOptions) {}
 
@@ -49,18 +57,27 @@
   /** Measures and publishes until `stop` is aborted. */
   async run(stop: AbortSignal): Promise<void> {
     const { clock } = this.o;
-    let publishAt = clock.now() + publishIntervalMs;
+    this.suspendedMs = clock.now() - clock.steady();
+    let publishAt = clock.steady() + publishIntervalMs;
     while (!stop.aborted) {
-      const dueAt = clock.now() + probeIntervalMs;
+      const dueAt = clock.steady() + probeIntervalMs;
       await clock.sleep(probeIntervalMs, stop);
-      const now = clock.now();
+      const now = clock.steady();
       this.worstDelayMs = Math.max(this.worstDelayMs, now - dueAt);
+      this.logSuspension(clock.now() - now);
       if (now < publishAt) continue;
       this.publish();
       publishAt = now + publishIntervalMs;
     }
   }
 
+  private logSuspension(suspendedMs: Millis): void {
+    const byMs = Math.round(suspendedMs - this.suspendedMs);
+    if (byMs < loggedSuspensionMs) return;
+    this.suspendedMs = suspendedMs;
+    this.o.logger.warn('The wall clock stepped forward, or the machine was suspended.', { byMs });
+  }
+
   private publish(): void {
     const { logger, metrics } = this.o;
     const busy = this.o.utilization();
--- a/packages/base/test/processload.test.ts
+++ b/packages/base/test/processload.test.ts
@@ -1,6 +1,12 @@
 import { strict as assert } from 'node:assert';
 import { test } from 'node:test';
-import { HeldClock, LoadMonitor, PrometheusMetrics, silentLogger } from '../src/index.js';
+import {
+  HeldClock,
+  LoadMonitor,
+  PrometheusMetrics,
+  SuspendAwareClock,
+  silentLogger,
+} from '../src/index.js';
 import type { Clock, LogFields, Logger } from '../src/index.js';
 
 /** A clock whose next sleep ends late by `takeDelayMs()`, as in a process that is held up. */
@@ -47,3 +53,26 @@
   stop.abort();
   await running;
 });
+
+test('a forward step of the wall clock is logged, and by how much', async () => {
+  const held = HeldClock.create();
+  const lines: LogFields[] = [];
+  let wallAheadMs = 0;
+  const clock = SuspendAwareClock.create({
+    ...lateClock(held, () => 0),
+    wall: () => held.wall() + wallAheadMs,
+  });
+  const stop = new AbortController();
+  const logger = recordingLogger(lines);
+  const metrics = PrometheusMetrics.create();
+  const monitor = LoadMonitor.create({ clock, logger, metrics, utilization: () => 0 });
+  const running = monitor.run(stop.signal);
+  await held.advance(200);
+  wallAheadMs = 2400;
+  await held.advance(200);
+  wallAheadMs = 0;
+  await held.advance(200);
+  assert.deepEqual(lines, [{ byMs: 2400 }]);
+  stop.abort();
+  await running;
+});
--- a/packages/fleet/src/leaderterm.ts
+++ b/packages/fleet/src/leaderterm.ts
@@ -61,7 +61,11 @@
   ) {
     const { voter, clock, orders } = o;
     const logger = o.logger.part('upstreams');
-    this.rollout = Rollout.create(clock, o.entryLeaseMs);
+    this.rollout = Rollout.create({
+      clock,
+      logger: o.logger.part('rollout'),
+      leaseMs: o.entryLeaseMs,
+    });
     this.liveness = Liveness.create(clock, o.heartbeatMs);
     const { liveness } = this;
     const isPlacing = (id: UpstreamRecord['id']) => this.placer.isPlacing(id);
--- a/packages/fleet/src/rollout.ts
+++ b/packages/fleet/src/rollout.ts
@@ -5,7 +5,7 @@
  */
 
 import { Bell } from '@tanagercart/base';
-import type { Clock, Millis, NodeId } from '@tanagercart/base';
+import type { Clock, Logger, Millis, NodeId } from '@tanagercart/base';
 import type { WatchCall } from '@tanagercart/protocol';
 
 /** Longest time from the commit of a document for which its acknowledgement waits for entries. */
@@ -43,6 +43,13 @@
   readonly at: Millis;
 }
 
+export interface RolloutOptions {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  /** Lease of the entries. */
+  readonly leaseMs: Millis;
+}
+
 /** Tracks which entries have the newest document, during one term of the leader. */
 export class Rollout {
   private readonly startedAt: Millis;
@@ -50,23 +57,19 @@
   /** Signals that an entry has received a document. */
   private readonly adopted = Bell.create();
 
-  private constructor(
-    private readonly clock: Clock,
-    private readonly leaseMs: Millis,
-  ) {
-    this.startedAt = clock.now();
+  private constructor(private readonly o: RolloutOptions) {
+    this.startedAt = o.clock.now();
   }
 
-  /** `leaseMs` is the lease of the entries. */
-  static create(clock: Clock, leaseMs: Millis): Rollout {
-    return new Rollout(clock, leaseMs);
+  static create(options: RolloutOptions): Rollout {
+    return new Rollout(options);
   }
 
   /** Records the call of a node; only entries answer requests. */
   recordCall(from: NodeId, { entry, documentVersion: version }: WatchCall): void {
     if (!entry) return;
     const known = this.entries.get(from);
-    this.entries.set(from, { version, at: this.clock.now() });
+    this.entries.set(from, { version, at: this.o.clock.now() });
     if (known?.version !== version) this.adopted.ring();
   }
 
@@ -76,16 +79,25 @@
    */
   recordReply(to: NodeId): void {
     const known = this.entries.get(to);
-    if (known) this.entries.set(to, { ...known, at: this.clock.now() });
+    if (known) this.entries.set(to, { ...known, at: this.o.clock.now() });
   }
 
   /** Waits until the entries have `version`, which is committed; for `adoptionWaitMs` at most. */
   async wait(version: number): Promise<void> {
-    const { clock } = this;
-    const until = clock.now() + adoptionWaitMs;
+    const { clock, logger } = this.o;
+    const since = clock.now();
+    const until = since + adoptionWaitMs;
     while (!this.isAdopted(version) && clock.now() < until) {
       await this.adopted.waitUpTo(until - clock.now(), clock);
     }
+    logger.info('Waited for entries to have a document.', {
+      version,
+      waitedMs: Math.round(clock.now() - since),
+      entries: this.entries.size,
+      lacking: this.lacking(version).length,
+      silent: this.entries.size - this.leased.length,
+      isNewLeader: this.isNewLeader,
+    });
   }
 
   /**
@@ -93,8 +105,25 @@
    * there may be entries that only the leader before has confirmed.
    */
   private isAdopted(version: number): boolean {
-    const leasedSince = this.clock.now() - this.leaseMs;
-    if (this.startedAt > leasedSince) return false;
-    return [...this.entries.values()].every((e) => e.version >= version || e.at <= leasedSince);
+    return !this.isNewLeader && this.lacking(version).length === 0;
+  }
+
+  private get isNewLeader(): boolean {
+    return this.startedAt > this.leasedSince;
+  }
+
+  /** Entries whose lease may not have run out, and which are not known to have `version`. */
+  private lacking(version: number): readonly EntryState[] {
+    return this.leased.filter((e) => e.version < version);
+  }
+
+  private get leased(): readonly EntryState[] {
+    const { leasedSince } = this;
+    return [...this.entries.values()].filter((e) => e.at > leasedSince);
+  }
+
+  /** A lease that was renewed at this time runs out now. */
+  private get leasedSince(): Millis {
+    return this.o.clock.now() - this.o.leaseMs;
   }
 }
