Believe no upstream with a port out of range or a number too large

It can happen here:

- A heartbeat was accepted with any port, and a connection to one above 65,535 throws where the code expects a failed connection; the request or the order then waits for nothing ('Port should be >= 0 and < 65536').
- A range of layers may end anywhere.
The plan of layers counts them one by one: an upstream with 1e15 layers ends the leader, and as the record is in the log, each leader after it (the test ended with its process before).

Deep nesting does none: what is not read is skipped.

--- a/packages/layers/src/plan.ts
+++ b/packages/layers/src/plan.ts
@@ -78,7 +78,8 @@
     hosts: readonly LayerHost[],
     private readonly memoryShare: number,
   ) {
-    const usable = hosts.filter((h) => this.capacityOf(h) > 0);
+    const known = hosts.map((h) => ({ ...h, layers: layersWithin(engine, h.layers) }));
+    const usable = known.filter((h) => this.capacityOf(h) > 0);
     this.groups = this.groupHosts(usable);
   }
 
@@ -121,6 +122,12 @@
   }
 }
 
+/** The part of a range that the model has; an upstream may name a larger one. */
+function layersWithin({ layerCount }: Engine, layers: LayerRange | undefined) {
+  if (!layers || layers.from >= layerCount) return undefined;
+  return layers.to <= layerCount ? layers : { from: layers.from, to: layerCount };
+}
+
 function coverageOf(engine: Engine, hosts: readonly LayerHost[]): number[] {
   const coverage = new Array<number>(engine.layerCount).fill(0);
   for (const { layers } of hosts) if (layers) addCoverage(coverage, layers, 1);
--- a/packages/layers/test/plan.test.ts
+++ b/packages/layers/test/plan.test.ts
@@ -3,7 +3,7 @@
 import { DataCentreId, SeededRandom } from '@tanagercart/base';
 import { findPath, layerCapacity, planLayers } from '../src/index.js';
 import type { Assignment, LayerHost } from '../src/index.js';
-import { accelerators, centre, engine, requestSize, stage } from './fixtures.js';
+import { accelerators, centre, engine, host, requestSize, stage } from './fixtures.js';
 
 const allHosts = [
   ...centre('north', [1, 8, 5]),
@@ -96,3 +96,11 @@
   const remaining = placed.filter((h) => h.id !== 'south-0-0');
   assert.ok(hasPath(remaining, 'south'), 'there is a path without the largest host');
 });
+
+test('a host that says it holds more layers than the model has does not hold up the plan', () => {
+  const odd = host('odd', 'north', 0, { from: 0, to: 1e15 });
+  const others = Array.from({ length: 12 }, (_, i) => host(`h${i}`, 'north', 0));
+  const planned = planLayers(engine(), [odd, ...others]);
+  assert.equal(planned.length, 12);
+  assert.ok(planned.every(({ layers }) => layers.to <= engine().layerCount));
+});
--- a/packages/protocol/src/address.ts
+++ b/packages/protocol/src/address.ts
@@ -18,6 +18,11 @@
   readonly port: number;
 }
 
+/** Whether a node can listen at `port`. */
+export function isPort(port: number): boolean {
+  return Number.isInteger(port) && port > 0 && port < 65_536;
+}
+
 /** Splits `host:port` and removes the brackets around an IPv6 host. */
 export function parseHostPort(address: string): HostPort {
   const colon = address.lastIndexOf(':');
--- a/packages/protocol/src/tunnel.ts
+++ b/packages/protocol/src/tunnel.ts
@@ -10,7 +10,7 @@
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import { startTimer } from '@tanagercart/base';
-import { parseHostPort } from './address.js';
+import { isPort, parseHostPort } from './address.js';
 import type { HostPort } from './address.js';
 
 /** Time for the server of a tunnel to connect to the target, in milliseconds. */
@@ -70,11 +70,12 @@
   }
 
   private connect(target: string, client: Socket, head: Buffer): void {
-    const upstream = createConnection({
-      ...parseHostPort(target),
-      noDelay: true,
-      allowHalfOpen: true,
-    });
+    const { host, port } = parseHostPort(target);
+    if (!isPort(port)) {
+      refuse(client, '502 Bad Gateway');
+      return;
+    }
+    const upstream = createConnection({ host, port, noDelay: true, allowHalfOpen: true });
     const cancelTimeout = startTimer(targetTimeoutMs, () => upstream.destroy(new Error('timeout')));
     const fail = () => refuse(client, '502 Bad Gateway');
     upstream.once('error', fail);
