Sync what is read back from a log before it counts as stored

Another operator's report: disks of counted machines were full for a few seconds each, one after another; long after, changes were refused or stayed unanswered. The log store can end like that. A write to a full disk, or one that its process did not survive, may be in the file without having been synced. It was read back and counted as stored; the next segment was begun behind it. Then two things follow a loss of power: an entry that this voter had confirmed by its presence is gone, and if a later segment exists, the earlier one ends in the middle ('offset 351: the file is truncated') and the folder cannot be used again, by this voter, for good.

The change: opening the folder syncs the last segment and the names, before anything that was read counts.

The simulated disk that is full now takes what it has room for and creates files, as a real one does.

--- a/packages/fleet/test/disk.test.ts
+++ b/packages/fleet/test/disk.test.ts
@@ -44,3 +44,28 @@
   const read = await fleet.settle(fleet.nodes.get(c)!.readDocument());
   assert.equal(read.unwrapOr({ version: -1, text: '' }).version, 4);
 });
+
+test('changes are accepted after the disks of all voters were full one after another', async () => {
+  for (const seed of [44, 45, 46, 47, 48, 49]) {
+    const names = ['a', 'b', 'c', 'd', 'e'];
+    const fleet = await Fleet.start(seed, names);
+    let version = 2;
+    await submitUntilAccepted(fleet, a, version);
+    for (const id of names.map(NodeId)) {
+      fleet.disks.get(id)!.fault = 'full';
+      const other = names.map(NodeId).find((n) => n !== id)!;
+      for (let i = 0; i < 3; i += 1) {
+        version += 1;
+        void fleet.nodes.get(other)!.submit(documentOf(version));
+        await fleet.clock.advance(900 + seed);
+      }
+      fleet.disks.get(id)!.fault = 'none';
+      await fleet.clock.advance(400);
+    }
+    await fleet.clock.advance(5000);
+    assert.ok(names.map(NodeId).every((id) => fleet.nodes.get(id)!.isVoter));
+    const startedAt = fleet.clock.now();
+    await submitUntilAccepted(fleet, a, version + 1);
+    assert.ok(fleet.clock.now() - startedAt < 2000, `seed ${seed}`);
+  }
+});
--- a/packages/log/src/memorydisk.ts
+++ b/packages/log/src/memorydisk.ts
@@ -28,6 +28,8 @@
 export class MemoryDisk implements Disk {
   /** Fault with which writes fail from now on; `failing` applies to syncs, too. */
   fault: DiskFault = 'none';
+  /** Bytes of a file that a full disk still takes before a write fails. */
+  roomBytes = 0;
   /** Number of file syncs so far. */
   syncCount = 0;
   /** Number of bytes written so far. */
@@ -58,12 +60,16 @@
   }
 
   write(file: string, offset: number, bytes: Uint8Array): ResultAsync<void, DiskError> {
-    return this.modify(file, () => {
-      const found = this.files.get(file) ?? this.createFile(Buffer.alloc(0));
-      found.content = Buffer.concat([found.content.subarray(0, offset), bytes]);
-      this.files.set(file, found);
-      this.writtenBytes += bytes.length;
-    });
+    const isFull = this.fault === 'full';
+    const taken = isFull ? bytes.subarray(0, this.roomBytes) : bytes;
+    const problem = this.faultDetail();
+    if (problem) return errAsync({ file, detail: problem });
+    // A file is created, or the end of an earlier one cut off, before a write to it fails.
+    const found = this.files.get(file) ?? this.createFile(Buffer.alloc(0));
+    found.content = Buffer.concat([found.content.subarray(0, offset), taken]);
+    this.files.set(file, found);
+    this.writtenBytes += taken.length;
+    return isFull ? errAsync({ file, detail: 'no space left' }) : okAsync(undefined);
   }
 
   truncate(file: string, bytes: number): ResultAsync<void, DiskError> {
--- a/packages/log/src/recovery.ts
+++ b/packages/log/src/recovery.ts
@@ -129,7 +129,11 @@
   return ok(undefined);
 }
 
-/** Handles the end of a segment. An interrupted write is removed, if this is the last segment. */
+/**
+ * Handles the end of a segment. An interrupted write is removed, if this is the last segment. What a
+ * process wrote before it ended, or failed, may not have been synced; it is, before it counts as
+ * stored.
+ */
 async function finishSegment(
   disk: Disk,
   file: string,
@@ -138,7 +142,7 @@
   found: ReturnType<typeof readRecord>,
   logger: Logger,
 ): Promise<Result<void, StoreError>> {
-  if (found.kind === 'end') return ok(undefined);
+  if (found.kind === 'end') return isLast ? syncSegment(disk, file) : ok(undefined);
   if (found.kind !== 'torn' || !isLast) return damageError(file, segment.bytes, found);
   logger.warn('Cutting off an interrupted write.', { file, offset: segment.bytes });
   const lacksHeadRecord = segment.bytes <= fileHeaderBytes;
@@ -148,6 +152,13 @@
   return done.mapErr((e) => ({ detail: `${file}: ${e.detail}` }));
 }
 
+async function syncSegment(disk: Disk, file: string): Promise<Result<void, StoreError>> {
+  return disk
+    .sync(file)
+    .andThen(() => disk.syncFolder())
+    .mapErr(storeError);
+}
+
 /** Applies a record to what has been read so far; returns false if there is a gap before it. */
 function applyRecord(
   progress: LoadProgress,
--- a/packages/log/test/store.test.ts
+++ b/packages/log/test/store.test.ts
@@ -4,6 +4,7 @@
 import { join } from 'node:path';
 import { test } from 'node:test';
 import { NodeId, SeededRandom, silentLogger } from '@tanagercart/base';
+import { encode } from '@tanagercart/protocol';
 import type { LogEntry } from '@tanagercart/protocol';
 import { DiskStore, FileDisk, MemoryDisk } from '../src/index.js';
 import type { Disk } from '../src/index.js';
@@ -199,3 +200,42 @@
     }
   }
 });
+
+test('a disk that was full opens again with all that was acknowledged, whatever it still took', async () => {
+  for (let roomBytes = 0; roomBytes < 120; roomBytes += 1) {
+    for (const count of [3, 9, 10, 11, 12]) {
+      const disk = MemoryDisk.create();
+      const store = await createFilledStore(disk, count);
+      disk.fault = 'full';
+      disk.roomBytes = roomBytes;
+      const isSnapshot = roomBytes % 2 === 0;
+      const refused = isSnapshot
+        ? await store.saveSnapshot(createSnapshot(count), count + 1)
+        : await store.append([createEntry(count + 1)]);
+      assert.ok(refused.isErr());
+      disk.fault = 'none';
+      const opened = await openStore(disk);
+      assert.ok(opened.isOk(), `${count} entries, room for ${roomBytes} bytes`);
+      const reopened = opened.value;
+      // What was written whole and not acknowledged may be there.
+      const { lastIndex } = reopened;
+      assert.ok(lastIndex === count || lastIndex === count + 1);
+      assert.equal(reopened.hardState.term, 3);
+      for (const e of createEntries(lastIndex + 1, count + 12)) {
+        (await reopened.append([e]))._unsafeUnwrap();
+      }
+      assert.equal((await openStore(disk.crash(random)))._unsafeUnwrap().lastIndex, count + 12);
+    }
+  }
+});
+
+test('an entry that was read back after a kill, without a sync, is not lost with the power', async () => {
+  const disk = MemoryDisk.create();
+  await createFilledStore(disk, 3);
+  const [file] = await segmentFiles(disk);
+  const size = (await disk.read(file!))._unsafeUnwrap().length;
+  const record = encodeRecord(encode({ kind: 'entry', entry: createEntry(4) }));
+  (await disk.write(file!, size, record))._unsafeUnwrap();
+  assert.equal((await openStore(disk))._unsafeUnwrap().lastIndex, 4);
+  assert.equal((await openStore(disk.crash(random)))._unsafeUnwrap().lastIndex, 4);
+});
