--- a/packages/fleet/test/hundreds.test.ts
+++ b/packages/fleet/test/hundreds.test.ts
@@ -2,6 +2,7 @@
 import { test } from 'node:test';
 import { NodeId } from '@tanagercart/base';
 import type { Millis } from '@tanagercart/base';
+import type { FleetView } from '../src/index.js';
 import { Fleet, documentOf, startEntries } from './fleet.js';
 
 const voters = ['a', 'b', 'c', 'd', 'e'];
@@ -50,6 +51,20 @@
   return worst;
 }
 
+/** Starts entries that follow the leader. */
+function startFollowers(fleet: Fleet, count: number) {
+  return Array.from({ length: count }, (_, i) => {
+    const node = NodeId(`entry-${i}`);
+    return [node, fleet.startEntry(node)] as const;
+  });
+}
+
+/** Number of upstreams that an entry is told to avoid. */
+function excludedBy(view: FleetView): number {
+  const records = [...view.upstreams.values()];
+  return records.filter((r) => view.suspectedAt(r) !== undefined).length;
+}
+
 test('no entry of a fleet of hundreds is silenced by a leader that is busy with heartbeats', async () => {
   const fleet = await Fleet.start(81, voters, { watch: 2.5, beat: 2.5 }, httpMs);
   const views = startEntries(fleet, 191);
@@ -82,3 +97,26 @@
   const late = [...worst].filter(([, ms]) => ms > 3 * heartbeatMs);
   assert.deepEqual(late.slice(0, 5), []);
 });
+
+/** Time after all machines are back from which on requests have to be served. */
+const recoverMs: Millis = 15_000;
+
+test('a fleet of hundreds serves again soon after all of its machines lost power', async () => {
+  const fleet = await Fleet.start(82, voters, { watch: 2.5, beat: 2.5 }, httpMs);
+  const entries = startFollowers(fleet, 191);
+  void sendHeartbeats(fleet, 32_000);
+  await fleet.clock.advance(3000);
+  const [first] = fleet.nodes.values();
+  void first!.submit(documentOf(7));
+  await fleet.clock.advance(12_000);
+  const nodes = voters.map(NodeId);
+  for (const id of nodes) fleet.kill(id);
+  for (const [, { stop }] of entries) stop();
+  await fleet.clock.advance(1200);
+  for (const id of nodes) fleet.startNode(id);
+  const restarted = startFollowers(fleet, 191).map(([, { view }]) => view);
+  await fleet.clock.advance(recoverMs);
+  const ready = restarted.filter((v) => v.isCurrent && v.document.version === 7);
+  assert.equal(ready.length, 191);
+  assert.equal(Math.max(...ready.map(excludedBy)), 0);
+});
