--- a/packages/fleet/src/view.ts
+++ b/packages/fleet/src/view.ts
@@ -126,8 +126,9 @@
   }
 
   /**
-   * Applies the reply to `call`, which was sent at `sentAt` by `Clock.latest`, unless another reply has overtaken it.
-   * Returns false if the document cannot be applied; the next call then asks for all of it.
+   * Applies the reply to `call`, which was sent at `sentAt` by `Clock.latest`, unless another reply
+   * has overtaken it. Returns false if the document cannot be applied; the next call then asks for
+   * all of it.
    */
   apply(update: Update, sentAt: Millis, call: ReportedState): boolean {
     const document = update.document && decompressDocument(update.document);
--- a/packages/membership/src/lease.ts
+++ b/packages/membership/src/lease.ts
@@ -35,7 +35,7 @@
 export class ConfigurationLease {
   /** Rings whenever the lease is extended. */
   readonly renewed = Bell.create();
-  /** By `Clock.latest`. */
+  /** By `Clock.latest`, as is what `renew` is given. */
   private until: Millis = -Infinity;
 
   private constructor(private readonly clock: Clock) {}
@@ -44,7 +44,7 @@
     return new ConfigurationLease(clock);
   }
 
-  /** Extends the lease to `until`, by `Clock.latest`, but never shortens it; returns whether it was extended. */
+  /** Extends the lease to `until`, but never shortens it; returns whether it was extended. */
   renew(until: Millis): boolean {
     if (until <= this.until) return false;
     this.until = until;
