--- a/packages/membership/src/lease.ts
+++ b/packages/membership/src/lease.ts
@@ -35,6 +35,7 @@
 export class ConfigurationLease {
   /** Rings whenever the lease is extended. */
   readonly renewed = Bell.create();
+  /** By `Clock.latest`, as is what `renew` is given. */
   private until: Millis = -Infinity;
 
   private constructor(private readonly clock: Clock) {}
@@ -53,7 +54,7 @@
 
   /** Milliseconds left; 0 once the lease has expired. */
   get leftMs(): Millis {
-    return Math.max(0, this.until - this.clock.now());
+    return Math.max(0, this.until - this.clock.latest());
   }
 
   get valid(): boolean {
