--- a/packages/fleet/src/placer.ts
+++ b/packages/fleet/src/placer.ts
@@ -2,7 +2,7 @@
 
 import type { Clock, Logger, Millis, UpstreamId } from '@tanagercart/base';
 import type { Configuration, Engine, Service } from '@tanagercart/config';
-import { formatRange, planLayers } from '@tanagercart/layers';
+import { formatRange, intersect, planLayers } from '@tanagercart/layers';
 import type { LayerHost, LayerRange } from '@tanagercart/layers';
 import type { UpstreamLoad, UpstreamRecord } from '@tanagercart/protocol';
 import type { Result } from 'neverthrow';
@@ -288,9 +288,3 @@
 function keyOf(record: UpstreamRecord): string {
   return `${record.id} ${record.born}`;
 }
-
-function intersect(a: LayerRange, b: LayerRange): LayerRange | undefined {
-  const from = Math.max(a.from, b.from);
-  const to = Math.min(a.to, b.to);
-  return from < to ? { from, to } : undefined;
-}
--- a/packages/layers/src/plan.ts
+++ b/packages/layers/src/plan.ts
@@ -7,6 +7,7 @@
 
 import type { DataCentreId, Millis, UpstreamId } from '@tanagercart/base';
 import type { Accelerator, Engine } from '@tanagercart/config';
+import { intersect } from './stage.js';
 import type { LayerRange } from './stage.js';
 
 /** An upstream that can hold layers. */
@@ -78,8 +79,10 @@
     hosts: readonly LayerHost[],
     private readonly memoryShare: number,
   ) {
-    const known = hosts.map((h) => ({ ...h, layers: layersWithin(engine, h.layers) }));
-    const usable = known.filter((h) => this.capacityOf(h) > 0);
+    // An upstream may say that it holds more layers than the model has.
+    const model = { from: 0, to: engine.layerCount };
+    const bounded = hosts.map((h) => ({ ...h, layers: h.layers && intersect(h.layers, model) }));
+    const usable = bounded.filter((h) => this.capacityOf(h) > 0);
     this.groups = this.groupHosts(usable);
   }
 
@@ -122,12 +125,6 @@
   }
 }
 
-/** The part of a range that the model has; an upstream may name a larger one. */
-function layersWithin({ layerCount }: Engine, layers: LayerRange | undefined) {
-  if (!layers || layers.from >= layerCount) return undefined;
-  return layers.to <= layerCount ? layers : { from: layers.from, to: layerCount };
-}
-
 function coverageOf(engine: Engine, hosts: readonly LayerHost[]): number[] {
   const coverage = new Array<number>(engine.layerCount).fill(0);
   for (const { layers } of hosts) if (layers) addCoverage(coverage, layers, 1);
--- a/packages/layers/src/stage.ts
+++ b/packages/layers/src/stage.ts
@@ -8,6 +8,13 @@
   readonly to: number;
 }
 
+/** The layers that both ranges hold; undefined where there are none. */
+export function intersect(a: LayerRange, b: LayerRange): LayerRange | undefined {
+  const from = Math.max(a.from, b.from);
+  const to = Math.min(a.to, b.to);
+  return from < to ? { from, to } : undefined;
+}
+
 /** Formats a range for log lines, such as "0-40". */
 export function formatRange({ from, to }: LayerRange): string {
   return `${from}-${to}`;
