Keep what a voter promised to a leader, whatever term it learns of

What callers can see: two leaders confirm configurations at once, so that an entry goes on answering by a document that the other leader has replaced.

Cause: a voter's promise not to elect another leader was read off two fields that mean something else: the leader it follows, and the start of its election timer. A later term, learned from a late answer to its own request for votes, clears the first. The voter then votes at once, while the leader relies on its last answer for 0.9 of the election timeout more.

The promise is a time of its own now: the last answer to a leader's call, of whatever term, or the start of a process that may have answered before. Only time ends it.

Price: a leader that steps down of its own accord is replaced after the promise has ended, as after a crash.

--- a/packages/log/src/raftstate.ts
+++ b/packages/log/src/raftstate.ts
@@ -36,12 +36,17 @@
   readonly voters: VoterSet;
   /** Called when this node steps down as the leader. */
   onStepDown: (() => void) | undefined;
-  private readonly startedAt: Millis;
+  /**
+   * Time since which this voter has promised to elect no other leader: its last answer to a call of
+   * a leader. No change of term ends the promise, as that leader may still rely on it.
+   */
+  private promisedAt: Millis;
   private lastWrite: Promise<unknown> = Promise.resolve();
 
   private constructor(readonly o: RaftOptions) {
     this.timerAt = o.clock.now();
-    this.startedAt = this.timerAt;
+    // A voter that was restarted does not know to which leader it last replied.
+    this.promisedAt = o.store.hardState.term > 0 ? this.timerAt : -Infinity;
     this.tasks = TaskGroup.create(o.onBroken);
     this.voters = VoterSet.create(o.store);
   }
@@ -72,16 +77,9 @@
     return this.role === 'leader' && this.term === term && !this.stopped;
   }
 
-  /**
-   * Whether a leader may hold a lease that relies on this voter's last reply. A voter that was
-   * restarted does not know to which leader it last replied, so it assumes such a lease for the
-   * shortest election timeout.
-   */
+  /** Whether a leader, of whatever term, may hold a lease that relies on this voter's last reply. */
   get isBoundByLease(): boolean {
-    const now = this.o.clock.now();
-    const { electionMs } = this.o.timing;
-    if (this.startedAt + electionMs > now && this.store.hardState.term > 0) return true;
-    return this.leader !== undefined && this.timerAt + electionMs > now;
+    return this.promisedAt + this.o.timing.electionMs > this.o.clock.now();
   }
 
   /** Runs `step` after every earlier step that writes to the store. */
@@ -91,6 +89,12 @@
     return run;
   }
 
+  /** Becomes a follower of `leader` on its call, and promises to elect no other for a while. */
+  follow(leader: NodeId): void {
+    this.stepDown(leader);
+    this.promisedAt = this.timerAt;
+  }
+
   /** Becomes a follower of `leader`, where one is known. */
   stepDown(leader: NodeId | undefined): void {
     const led = this.role === 'leader';
--- a/packages/log/src/receiver.ts
+++ b/packages/log/src/receiver.ts
@@ -59,7 +59,7 @@
       state.leader === undefined || state.leader === call.leader,
       'followers of a term have one leader',
     );
-    state.stepDown(call.leader);
+    state.follow(call.leader);
     return true;
   }
 
