Log why a search for the leader fails, and why the leader answers its entries

An entry without a leader logged nothing of whom it asked, what each said and how long it waited; the leader logged nothing of how many calls it answers, with how much, and for what reason.

--- a/packages/fleet/src/control.ts
+++ b/packages/fleet/src/control.ts
@@ -179,7 +179,7 @@
     if (reply.isErr()) return err(reply.error);
     return reply.value.kind === 'accepted'
       ? ok(undefined)
-      : err({ kind: 'no-leader', maybeDone: true });
+      : err({ kind: 'no-leader', maybeDone: true, attempts: [] });
   }
 
   /**
@@ -203,7 +203,9 @@
   async submit(document: Document): Promise<Result<number, NoLeader>> {
     const reply = await this.client.call('submit', document, forwardTimeoutMs);
     if (reply.isErr()) return err(reply.error);
-    if (reply.value.kind !== 'accepted') return err({ kind: 'no-leader', maybeDone: true });
+    if (reply.value.kind !== 'accepted') {
+ return err({ kind: 'no-leader', maybeDone: true, attempts: [] });
+}
     const { inForce } = reply.value;
     await this.awaitAdoption(inForce);
     return ok(inForce);
@@ -226,7 +228,9 @@
     const known = this.voter.state.document;
     const reply = await this.client.call('read', { knownVersion: known.version }, forwardTimeoutMs);
     if (reply.isErr()) return err(reply.error);
-    if (reply.value.kind !== 'document') return err({ kind: 'no-leader', maybeDone: false });
+    if (reply.value.kind !== 'document') {
+ return err({ kind: 'no-leader', maybeDone: false, attempts: [] });
+}
     const { version, text } = reply.value;
     return ok({ version, text: text ?? known.text });
   }
@@ -372,16 +376,21 @@
     if (leaderTerm.recordEntry(from, call)) changed.ring();
     const hasChanges = state.index > call.since || call.since === 0;
     if (!hasChanges) await changed.waitUpTo(call.waitMs, this.o.clock, this.stopping.signal);
+    const isHoldOver = this.o.clock.now() - arrivedAt >= call.waitMs;
     await leaderTerm.paceReply(call, arrivedAt, hasChanges ? 0 : batchDelayMs);
     // Measured before the lease is checked, so that the reply confirms no later state than that.
     const heldMs = this.o.clock.now() - arrivedAt;
     if (this.currentTerm() !== leaderTerm) return this.notLeader();
     leaderTerm.rollout.recordReply(from);
+    const changes = state.changesSince(call.since);
+    const endOfHold = isHoldOver ? 'hold-over' : 'news';
+    const reason = hasChanges ? 'behind' : endOfHold;
+    leaderTerm.replies.record({ reason, isWhole: changes.whole, heldMs });
     return {
       kind: 'update',
       heldMs,
       index: state.index,
-      ...state.changesSince(call.since),
+      ...changes,
       document: state.documentUpdate(call.documentVersion),
       bulletin: leaderTerm.bulletinFor(call),
     };
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -11,6 +11,7 @@
 export * from './crashes.js';
 export * from './placer.js';
 export * from './replypacer.js';
+export * from './replystatistics.js';
 export * from './rollout.js';
 export * from './slowness.js';
 export * from './tombstone.js';
--- a/packages/fleet/src/leaderclient.ts
+++ b/packages/fleet/src/leaderclient.ts
@@ -3,7 +3,7 @@
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import type { Clock, Millis, NodeId } from '@tanagercart/base';
-import type { CallOf, ExchangeKind, ReplyOf, Transport } from '@tanagercart/protocol';
+import type { CallError, CallOf, ExchangeKind, ReplyOf, Transport } from '@tanagercart/protocol';
 
 /** Exchanges that only the leader answers. */
 export type LeaderExchange = Extract<
@@ -11,16 +11,42 @@
   'watch' | 'beat' | 'heartbeats' | 'submit' | 'adoption' | 'read' | 'parts'
 >;
 
+/** What one node did with a call for the leader. */
+export interface FailedAttempt {
+  readonly node: NodeId;
+  readonly outcome: CallError['kind'] | 'not-leader';
+  /** The leader that the node named, if it did. */
+  readonly leader: NodeId | undefined;
+  readonly waitedMs: Millis;
+}
+
 /** The error of a call that no leader answered. */
 export interface NoLeader {
   readonly kind: 'no-leader';
   /** Whether a node may have executed the call, although no reply arrived. */
   readonly maybeDone: boolean;
+  /** The nodes that were called, in order. */
+  readonly attempts: readonly FailedAttempt[];
+}
+
+/** Whether a node may have executed a call that ended like this. */
+function isMaybeDone(outcome: FailedAttempt['outcome']): boolean {
+  return outcome === 'lost' || outcome === 'timeout';
+}
+
+/** The last attempts of a failed call in one line, for the log. */
+export function formatAttempts(attempts: readonly FailedAttempt[]): string {
+  const format = ({ node, outcome, leader, waitedMs }: FailedAttempt) =>
+    `${node} ${outcome}${leader === undefined ? '' : ` (${leader})`} ${Math.round(waitedMs)}`;
+  return attempts.slice(-maxFormattedAttempts).map(format).join(', ');
 }
 
 /** Time for one node to reply, in addition to the time for which the leader may hold the call. */
 const replyTimeoutMs: Millis = 700;
 
+/** Bounds the attempts that a log line names; nodes that are down are tried many times a second. */
+const maxFormattedAttempts = 8;
+
 /** Pause after all candidates were tried, before they are tried again. */
 const retryPauseMs: Millis = 60;
 
@@ -63,39 +89,46 @@
   ): Promise<Result<Exclude<ReplyOf<K>, { kind: 'not-leader' }>, NoLeader>> {
     const { clock } = this.o;
     const deadline = clock.now() + withinMs;
-    let maybeDone = false;
+    const attempts: FailedAttempt[] = [];
+    const failed = () => {
+      const maybeDone = attempts.some((a) => isMaybeDone(a.outcome));
+      return err<never, NoLeader>({ kind: 'no-leader', maybeDone, attempts });
+    };
     let tried = new Set<NodeId>();
     /** A node that another one follows as the leader: it runs, however late it replies. */
     let followed: NodeId | undefined;
     for (;;) {
       const node = this.nextCandidate(tried);
       if (node === undefined) {
-        if (clock.now() + retryPauseMs >= deadline) return err({ kind: 'no-leader', maybeDone });
+        if (clock.now() + retryPauseMs >= deadline) return failed();
         await clock.sleep(retryPauseMs);
         tried = new Set();
         continue;
       }
       tried.add(node);
-      const leftMs = Math.max(1, deadline - clock.now());
+      const calledAt = clock.now();
+      const leftMs = Math.max(1, deadline - calledAt);
       const timeoutMs = (node === followed ? leftMs : Math.min(replyTimeoutMs, leftMs)) + holdMs;
       const reply = await this.o.transport.call(node, kind, call, { timeoutMs });
+      const waitedMs = clock.now() - calledAt;
       if (reply.isErr()) {
-        if (reply.error.kind !== 'unreachable') maybeDone = true;
+        attempts.push({ node, outcome: reply.error.kind, leader: undefined, waitedMs });
         if (this.leaderId === node) this.leaderId = undefined;
         this.failedAt.set(node, clock.now());
-        if (holdMs > 0) return err({ kind: 'no-leader', maybeDone });
+        if (holdMs > 0) return failed();
       } else if (reply.value.kind !== 'not-leader') {
         this.leaderId = node;
         this.failedAt.delete(node);
         return ok(reply.value as Exclude<ReplyOf<K>, { kind: 'not-leader' }>);
       } else {
-        this.leaderId = 'leader' in reply.value ? reply.value.leader : undefined;
-        if (this.leaderId !== undefined && tried.has(this.leaderId)) this.leaderId = undefined;
+        const leader = 'leader' in reply.value ? reply.value.leader : undefined;
+        attempts.push({ node, outcome: 'not-leader', leader, waitedMs });
+        this.leaderId = leader !== undefined && tried.has(leader) ? undefined : leader;
         followed = this.leaderId;
         // A node that knows no leader may have waited for one, and is asked last.
         if (followed === undefined) this.failedAt.set(node, clock.now());
       }
-      if (clock.now() >= deadline) return err({ kind: 'no-leader', maybeDone });
+      if (clock.now() >= deadline) return failed();
     }
   }
 
--- a/packages/fleet/src/leaderterm.ts
+++ b/packages/fleet/src/leaderterm.ts
@@ -10,6 +10,7 @@
 import { Placer } from './placer.js';
 import type { OrderClient } from './placer.js';
 import { ReplyPacer } from './replypacer.js';
+import { ReplyStatistics } from './replystatistics.js';
 import { Rollout } from './rollout.js';
 import { UpstreamRegistry } from './registry.js';
 import { SlownessMonitor, pipelineStages } from './slowness.js';
@@ -45,6 +46,7 @@
   readonly registry: UpstreamRegistry;
   readonly crashes: CrashSuspicions;
   readonly rollout: Rollout;
+  readonly replies: ReplyStatistics;
   private readonly limits: NamedLimits;
   /** The part of replies that is the same for all callers, in the forms that these know. */
   private readonly bulletins: Readonly<Record<BulletinForm, BulletinCache>>;
@@ -66,6 +68,7 @@
       logger: o.logger.part('rollout'),
       leaseMs: o.entryLeaseMs,
     });
+    this.replies = ReplyStatistics.create(clock, o.logger.part('replies'));
     this.liveness = Liveness.create(clock, o.heartbeatMs);
     const { liveness } = this;
     const isPlacing = (id: UpstreamRecord['id']) => this.placer.isPlacing(id);
--- a/packages/fleet/src/watcher.ts
+++ b/packages/fleet/src/watcher.ts
@@ -14,7 +14,8 @@
   UpstreamIncarnation,
   UpstreamLoad,
 } from '@tanagercart/protocol';
-import { LeaderClient } from './leaderclient.js';
+import { LeaderClient, formatAttempts } from './leaderclient.js';
+import type { FailedAttempt } from './leaderclient.js';
 import type { FleetView } from './view.js';
 
 /** How long the leader may hold a call in a fleet of up to `baseHoldEntries` entries. */
@@ -109,9 +110,18 @@
     };
     const reply = await this.client.call('watch', call, searchTimeoutMs, waitMs);
     this.logConnection(reply.isOk());
+    if (reply.isErr()) this.logSearch(reply.error.attempts, clock.latest() - sentAt);
     return reply.isOk() && view.apply(reply.value, sentAt, call);
   }
 
+  private logSearch(attempts: readonly FailedAttempt[], searchedMs: Millis): void {
+    this.o.logger.info('No leader answered.', {
+      searchedMs: Math.round(searchedMs),
+      attempts: formatAttempts(attempts),
+      ageMs: Math.round(this.o.view.ageMs),
+    });
+  }
+
   private logConnection(connected: boolean): void {
     if (connected === this.isConnected) return;
     this.isConnected = connected;
