End the calls of entries for changes only

Cause, first part: each command of the log ended all holds, also one that changes nothing for readers: a read of the document, a strike, a record or a document that is older than what is there. And each entry that called after it was behind the log, so that it was answered at once. Readers are behind by the last change now.

--- a/packages/fleet/src/control.ts
+++ b/packages/fleet/src/control.ts
@@ -374,7 +374,7 @@
     const { state, changed } = this.voter;
     const arrivedAt = this.o.clock.now();
     if (leaderTerm.recordEntry(from, call)) changed.ring();
-    const hasChanges = state.index > call.since || call.since === 0;
+    const hasChanges = state.changedIndex > call.since || call.since === 0;
     if (!hasChanges) await changed.waitUpTo(call.waitMs, this.o.clock, this.stopping.signal);
     const isHoldOver = this.o.clock.now() - arrivedAt >= call.waitMs;
     await leaderTerm.paceReply(call, arrivedAt, hasChanges ? 0 : batchDelayMs);
--- a/packages/fleet/src/state.ts
+++ b/packages/fleet/src/state.ts
@@ -52,7 +52,9 @@
 export class FleetState {
   /** Index of the last applied command. */
   index = 0;
-  /** Called after each command, and after a snapshot has been restored. */
+  /** Index of the last command that changed what readers receive. */
+  changedIndex = 0;
+  /** Called after each of these commands, and after a snapshot has been restored. */
   onChange: (() => void) | undefined;
   private documents: Document[] = [emptyDocument];
   private records = new Map<UpstreamId, UpstreamRecord>();
@@ -90,7 +92,7 @@
   apply(index: number, bytes: Uint8Array): Uint8Array {
     const outcome = this.execute(index, decodeCommand(bytes));
     this.index = index;
-    this.onChange?.();
+    if (this.changedIndex === index) this.onChange?.();
     return encodeOutcome(outcome);
   }
 
@@ -109,6 +111,7 @@
   restore(data: Uint8Array): void {
     const snapshot = decode<Snapshot>(data);
     this.index = snapshot.index;
+    this.changedIndex = snapshot.index;
     this.compacted = snapshot.index;
     this.documents = [snapshot.document];
     this.updates.clear();
@@ -166,13 +169,14 @@
   private execute(index: number, command: Command): Outcome {
     switch (command.kind) {
       case 'document':
-        return this.replaceDocument(command);
+        return this.replaceDocument(index, command);
       case 'upstreams':
         for (const record of command.records) this.putRecord(index, record);
         return { kind: 'done' };
       case 'forget':
         for (const id of command.upstreams) this.records.delete(id);
         this.compacted = index;
+        this.changedIndex = index;
         return { kind: 'done' };
       case 'strike':
         this.addStrike(index, command.fingerprint);
@@ -184,7 +188,7 @@
     }
   }
 
-  private replaceDocument(command: Command & { kind: 'document' }): Outcome {
+  private replaceDocument(index: number, command: Command & { kind: 'document' }): Outcome {
     const { document } = this;
     if (command.version <= document.version) return { kind: 'older', inForce: document.version };
     const base = this.documents.find((d) => d.version === command.base);
@@ -192,6 +196,7 @@
     if (text === undefined) return { kind: 'base-differs' };
     this.documents.push({ version: command.version, text });
     this.updates.clear();
+    this.changedIndex = index;
     if (this.documents.length > maxDocuments) this.documents.shift();
     return { kind: 'done' };
   }
@@ -201,11 +206,14 @@
     if (current && current.born > record.born) return;
     this.records.set(record.id, record);
     this.changedAt.set(record.id, index);
+    this.changedIndex = index;
   }
 
   private addStrike(index: number, fingerprint: string): void {
     const count = (this.strikes.get(fingerprint) ?? 0) + 1;
     this.strikes.set(fingerprint, count);
-    if (count >= strikesToQuarantine) this.quarantinedAt = index;
+    if (count < strikesToQuarantine) return;
+    this.quarantinedAt = index;
+    this.changedIndex = index;
   }
 }
--- a/packages/fleet/test/view.test.ts
+++ b/packages/fleet/test/view.test.ts
@@ -314,3 +314,30 @@
     ['u1'],
   );
 });
+
+/** Number of calls that an entry sends within `ms`, while `disturb` happens ten times. */
+async function callsWhile(seed: number, disturb: (fleet: Fleet, i: number) => void) {
+  const fleet = await Fleet.start(seed);
+  let calls = 0;
+  fleet.startEntry(NodeId('entry'), {
+    onCall: () => {
+      calls += 1;
+    },
+  });
+  await fleet.settle([...fleet.nodes.values()][0]!.submit(documentOf(3)));
+  await fleet.clock.advance(2000);
+  calls = 0;
+  for (let i = 0; i < 10; i += 1) {
+    disturb(fleet, i);
+    await fleet.clock.advance(200);
+  }
+  return calls;
+}
+
+test('a read of the document ends no call of an entry', async () => {
+  const usual = await callsWhile(28, () => undefined);
+  const calls = await callsWhile(28, (fleet) => {
+    for (const node of fleet.nodes.values()) void node.readDocument();
+  });
+  assert.equal(calls, usual);
+});
