--- a/packages/fleet/test/view.test.ts
+++ b/packages/fleet/test/view.test.ts
@@ -344,6 +344,8 @@
 
 test('an entry that starts ends no call of another entry', async () => {
   const usual = await callsWhile(29, () => undefined);
-  const calls = await callsWhile(29, (fleet, i) => void fleet.startEntry(NodeId(`other-${i}`)));
+  const calls = await callsWhile(29, (fleet, i) => {
+    fleet.startEntry(NodeId(`other-${i}`));
+  });
   assert.ok(calls <= usual, `${calls} calls in place of ${usual}`);
 });
--- a/packages/protocol/src/memorynetwork.ts
+++ b/packages/protocol/src/memorynetwork.ts
@@ -5,6 +5,7 @@
 
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
+import { Bell } from '@tanagercart/base';
 import type { Clock, NodeId, Random } from '@tanagercart/base';
 import type { CallOf, ExchangeKind, ReplyOf } from './message.js';
 import type { CallError, CallHandler, CallOptions, Transport } from './transport.js';
@@ -26,6 +27,8 @@
 export class MemoryNetwork {
   private readonly transports = new Map<NodeId, MemoryTransport>();
   private readonly cuts = new Set<string>();
+  /** Links that hold their messages back, with a signal for the end of that. */
+  private readonly stalls = new Map<string, Bell>();
   private quality: LinkQuality = defaultQuality;
   /** Bytes sent, by node. */
   readonly sentBytes = new Map<NodeId, number>();
@@ -60,7 +63,7 @@
 
   /** Drops all messages from `from` to `to`, until `heal` is called. */
   cut(from: NodeId, to: NodeId): void {
-    this.cuts.add(`${from}>${to}`);
+    this.cuts.add(linkOf(from, to));
   }
 
   /** Undoes all cuts. */
@@ -68,6 +71,20 @@
     this.cuts.clear();
   }
 
+  /** Holds all messages from `from` to `to` back until `resume` is called, and loses none of them. */
+  stall(from: NodeId, to: NodeId): void {
+    const link = linkOf(from, to);
+    if (!this.stalls.has(link)) this.stalls.set(link, Bell.create());
+  }
+
+  /** Delivers the messages that `stall` has held back. */
+  resume(from: NodeId, to: NodeId): void {
+    const link = linkOf(from, to);
+    const held = this.stalls.get(link);
+    this.stalls.delete(link);
+    held?.ring();
+  }
+
   /** Simulates the transfer of a message; resolves with false if it was lost. */
   async send(from: NodeId, to: NodeId, bytes: number): Promise<boolean> {
     this.messages += 1;
@@ -75,7 +92,12 @@
     const { delayMs, jitterMs, loss } = this.quality;
     const lost = this.random.next() < loss;
     await this.clock.sleep(delayMs + jitterMs * this.random.next());
-    return !lost && !this.cuts.has(`${from}>${to}`);
+    const link = linkOf(from, to);
+    for (;;) {
+      const stalled = this.stalls.get(link);
+      if (!stalled) return !lost && !this.cuts.has(link);
+      await stalled.wait();
+    }
   }
 
   /** The current transport of a node; undefined if it is detached. */
@@ -84,6 +106,10 @@
   }
 }
 
+function linkOf(from: NodeId, to: NodeId): string {
+  return `${from}>${to}`;
+}
+
 /** The transport of one node in a `MemoryNetwork`. */
 export class MemoryTransport implements Transport {
   private readonly handlers = new Map<ExchangeKind, CallHandler<ExchangeKind>>();
