Tell entries of a suspicion once, not with each call that repeats it

A call that took a millisecond longer than the one before makes the failure look later, and each of them ended all calls of all entries. News is now a suspicion that did not hold before, or a further reporter of the two that make an upstream count as lost.

Evidence: the test failed before.

--- a/packages/fleet/src/liveness.ts
+++ b/packages/fleet/src/liveness.ts
@@ -258,8 +258,9 @@
   }
 
   /**
-   * Records suspicions; returns whether entries should be informed. Reports by more entries than
-   * make an upstream count as lost change nothing for them.
+   * Records suspicions; returns whether entries should be informed. A further report of an entry,
+   * whose failure seems later as its call took longer, changes nothing for them, nor do reports by
+   * more entries than make an upstream count as lost.
    */
   private recordSuspicions(from: NodeId, suspicions: readonly Suspicion[], now: Millis): boolean {
     let changed = false;
@@ -269,11 +270,13 @@
       const current = known?.born === born && now - known.at < outlierWindowMs ? known : undefined;
       if (current?.reporters.has(from) && current.at >= at - 1) continue;
       const recent = current !== undefined && now - current.at < suspicionTimeoutMs;
+      const isKnown = current !== undefined && this.isFresh(id, current.at);
+      const isNewReporter = !recent || !current.reporters.has(from);
       const reporters = new Set([...(recent ? current.reporters : []), from]);
       const failureTimes = (current?.failureTimes ?? []).filter((t) => now - t < outlierWindowMs);
       if (at - (failureTimes.at(-1) ?? -Infinity) > sameFailureMs) failureTimes.push(at);
       this.suspects.set(id, { born, at: Math.max(at, current?.at ?? at), reporters, failureTimes });
-      if (reporters.size <= reportersForLoss) changed = true;
+      if (!isKnown || (isNewReporter && reporters.size <= reportersForLoss)) changed = true;
     }
     return changed;
   }
--- a/packages/fleet/test/liveness.test.ts
+++ b/packages/fleet/test/liveness.test.ts
@@ -76,3 +76,15 @@
   assert.ok(!liveness.isLost(announcementOf('u1')));
   assert.equal(liveness.entries.length, 1);
 });
+
+test('a suspicion that an entry reports again, by a call that took longer, is no news', async () => {
+  const { clock, report } = fixture();
+  assert.equal(report('a', failed), true);
+  report('a', []);
+  for (let i = 1; i <= 5; i += 1) {
+    await clock.advance(100);
+    // The failure was 100 * i ms ago; this call took 2 * i ms longer than the first.
+    assert.equal(report('a', [{ id: u1, born: 1, ageMs: 100 * i - 2 * i }]), false);
+  }
+  assert.equal(report('b', failed), true, 'a second reporter makes the upstream count as lost');
+});
