Wait for a late reply while voters follow the leader, and answer crowds in turn

Cause, second part: a search is given up 1.5 s after it began, and the leader answers in order of arrival. Once all callers together are behind by more, each reply comes too late, is thrown away, and is asked for again, whole: work that is done for nobody, which does not end by itself.

Now a call to a node that others name as the leader is kept: after the time for a reply, one other voter is asked by an empty call whether it still follows that node, and the reply is waited for while it does, for 4 s at most. A reply carries its own date, so a late one confirms nothing later than it should. The leader sends one whole state at a time, the next once its event loop has caught up, and passes over a call whose entry has called again for the same.

--- a/packages/fleet/src/control.ts
+++ b/packages/fleet/src/control.ts
@@ -218,7 +218,8 @@
   private async awaitAdoption(version: number): Promise<void> {
     const stop = new AbortController();
     const elapsed = this.o.clock.sleep(adoptionWaitMs, stop.signal);
-    const asked = this.client.call('adoption', { version }, adoptionWaitMs, adoptionWaitMs);
+    const holdMs = adoptionWaitMs;
+    const asked = this.client.call('adoption', { version }, adoptionWaitMs, { holdMs });
     await Promise.race([elapsed, asked.then((reply) => (reply.isOk() ? undefined : elapsed))]);
     stop.abort(waitEnded);
   }
@@ -329,7 +330,8 @@
         entriesRevision: this.followedRevision,
         waitMs: followHoldMs,
       };
-      const reply = await this.client.call('watch', call, forwardTimeoutMs, followHoldMs);
+      const holdMs = followHoldMs;
+      const reply = await this.client.call('watch', call, forwardTimeoutMs, { holdMs });
       if (reply.isOk()) this.followEntries(decodeBulletin(reply.value.bulletin));
       else await clock.sleep(reconcileIntervalMs, signal);
     }
@@ -381,16 +383,18 @@
     // Measured before the lease is checked, so that the reply confirms no later state than that.
     const heldMs = this.o.clock.now() - arrivedAt;
     if (this.currentTerm() !== leaderTerm) return this.notLeader();
+    const isWhole = state.isWholeFor(call.since);
+    if (isWhole && leaderTerm.isSuperseded(from, call)) return this.notLeader();
     leaderTerm.rollout.recordReply(from);
     const changes = state.changesSince(call.since);
     const endOfHold = isHoldOver ? 'hold-over' : 'news';
     const reason = hasChanges ? 'behind' : endOfHold;
-    leaderTerm.replies.record({ reason, isWhole: changes.whole, heldMs });
+    leaderTerm.replies.record({ reason, isWhole, heldMs });
     return {
       kind: 'update',
       heldMs,
       index: state.index,
-      ...(changes.whole && call.readsPackedState ? packedChanges(state) : changes),
+      ...(isWhole && call.readsPackedState ? packedChanges(state) : changes),
       document: state.documentUpdate(call.documentVersion),
       bulletin: leaderTerm.bulletinFor(call),
     };
--- a/packages/fleet/src/leaderclient.ts
+++ b/packages/fleet/src/leaderclient.ts
@@ -2,6 +2,7 @@
 
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
+import { createStopController, waitEnded } from '@tanagercart/base';
 import type { Clock, Millis, NodeId } from '@tanagercart/base';
 import type { CallError, CallOf, ExchangeKind, ReplyOf, Transport } from '@tanagercart/protocol';
 
@@ -47,6 +48,9 @@
 /** Bounds the attempts that a log line names; nodes that are down are tried many times a second. */
 const maxFormattedAttempts = 8;
 
+/** Interval at which another node is asked whether it still follows a leader whose reply is late. */
+const recheckMs: Millis = 700;
+
 /** Pause after all candidates were tried, before they are tried again. */
 const retryPauseMs: Millis = 60;
 
@@ -79,13 +83,14 @@
    * idempotent, as several nodes may execute it. A leader that another node follows is waited for
    * until the end, as it may be busy: one more call would only make it later. A call that the
    * leader may hold for `holdMs` is not repeated after a failure, which may have taken that long to
-   * notice.
+   * notice. A reply that is late by more is waited for while another node follows the leader, for
+   * `patienceMs` at most.
    */
   async call<K extends LeaderExchange>(
     kind: K,
     call: CallOf<K>,
     withinMs: Millis,
-    holdMs: Millis = 0,
+    { holdMs = 0, patienceMs = 0 }: { readonly holdMs?: Millis; readonly patienceMs?: Millis } = {},
   ): Promise<Result<Exclude<ReplyOf<K>, { kind: 'not-leader' }>, NoLeader>> {
     const { clock } = this.o;
     const deadline = clock.now() + withinMs;
@@ -97,6 +102,7 @@
     let tried = new Set<NodeId>();
     /** A node that another one follows as the leader: it runs, however late it replies. */
     let followed: NodeId | undefined;
+    const known = this.leaderId;
     for (;;) {
       const node = this.nextCandidate(tried);
       if (node === undefined) {
@@ -109,7 +115,9 @@
       const calledAt = clock.now();
       const leftMs = Math.max(1, deadline - calledAt);
       const timeoutMs = (node === followed ? leftMs : Math.min(replyTimeoutMs, leftMs)) + holdMs;
-      const reply = await this.o.transport.call(node, kind, call, { timeoutMs });
+      const mayLead = node === followed || node === known;
+      const limits = { timeoutMs, patienceMs: mayLead ? patienceMs : 0 };
+      const reply = await this.ask(node, kind, call, limits);
       const waitedMs = clock.now() - calledAt;
       if (reply.isErr()) {
         attempts.push({ node, outcome: reply.error.kind, leader: undefined, waitedMs });
@@ -132,6 +140,49 @@
     }
   }
 
+  /**
+   * Calls one node. After `timeoutMs`, the reply is waited for while another node follows this one,
+   * for `patienceMs` at most.
+   */
+  private async ask<K extends LeaderExchange>(
+    node: NodeId,
+    kind: K,
+    call: CallOf<K>,
+    { timeoutMs, patienceMs }: { readonly timeoutMs: Millis; readonly patienceMs: Millis },
+  ): Promise<Result<ReplyOf<K>, CallError>> {
+    const { clock, transport } = this.o;
+    const giveUp = new AbortController();
+    const answered = createStopController();
+    const options = { timeoutMs: timeoutMs + patienceMs, signal: giveUp.signal };
+    const reply = transport.call(node, kind, call, options);
+    if (patienceMs === 0) return reply;
+    void reply.then(() => answered.abort());
+    await clock.sleep(timeoutMs, answered.signal);
+    while (!answered.signal.aborted) {
+      const isFollowed = await this.isFollowed(node);
+      if (!isFollowed && !answered.signal.aborted) giveUp.abort(waitEnded);
+      else await clock.sleep(recheckMs, answered.signal);
+    }
+    return reply;
+  }
+
+  /** Whether one of the other candidates says that it follows `node` as the leader. */
+  private async isFollowed(node: NodeId): Promise<boolean> {
+    const other = this.nextCandidate(new Set([node]));
+    if (other === undefined) return false;
+    // A call without heartbeats has no effect; it is answered by the leader only.
+    const call = { heartbeats: [] };
+    const options = { timeoutMs: replyTimeoutMs };
+    const reply = await this.o.transport.call(other, 'heartbeats', call, options);
+    if (reply.isErr()) {
+      this.failedAt.set(other, this.o.clock.now());
+      return false;
+    }
+    const leader = reply.value.kind === 'accepted' ? other : reply.value.leader;
+    if (leader !== node) this.leaderId = leader;
+    return leader === node;
+  }
+
   private nextCandidate(tried: ReadonlySet<NodeId>): NodeId | undefined {
     if (this.leaderId !== undefined && !tried.has(this.leaderId)) return this.leaderId;
     const failedAt = (n: NodeId) => this.failedAt.get(n) ?? -Infinity;
--- a/packages/fleet/src/leaderterm.ts
+++ b/packages/fleet/src/leaderterm.ts
@@ -54,6 +54,8 @@
   private readonly monitor: SlownessMonitor;
   private readonly collector: TombstoneCollector;
   private readonly pacer: ReplyPacer;
+  /** The last call of each entry. */
+  private readonly lastCalls = new Map<NodeId, WatchCall>();
   /** Time at which layers were last planned. */
   private plannedAt: Millis = -Infinity;
 
@@ -109,6 +111,7 @@
   /** Records the call of an entry; returns whether other entries should be informed at once. */
   recordEntry(from: NodeId, call: WatchCall): boolean {
     const { liveness, limits, rollout, registry } = this;
+    if (call.entry) this.lastCalls.set(from, call);
     rollout.recordCall(from, call);
     for (const upstream of call.leaving ?? []) registry.recordLeaving(upstream, { from });
     const changes = (call.limits ?? []).filter((notice) => limits.record(notice, { from }));
@@ -133,9 +136,22 @@
     this.placer.stop();
   }
 
+  /**
+   * Whether an entry has called again for the same state. It has given up on the call, or the later
+   * reply will tell it the same.
+   */
+  isSuperseded(from: NodeId, call: WatchCall): boolean {
+    const last = this.lastCalls.get(from);
+    return last !== undefined && last !== call && last.since === call.since;
+  }
+
   /** Waits until a watch call that arrived at `arrivedAt` may be answered. */
   async paceReply(call: WatchCall, arrivedAt: Millis, minDelayMs: Millis): Promise<void> {
     const { waitMs: holdMs } = call;
+    if (this.o.voter.state.isWholeFor(call.since)) {
+      await this.pacer.waitForTurn();
+      return;
+    }
     await this.pacer.wait(this.liveness.entryCount, { arrivedAt, holdMs }, minDelayMs);
   }
 
--- a/packages/fleet/src/state.ts
+++ b/packages/fleet/src/state.ts
@@ -122,9 +122,14 @@
     this.onChange?.();
   }
 
+  /** Whether a reader at the index `since` is sent the whole state, as the changes are not known. */
+  isWholeFor(since: number): boolean {
+    return since < this.compacted || since === 0 || since > this.index;
+  }
+
   /** Returns the changes after the index `since`, or the whole state if they are not known. */
   changesSince(since: number): StateChanges {
-    const whole = since < this.compacted || since === 0 || since > this.index;
+    const whole = this.isWholeFor(since);
     const records = [...this.records.values()];
     const upstreams = whole
       ? records
--- a/packages/fleet/src/watcher.ts
+++ b/packages/fleet/src/watcher.ts
@@ -31,6 +31,13 @@
 /** Time for one search for the leader. */
 const searchTimeoutMs: Millis = 1500;
 
+/**
+ * Time for which a late reply is waited for in addition, while voters follow the leader. A leader
+ * that is behind answers in the order of arrival: to call it again would put this entry last, and
+ * let the leader work on a reply that nobody reads.
+ */
+const patienceMs: Millis = 4000;
+
 /** Pause after a call that failed. */
 const retryPauseMs: Millis = 100;
 
@@ -109,7 +116,8 @@
       waitMs,
       readsPackedState: true,
     };
-    const reply = await this.client.call('watch', call, searchTimeoutMs, waitMs);
+    const options = { holdMs: waitMs, patienceMs };
+    const reply = await this.client.call('watch', call, searchTimeoutMs, options);
     this.logConnection(reply.isOk());
     if (reply.isErr()) this.logSearch(reply.error.attempts, clock.latest() - sentAt);
     return reply.isOk() && view.apply(reply.value, sentAt, call);
--- a/packages/fleet/test/beliefs.test.ts
+++ b/packages/fleet/test/beliefs.test.ts
@@ -18,6 +18,7 @@
 type Step =
   | { readonly kind: 'submit' | 'kill' | 'restart-entry' | 'report'; readonly at: number }
   | { readonly kind: 'cut'; readonly at: number; readonly direction: 'both' | 'replies' }
+  | { readonly kind: 'stall' | 'stall-voters'; readonly at: number; readonly to: number }
   | { readonly kind: 'clock' | 'hold-up'; readonly at: number; readonly ms: Millis }
   | { readonly kind: 'leader-clock'; readonly ms: Millis }
   | { readonly kind: 'transfer' | 'heal' | 'start' }
@@ -32,6 +33,7 @@
     { weight: 5, arbitrary: fc.record({ kind: of('submit'), at }) },
     { weight: 6, arbitrary: fc.record({ kind: of('wait'), ms: shortMs }) },
     { weight: 4, arbitrary: fc.record({ kind: of('cut'), at, direction: of('both', 'replies') }) },
+    { weight: 3, arbitrary: fc.record({ kind: of('stall', 'stall-voters'), at, to: at }) },
     { weight: 2, arbitrary: fc.record({ kind: of('clock', 'hold-up'), at, ms }) },
     { weight: 3, arbitrary: fc.record({ kind: of('leader-clock'), ms }) },
     { weight: 2, arbitrary: fc.record({ kind: of('kill', 'restart-entry', 'report'), at }) },
@@ -75,6 +77,10 @@
         return operator.watch(step.ms);
       case 'cut':
         return cutOff(fleet, entryAt(step.at), step.direction);
+      case 'stall':
+        return this.stall(voterAt(step.at), entryAt(step.to));
+      case 'stall-voters':
+        return this.stall(voterAt(step.at), voterAt(step.to));
       case 'heal':
         return fleet.network.heal();
       case 'clock':
@@ -99,6 +105,11 @@
     }
   }
 
+  /** Delays what one node sends to the other, until links heal. */
+  private stall(from: NodeId, to: NodeId): void {
+    if (from !== to) this.fleet.network.stall(from, to);
+  }
+
   private startEntry(id: NodeId): void {
     this.stops.get(id)?.();
     const { view, watcher, stop } = this.fleet.startEntry(id);
@@ -149,6 +160,10 @@
   }
 }
 
+function voterAt(index: number): NodeId {
+  return NodeId(voters[index % voters.length]!);
+}
+
 function entryAt(index: number): NodeId {
   return NodeId(`entry-${index % entryCount}`);
 }
--- a/packages/fleet/test/hundreds.test.ts
+++ b/packages/fleet/test/hundreds.test.ts
@@ -140,3 +140,10 @@
   await fleet.clock.advance(contactMs);
   assert.equal(restarted.filter(isServing).length, 191);
 });
+
+test('replies that are late with the whole state are not thrown away and asked for again', async () => {
+  const fleet = await Fleet.start(84, voters, { watch: 2.5, beat: 2.5, whole: 25 }, httpMs);
+  const restarted = await losePower(fleet);
+  await fleet.clock.advance(recoverMs);
+  assert.equal(restarted.filter(isServing).length, 191);
+});
--- a/packages/fleet/test/view.test.ts
+++ b/packages/fleet/test/view.test.ts
@@ -202,7 +202,7 @@
   const client = LeaderClient.create({ transport, clock, candidates: () => nodes });
   const holdMs = 1000;
   let reply: Awaited<ReturnType<typeof ask>> | undefined;
-  const ask = () => client.call('watch', { since: 0 } as never, 1500, holdMs);
+  const ask = () => client.call('watch', { since: 0 } as never, 1500, { holdMs });
   const search = async () => {
     while (!reply?.isOk()) reply = await ask();
   };
--- a/packages/protocol/src/memorynetwork.ts
+++ b/packages/protocol/src/memorynetwork.ts
@@ -5,7 +5,7 @@
 
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
-import { Bell } from '@tanagercart/base';
+import { Bell, createStopController } from '@tanagercart/base';
 import type { Clock, NodeId, Random } from '@tanagercart/base';
 import type { CallOf, ExchangeKind, ReplyOf } from './message.js';
 import type { CallError, CallHandler, CallOptions, Transport } from './transport.js';
@@ -66,25 +66,20 @@
     this.cuts.add(linkOf(from, to));
   }
 
-  /** Undoes all cuts. */
+  /** Undoes all cuts, and delivers what is held back. */
   heal(): void {
     this.cuts.clear();
+    const held = [...this.stalls.values()];
+    this.stalls.clear();
+    for (const bell of held) bell.ring();
   }
 
-  /** Holds all messages from `from` to `to` back until `resume` is called, and loses none of them. */
+  /** Holds all messages from `from` to `to` back until `heal` is called, and loses none of them. */
   stall(from: NodeId, to: NodeId): void {
     const link = linkOf(from, to);
     if (!this.stalls.has(link)) this.stalls.set(link, Bell.create());
   }
 
-  /** Delivers the messages that `stall` has held back. */
-  resume(from: NodeId, to: NodeId): void {
-    const link = linkOf(from, to);
-    const held = this.stalls.get(link);
-    this.stalls.delete(link);
-    held?.ring();
-  }
-
   /** Simulates the transfer of a message; resolves with false if it was lost. */
   async send(from: NodeId, to: NodeId, bytes: number): Promise<boolean> {
     this.messages += 1;
@@ -133,11 +128,14 @@
     call: CallOf<K>,
     options: CallOptions,
   ): Promise<Result<ReplyOf<K>, CallError>> {
-    const stop = new AbortController();
+    const stop = createStopController();
+    const end = () => stop.abort();
+    options.signal?.addEventListener('abort', end, { once: true });
     const timeout = this.network.clock
       .sleep(options.timeoutMs, stop.signal)
       .then((): Result<ReplyOf<K>, CallError> => err({ kind: 'timeout' }));
     const reply = await Promise.race([this.deliver(to, kind, call), timeout]);
+    options.signal?.removeEventListener('abort', end);
     stop.abort();
     return reply;
   }
--- a/packages/protocol/src/tcp.ts
+++ b/packages/protocol/src/tcp.ts
@@ -141,17 +141,15 @@
         resolve(result as Result<ReplyOf<K>, CallError>);
       };
       connection.pending.set(seq, finish);
-      options.signal?.addEventListener('abort', () => finish(err({ kind: 'timeout' })), {
-        once: true,
-        signal: stop.signal,
-      });
-      void clock.sleep(options.timeoutMs, stop.signal).then(() => {
+      const giveUp = () => {
         if (stop.signal.aborted) return;
         // A connection that received no frame since the call was sent may be dead without a reset.
         // It is closed, so that the next call opens another.
         if (connection.lastFrameAt < sentAt) connection.socket.destroy();
         finish(err({ kind: 'timeout' }));
-      });
+      };
+      options.signal?.addEventListener('abort', giveUp, { once: true, signal: stop.signal });
+      void clock.sleep(options.timeoutMs, stop.signal).then(giveUp);
       this.send(connection.socket, { t: 'call', seq, kind, body: call });
     });
   }
