Take what a late reply tells for as old as the reply is

A reply with the whole state that was made before the one applied last brought its older records back, while the entry went on counting as confirmed; and the ages of suspicions and of limits in a bulletin counted from its arrival, so that a late one could replace a newer notice of the limit of an upstream. A whole state at a lower index is believed only if it was made later, as by a log that was formed anew; ages count from the reply.

--- a/packages/fleet/src/view.ts
+++ b/packages/fleet/src/view.ts
@@ -132,7 +132,10 @@
    */
   apply(update: Update, sentAt: Millis, call: ReportedState): boolean {
     const document = update.document && decompressDocument(update.document);
-    if (this.isOvertaken(update, document, call)) return true;
+    // The leader confirmed the state when it replied, which was `heldMs` after it received the call.
+    const latest = this.o.clock.latest();
+    const repliedAt = Math.min(sentAt + (update.heldMs ?? 0), latest);
+    if (this.isOvertaken(update, repliedAt, document, call)) return true;
     if (document && !this.applyDocument(document)) {
       this.inForce = { version: 0, text: '' };
       return false;
@@ -145,15 +148,18 @@
     if (upstreams.length > 0 || update.whole) this.revision += 1;
     if (quarantined) this.fingerprints = new Set(quarantined);
     this.index = update.index;
-    this.applyBulletin(decodeBulletin(update.bulletin), call.loads);
-    // The leader confirmed the state when it replied, which was `heldMs` after it received the call.
-    const repliedAt = Math.min(sentAt + (update.heldMs ?? 0), this.o.clock.latest());
+    this.applyBulletin(decodeBulletin(update.bulletin), call.loads, latest - repliedAt);
     this.confirmedAt = Math.max(repliedAt, this.confirmedAt);
     this.changed.ring();
     return true;
   }
 
-  private applyBulletin(bulletin: DecodedBulletin, reported: readonly UpstreamLoad[]): void {
+  /** Applies a bulletin that was sent `lateMs` ago at most; the ages in it are as of then. */
+  private applyBulletin(
+    bulletin: DecodedBulletin,
+    reported: readonly UpstreamLoad[],
+    lateMs: Millis,
+  ): void {
     if (bulletin.entries) {
       this.entries = bulletin.entries;
       this.entriesRevision = bulletin.entriesRevision ?? '';
@@ -163,9 +169,9 @@
     this.reportedLoads = new Map(reported.map((l) => [l.id, l]));
     this.slowFactors = new Map(bulletin.slow.map((s) => [s.id, s.factor]));
     this.suspects = new Set(bulletin.suspectedParts ?? []);
-    this.o.onLimits(bulletin.limits ?? []);
-    const now = this.o.clock.now();
-    this.suspicions = bulletin.suspicions.map((s) => ({ ...s, at: now - s.ageMs }));
+    this.o.onLimits((bulletin.limits ?? []).map((n) => ({ ...n, ageMs: n.ageMs + lateMs })));
+    const sentAt = this.o.clock.now() - lateMs;
+    this.suspicions = bulletin.suspicions.map((s) => ({ ...s, at: sentAt - s.ageMs }));
   }
 
   private applyRecord(record: UpstreamRecord): void {
@@ -184,10 +190,13 @@
   /** Whether another reply, to a call that was sent meanwhile, has replaced what this one changes. */
   private isOvertaken(
     update: Update,
+    repliedAt: Millis,
     document: DocumentUpdate | undefined,
     call: ReportedState,
   ): boolean {
-    if (!update.whole && update.index < this.index) return true;
+    // A log that was formed anew begins at a lower index, and its leader replies with all of it.
+    const isAnew = update.whole && repliedAt > this.confirmedAt;
+    if (update.index < this.index && !isAnew) return true;
     return document?.kind === 'delta' && call.documentVersion !== this.inForce.version;
   }
 
--- a/packages/fleet/test/view.test.ts
+++ b/packages/fleet/test/view.test.ts
@@ -5,7 +5,7 @@
 import { deltaOf } from '@tanagercart/config';
 import type { Configuration } from '@tanagercart/config';
 import { compressDocument, encode } from '@tanagercart/protocol';
-import type { DocumentUpdate, LimitNotice, Transport } from '@tanagercart/protocol';
+import type { Bulletin, DocumentUpdate, LimitNotice, Transport } from '@tanagercart/protocol';
 import { FleetView, LeaderClient } from '../src/index.js';
 import type { ViewOptions, Watcher } from '../src/index.js';
 import { Fleet, announcementOf, configuration, documentOf } from './fleet.js';
@@ -349,3 +349,58 @@
   });
   assert.ok(calls <= usual, `${calls} calls in place of ${usual}`);
 });
+
+/** A reply with the whole state, made when the log had `index` entries. */
+function wholeReply(index: number, change: Partial<Bulletin> = {}) {
+  const none = { entries: [], voters: [], loads: [], suspicions: [], slow: [] };
+  return {
+    kind: 'update',
+    index,
+    whole: true,
+    upstreams: [announcementOf('u1', { born: index })],
+    document: undefined,
+    heldMs: 0,
+    quarantined: [],
+    bulletin: encode({ ...none, ...change }),
+  } as const;
+}
+
+const emptyCall = { loads: [], documentVersion: 0 };
+
+test('a late reply does not bring old records back, and a log that was formed anew does', async () => {
+  const fleet = await Fleet.start(76);
+  const { clock } = fleet;
+  const view = FleetView.create(viewOptions(fleet));
+  const bornOf = () => view.upstreams.get(UpstreamId('u1'))?.born;
+  const earlierAt = clock.now();
+  await clock.advance(3000);
+  view.apply(wholeReply(9), clock.now(), emptyCall);
+  view.apply(wholeReply(7), earlierAt, emptyCall);
+  assert.equal(bornOf(), 9);
+  await clock.advance(100);
+  view.apply(wholeReply(2), clock.now(), emptyCall);
+  assert.equal(bornOf(), 2);
+});
+
+test('what a late reply tells is as old as the reply', async () => {
+  const fleet = await Fleet.start(77);
+  const { clock } = fleet;
+  let limits: readonly LimitNotice[] = [];
+  const onLimits = (notices: readonly LimitNotice[]) => {
+    limits = notices;
+  };
+  const view = FleetView.create({ ...viewOptions(fleet), onLimits });
+  const { id, born } = announcementOf('u1', { born: 5 });
+  const news = {
+    suspicions: [{ id, born, ageMs: 100 }],
+    limits: [{ upstream: id, born, perSecond: 2, ageMs: 100 }],
+  };
+  const sentAt = clock.now();
+  await clock.advance(3000);
+  view.apply(wholeReply(5, news), sentAt, emptyCall);
+  assert.equal(view.suspectedAt(view.upstreams.get(id)!), sentAt - 100);
+  assert.deepEqual(
+    limits.map((n) => n.ageMs),
+    [3100],
+  );
+});
