--- a/packages/fleet/src/control.ts
+++ b/packages/fleet/src/control.ts
@@ -27,7 +27,6 @@
   UpstreamIncarnation,
   UpstreamRecord,
   WatchCall,
-  WatchReply,
 } from '@tanagercart/protocol';
 import { decodeBulletin } from './bulletin.js';
 import type { DecodedBulletin } from './bulletin.js';
@@ -40,8 +39,9 @@
 import { isUnchanged } from './registry.js';
 import { adoptionWaitMs } from './rollout.js';
 import { strikesToQuarantine } from './state.js';
-import type { Document, FleetState } from './state.js';
+import type { Document } from './state.js';
 import { Voter } from './voter.js';
+import { WatchServer } from './watchserver.js';
 
 /** Interval at which the leader reconciles the upstreams, and at which a follower retries. */
 const reconcileIntervalMs: Millis = 100;
@@ -52,12 +52,6 @@
 /** Time for a call to reach the leader. */
 const forwardTimeoutMs: Millis = 900;
 
-/** Delay of a reply about a change, so that changes in quick succession are sent together. */
-const batchDelayMs: Millis = 5;
-
-/** How long a voter holds the call of an entry while no leader is known. */
-const electionHoldMs: Millis = 400;
-
 /** A voter that has not answered the leader for this long is given no upstreams. */
 const heartbeatNodeSilenceMs: Millis = 500;
 
@@ -93,6 +87,7 @@
   private readonly membership: Membership;
   private readonly client: LeaderClient;
   private readonly heartbeats: HeartbeatCollector;
+  private readonly watches: WatchServer;
   private readonly tasks: TaskGroup;
   private readonly stopping = createStopController();
   private leaderTerm: LeaderTerm | undefined;
@@ -116,6 +111,13 @@
       return leader === undefined ? this.membership.nodes : [leader, ...this.membership.nodes];
     };
     this.client = LeaderClient.create({ transport, clock, candidates });
+    this.watches = WatchServer.create({
+      self: o.self,
+      voter,
+      clock,
+      stop: this.stopping.signal,
+      currentTerm: () => this.currentTerm(),
+    });
     this.heartbeats = HeartbeatCollector.create(clock, async (heartbeats) => {
       const reply = await this.client.call('heartbeats', { heartbeats }, forwardTimeoutMs / 2);
       return reply.map(() => undefined);
@@ -247,7 +249,7 @@
 
   private serve(): void {
     const { transport } = this.o;
-    transport.serve('watch', (from, call) => this.handleWatch(from, call));
+    transport.serve('watch', (from, call) => this.watches.handle(from, call));
     transport.serve('beat', (_, call) => this.handleBeat(call.announcement));
     transport.serve('heartbeats', (_, call) => this.handleHeartbeats(call));
     transport.serve('submit', (_, call) => this.handleSubmit(call));
@@ -370,54 +372,6 @@
     return { kind: 'not-leader', leader: this.voter.liveLeader };
   }
 
-  private async handleWatch(from: NodeId, call: WatchCall): Promise<WatchReply> {
-    const leaderTerm = call.entry ? await this.awaitLeader() : this.currentTerm();
-    if (!leaderTerm) return this.notLeader();
-    const { state, changed } = this.voter;
-    const arrivedAt = this.o.clock.now();
-    if (leaderTerm.recordEntry(from, call)) changed.ring();
-    const hasChanges = state.changedIndex > call.since || call.since === 0;
-    if (!hasChanges) await changed.waitUpTo(call.waitMs, this.o.clock, this.stopping.signal);
-    const isHoldOver = this.o.clock.now() - arrivedAt >= call.waitMs;
-    await leaderTerm.paceReply(call, arrivedAt, hasChanges ? 0 : batchDelayMs);
-    // Measured before the lease is checked, so that the reply confirms no later state than that.
-    const heldMs = this.o.clock.now() - arrivedAt;
-    if (this.currentTerm() !== leaderTerm) return this.notLeader();
-    const isWhole = state.isWholeFor(call.since);
-    if (isWhole && leaderTerm.isSuperseded(from, call)) return this.notLeader();
-    leaderTerm.rollout.recordReply(from);
-    const changes = state.changesSince(call.since);
-    const endOfHold = isHoldOver ? 'hold-over' : 'news';
-    const reason = hasChanges ? 'behind' : endOfHold;
-    leaderTerm.replies.record({ reason, isWhole, heldMs });
-    return {
-      kind: 'update',
-      heldMs,
-      index: state.index,
-      ...(isWhole && call.readsPackedState ? packedChanges(state) : changes),
-      document: state.documentUpdate(call.documentVersion),
-      bulletin: leaderTerm.bulletinFor(call),
-    };
-  }
-
-  /**
-   * Returns the current term if this node leads. While no leader is known, it waits for one, so that
-   * the entries do not ask all voters again and again in the meantime.
-   */
-  private async awaitLeader(): Promise<LeaderTerm | undefined> {
-    const { voter, o, stopping } = this;
-    const until = o.clock.now() + electionHoldMs;
-    for (;;) {
-      const leaderTerm = this.currentTerm();
-      const { raft, liveLeader } = voter;
-      const isElsewhere = liveLeader !== undefined && liveLeader !== o.self;
-      if (leaderTerm || isElsewhere || !raft || stopping.signal.aborted) return leaderTerm;
-      const leftMs = until - o.clock.now();
-      if (leftMs <= 0) return undefined;
-      await raft.changeWithin(leftMs);
-    }
-  }
-
   private async handleBeat(announcement: Announcement): Promise<BeatReply> {
     const leaderTerm = this.currentTerm();
     return leaderTerm
@@ -502,8 +456,3 @@
     return reason === 'not-leader' ? this.notLeader() : { kind: 'unavailable', reason };
   }
 }
-
-/** The whole state in the form that is packed once for all callers. */
-function packedChanges({ packedState }: FleetState) {
-  return { whole: true, upstreams: [], quarantined: undefined, packedState };
-}
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -16,6 +16,7 @@
 export * from './slowness.js';
 export * from './tombstone.js';
 export * from './leaderterm.js';
+export * from './watchserver.js';
 export * from './control.js';
 export * from './view.js';
 export * from './watcher.js';
