Repeat a quarantine that did not reach the log

Where that failed, as the leader lost its quorum, it took three more crashes. The suspicion comes back now, and the entry, whose report is answered as not recorded, sends it again.

The test cannot run on the code before, which has no word on the outcome; there the fourth report leads to nothing. What remains: a new leader counts crashes from none.

--- a/packages/fleet/src/control.ts
+++ b/packages/fleet/src/control.ts
@@ -437,7 +437,13 @@
       leaderTerm.liveness.revision += 1;
       this.voter.changed.ring();
     }
-    const done = await Promise.all(guilty.map((subject) => this.quarantine(subject)));
+    const done = await Promise.all(
+      guilty.map(async (subject) => {
+        const isQuarantined = await this.quarantine(subject);
+        crashes.settle(subject, isQuarantined);
+        return isQuarantined;
+      }),
+    );
     return { kind: done.every(Boolean) ? 'recorded' : 'unavailable' };
   }
 
--- a/packages/fleet/src/crashes.ts
+++ b/packages/fleet/src/crashes.ts
@@ -49,6 +49,8 @@
 export class CrashSuspicions {
   /** By the fingerprint of the request, or the name of the part. */
   private readonly suspicions = new Map<string, Suspicion>();
+  /** Suspicions that led to a quarantine of which it is not known yet whether it is in the log. */
+  private readonly convicted = new Map<string, Suspicion>();
 
   private constructor(private readonly clock: Clock) {}
 
@@ -62,7 +64,10 @@
     return [...this.suspicions].filter(([, s]) => isPublished(s)).map(([subject]) => subject);
   }
 
-  /** Records a crash; returns the request or the parts that are to be quarantined. */
+  /**
+   * Records a crash; returns the request or the parts that are to be quarantined. `settle` is to be
+   * called for each of them.
+   */
   record(crash: UpstreamCrash): readonly string[] {
     const now = this.clock.now();
     this.dropOutdated(now);
@@ -77,15 +82,28 @@
     });
     // The part that is found explains the strikes against everything that came with it.
     if (parts.length > 0) {
+      for (const part of parts) this.convict(part);
       this.suspicions.clear();
       return parts;
     }
     if (request === undefined) return [];
     if (!isGuilty(this.strike('request', request, request, attempt))) return [];
-    this.suspicions.delete(request);
+    this.convict(request);
     return [request];
   }
 
+  /** Records whether a quarantine is in the log; if it is not, the next report leads to it again. */
+  settle(subject: string, isQuarantined: boolean): void {
+    const suspicion = this.convicted.get(subject);
+    this.convicted.delete(subject);
+    if (suspicion && !isQuarantined) this.suspicions.set(subject, suspicion);
+  }
+
+  private convict(subject: string): void {
+    this.convicted.set(subject, this.suspicions.get(subject)!);
+    this.suspicions.delete(subject);
+  }
+
   /** Ends the suspicion against a request or part, as it was answered. */
   acquit(subject: string): void {
     this.suspicions.delete(subject);
--- a/packages/fleet/test/crashes.test.ts
+++ b/packages/fleet/test/crashes.test.ts
@@ -123,3 +123,13 @@
   for (const ageMs of [200, 800, 200, 800]) assert.deepEqual(crashes.record(crashOf(ageMs)), []);
   assert.deepEqual(crashes.record(crashOf(500)), ['f1']);
 });
+
+test('a quarantine that did not reach the log is repeated with the next report', async () => {
+  const { crashes, crash } = create();
+  for (let i = 0; i < 2; i += 1) await crash(['deadly']);
+  assert.deepEqual(await crash(['deadly']), ['deadly']);
+  crashes.settle('deadly', false);
+  assert.deepEqual(await crash(['deadly']), ['deadly']);
+  crashes.settle('deadly', true);
+  assert.deepEqual(await crash(['deadly']), []);
+});
