Answer a held call once a lapsed lease is held again, in place of refusing it

The leader waits for it now as it does for a new call, 400 ms at most; what the reply confirms is as of the time after that wait.

--- a/packages/fleet/src/watchserver.ts
+++ b/packages/fleet/src/watchserver.ts
@@ -10,7 +10,7 @@
 /** Delay of a reply about a change, so that changes in quick succession are sent together. */
 const batchDelayMs: Millis = 5;
 
-/** How long a voter holds the call of an entry while no leader is known. */
+/** How long a voter holds the call of an entry while no leader is known, or its lease has lapsed. */
 const electionHoldMs: Millis = 400;
 
 export interface WatchServerOptions {
@@ -40,6 +40,7 @@
     const arrivedAt = clock.now();
     if (leaderTerm.recordEntry(from, call)) voter.changed.ring();
     const reason = await this.hold(leaderTerm, call, arrivedAt);
+    await this.awaitLease(leaderTerm);
     // Measured before the lease is checked, so that the reply confirms no later state than that.
     const heldMs = clock.now() - arrivedAt;
     if (currentTerm() !== leaderTerm) return this.notLeader();
@@ -90,6 +91,22 @@
     }
   }
 
+  /**
+   * Waits for the lease to be held again, where it has lapsed within the term: mostly one heartbeat
+   * later. Otherwise all entries would search for a leader that has not changed.
+   */
+  private async awaitLease({ term }: LeaderTerm): Promise<void> {
+    const { voter, clock, stop } = this.o;
+    const until = clock.now() + electionHoldMs;
+    for (;;) {
+      const { raft } = voter;
+      const isLapsed = raft?.role === 'leader' && raft.term === term && !raft.holdsLease;
+      const leftMs = until - clock.now();
+      if (!isLapsed || leftMs <= 0 || stop.aborted) return;
+      await raft.changeWithin(leftMs);
+    }
+  }
+
   private notLeader(): WatchReply {
     return { kind: 'not-leader', leader: this.o.voter.liveLeader };
   }
--- a/packages/fleet/test/overload.test.ts
+++ b/packages/fleet/test/overload.test.ts
@@ -1,6 +1,8 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { NodeId } from '@tanagercart/base';
 import type { Millis } from '@tanagercart/base';
+import type { FleetView } from '../src/index.js';
 import { Fleet, documentOf, startEntries } from './fleet.js';
 
 const voters = ['a', 'b', 'c', 'd', 'e'];
@@ -70,6 +72,33 @@
   assert.equal(leader!.entries.length, 5);
 });
 
+test('a call that is held while the lease lapses is answered once the lease is held again', async () => {
+  const fleet = await Fleet.start(44, voters);
+  const views = startEntries(fleet, 5);
+  await fleet.settle([...fleet.nodes.values()][0]!.submit(documentOf(3)));
+  await fleet.clock.advance(2000);
+  const [leader] = [...fleet.nodes].find(([, n]) => n.isLeader)!;
+  const [[node, view]] = [...views] as [[NodeId, FleetView]];
+  const call = {
+    entry: view.entries.find((e) => e.node === node),
+    loads: [],
+    suspicions: [],
+    since: view.index,
+    documentVersion: view.document.version,
+    waitMs: 900,
+  };
+  const held = fleet.network.attach(NodeId('caller')).call(leader, 'watch', call, {
+    timeoutMs: 3000,
+  });
+  await fleet.clock.advance(100);
+  fleet.network.setQuality({ delayMs: 170, jitterMs: 0, loss: 0 });
+  await fleet.clock.advance(830);
+  assert.equal(fleet.leader, undefined);
+  fleet.network.setQuality({ delayMs: 0.5, jitterMs: 0, loss: 0 });
+  const reply = await fleet.settle(held);
+  assert.equal(reply._unsafeUnwrap().kind, 'update');
+});
+
 test('a leader that is held up by the check of a large document keeps its term', async () => {
   const fleet = await Fleet.start(43, voters, {});
   for (let i = 0; i < 10; i += 1) {
