Wait for the leader that another node names, though it was late before

A node that another names is called again at once, and waited for, unless it says itself that it does not lead.

--- a/packages/fleet/src/leaderclient.ts
+++ b/packages/fleet/src/leaderclient.ts
@@ -103,12 +103,15 @@
     /** A node that another one follows as the leader: it runs, however late it replies. */
     let followed: NodeId | undefined;
     const known = this.leaderId;
+    /** Nodes that say they do not lead, whatever others say of them. */
+    const refused = new Set<NodeId>();
     for (;;) {
       const node = this.nextCandidate(tried);
       if (node === undefined) {
         if (clock.now() + retryPauseMs >= deadline) return failed();
         await clock.sleep(retryPauseMs);
         tried = new Set();
+        refused.clear();
         continue;
       }
       tried.add(node);
@@ -131,8 +134,11 @@
       } else {
         const leader = 'leader' in reply.value ? reply.value.leader : undefined;
         attempts.push({ node, outcome: 'not-leader', leader, waitedMs });
-        this.leaderId = leader !== undefined && tried.has(leader) ? undefined : leader;
+        refused.add(node);
+        this.leaderId = leader !== undefined && refused.has(leader) ? undefined : leader;
         followed = this.leaderId;
+        // It may be late with a first reply: this node was not known to lead when it was called.
+        if (followed !== undefined) tried.delete(followed);
         // A node that knows no leader may have waited for one, and is asked last.
         if (followed === undefined) this.failedAt.set(node, clock.now());
       }
--- a/packages/fleet/test/view.test.ts
+++ b/packages/fleet/test/view.test.ts
@@ -215,6 +215,30 @@
   assert.equal(client.leader, 'b');
 });
 
+test('a leader that is late with its first reply is waited for once another node names it', async () => {
+  const clock = HeldClock.create();
+  const [leader, follower, silent] = ['a', 'b', 'c'].map(NodeId);
+  const calls: NodeId[] = [];
+  const transport: Transport = {
+    serve: () => undefined,
+    call: async (to, _, __, { timeoutMs }) => {
+      calls.push(to);
+      if (to === follower) return ok({ kind: 'not-leader', leader });
+      await clock.sleep(to === leader ? Math.min(timeoutMs, 1200) : timeoutMs);
+      return to === leader && timeoutMs > 1200 ? ok({ kind: 'adopted' }) : err({ kind: 'timeout' });
+    },
+  };
+  const candidates = () => [leader!, follower!, silent!];
+  const client = LeaderClient.create({ transport, clock, candidates });
+  let isFound = false;
+  const found = client.call('adoption', { version: 1 }, 1500, { patienceMs: 4000 });
+  void found.then((reply) => {
+    isFound = reply.isOk();
+  });
+  await clock.advance(3000);
+  assert.ok(isFound, `called ${calls.join(' ')}`);
+});
+
 /** A document whose only service is called `name`. */
 function documentWith(version: number, name: string) {
   const base = configuration(version);
