--- a/packages/fleet/src/liveness.ts
+++ b/packages/fleet/src/liveness.ts
@@ -252,7 +252,7 @@
     const known = this.entrySeen.get(from);
     this.entrySeen.set(from, { entry, at: now, loads, slow });
     if (!known || now - known.at > entryTimeoutMs) return 'gain';
-    if (known.entry.isDetached !== entry.isDetached) return 'loss';
+    if (known.entry.isDetached !== entry.isDetached) return entry.isDetached ? 'loss' : 'gain';
     if (known.entry.phase === entry.phase) return 'none';
     return entry.phase === 'draining' ? 'loss' : 'gain';
   }
--- a/packages/fleet/src/state.ts
+++ b/packages/fleet/src/state.ts
@@ -40,7 +40,7 @@
   readonly quarantined: readonly string[] | undefined;
 }
 
-/** The whole state as it is sent, at an index of the log. */
+/** The whole state as it is sent, and the index of the last change in it. */
 interface PackedState {
   readonly index: number;
   readonly bytes: Uint8Array;
@@ -65,7 +65,6 @@
   private quarantinedAt = 0;
   /** Packed updates to the document in force, by their base version; 0 for the whole document. */
   private readonly updates = new Map<number, Uint8Array>();
-  /** The packed state, and the index of the log that it is for. */
   private packed: PackedState | undefined;
   /** A reader at an earlier index is sent the whole state, as older removals are not recorded. */
   private compacted = 0;
@@ -140,10 +139,10 @@
 
   /** The records and the quarantine, packed once for all readers that have none of it. */
   get packedState(): Uint8Array {
-    if (this.packed?.index === this.index) return this.packed.bytes;
-    const { quarantined } = this;
+    const { quarantined, changedIndex: index } = this;
+    if (this.packed?.index === index) return this.packed.bytes;
     const bytes = compressState({ upstreams: [...this.records.values()], quarantined });
-    this.packed = { index: this.index, bytes };
+    this.packed = { index, bytes };
     return bytes;
   }
 
--- a/packages/fleet/test/state.test.ts
+++ b/packages/fleet/test/state.test.ts
@@ -68,6 +68,8 @@
     decompressState(packedState).upstreams.map((u) => u.id),
     ['u1', 'u2'],
   );
-  state.apply(2, encodeCommand({ kind: 'upstreams', records: [announcementOf('u3')] }));
+  state.apply(2, encodeCommand({ kind: 'barrier' }));
+  assert.equal(state.packedState, packedState);
+  state.apply(3, encodeCommand({ kind: 'upstreams', records: [announcementOf('u3')] }));
   assert.equal(decompressState(state.packedState).upstreams.length, 3);
 });
