Keep the place of a caller that calls again for the whole state

Cause, mine: whole states were sent one at a time, the next once a timer had fired, 70 to 500 ms later at a busy leader; and a call that its entry had replaced by a newer one still took its turn. Entries that called again every 1.5 to 5 s brought more turns than were served, and all that came up were passed over: the same metastable overload in another place.

Now the queue has one place for each entry, that of its first call. A newer call takes it over and the earlier one ends at once; three entries pass together.

--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -15,6 +15,7 @@
 export * from './rollout.js';
 export * from './slowness.js';
 export * from './tombstone.js';
+export * from './turnqueue.js';
 export * from './leaderterm.js';
 export * from './watchserver.js';
 export * from './control.js';
--- a/packages/fleet/src/leaderterm.ts
+++ b/packages/fleet/src/leaderterm.ts
@@ -15,6 +15,7 @@
 import { UpstreamRegistry } from './registry.js';
 import { SlownessMonitor, pipelineStages } from './slowness.js';
 import { TombstoneCollector } from './tombstone.js';
+import { TurnQueue } from './turnqueue.js';
 import type { Voter } from './voter.js';
 
 /**
@@ -54,8 +55,7 @@
   private readonly monitor: SlownessMonitor;
   private readonly collector: TombstoneCollector;
   private readonly pacer: ReplyPacer;
-  /** The last call of each entry. */
-  private readonly lastCalls = new Map<NodeId, WatchCall>();
+  private readonly turns: TurnQueue;
   /** Time at which layers were last planned. */
   private plannedAt: Millis = -Infinity;
 
@@ -88,6 +88,7 @@
     this.crashes = CrashSuspicions.create(clock);
     this.limits = NamedLimits.create(clock, logger);
     this.pacer = ReplyPacer.create(clock, o.utilization);
+    this.turns = TurnQueue.create(clock);
     this.monitor = SlownessMonitor.create({ orders, clock, logger });
     const forget = async (upstreams: readonly UpstreamRecord['id'][]) =>
       (await voter.propose({ kind: 'forget', upstreams })).isOk();
@@ -111,7 +112,6 @@
   /** Records the call of an entry; returns whether other entries should be informed at once. */
   recordEntry(from: NodeId, call: WatchCall): boolean {
     const { liveness, limits, rollout, registry } = this;
-    if (call.entry) this.lastCalls.set(from, call);
     rollout.recordCall(from, call);
     for (const upstream of call.leaving ?? []) registry.recordLeaving(upstream, { from });
     const changes = (call.limits ?? []).filter((notice) => limits.record(notice, { from }));
@@ -137,22 +137,19 @@
   }
 
   /**
-   * Whether an entry has called again for the same state. It has given up on the call, or the later
-   * reply will tell it the same.
+   * Waits until a watch call that arrived at `arrivedAt` may be answered. Resolves to false where the
+   * caller has called again for the whole state meanwhile.
    */
-  isSuperseded(from: NodeId, call: WatchCall): boolean {
-    const last = this.lastCalls.get(from);
-    return last !== undefined && last !== call && last.since === call.since;
-  }
-
-  /** Waits until a watch call that arrived at `arrivedAt` may be answered. */
-  async paceReply(call: WatchCall, arrivedAt: Millis, minDelayMs: Millis): Promise<void> {
+  async paceReply(
+    from: NodeId,
+    call: WatchCall,
+    arrivedAt: Millis,
+    minDelayMs: Millis,
+  ): Promise<boolean> {
     const { waitMs: holdMs } = call;
-    if (this.o.voter.state.isWholeFor(call.since)) {
-      await this.pacer.waitForTurn();
-      return;
-    }
+    if (this.o.voter.state.isWholeFor(call.since)) return this.turns.wait(from);
     await this.pacer.wait(this.liveness.entryCount, { arrivedAt, holdMs }, minDelayMs);
+    return true;
   }
 
   /** The encoded bulletin for the caller of a watch call. */
--- a/packages/fleet/src/replypacer.ts
+++ b/packages/fleet/src/replypacer.ts
@@ -4,7 +4,6 @@
  * between voters, without which the leader would lose its lease.
  */
 
-import { Bell } from '@tanagercart/base';
 import type { Clock, Millis, UtilizationMeter } from '@tanagercart/base';
 
 /** Smallest time between two replies. */
@@ -34,8 +33,6 @@
   private spacingMs = initialSpacingMs;
   private nextAt: Millis = -Infinity;
   private measuredAt: Millis;
-  /** Ends with the turn that was given last. */
-  private lastTurn: Promise<void> = Promise.resolve();
 
   private constructor(
     private readonly clock: Clock,
@@ -67,19 +64,6 @@
     if (dueAt > now) await this.clock.sleep(dueAt - now);
   }
 
-  /**
-   * Waits for the turn of a reply that holds the whole state. There is one at a time: the next one
-   * follows once the event loop has done all that had come up until then, so that a crowd of callers
-   * does not keep the leader from the heartbeats between voters.
-   */
-  async waitForTurn(): Promise<void> {
-    const before = this.lastTurn;
-    const turn = Bell.create();
-    this.lastTurn = turn.wait();
-    await before;
-    void this.clock.sleep(minSpacingMs).then(() => turn.ring());
-  }
-
   private adjust(now: Millis): void {
     if (now - this.measuredAt < measureIntervalMs) return;
     this.measuredAt = now;
--- a/packages/fleet/src/watchserver.ts
+++ b/packages/fleet/src/watchserver.ts
@@ -39,13 +39,13 @@
     const { state } = voter;
     const arrivedAt = clock.now();
     if (leaderTerm.recordEntry(from, call)) voter.changed.ring();
-    const reason = await this.hold(leaderTerm, call, arrivedAt);
+    const reason = await this.hold(leaderTerm, from, call, arrivedAt);
+    if (reason === undefined) return this.notLeader();
     await this.awaitLease(leaderTerm);
     // Measured before the lease is checked, so that the reply confirms no later state than that.
     const heldMs = clock.now() - arrivedAt;
     if (currentTerm() !== leaderTerm) return this.notLeader();
     const isWhole = state.isWholeFor(call.since);
-    if (isWhole && leaderTerm.isSuperseded(from, call)) return this.notLeader();
     leaderTerm.rollout.recordReply(from);
     leaderTerm.replies.record({ reason, isWhole, heldMs });
     return {
@@ -58,17 +58,22 @@
     };
   }
 
-  /** Holds a call until there is news for it, and until it is its turn; returns why it ended. */
+  /**
+   * Holds a call until there is news for it, and until it is its turn. Returns why it ended; undefined
+   * if the caller has given up on it.
+   */
   private async hold(
     leaderTerm: LeaderTerm,
+    from: NodeId,
     call: WatchCall,
     arrivedAt: Millis,
-  ): Promise<ReplyReason> {
+  ): Promise<ReplyReason | undefined> {
     const { voter, clock, stop } = this.o;
     const isBehind = voter.state.changedIndex > call.since || call.since === 0;
     if (!isBehind) await voter.changed.waitUpTo(call.waitMs, clock, stop);
     const isHoldOver = clock.now() - arrivedAt >= call.waitMs;
-    await leaderTerm.paceReply(call, arrivedAt, isBehind ? 0 : batchDelayMs);
+    const isDue = await leaderTerm.paceReply(from, call, arrivedAt, isBehind ? 0 : batchDelayMs);
+    if (!isDue) return undefined;
     if (isBehind) return 'behind';
     return isHoldOver ? 'hold-over' : 'news';
   }
--- a/packages/protocol/src/memorynetwork.ts
+++ b/packages/protocol/src/memorynetwork.ts
@@ -129,13 +129,11 @@
     options: CallOptions,
   ): Promise<Result<ReplyOf<K>, CallError>> {
     const stop = createStopController();
-    const end = () => stop.abort();
-    options.signal?.addEventListener('abort', end, { once: true });
+    const signals = options.signal ? [stop.signal, options.signal] : [stop.signal];
     const timeout = this.network.clock
-      .sleep(options.timeoutMs, stop.signal)
+      .sleep(options.timeoutMs, AbortSignal.any(signals))
       .then((): Result<ReplyOf<K>, CallError> => err({ kind: 'timeout' }));
     const reply = await Promise.race([this.deliver(to, kind, call), timeout]);
-    options.signal?.removeEventListener('abort', end);
     stop.abort();
     return reply;
   }
