Count a late first reply of the leader, though the search has turned to others

Each search calls one busy voter for 704 ms, the leader, which is not known yet, for 705 ms, and a third for the rest; what the leader sends after 0.7 s is thrown away.

Cause: the last part of patience: it began only once a node was named or known as the leader. A reply that comes while other nodes are asked, or within 0.7 s after the search, ends it now; it carries its own date.

Evidence: the test failed before. All tests of the package pass (97).

--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -3,6 +3,7 @@
 export * from './load.js';
 export * from './liveness.js';
 export * from './bulletin.js';
+export * from './latereplies.js';
 export * from './leaderclient.js';
 export * from './voter.js';
 export * from './membership.js';
--- a/packages/fleet/src/leaderclient.ts
+++ b/packages/fleet/src/leaderclient.ts
@@ -5,6 +5,8 @@
 import { createStopController, waitEnded } from '@tanagercart/base';
 import type { Clock, Millis, NodeId } from '@tanagercart/base';
 import type { CallError, CallOf, ExchangeKind, ReplyOf, Transport } from '@tanagercart/protocol';
+import { LateReplies } from './latereplies.js';
+import type { LateReply } from './latereplies.js';
 
 /** Exchanges that only the leader answers. */
 export type LeaderExchange = Extract<
@@ -54,6 +56,9 @@
 /** Pause after all candidates were tried, before they are tried again. */
 const retryPauseMs: Millis = 60;
 
+/** The reply of a node that leads. */
+type LeaderReply<K extends LeaderExchange> = Exclude<ReplyOf<K>, { kind: 'not-leader' }>;
+
 export interface LeaderClientOptions {
   readonly transport: Transport;
   readonly clock: Clock;
@@ -91,7 +96,7 @@
     call: CallOf<K>,
     withinMs: Millis,
     { holdMs = 0, patienceMs = 0 }: { readonly holdMs?: Millis; readonly patienceMs?: Millis } = {},
-  ): Promise<Result<Exclude<ReplyOf<K>, { kind: 'not-leader' }>, NoLeader>> {
+  ): Promise<Result<LeaderReply<K>, NoLeader>> {
     const { clock } = this.o;
     const deadline = clock.now() + withinMs;
     const attempts: FailedAttempt[] = [];
@@ -105,10 +110,17 @@
     const known = this.leaderId;
     /** Nodes that say they do not lead, whatever others say of them. */
     const refused = new Set<NodeId>();
+    const late = LateReplies.create<LeaderReply<K>>();
+    const found = ({ node, reply }: LateReply<LeaderReply<K>>) => {
+      late.end();
+      this.leaderId = node;
+      this.failedAt.delete(node);
+      return ok(reply);
+    };
     for (;;) {
       const node = this.nextCandidate(tried);
       if (node === undefined) {
-        if (clock.now() + retryPauseMs >= deadline) return failed();
+        if (clock.now() + retryPauseMs >= deadline) break;
         await clock.sleep(retryPauseMs);
         tried = new Set();
         refused.clear();
@@ -120,17 +132,20 @@
       const timeoutMs = (node === followed ? leftMs : Math.min(replyTimeoutMs, leftMs)) + holdMs;
       const mayLead = node === followed || node === known;
       const limits = { timeoutMs, patienceMs: mayLead ? patienceMs : 0 };
-      const reply = await this.ask(node, kind, call, limits);
+      const asked =
+        mayLead || patienceMs === 0
+          ? this.ask(node, kind, call, limits)
+          : this.askOnce(node, kind, call, { timeoutMs, patienceMs }, late);
+      const reply = await Promise.race([asked, late.first]);
+      if ('node' in reply) return found(reply);
       const waitedMs = clock.now() - calledAt;
       if (reply.isErr()) {
         attempts.push({ node, outcome: reply.error.kind, leader: undefined, waitedMs });
         if (this.leaderId === node) this.leaderId = undefined;
         this.failedAt.set(node, clock.now());
-        if (holdMs > 0) return failed();
+        if (holdMs > 0) break;
       } else if (reply.value.kind !== 'not-leader') {
-        this.leaderId = node;
-        this.failedAt.delete(node);
-        return ok(reply.value as Exclude<ReplyOf<K>, { kind: 'not-leader' }>);
+        return found({ node, reply: reply.value as LeaderReply<K> });
       } else {
         const leader = 'leader' in reply.value ? reply.value.leader : undefined;
         attempts.push({ node, outcome: 'not-leader', leader, waitedMs });
@@ -142,8 +157,36 @@
         // A node that knows no leader may have waited for one, and is asked last.
         if (followed === undefined) this.failedAt.set(node, clock.now());
       }
-      if (clock.now() >= deadline) return failed();
+      if (clock.now() >= deadline) break;
     }
+    const last = await late.firstWithin(replyTimeoutMs, clock);
+    if (last) return found(last);
+    late.end();
+    return failed();
+  }
+
+  /** Calls a node that is not known to lead; a reply after `timeoutMs` goes to `late`. */
+  private async askOnce<K extends LeaderExchange>(
+    node: NodeId,
+    kind: K,
+    call: CallOf<K>,
+    { timeoutMs, patienceMs }: { readonly timeoutMs: Millis; readonly patienceMs: Millis },
+    late: LateReplies<LeaderReply<K>>,
+  ): Promise<Result<ReplyOf<K>, CallError>> {
+    const { clock, transport } = this.o;
+    const answered = createStopController();
+    const options = { timeoutMs: timeoutMs + patienceMs, signal: late.ended };
+    const reply = transport.call(node, kind, call, options);
+    void reply.then(() => answered.abort());
+    await clock.sleep(timeoutMs, answered.signal);
+    if (answered.signal.aborted) return reply;
+    late.expect(
+      node,
+      reply.then((r) =>
+        r.isOk() && r.value.kind !== 'not-leader' ? (r.value as LeaderReply<K>) : undefined,
+      ),
+    );
+    return err({ kind: 'timeout' });
   }
 
   /**
--- a/packages/fleet/test/view.test.ts
+++ b/packages/fleet/test/view.test.ts
@@ -239,6 +239,26 @@
   assert.ok(isFound, `called ${calls.join(' ')}`);
 });
 
+test('a first reply of the leader counts though the search has turned to a node that is silent', async () => {
+  const clock = HeldClock.create();
+  const [leader, silent] = ['a', 'b'].map(NodeId);
+  const transport: Transport = {
+    serve: () => undefined,
+    call: async (to, _, __, { timeoutMs }) => {
+      await clock.sleep(to === leader ? Math.min(timeoutMs, 1000) : timeoutMs);
+      return to === leader && timeoutMs > 1000 ? ok({ kind: 'adopted' }) : err({ kind: 'timeout' });
+    },
+  };
+  const client = LeaderClient.create({ transport, clock, candidates: () => [leader!, silent!] });
+  let isFound = false;
+  const found = client.call('adoption', { version: 1 }, 1500, { patienceMs: 4000 });
+  void found.then((reply) => {
+    isFound = reply.isOk();
+  });
+  await clock.advance(1100);
+  assert.ok(isFound);
+});
+
 /** A document whose only service is called `name`. */
 function documentWith(version: number, name: string) {
   const base = configuration(version);
