Ask a node in one way, and wait for leader and lease by one loop

Two methods sent a call and waited for a late reply, and differed in whom they wait for; one of them went on asking another node, and kept its call open, after a late reply from elsewhere had ended the search. One method does both now, and all calls of a search end with it. The waits for a leader and for a lapsed lease were the same loop, and three errors were written out.

--- a/packages/fleet/src/control.ts
+++ b/packages/fleet/src/control.ts
@@ -31,7 +31,7 @@
 import { decodeBulletin } from './bulletin.js';
 import type { DecodedBulletin } from './bulletin.js';
 import { HeartbeatCollector } from './heartbeats.js';
-import { LeaderClient } from './leaderclient.js';
+import { LeaderClient, noLeader } from './leaderclient.js';
 import type { NoLeader } from './leaderclient.js';
 import { LeaderTerm } from './leaderterm.js';
 import { Membership } from './membership.js';
@@ -179,9 +179,7 @@
     }
     const reply = await this.client.call('beat', { announcement }, forwardTimeoutMs);
     if (reply.isErr()) return err(reply.error);
-    return reply.value.kind === 'accepted'
-      ? ok(undefined)
-      : err({ kind: 'no-leader', maybeDone: true, attempts: [] });
+    return reply.value.kind === 'accepted' ? ok(undefined) : err(noLeader(true));
   }
 
   /**
@@ -206,7 +204,7 @@
     const reply = await this.client.call('submit', document, forwardTimeoutMs);
     if (reply.isErr()) return err(reply.error);
     if (reply.value.kind !== 'accepted') {
-      return err({ kind: 'no-leader', maybeDone: true, attempts: [] });
+      return err(noLeader(true));
     }
     const { inForce } = reply.value;
     await this.awaitAdoption(inForce);
@@ -220,8 +218,9 @@
   private async awaitAdoption(version: number): Promise<void> {
     const stop = new AbortController();
     const elapsed = this.o.clock.sleep(adoptionWaitMs, stop.signal);
-    const holdMs = adoptionWaitMs;
-    const asked = this.client.call('adoption', { version }, adoptionWaitMs, { holdMs });
+    const asked = this.client.call('adoption', { version }, adoptionWaitMs, {
+      holdMs: adoptionWaitMs,
+    });
     await Promise.race([elapsed, asked.then((reply) => (reply.isOk() ? undefined : elapsed))]);
     stop.abort(waitEnded);
   }
@@ -232,7 +231,7 @@
     const reply = await this.client.call('read', { knownVersion: known.version }, forwardTimeoutMs);
     if (reply.isErr()) return err(reply.error);
     if (reply.value.kind !== 'document') {
-      return err({ kind: 'no-leader', maybeDone: false, attempts: [] });
+      return err(noLeader(false));
     }
     const { version, text } = reply.value;
     return ok({ version, text: text ?? known.text });
@@ -332,8 +331,9 @@
         entriesRevision: this.followedRevision,
         waitMs: followHoldMs,
       };
-      const holdMs = followHoldMs;
-      const reply = await this.client.call('watch', call, forwardTimeoutMs, { holdMs });
+      const reply = await this.client.call('watch', call, forwardTimeoutMs, {
+        holdMs: followHoldMs,
+      });
       if (reply.isOk()) this.followEntries(decodeBulletin(reply.value.bulletin));
       else await clock.sleep(reconcileIntervalMs, signal);
     }
--- a/packages/fleet/src/leaderclient.ts
+++ b/packages/fleet/src/leaderclient.ts
@@ -59,6 +59,28 @@
 /** The reply of a node that leads. */
 type LeaderReply<K extends LeaderExchange> = Exclude<ReplyOf<K>, { kind: 'not-leader' }>;
 
+/** How long to wait for the reply of one node. */
+interface AskLimits {
+  readonly timeoutMs: Millis;
+  readonly patienceMs: Millis;
+  /** Whether the node led lately, or is named as the leader by another. */
+  readonly mayLead: boolean;
+}
+
+/** The reply, if it is one of a node that leads. */
+function leaderReplyOf<K extends LeaderExchange>(
+  reply: Result<ReplyOf<K>, CallError>,
+): LeaderReply<K> | undefined {
+  return reply.isOk() && reply.value.kind !== 'not-leader'
+    ? (reply.value as LeaderReply<K>)
+    : undefined;
+}
+
+/** The error of a leader that did not carry out a call. */
+export function noLeader(maybeDone: boolean): NoLeader {
+  return { kind: 'no-leader', maybeDone, attempts: [] };
+}
+
 export interface LeaderClientOptions {
   readonly transport: Transport;
   readonly clock: Clock;
@@ -131,11 +153,7 @@
       const leftMs = Math.max(1, deadline - calledAt);
       const timeoutMs = (node === followed ? leftMs : Math.min(replyTimeoutMs, leftMs)) + holdMs;
       const mayLead = node === followed || node === known;
-      const limits = { timeoutMs, patienceMs: mayLead ? patienceMs : 0 };
-      const asked =
-        mayLead || patienceMs === 0
-          ? this.ask(node, kind, call, limits)
-          : this.askOnce(node, kind, call, { timeoutMs, patienceMs }, late);
+      const asked = this.ask(node, kind, call, { timeoutMs, patienceMs, mayLead }, late);
       const reply = await Promise.race([asked, late.first]);
       if ('node' in reply) return found(reply);
       const waitedMs = clock.now() - calledAt;
@@ -165,48 +183,30 @@
     return failed();
   }
 
-  /** Calls a node that is not known to lead; a reply after `timeoutMs` goes to `late`. */
-  private async askOnce<K extends LeaderExchange>(
-    node: NodeId,
-    kind: K,
-    call: CallOf<K>,
-    { timeoutMs, patienceMs }: { readonly timeoutMs: Millis; readonly patienceMs: Millis },
-    late: LateReplies<LeaderReply<K>>,
-  ): Promise<Result<ReplyOf<K>, CallError>> {
-    const { clock, transport } = this.o;
-    const answered = createStopController();
-    const options = { timeoutMs: timeoutMs + patienceMs, signal: late.ended };
-    const reply = transport.call(node, kind, call, options);
-    void reply.then(() => answered.abort());
-    await clock.sleep(timeoutMs, answered.signal);
-    if (answered.signal.aborted) return reply;
-    late.expect(
-      node,
-      reply.then((r) =>
-        r.isOk() && r.value.kind !== 'not-leader' ? (r.value as LeaderReply<K>) : undefined,
-      ),
-    );
-    return err({ kind: 'timeout' });
-  }
-
   /**
-   * Calls one node. After `timeoutMs`, the reply is waited for while another node follows this one,
-   * for `patienceMs` at most.
+   * Calls one node. A reply after `timeoutMs` is waited for while another node follows this one, if it
+   * `mayLead`, for `patienceMs` at most; otherwise it goes to `late`.
    */
   private async ask<K extends LeaderExchange>(
     node: NodeId,
     kind: K,
     call: CallOf<K>,
-    { timeoutMs, patienceMs }: { readonly timeoutMs: Millis; readonly patienceMs: Millis },
+    { timeoutMs, patienceMs, mayLead }: AskLimits,
+    late: LateReplies<LeaderReply<K>>,
   ): Promise<Result<ReplyOf<K>, CallError>> {
     const { clock, transport } = this.o;
+    if (patienceMs === 0) return transport.call(node, kind, call, { timeoutMs });
     const giveUp = new AbortController();
     const answered = createStopController();
-    const options = { timeoutMs: timeoutMs + patienceMs, signal: giveUp.signal };
+    const signal = AbortSignal.any([giveUp.signal, late.ended]);
+    const options = { timeoutMs: timeoutMs + patienceMs, signal };
     const reply = transport.call(node, kind, call, options);
-    if (patienceMs === 0) return reply;
     void reply.then(() => answered.abort());
     await clock.sleep(timeoutMs, answered.signal);
+    if (!mayLead && !answered.signal.aborted) {
+      late.expect(node, reply.then(leaderReplyOf));
+      return err({ kind: 'timeout' });
+    }
     while (!answered.signal.aborted) {
       const isFollowed = await this.isFollowed(node);
       if (!isFollowed && !answered.signal.aborted) giveUp.abort(waitEnded);
--- a/packages/fleet/src/watchserver.ts
+++ b/packages/fleet/src/watchserver.ts
@@ -1,6 +1,7 @@
 /** Answers the calls by which entries and followers ask for changes of the state. */
 
 import type { Clock, Millis, NodeId } from '@tanagercart/base';
+import type { Raft } from '@tanagercart/log';
 import type { WatchCall, WatchReply } from '@tanagercart/protocol';
 import type { LeaderTerm } from './leaderterm.js';
 import type { ReplyReason } from './replystatistics.js';
@@ -83,31 +84,32 @@
    * the entries do not ask all voters again and again in the meantime.
    */
   private async awaitLeader(): Promise<LeaderTerm | undefined> {
-    const { voter, clock, self, stop, currentTerm } = this.o;
-    const until = clock.now() + electionHoldMs;
-    for (;;) {
-      const leaderTerm = currentTerm();
-      const { raft, liveLeader } = voter;
-      const isElsewhere = liveLeader !== undefined && liveLeader !== self;
-      if (leaderTerm || isElsewhere || !raft || stop.aborted) return leaderTerm;
-      const leftMs = until - clock.now();
-      if (leftMs <= 0) return undefined;
-      await raft.changeWithin(leftMs);
-    }
+    const { voter, self, currentTerm } = this.o;
+    await this.waitWhile(() => {
+      const { liveLeader } = voter;
+      return !currentTerm() && (liveLeader === undefined || liveLeader === self);
+    });
+    return currentTerm();
   }
 
   /**
    * Waits for the lease to be held again, where it has lapsed within the term: mostly one heartbeat
    * later. Otherwise all entries would search for a leader that has not changed.
    */
-  private async awaitLease({ term }: LeaderTerm): Promise<void> {
+  private awaitLease({ term }: LeaderTerm): Promise<void> {
+    return this.waitWhile(
+      (raft) => raft.role === 'leader' && raft.term === term && !raft.holdsLease,
+    );
+  }
+
+  /** Waits while the log can be used and `isPending` holds, for `electionHoldMs` at most. */
+  private async waitWhile(isPending: (raft: Raft) => boolean): Promise<void> {
     const { voter, clock, stop } = this.o;
     const until = clock.now() + electionHoldMs;
     for (;;) {
       const { raft } = voter;
-      const isLapsed = raft?.role === 'leader' && raft.term === term && !raft.holdsLease;
       const leftMs = until - clock.now();
-      if (!isLapsed || leftMs <= 0 || stop.aborted) return;
+      if (!raft || !isPending(raft) || leftMs <= 0 || stop.aborted) return;
       await raft.changeWithin(leftMs);
     }
   }
