--- a/packages/fleet/test/view.test.ts
+++ b/packages/fleet/test/view.test.ts
@@ -259,6 +259,30 @@
   assert.ok(isFound);
 });
 
+test('a search that a late reply has ended keeps no call open and asks no other node', async () => {
+  const clock = HeldClock.create();
+  const [late, follower, silent] = ['a', 'b', 'c'].map(NodeId);
+  let calls = 0;
+  const transport: Transport = {
+    serve: () => undefined,
+    call: async (to, _, __, { timeoutMs, signal }) => {
+      calls += 1;
+      if (to === follower) return ok({ kind: 'not-leader', leader: silent });
+      await clock.sleep(to === late ? Math.min(timeoutMs, 1000) : timeoutMs, signal);
+      return to === late && timeoutMs > 1000 ? ok({ kind: 'adopted' }) : err({ kind: 'timeout' });
+    },
+  };
+  const candidates = () => [late!, follower!, silent!];
+  const client = LeaderClient.create({ transport, clock, candidates });
+  void client.call('adoption', { version: 1 }, 1500, { patienceMs: 4000 });
+  await clock.advance(1100);
+  assert.equal(client.leader, late);
+  calls = 0;
+  await clock.advance(5000);
+  assert.equal(calls, 0);
+  assert.equal(client.leader, late);
+});
+
 /** A document whose only service is called `name`. */
 function documentWith(version: number, name: string) {
   const base = configuration(version);
