Do not count an upstream as lost because it gave no answer in time

What was seen: a sound upstream that is silent for a second or so is reported by the entries whose probes it does not answer; two reports, or one and 1.8 s without a heartbeat, and the leader counts it as lost: its layers are placed afresh, orders to it end, and after three such reports in 20 s it is an outlier. Read off the code; users' pages say that such a silence is no failure.

Cause: a report did not say what it rests on, so silence weighed as much as a refused connection.

Ruled out: dropping reports of silence; entries should avoid such an upstream for the moment, and one that answers nobody while it sends heartbeats must not keep its layers for good.

Change: a report says whether the upstream only gave no answer (isSilent). Entries avoid it as before. The leader counts it as lost for that only once it has also missed a heartbeat by more than 1.5 s, or after five separate silences in 20 s. Older entries do not send the field, and are believed as before.

--- a/packages/fleet/src/liveness.ts
+++ b/packages/fleet/src/liveness.ts
@@ -34,13 +34,19 @@
 const outlierFailures = 3;
 const outlierWindowMs: Millis = 20_000;
 
-/** An upstream counts as lost at once when this many entries report that it failed. */
+/** The same for one that is silent this often, as far as requests and probes show. */
+const outlierSilences = 5;
+
+/** An upstream counts as lost at once when this many entries report that it cannot be reached. */
 const reportersForLoss = 2;
 
-/** Heartbeats that an upstream may miss before it counts as lost; fewer if an entry suspects it. */
+/** Heartbeats that an upstream may miss before it counts as lost; fewer if it cannot be reached. */
 const maxMissedHeartbeats = 3.2;
 const maxMissedWhenSuspected = 1.5;
 
+/** For so long a sound upstream may be silent, and then go on. */
+const longestSoundSilenceMs: Millis = 1500;
+
 /** Suspicions closer together than this count as one failure. */
 const sameFailureMs: Millis = 700;
 
@@ -90,10 +96,12 @@
   readonly born: number;
   /** Time of the latest failure. */
   readonly at: Millis;
-  /** Entries that reported the failure. */
+  /** Entries that reported the failure, and those among them that could not reach the upstream. */
   readonly reporters: ReadonlySet<NodeId>;
-  /** Times of separate failures, the latest last. */
+  readonly unreached: ReadonlySet<NodeId>;
+  /** Times of separate failures to reach it, and of separate silences, the latest last. */
   readonly failureTimes: readonly Millis[];
+  readonly silenceTimes: readonly Millis[];
 }
 
 /** Tracks which entries and upstreams are alive, by the clock of the leader. */
@@ -149,9 +157,10 @@
     const silentMs = this.silentMsOf(id);
     if (silentMs > heartbeatMs * maxMissedHeartbeats) return true;
     if (this.isOutlier(id, born)) return true;
-    const reporters = this.reporterCount(id, born);
-    if (reporters >= reportersForLoss) return true;
-    return reporters > 0 && silentMs > heartbeatMs * maxMissedWhenSuspected;
+    const { reporters, unreached } = this.reportersOf(id, born);
+    if (unreached.size >= reportersForLoss) return true;
+    if (unreached.size > 0 && silentMs > heartbeatMs * maxMissedWhenSuspected) return true;
+    return reporters.size > 0 && silentMs > heartbeatMs + longestSoundSilenceMs;
   }
 
   /**
@@ -220,14 +229,24 @@
     const suspect = this.suspects.get(id);
     if (suspect?.born !== born) return false;
     const now = this.clock.now();
-    return suspect.failureTimes.filter((t) => now - t < outlierWindowMs).length >= outlierFailures;
+    const recent = (times: readonly Millis[]) =>
+      times.filter((t) => now - t < outlierWindowMs).length;
+    return (
+      recent(suspect.failureTimes) >= outlierFailures ||
+      recent(suspect.silenceTimes) >= outlierSilences
+    );
   }
 
   /** Number of entries that report the failure of an incarnation, while the suspicion holds. */
   reporterCount(id: UpstreamId, born: number): number {
+    return this.reportersOf(id, born).reporters.size;
+  }
+
+  private reportersOf(id: UpstreamId, born: number): Pick<Suspect, 'reporters' | 'unreached'> {
     const suspect = this.suspects.get(id);
-    if (suspect?.born !== born) return 0;
-    return this.isOutlier(id, born) || this.isFresh(id, suspect.at) ? suspect.reporters.size : 0;
+    const holds =
+      suspect?.born === born && (this.isOutlier(id, born) || this.isFresh(id, suspect.at));
+    return holds ? suspect : { reporters: new Set(), unreached: new Set() };
   }
 
   private recentEntries(now: Millis): readonly EntrySeen[] {
@@ -264,24 +283,45 @@
    */
   private recordSuspicions(from: NodeId, suspicions: readonly Suspicion[], now: Millis): boolean {
     let changed = false;
-    for (const { id, born, ageMs } of suspicions) {
+    for (const { id, born, ageMs, isSilent = false } of suspicions) {
       const at = now - ageMs;
       const known = this.suspects.get(id);
       const current = known?.born === born && now - known.at < outlierWindowMs ? known : undefined;
-      if (current?.reporters.has(from) && current.at >= at - 1) continue;
-      const recent = current !== undefined && now - current.at < suspicionTimeoutMs;
+      const toldBefore = isSilent ? current?.reporters : current?.unreached;
+      if (toldBefore?.has(from) && current!.at >= at - 1) continue;
+      const recent = current && now - current.at < suspicionTimeoutMs ? current : undefined;
       const isKnown = current !== undefined && this.isFresh(id, current.at);
-      const isNewReporter = !recent || !current.reporters.has(from);
-      const reporters = new Set([...(recent ? current.reporters : []), from]);
-      const failureTimes = (current?.failureTimes ?? []).filter((t) => now - t < outlierWindowMs);
-      if (at - (failureTimes.at(-1) ?? -Infinity) > sameFailureMs) failureTimes.push(at);
-      this.suspects.set(id, { born, at: Math.max(at, current?.at ?? at), reporters, failureTimes });
+      const isNewReporter = !recent?.reporters.has(from);
+      const reporters = new Set([...(recent?.reporters ?? []), from]);
+      const unreached = new Set([...(recent?.unreached ?? []), ...(isSilent ? [] : [from])]);
+      const { failureTimes = [], silenceTimes = [] } = current ?? {};
+      this.suspects.set(id, {
+        born,
+        at: Math.max(at, current?.at ?? at),
+        reporters,
+        unreached,
+        failureTimes: isSilent ? failureTimes : withTime(failureTimes, at, now, sameFailureMs),
+        silenceTimes: isSilent
+          ? withTime(silenceTimes, at, now, longestSoundSilenceMs)
+          : silenceTimes,
+      });
       if (!isKnown || (isNewReporter && reporters.size <= reportersForLoss)) changed = true;
     }
     return changed;
   }
 }
 
+/** The recent ones of `times`, and `at` if it is more than `apartMs` after the last of them. */
+function withTime(
+  times: readonly Millis[],
+  at: Millis,
+  now: Millis,
+  apartMs: Millis,
+): readonly Millis[] {
+  const recent = times.filter((t) => now - t < outlierWindowMs);
+  return at - (recent.at(-1) ?? -Infinity) > apartMs ? [...recent, at] : recent;
+}
+
 function isSameEntry(a: EntryRecord, b: EntryRecord): boolean {
   return (
     a.node === b.node &&
--- a/packages/fleet/test/liveness.test.ts
+++ b/packages/fleet/test/liveness.test.ts
@@ -88,3 +88,45 @@
   }
   assert.equal(report('b', failed), true, 'a second reporter makes the upstream count as lost');
 });
+
+const silent: readonly Suspicion[] = [{ id: u1, born: 1, ageMs: 0, isSilent: true }];
+
+test('an upstream that is silent for a second or so, and goes on, is not lost, whoever reports it', async () => {
+  const { clock, liveness, heartbeat, report } = fixture();
+  const record = announcementOf('u1');
+  for (let i = 0; i < 3; i += 1) {
+    heartbeat();
+    // The silence begins just before the next heartbeat is due.
+    await clock.advance(1000);
+    for (const atMs of [300, 500, 700]) {
+      await clock.advance(atMs === 300 ? 300 : 200);
+      for (const name of ['a', 'b', 'c', 'd']) report(name, silent);
+      assert.equal(liveness.reporterCount(u1, 1), 4, 'entries avoid it');
+      assert.equal(liveness.isLost(record), false, `${atMs} ms of silence ${i}`);
+    }
+    await clock.advance(700);
+    assert.equal(liveness.isLost(record), false, `1400 ms of silence ${i}`);
+    heartbeat();
+    await clock.advance(2000);
+  }
+});
+
+test('an upstream that is silent for longer, without a heartbeat, is lost before it misses three', async () => {
+  const { clock, liveness, heartbeat, report } = fixture();
+  heartbeat();
+  await clock.advance(2000);
+  report('a', silent);
+  await clock.advance(600);
+  assert.equal(liveness.isLost(announcementOf('u1')), true);
+});
+
+test('an upstream that answers nobody is an outlier although it sends heartbeats', async () => {
+  const { clock, liveness, heartbeat, report } = fixture();
+  for (let i = 0; i < 5; i += 1) {
+    assert.equal(liveness.isOutlier(u1, 1), false);
+    heartbeat();
+    await clock.advance(2000);
+    report('a', silent);
+  }
+  assert.equal(liveness.isOutlier(u1, 1), true);
+});
--- a/packages/protocol/src/fleetmessage.ts
+++ b/packages/protocol/src/fleetmessage.ts
@@ -70,6 +70,11 @@
   readonly id: UpstreamId;
   readonly born: number;
   readonly ageMs: Millis;
+  /**
+   * Whether the upstream only gave no answer in time; otherwise, or if an older entry reports it, it
+   * could not be reached.
+   */
+  readonly isSilent?: boolean;
 }
 
 /** An upstream that is slower by `factor` than others of its kind of accelerator. */
