Try elsewhere beside a silent attempt, and end none for its silence

What callers saw: a stream whose upstream is silent for 0.9 s is cut in the middle, or answered 502 before its first event, although the upstream is sound and goes on; an idempotent request is given up after half of its time where no retry is left. Shown with fixtures of the relay's tests on: silent for 900 ms, one attempt, is cut after two events; the same before the first event gives `unknown`; 500 and 700 ms are answered whole.

Cause: a probe that is not answered within 0.5 s, a report that may be out of date and names a stage as blocked, or a limit that has passed ended the attempt for good. Whether another one was possible was asked afterwards; if not, the caller's connection was closed. A caller that reads slowly looked like a silent upstream too, as nothing is read from the upstream meanwhile.

Ruled out: longer timeouts. A dead upstream must not hold a stream for longer than now, and any time is too short for some silence.

Change: silence ends no attempt. It is the reason to run another one beside it (relay/attempts), where route and budget allow one; the first to go on serves the caller and ends the others. If there is none, the request waits on. Only what shows that the incarnation has ended - nothing listens at its address, or another incarnation answers there, by its id or its `born` - ends an attempt. A probe that is reset or not answered shows nothing. An upstream that goes on is no longer avoided. Time in which the caller does not read is not counted.

The tests of the stall detector and of its probes become those of the silence watch: what was `unreachable` is now `silent` or `gone`, and each case is asserted with the same timeouts.

--- a/packages/relay/src/connector.ts
+++ b/packages/relay/src/connector.ts
@@ -23,10 +23,17 @@
 /** An entry that was not reached is not asked again for this long. */
 const avoidPeerMs: Millis = 2000;
 
+/** Why a connection was not opened. */
+export interface LinkError {
+  /** Whether nothing listens at the address; otherwise the upstream may be up. */
+  readonly isRefused: boolean;
+  readonly detail: string;
+}
+
 /** Opens single connections of the type `C`. */
 export interface Links<C> {
   /** Connects over the own link to an upstream, given as `host:port`. */
-  direct(address: string): Promise<Result<C, string>>;
+  direct(address: string): Promise<Result<C, LinkError>>;
   /** Connects over another entry. */
   over(peer: NodeId, address: string): Promise<Result<C, TunnelError>>;
   /** Closes a connection that is not needed. */
@@ -94,7 +101,7 @@
   }
 
   /** Connects to an upstream. The error tells why the own link failed. */
-  async connect(address: string): Promise<Result<C, string>> {
+  async connect(address: string): Promise<Result<C, LinkError>> {
     const way = this.directLinks.nextWay(address);
     if (way === 'detour') {
       const detour = await this.openDetour(address, way);
@@ -114,9 +121,9 @@
   /** Resolves with the first connection that opens, and closes the other one. */
   private async race(
     address: string,
-    direct: Promise<Result<C, string>>,
-    detour: Promise<Result<C, string>>,
-  ): Promise<Result<C, string>> {
+    direct: Promise<Result<C, LinkError>>,
+    detour: Promise<Result<C, LinkError>>,
+  ): Promise<Result<C, LinkError>> {
     const first = await firstOk(direct, detour);
     void Promise.all([direct, detour]).then(([own, other]) => {
       if (own.isErr() && other.isOk()) this.recordBroken(address);
@@ -126,7 +133,7 @@
     return first;
   }
 
-  private async openDirect(address: string): Promise<Result<C, string>> {
+  private async openDirect(address: string): Promise<Result<C, LinkError>> {
     const opened = await this.o.links.direct(address);
     if (opened.isOk()) {
       this.directLinks.recordReached(address);
@@ -140,7 +147,7 @@
    * in another data centre if possible, as the entries of a data centre often lose their links
    * together; otherwise two.
    */
-  private async openDetour(address: string, way: Way): Promise<Result<C, string>> {
+  private async openDetour(address: string, way: Way): Promise<Result<C, LinkError>> {
     const { near, far } = this.usablePeers();
     const peers = way === 'direct' ? [far[0] ?? near[0]] : [near[0], far[0] ?? near[1]];
     for (const peer of peers) {
@@ -150,7 +157,7 @@
       if (opened.isOk()) return ok(opened.value);
       if (opened.error.kind === 'no-peer') this.peerFailedAt.set(peer, this.o.clock.now());
     }
-    return err('no other entry reaches it');
+    return err({ isRefused: false, detail: 'no other entry reaches it' });
   }
 
   private usablePeers(): Peers {
--- a/packages/relay/src/crashwatch.ts
+++ b/packages/relay/src/crashwatch.ts
@@ -72,7 +72,7 @@
   }
 
   /**
-   * Reports a request and its parts if the upstream is down after the attempt broke. One that still
+   * Reports a request and its parts if the upstream has ended after the attempt broke. One that still
    * replies did not crash: it broke off or garbled an answer.
    */
   private async reportIfCrashed(
@@ -84,10 +84,10 @@
       readonly attemptMs: Millis;
     },
   ): Promise<void> {
-    const { clock, client, logger, quarantine } = this.o;
+    const { clock, logger, quarantine } = this.o;
     const crashedAt = clock.now();
-    const probed = await client.probe(call, upstream);
-    if (probed.kind !== 'unreachable') return;
+    const probed = await this.o.client.probe(call, upstream);
+    if (probed.kind !== 'gone') return;
     const { request, parts, attemptMs } = attempt;
     const answered = this.history.recordCrash(parts);
     const ageMs = clock.now() - crashedAt;
--- a/packages/relay/src/health.ts
+++ b/packages/relay/src/health.ts
@@ -16,14 +16,20 @@
 /** Failures to reach an upstream are reported to the other entries for this long. */
 const suspicionMs: Millis = 1500;
 
+/**
+ * What a failure says of the upstream: it answered, it was silent, which a sound one may be for a
+ * second or so, or it has ended, as nothing listens at its address or another incarnation does.
+ */
+export type Contact = 'answered' | 'silent' | 'gone';
+
 /** Outcomes at one incarnation of an upstream. */
 interface UpstreamStats {
   readonly born: number;
   /** Consecutive failures, up to the last request. */
   failures: number;
   failedAt: Millis;
-  /** Time of the last failure at which the upstream could not be reached; reported to others. */
-  unreachableAt: Millis;
+  /** The last failure at which the upstream was not reached, which is reported to others. */
+  missed: { readonly at: Millis; readonly contact: Exclude<Contact, 'answered'> } | undefined;
   failureRate: number;
   /** Moving average of the response time; undefined before the first success. */
   meanMs: Millis | undefined;
@@ -43,20 +49,28 @@
   recordSuccess(upstream: UpstreamRecord, tookMs: Millis): void {
     const stats = this.statsOf(upstream);
     stats.failures = 0;
-    stats.unreachableAt = -Infinity;
+    stats.missed = undefined;
     stats.failureRate *= 1 - smoothingFactor;
     stats.meanMs = stats.meanMs === undefined ? tookMs : movingAverage(stats.meanMs, tookMs);
   }
 
-  /** Records a failed request; `isUnreachable` where the upstream itself could not be reached. */
-  recordFailure(upstream: UpstreamRecord, isUnreachable: boolean): void {
+  /** Records a failed request, or one that has no answer yet as the upstream is silent. */
+  recordFailure(upstream: UpstreamRecord, contact: Contact): void {
     const stats = this.statsOf(upstream);
+    const at = this.clock.now();
     stats.failures += 1;
-    stats.failedAt = this.clock.now();
-    if (isUnreachable) stats.unreachableAt = stats.failedAt;
+    stats.failedAt = at;
+    if (contact !== 'answered') stats.missed = { at, contact };
     stats.failureRate = movingAverage(stats.failureRate, 1);
   }
 
+  /** Records that an upstream that was silent goes on. */
+  recordReturn(upstream: UpstreamRecord): void {
+    const stats = this.statsOf(upstream);
+    stats.failures = 0;
+    stats.missed = undefined;
+  }
+
   /** Whether requests should go to other upstreams as long as there are any. */
   isAvoided(upstream: UpstreamRecord): boolean {
     const stats = this.stats.get(upstream.id);
@@ -77,12 +91,14 @@
     return stats?.born === upstream.born ? stats.meanMs : undefined;
   }
 
-  /** Upstreams that were unreachable lately, as reported to the other entries. */
+  /** Upstreams that were not reached lately, as reported to the other entries. */
   get suspicions(): readonly Suspicion[] {
     const now = this.clock.now();
-    return [...this.stats].flatMap(([id, { born, unreachableAt }]) =>
-      now - unreachableAt < suspicionMs ? [{ id, born, ageMs: now - unreachableAt }] : [],
-    );
+    return [...this.stats].flatMap(([id, { born, missed }]) => {
+      if (!missed || now - missed.at >= suspicionMs) return [];
+      const suspicion = { id, born, ageMs: now - missed.at };
+      return [missed.contact === 'silent' ? { ...suspicion, isSilent: true } : suspicion];
+    });
   }
 
   /** The stats of this incarnation; those of an earlier one are discarded. */
@@ -93,7 +109,7 @@
       born: upstream.born,
       failures: 0,
       failedAt: -Infinity,
-      unreachableAt: -Infinity,
+      missed: undefined,
       failureRate: 0,
       meanMs: undefined,
     };
--- a/packages/relay/src/stream.ts
+++ b/packages/relay/src/stream.ts
@@ -18,6 +18,8 @@
   lastEvent: number | undefined;
   /** Time of the first event. */
   firstEventAt: Millis | undefined;
+  /** Whether the caller has yet to read what was written. */
+  isHeldByCaller = false;
   /** Longest time between two received chunks with new events. */
   longestGapMs: Millis = 0;
   private lastChunkAt: Millis = 0;
@@ -36,15 +38,18 @@
 
   /**
    * Forwards the events of one attempt until its stream ends. `onEvents` is called for each chunk
-   * that completes new events, with their number.
+   * that completes new events, with their number, before these are sent. Nothing is sent once `stop`
+   * is aborted.
    */
   async forward(
     response: UpstreamResponse,
     onEvents: (count: number) => void,
+    stop: AbortSignal,
   ): Promise<RunOutcome> {
     const splitter = EventSplitter.create();
     try {
       for await (const chunk of response.body) {
+        if (stop.aborted) return 'broken';
         const received = splitter.push(chunk);
         const foreign = received.findIndex((e) => this.isForeign(e.id));
         const own = foreign < 0 ? received : received.slice(0, foreign);
@@ -55,7 +60,7 @@
     } catch {
       return 'broken';
     }
-    if (splitter.isPartial || !this.started) return 'broken';
+    if (splitter.isPartial || !this.started || stop.aborted) return 'broken';
     this.caller.end();
     return 'complete';
   }
@@ -71,7 +76,9 @@
     this.recordChunk();
     onEvents(events.length);
     this.lastEvent = events.at(-1)!.id ?? this.lastEvent;
+    this.isHeldByCaller = true;
     await this.caller.write(Buffer.concat(events.map((e) => e.bytes)));
+    this.isHeldByCaller = false;
   }
 
   private recordChunk(): void {
--- a/packages/relay/src/upstream.ts
+++ b/packages/relay/src/upstream.ts
@@ -6,7 +6,7 @@
 import type { UpstreamRecord } from '@tanagercart/protocol';
 import type { UpstreamNotices } from './availability.js';
 import type { Call, ResponseHead } from './call.js';
-import type { ProbeResult } from './stall.js';
+import type { ProbeResult } from './silence.js';
 
 /** One attempt to send a request. */
 export interface Attempt {
@@ -31,8 +31,8 @@
 
 /** Why there is no response. */
 export type SendError =
-  /** The request was not sent. */
-  | { readonly kind: 'unreachable'; readonly detail: string }
+  /** The request was not sent; `isGone` where nothing listens at the address. */
+  | { readonly kind: 'unreachable'; readonly detail: string; readonly isGone: boolean }
   /** The connection broke, or the bytes received are not a response to this request. */
   | { readonly kind: 'broken'; readonly detail: string }
   /** The relay cancelled the attempt. */
--- a/packages/relay/test/components.test.ts
+++ b/packages/relay/test/components.test.ts
@@ -6,7 +6,7 @@
   EventSplitter,
   Health,
   RetryBudget,
-  StallDetector,
+  SilenceWatch,
   decideRetry,
   jitter,
 } from '../src/index.js';
@@ -50,12 +50,12 @@
 test('an upstream is avoided for longer with each consecutive failure', async () => {
   const clock = HeldClock.create();
   const health = Health.create(clock);
-  health.recordFailure(one, true);
+  health.recordFailure(one, 'gone');
   assert.equal(health.isAvoided(one), true);
   assert.equal(health.suspicions.length, 1);
   await clock.advance(1000);
   assert.equal(health.isAvoided(one), false);
-  health.recordFailure(one, false);
+  health.recordFailure(one, 'answered');
   await clock.advance(1000);
   assert.equal(health.isAvoided(one), true);
   health.recordSuccess(one, 10);
@@ -84,30 +84,32 @@
   assert.equal(decideRetry({ ...notRun, runs: 1 }), 'give-up');
 });
 
-/** Cause for which a stall detector ends an attempt that is silent for `silentMs`. */
-async function stallCauseAfter(result: ProbeResult, silentMs: number, started = false) {
+/** What a watch says of an attempt that is silent for `silentMs`, while probes end as given. */
+async function watchSilence(result: ProbeResult, silentMs: number, started = false) {
   const clock = HeldClock.create();
-  const timeouts = { firstEventMs: 200, gapMs: 120, probeMs: 40 };
-  const stop = new AbortController();
-  const detector = StallDetector.create({
+  const said: string[] = [];
+  const watch = SilenceWatch.create({
     clock,
-    timeouts,
+    timeouts: { firstEventMs: 200, gapMs: 120, probeMs: 40 },
     probe: () => Promise.resolve(result),
-    stop,
+    isHeldByCaller: () => false,
+    onSilent: ({ kind }) => said.push(kind),
+    onGone: () => said.push('gone'),
   });
-  if (started) detector.recordActivity();
+  if (started) watch.recordActivity();
   await clock.advance(silentMs);
-  detector.end();
-  return detector.cause?.kind;
+  watch.end();
+  return said[0];
 }
 
-test('a silent attempt ends once a stage is unreachable or its limit has passed', async () => {
-  assert.equal(await stallCauseAfter({ kind: 'blocked', address: 'x' }, 100), 'blocked');
-  assert.equal(await stallCauseAfter({ kind: 'unreachable' }, 100), 'unreachable');
-  assert.equal(await stallCauseAfter({ kind: 'waiting' }, 20), undefined);
-  assert.equal(await stallCauseAfter({ kind: 'waiting' }, 150), undefined);
-  assert.equal(await stallCauseAfter({ kind: 'waiting' }, 250), 'silent');
-  assert.equal(await stallCauseAfter({ kind: 'waiting' }, 150, true), 'silent');
+test('an attempt is silent once a stage is not reached or its limit has passed, and ends once its upstream has', async () => {
+  assert.equal(await watchSilence({ kind: 'blocked', address: 'x' }, 100), 'blocked');
+  assert.equal(await watchSilence({ kind: 'silent', detail: 'x' }, 100), 'silent');
+  assert.equal(await watchSilence({ kind: 'gone', detail: 'x' }, 100), 'gone');
+  assert.equal(await watchSilence({ kind: 'waiting' }, 20), undefined);
+  assert.equal(await watchSilence({ kind: 'waiting' }, 150), undefined);
+  assert.equal(await watchSilence({ kind: 'waiting' }, 250), 'overdue');
+  assert.equal(await watchSilence({ kind: 'waiting' }, 150, true), 'overdue');
 });
 
 test('callers that are refused at the same time get different retry-after times', () => {
--- a/packages/relay/test/connector.test.ts
+++ b/packages/relay/test/connector.test.ts
@@ -15,7 +15,7 @@
 import type { Links } from '../src/index.js';
 
 /** What becomes of connections over a link. */
-type LinkBehaviour = 'whole' | 'hangs' | 'refuses';
+type LinkBehaviour = 'whole' | 'hangs' | 'hangs-once' | 'refuses';
 
 /** The links of one entry to upstreams that are up, and what was opened over them. */
 class FakeLinks implements Links<string> {
@@ -32,10 +32,13 @@
 
   async direct(address: string) {
     this.opened.push(`direct ${address}`);
-    if (this.own === 'hangs') await this.clock.sleep(directTimeoutMs);
-    else await this.clock.sleep(2);
-    const fails = this.own !== 'whole' || this.down.has(address);
-    return fails ? err<string>('failed') : ok(`direct ${address}`);
+    const { own } = this;
+    if (own === 'hangs-once') this.own = 'whole';
+    const hangs = own === 'hangs' || own === 'hangs-once';
+    await this.clock.sleep(hangs ? directTimeoutMs : 2);
+    const fails = own !== 'whole' || this.down.has(address);
+    const isRefused = own === 'refuses' || this.down.has(address);
+    return fails ? err({ isRefused, detail: 'failed' }) : ok(`direct ${address}`);
   }
 
   async over(peer: NodeId, address: string) {
--- a/packages/relay/test/deadlyrequest.test.ts
+++ b/packages/relay/test/deadlyrequest.test.ts
@@ -39,7 +39,7 @@
     _: AbortSignal,
   ): ReturnType<UpstreamClient['send']> {
     const { clock } = this;
-    if (this.isDown(upstream)) return err({ kind: 'unreachable', detail: 'refused' });
+    if (this.isDown(upstream)) return err({ kind: 'unreachable', detail: 'refused', isGone: true });
     const isDeadly = call.path.includes('deadly');
     if (isDeadly) this.deadlySends.push(clock.now());
     await clock.sleep(60);
@@ -51,7 +51,9 @@
   }
 
   probe(_: Call, upstream: UpstreamRecord): Promise<ProbeResult> {
-    return Promise.resolve({ kind: this.isDown(upstream) ? 'unreachable' : 'waiting' });
+    return Promise.resolve(
+      this.isDown(upstream) ? { kind: 'gone', detail: 'refused' } : { kind: 'waiting' },
+    );
   }
 }
 
--- a/packages/relay/test/fixtures.ts
+++ b/packages/relay/test/fixtures.ts
@@ -277,7 +277,7 @@
     const script = this.scripts.shift() ?? { kind: 'hang' };
     switch (script.kind) {
       case 'unreachable':
-        return err({ kind: 'unreachable', detail: 'refused' });
+        return err({ kind: 'unreachable', detail: 'refused', isGone: true });
       case 'broken':
         return err({ kind: 'broken', detail: 'reset' });
       case 'hang':
--- a/packages/relay/test/parts.test.ts
+++ b/packages/relay/test/parts.test.ts
@@ -17,7 +17,8 @@
     ['u1', 'u2', 'u3', 'u4'].map((id) => upstreamOf(id)),
   );
   const client = new FakeClient(requests.flat());
-  client.probeResult = { kind: options.isDown === false ? 'waiting' : 'unreachable' };
+  client.probeResult =
+    options.isDown === false ? { kind: 'waiting' } : { kind: 'gone', detail: 'refused' };
   const fixture = relayOf({ clock, client, view, ...options });
   const received: string[] = [];
   for (let i = 0; i < requests.length; i += 1) {
--- a/packages/relay/test/relay.test.ts
+++ b/packages/relay/test/relay.test.ts
@@ -164,7 +164,7 @@
 test('each request under which an upstream goes down is reported, and refused once quarantined', async () => {
   const call = callOf('idempotent', { startedAt: 0 });
   const client = new FakeClient([{ kind: 'broken' }, { kind: 'broken' }]);
-  client.probeResult = { kind: 'unreachable' };
+  client.probeResult = { kind: 'gone', detail: 'refused' };
   const { relay, clock, crashes } = relayFor(client, pair);
   await relay.serve({ ...call, startedAt: clock.now() }, new FakeCaller());
   const reported = crashes.map((c) => c.request);
--- a/packages/relay/test/wallclock.test.ts
+++ b/packages/relay/test/wallclock.test.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { HeldClock, RequestId, ServiceId, SuspendAwareClock } from '@tanagercart/base';
-import { RetryBudget, StallDetector } from '../src/index.js';
+import { RetryBudget, SilenceWatch } from '../src/index.js';
+import type { Silence } from '../src/index.js';
 import { FakeClient, noticesOf, relayOf, upstreamOf, viewOf } from './fixtures.js';
 
 /** A clock as the programs have it, and the one that a test moves. */
@@ -22,19 +23,24 @@
   assert.ok(availability.backOffMsOf(one) > 0);
 });
 
-test('a stream is not taken for stalled because the wall clock stepped', async () => {
+test('a stream is not taken for silent because the wall clock stepped', async () => {
   const { held, clock } = clocks();
-  const stop = new AbortController();
-  const timeouts = { firstEventMs: 2000, gapMs: 1900, probeMs: undefined };
-  const probe = () => Promise.resolve({ kind: 'waiting' as const });
-  const detector = StallDetector.create({ clock, timeouts, probe, stop });
+  const silences: Silence[] = [];
+  const watch = SilenceWatch.create({
+    clock,
+    timeouts: { firstEventMs: 2000, gapMs: 1900, probeMs: undefined },
+    probe: () => Promise.resolve({ kind: 'waiting' }),
+    isHeldByCaller: () => false,
+    onSilent: (silence) => silences.push(silence),
+    onGone: () => undefined,
+  });
   for (let i = 0; i < 20; i += 1) {
-    detector.recordActivity();
+    watch.recordActivity();
     held.stepWall(2400);
     await held.advance(300);
   }
-  assert.equal(detector.cause, undefined);
-  detector.end();
+  assert.deepEqual(silences, []);
+  watch.end();
 });
 
 test('the retry budget is not renewed by a step of the wall clock', () => {
