Ask a silent upstream again whether it crashed when a connection broke

The probe is not answered, and the request and the parts of its prompt are reported as the cause of a crash. Three such reports quarantine sound requests.

Cause: one unanswered probe was taken for a crash.

Change: an upstream that does not answer is asked again until it answers, is known to have ended, or 2.5 s have passed; then it is logged that it is not known. A crash is reported as of the moment at which the connection broke.

`an upstream that is silent after a connection broke is no crash, unless it has ended` fails without the change and passes with it.

--- a/packages/relay/src/crashwatch.ts
+++ b/packages/relay/src/crashwatch.ts
@@ -15,6 +15,12 @@
 /** An attempt with this many events is being answered: its prompt did not crash the upstream. */
 const answeredEvents = 2;
 
+/** An upstream that is silent after an attempt broke is asked again for this long. */
+const crashSearchMs: Millis = 2500;
+
+/** Pause between two of these questions. */
+const crashProbePauseMs: Millis = 150;
+
 export interface CrashWatchOptions {
   readonly clock: Clock;
   readonly logger: Logger;
@@ -86,8 +92,7 @@
   ): Promise<void> {
     const { clock, logger, quarantine } = this.o;
     const crashedAt = clock.now();
-    const probed = await this.o.client.probe(call, upstream);
-    if (probed.kind !== 'gone') return;
+    if (!(await this.isGone(call, upstream))) return;
     const { request, parts, attemptMs } = attempt;
     const answered = this.history.recordCrash(parts);
     const ageMs = clock.now() - crashedAt;
@@ -99,4 +104,20 @@
     });
     quarantine.recordCrash({ request, parts, answered, attemptMs, ageMs });
   }
+  /** Asks an upstream until it answers or is known to have ended; silence tells neither. */
+  private async isGone(call: Call, upstream: UpstreamRecord): Promise<boolean> {
+    const { clock, client, logger } = this.o;
+    const until = clock.now() + crashSearchMs;
+    for (;;) {
+      const { kind } = await client.probe(call, upstream);
+      if (kind !== 'silent') return kind === 'gone';
+      if (clock.now() >= until) break;
+      await clock.sleep(crashProbePauseMs);
+    }
+    logger.info('Not known whether the upstream crashed.', {
+      request: call.id,
+      upstream: upstream.id,
+    });
+    return false;
+  }
 }
--- a/packages/relay/test/silence.test.ts
+++ b/packages/relay/test/silence.test.ts
@@ -4,8 +4,17 @@
 import { HeldClock } from '@tanagercart/base';
 import type { Millis } from '@tanagercart/base';
 import type { CallKind, Route } from '@tanagercart/config';
-import { FakeCaller, callOf, events, relayOf, routeOf, upstreamOf, viewOf } from './fixtures.js';
-import type { RelayParts } from './fixtures.js';
+import {
+  FakeCaller,
+  FakeClient,
+  callOf,
+  events,
+  relayOf,
+  routeOf,
+  upstreamOf,
+  viewOf,
+} from './fixtures.js';
+import type { RelayParts, Script } from './fixtures.js';
 import { PausingUpstreams } from './pausingupstreams.js';
 import type { Pause } from './pausingupstreams.js';
 
@@ -156,3 +165,31 @@
   assert.equal(client.sent.length, 1);
   assert.deepEqual(health.suspicions, []);
 });
+
+const crash: Script = { kind: 'cut', chunks: [] };
+
+/** Breaks an attempt at one of two upstreams whose first `silent` probes have no answer. */
+async function breakThenProbe(silent: number, then: 'waiting' | 'gone') {
+  const clock = HeldClock.create();
+  const answer: Script = { kind: 'answer', status: 200, chunks: [events(0, 3)] };
+  const client = new FakeClient([crash, answer]);
+  let probes = 0;
+  client.probe = async () => {
+    probes += 1;
+    if (probes > silent) return { kind: then, detail: 'refused' };
+    await clock.sleep(500);
+    return { kind: 'silent', detail: 'no answer in time' };
+  };
+  const view = viewOf(clock, [upstreamOf('one'), upstreamOf('two')]);
+  const { relay, crashes } = relayOf({ clock, client, view });
+  void relay.serve(callOf('resumable-stream', { startedAt: 0 }), new FakeCaller());
+  for (let i = 0; i < 500; i += 1) await clock.advance(10);
+  return crashes;
+}
+
+test('an upstream that is silent after a connection broke is no crash, unless it has ended', async () => {
+  assert.equal((await breakThenProbe(2, 'waiting')).length, 0);
+  assert.equal((await breakThenProbe(99, 'waiting')).length, 0);
+  const [reported] = await breakThenProbe(2, 'gone');
+  assert.ok(reported && reported.ageMs >= 1000, 'the crash is as old as the break');
+});
