Try an own link once more before it counts as broken

What happens: an upstream is silent when an entry connects; the connection over another entry, which is opened 0.1 s later, succeeds as the upstream goes on. The own link counts as broken for 20 s, and after two such upstreams the entry as detached: all its connections lead over others, and what it says of upstreams is not passed on.

Cause: a connect that was not answered was taken for a broken link.

Change: once the upstream is reached over another entry, the own link is tried again, unless it was refused; only if that fails as well it is broken. Callers do not wait for this.

`a link is not taken for broken because its upstream was silent when it was tried` fails without the change and passes with it.

--- a/packages/relay/src/connector.ts
+++ b/packages/relay/src/connector.ts
@@ -126,13 +126,23 @@
   ): Promise<Result<C, LinkError>> {
     const first = await firstOk(direct, detour);
     void Promise.all([direct, detour]).then(([own, other]) => {
-      if (own.isErr() && other.isOk()) this.recordBroken(address);
+      if (own.isErr() && other.isOk()) void this.checkLink(address, own.error);
       if (!own.isOk() || !other.isOk() || first.isErr()) return;
       this.o.links.close(first.value === own.value ? other.value : own.value);
     });
     return first;
   }
 
+  /**
+   * Looks into the own link to an upstream that another entry has reached. The upstream may have
+   * been silent when the own link was tried, so it is tried once more, now that it is not.
+   */
+  private async checkLink(address: string, error: LinkError): Promise<void> {
+    const again = error.isRefused ? err(error) : await this.openDirect(address);
+    if (again.isOk()) this.o.links.close(again.value);
+    else this.recordBroken(address);
+  }
+
   private async openDirect(address: string): Promise<Result<C, LinkError>> {
     const opened = await this.o.links.direct(address);
     if (opened.isOk()) {
--- a/packages/relay/test/connector.test.ts
+++ b/packages/relay/test/connector.test.ts
@@ -101,6 +101,17 @@
   }
 });
 
+test('a link is not taken for broken because its upstream was silent when it was tried', async () => {
+  const { links, connector, connect, broken } = create();
+  for (const address of ['u1', 'u2']) {
+    links.own = 'hangs-once';
+    assert.equal((await connect(address)).over, `far ${address}`);
+  }
+  assert.deepEqual(broken, []);
+  assert.equal(connector.isDetached, false);
+  assert.deepEqual(links.closed, ['direct u1', 'direct u2']);
+});
+
 test('a detached entry connects to other upstreams over others at once', async () => {
   const { links, connector, connect } = create();
   links.own = 'hangs';
