--- a/packages/protocol/src/tunnel.ts
+++ b/packages/protocol/src/tunnel.ts
@@ -13,8 +13,11 @@
 import { isPort, parseHostPort } from './address.js';
 import type { HostPort } from './address.js';
 
-/** Time for the server of a tunnel to connect to the target, in milliseconds. */
-const targetTimeoutMs = 200;
+/**
+ * Time for the server of a tunnel to connect to the target, in milliseconds. It is shorter than the
+ * 200 ms for which peers wait, so that they can tell a silent target from a silent server.
+ */
+const targetTimeoutMs = 150;
 
 /** Silence after which the operating system probes both connections of a tunnel. */
 const keepAliveMs = 2000;
