Count attempts that were cancelled, and end each request once

- An attempt goes on, cancels the other, and breaks before that one has ended: the other still counted as going on, and the request waited for its deadline.
Cancelled attempts no longer count.
- A cancelled attempt did not count towards the attempts of the route: three upstreams ran a request that two may run.
- A request that was answered was ended again at its deadline if a cancelled attempt lingered.
The attempts are now waited for after the race.
- An exception in an attempt left the request to its deadline and its load counted.
It now fails the request at once, as before.
- A retry was taken from the budget before a target was known, with each probe.
- An upstream that was silent and then says that it did not run the request was answered as `unknown`.
Whether it may have run is kept with each attempt.
- A suspected request went to a second upstream beside a silent one.
- An answer that came before the late report of a crash did not acquit.
- Each stream of one silence counted as a failure: seven made an upstream that was silent for 1.2 s avoided until 13.6 s.
One silence is one failure, and the stage that was blamed is no longer avoided once a stream goes on.
- An upstream that did not accept a connection in time was left out for the request for good; it is now avoided only.

Open: a request whose only upstream accepts no connection is refused after four tries, 1.2 s.

--- a/packages/relay/src/attempts.ts
+++ b/packages/relay/src/attempts.ts
@@ -3,7 +3,8 @@
  * first to go on serves the caller, and ends the others.
  */
 
-import type { Millis } from '@tanagercart/base';
+import type { Millis, UpstreamId } from '@tanagercart/base';
+import type { UpstreamRecord } from '@tanagercart/protocol';
 import type { Target } from './balancer.js';
 import type { AttemptOutcome } from './outcome.js';
 import type { Silence } from './silence.js';
@@ -18,6 +19,12 @@
   silence: Silence | undefined;
   /** What shows that its upstream has ended; undefined as long as nothing does. */
   gone: string | undefined;
+  /** Whether it was ended because another one serves the caller, or the request has ended. */
+  isCancelled = false;
+  /** Whether its upstream may have run the request, as far as is known. */
+  mayHaveRun = false;
+  /** The upstream that its silence was held against. */
+  blamed: UpstreamRecord | undefined;
 
   private constructor(
     readonly target: Target,
@@ -28,12 +35,43 @@
     return new RunningAttempt(target, startedAt);
   }
 
+  /** Whether it is going on, as far as is known. */
+  get isActive(): boolean {
+    return !this.isCancelled && this.silence === undefined;
+  }
+
+  /** Records a silence in which the upstream may run the request. */
   recordSilence(silence: Silence): void {
     this.silence = silence;
+    this.mayHaveRun = true;
+  }
+
+  /** Records the upstream that a silence is held against. */
+  blame(upstream: UpstreamRecord): void {
+    this.blamed = upstream;
   }
 
   recordActivity(): void {
     this.silence = undefined;
+    this.blamed = undefined;
+  }
+
+  /** Records that the upstream has begun to answer. */
+  recordRun(): void {
+    this.mayHaveRun = true;
+  }
+
+  /** Ends the attempt, as another one serves the caller or the request has ended. */
+  cancel(): void {
+    this.isCancelled = true;
+    this.mayHaveRun = true;
+    this.stop.abort();
+  }
+
+  /** Records what its end tells of whether the upstream may have run the request. */
+  recordEnd(outcome: AttemptOutcome): void {
+    const failure = outcome.kind === 'failed' ? outcome.failure : undefined;
+    this.mayHaveRun = failure !== 'unreachable' && failure !== 'not-run';
   }
 
   recordEvents(count: number): void {
@@ -58,9 +96,11 @@
 
 /** Runs the attempts of one request. */
 export class Attempts {
+  private readonly started: RunningAttempt[] = [];
   private readonly running = new Map<RunningAttempt, Promise<void>>();
   private readonly news: AttemptNews[] = [];
   private delivered = false;
+  private error: Error | undefined;
   private wake: (() => void) | undefined;
 
   private constructor(private readonly stop: AbortSignal) {
@@ -74,12 +114,22 @@
 
   /** Whether no attempt is in progress, and all news was taken. */
   get areOver(): boolean {
-    return this.running.size === 0 && this.news.every(isOutdated);
+    return [...this.running.keys()].every((a) => a.isCancelled) && this.news.every(isOutdated);
   }
 
   /** Whether an attempt has delivered, or one in progress is not silent. */
   get hasActive(): boolean {
-    return this.delivered || [...this.running.keys()].some((a) => a.silence === undefined);
+    return this.delivered || [...this.running.keys()].some((a) => a.isActive);
+  }
+
+  /** Number of attempts that were started. */
+  get count(): number {
+    return this.started.length;
+  }
+
+  /** The upstreams that may have run the request, as far as is known. */
+  get mayHaveRun(): ReadonlySet<UpstreamId> {
+    return new Set(this.started.filter((a) => a.mayHaveRun).map((a) => a.target.upstream.id));
   }
 
   /** Starts an attempt; its outcome is news, unless it was cancelled before. */
@@ -89,12 +139,8 @@
     run: (attempt: RunningAttempt) => Promise<AttemptOutcome>,
   ): void {
     const attempt = RunningAttempt.create(target, startedAt);
-    const ended = run(attempt).then((outcome) => {
-      this.running.delete(attempt);
-      this.delivered ||= outcome.kind === 'delivered';
-      if (outcome.kind !== 'cancelled') this.push({ kind: 'ended', attempt, outcome });
-    });
-    this.running.set(attempt, ended);
+    this.started.push(attempt);
+    this.running.set(attempt, this.follow(attempt, run(attempt)));
   }
 
   /** Records that an attempt is silent. */
@@ -106,12 +152,13 @@
   /** Lets an attempt serve the caller, as it goes on, and cancels the others. */
   choose(attempt: RunningAttempt): void {
     attempt.recordActivity();
-    for (const other of this.running.keys()) if (other !== attempt) other.stop.abort();
+    for (const other of this.running.keys()) if (other !== attempt) other.cancel();
   }
 
-  /** The next news; undefined once the request has ended. */
+  /** The next news; undefined once the request has ended. Throws what an attempt has thrown. */
   async next(): Promise<AttemptNews | undefined> {
     while (!this.stop.aborted) {
+      if (this.error) throw this.error;
       const news = this.news.shift();
       if (news && !isOutdated(news)) return news;
       if (!news) await this.nextPush();
@@ -125,6 +172,19 @@
     await Promise.all(this.running.values());
   }
 
+  private async follow(attempt: RunningAttempt, running: Promise<AttemptOutcome>): Promise<void> {
+    try {
+      const outcome = await running;
+      attempt.recordEnd(outcome);
+      this.delivered ||= outcome.kind === 'delivered';
+      if (outcome.kind !== 'cancelled') this.push({ kind: 'ended', attempt, outcome });
+    } catch (e) {
+      this.error = e as Error;
+      this.wake?.();
+    }
+    this.running.delete(attempt);
+  }
+
   private nextPush(): Promise<void> {
     return new Promise((resolve) => {
       this.wake = resolve;
@@ -132,7 +192,7 @@
   }
 
   private cancelAll(): void {
-    for (const attempt of this.running.keys()) attempt.stop.abort();
+    for (const attempt of this.running.keys()) attempt.cancel();
     this.wake?.();
   }
 
--- a/packages/relay/src/crashwatch.ts
+++ b/packages/relay/src/crashwatch.ts
@@ -6,6 +6,7 @@
 
 import type { Clock, Logger, Millis } from '@tanagercart/base';
 import type { UpstreamRecord } from '@tanagercart/protocol';
+import type { Availability } from './availability.js';
 import type { Call } from './call.js';
 import { PartHistory } from './parthistory.js';
 import { fingerprintOf, sharedPartsOf } from './quarantine.js';
@@ -26,11 +27,14 @@
   readonly logger: Logger;
   readonly client: UpstreamClient;
   readonly quarantine: Quarantine;
+  readonly availability: Pick<Availability, 'isLeaving'>;
 }
 
 /** The requests of one entry and the parts of their prompts. */
 export class CrashWatch {
   private readonly history = PartHistory.create();
+  /** For each crash that is not certain yet, what was answered since. */
+  private readonly searches = new Set<Set<string>>();
 
   private constructor(private readonly o: CrashWatchOptions) {}
 
@@ -55,24 +59,32 @@
 
   private acquit(call: Call): void {
     const { quarantine } = this.o;
-    if (!quarantine.hasSuspects()) return;
+    if (this.searches.size === 0 && !quarantine.hasSuspects()) return;
     for (const subject of [fingerprintOf(call), ...sharedPartsOf(call)]) {
       if (quarantine.isSuspected(subject)) quarantine.recordAnswer(subject);
+      for (const answered of this.searches) answered.add(subject);
     }
   }
 
+  /** Whether the request may crash upstreams, as it or one of its parts is suspected. */
+  isSuspected(call: Call): boolean {
+    const { quarantine } = this.o;
+    if (!quarantine.hasSuspects()) return false;
+    return (
+      quarantine.isSuspected(fingerprintOf(call)) ||
+      sharedPartsOf(call).some((p) => quarantine.isSuspected(p) && !this.history.wasAnswered(p))
+    );
+  }
+
   /**
    * Looks for a crash where the connection of an attempt broke after `events` events. Returns
    * whether the request may crash another upstream, as it or one of its parts is suspected already.
    */
   recordBreak(call: Call, upstream: UpstreamRecord, events: number, attemptMs: Millis): boolean {
     if (events >= answeredEvents) return false;
-    const { quarantine } = this.o;
     const request = fingerprintOf(call);
     const parts = sharedPartsOf(call);
-    const mayCrashAgain =
-      quarantine.isSuspected(request) ||
-      parts.some((p) => quarantine.isSuspected(p) && !this.history.wasAnswered(p));
+    const mayCrashAgain = this.isSuspected(call);
     void this.reportIfCrashed(call, upstream, { request, parts, attemptMs });
     return mayCrashAgain;
   }
@@ -92,7 +104,11 @@
   ): Promise<void> {
     const { clock, logger, quarantine } = this.o;
     const crashedAt = clock.now();
-    if (!(await this.isGone(call, upstream))) return;
+    const answeredSince = new Set<string>();
+    this.searches.add(answeredSince);
+    const isGone = await this.isGone(call, upstream);
+    this.searches.delete(answeredSince);
+    if (!isGone || this.o.availability.isLeaving(upstream)) return;
     const { request, parts, attemptMs } = attempt;
     const answered = this.history.recordCrash(parts);
     const ageMs = clock.now() - crashedAt;
@@ -103,6 +119,9 @@
       parts: parts.join(', '),
     });
     quarantine.recordCrash({ request, parts, answered, attemptMs, ageMs });
+    for (const subject of [request, ...parts]) {
+      if (answeredSince.has(subject)) quarantine.recordAnswer(subject);
+    }
   }
   /** Asks an upstream until it answers or is known to have ended; silence tells neither. */
   private async isGone(call: Call, upstream: UpstreamRecord): Promise<boolean> {
--- a/packages/relay/src/health.ts
+++ b/packages/relay/src/health.ts
@@ -13,12 +13,15 @@
 /** Weight of the newest sample in the exponential moving averages. */
 const smoothingFactor = 0.2;
 
+/** Silences of one upstream closer together than this are one. */
+const sameSilenceMs: Millis = 1500;
+
 /** Failures to reach an upstream are reported to the other entries for this long. */
 const suspicionMs: Millis = 1500;
 
 /**
  * What a failure says of the upstream: it answered, it was silent, which a sound one may be for a
- * second or so, or it has ended, as nothing listens at its address or another incarnation does.
+ * second or so, or it has ended, as nothing listens at its address or another instance does.
  */
 export type Contact = 'answered' | 'silent' | 'gone';
 
@@ -58,9 +61,13 @@
   recordFailure(upstream: UpstreamRecord, contact: Contact): void {
     const stats = this.statsOf(upstream);
     const at = this.clock.now();
-    stats.failures += 1;
+    const { missed } = stats;
+    const isSameSilence =
+      contact === 'silent' && missed?.contact === 'silent' && at - missed.at < sameSilenceMs;
     stats.failedAt = at;
     if (contact !== 'answered') stats.missed = { at, contact };
+    if (isSameSilence) return;
+    stats.failures += 1;
     stats.failureRate = movingAverage(stats.failureRate, 1);
   }
 
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -13,7 +13,7 @@
 import type { AttemptNews, RunningAttempt } from './attempts.js';
 import type { Availability } from './availability.js';
 import type { RetryBudget } from './budget.js';
-import type { Contact, Health } from './health.js';
+import type { Health } from './health.js';
 import type { Loads } from './loads.js';
 import { decideRetry } from './retry.js';
 import type { Failure } from './retry.js';
@@ -80,9 +80,6 @@
   /** Undefined where the response is not a stream. */
   readonly delivery: StreamDelivery | undefined;
   readonly log: RequestLog;
-  sends: number;
-  /** Upstreams that may have run the request. */
-  readonly mayHaveRun: Set<UpstreamId>;
   /** The last complete error response; sent to the caller where no attempt succeeds. */
   errorResponse: CompleteResponse | undefined;
   /** Whether an upstream crashed under the request when it, or a part, was suspected before. */
@@ -103,7 +100,10 @@
     return new Relay(options);
   }
 
-  /** Serves one request until it is answered, refused or its caller disconnects. Never throws. */
+  /**
+   * Serves one request until it is answered, refused or its caller disconnects. Throws only what an
+   * attempt throws unexpectedly.
+   */
   async serve(call: Call, caller: Caller): Promise<void> {
     const { clock, budget, logger, metrics } = this.o;
     budget.recordRequest(call.service.id);
@@ -128,22 +128,33 @@
       excluded: new Set(),
       delivery: isStream(call) ? StreamDelivery.create(call, caller, clock) : undefined,
       log: RequestLog.create(logger, clock, this.logRateLimit, call),
-      sends: 0,
-      mayHaveRun: new Set(),
       errorResponse: undefined,
       mayCrashAgain: false,
     };
+    let delivered = false;
+    try {
+      delivered = await this.serveUntil(state, stop);
+    } finally {
+      stop.abort();
+      await state.attempts.end();
+      const tookMs = clock.now() - call.startedAt;
+      metrics.observe('request.ms', tookMs, { kind: call.route.kind });
+      state.log.end(!delivered || state.attempts.count > 1);
+      caller.disconnected.removeEventListener('abort', abort);
+    }
+  }
+
+  /** Runs attempts until the request ends; returns whether a response was delivered completely. */
+  private async serveUntil(state: RequestState, stop: AbortController): Promise<boolean> {
+    const { caller, attempts, deadline } = state;
+    const { clock } = this.o;
     const expired = clock.sleep(deadline - clock.now(), stop.signal).then(() => 'expired' as const);
     const served = this.runAttempts(state, stop.signal);
     const first = await Promise.race([served, expired]);
     if (first === 'expired' && !stop.signal.aborted) this.expire(state);
-    if (caller.disconnected.aborted) state.log.info('The caller left.', { sends: state.sends });
+    if (caller.disconnected.aborted) state.log.info('The caller left.', { sends: attempts.count });
     stop.abort();
-    const delivered = await served;
-    const tookMs = clock.now() - call.startedAt;
-    metrics.observe('request.ms', tookMs, { kind: call.route.kind });
-    state.log.end(!delivered || state.sends > 1);
-    caller.disconnected.removeEventListener('abort', abort);
+    return served;
   }
 
   /** Whether the request is quarantined because equal ones crash upstreams. */
@@ -159,9 +170,9 @@
 
   /** Ends a request whose deadline passed before its response was complete. */
   private expire(state: RequestState): void {
-    const { call, caller, delivery, mayHaveRun, errorResponse } = state;
+    const { call, caller, delivery, attempts, errorResponse } = state;
     const started = delivery?.started ?? false;
-    state.log.info('Deadline passed.', { runs: mayHaveRun.size, started });
+    state.log.info('Deadline passed.', { runs: attempts.mayHaveRun.size, started });
     this.o.metrics.count('request.expired', { kind: call.route.kind });
     if (started) caller.abort();
     else if (errorResponse) sendResponse(errorResponse, caller);
@@ -173,12 +184,14 @@
    * of an upstream was delivered completely.
    */
   private async runAttempts(state: RequestState, stop: AbortSignal): Promise<boolean> {
-    const { attempts } = state;
-    const missing = await this.startAttempt(state, stop);
-    if (missing !== undefined && !stop.aborted) this.giveUp(state, missing);
-    const delivered = missing === undefined && (await this.awaitDelivery(state, stop));
-    await attempts.end();
-    return delivered;
+    const target = await this.acquireTarget(state, stop);
+    if (stop.aborted) return false;
+    if (typeof target === 'string') {
+      this.giveUp(state, target);
+      return false;
+    }
+    this.startAttempt(state, target);
+    return this.awaitDelivery(state, stop);
   }
 
   /** Sends the request again as attempts fail or are silent, until one of them delivers. */
@@ -208,35 +221,31 @@
     const { attempts } = state;
     if (news.kind === 'silent') this.recordSilence(state, news.attempt, news.silence);
     const failure = failureIn(news);
-    if (attempts.hasActive || !this.acquireRetry(state, failure)) return failure;
-    return (await this.startAttempt(state, stop)) ?? failure;
-  }
-
-  /** Starts an attempt; returns why there is no target for it, where there is none. */
-  private async startAttempt(
-    state: RequestState,
-    stop: AbortSignal,
-  ): Promise<NoTarget | undefined> {
-    const { attempts } = state;
+    if (attempts.hasActive || !this.mayRetry(state, news, failure)) return failure;
     const target = await this.acquireTarget(state, stop);
-    if (stop.aborted) return undefined;
     if (typeof target === 'string') return target;
     // One that was silent may have gone on in the meantime.
-    if (attempts.hasActive) return undefined;
-    attempts.start(target, this.o.clock.now(), (attempt) => this.runAttempt(state, attempt));
-    return undefined;
+    if (stop.aborted || attempts.hasActive) return failure;
+    if (this.acquireRetry(state, failure)) this.startAttempt(state, target);
+    return failure;
+  }
+
+  private startAttempt(state: RequestState, target: Target): void {
+    const run = (attempt: RunningAttempt) => this.runAttempt(state, attempt);
+    state.attempts.start(target, this.o.clock.now(), run);
   }
 
   /** Picks a target and waits for the permit to send it the request. */
   private async acquireTarget(state: RequestState, stop: AbortSignal): Promise<Target | NoTarget> {
-    const { call, excluded } = state;
+    const { call, excluded, attempts } = state;
     const { balancer, availability } = this.o;
     const maxWaitMs = maxPermitWaitMs(call, state.delivery?.started ?? false);
     const refused = new Set<UpstreamId>();
     for (;;) {
       // Once the route's attempts are used up, only upstreams that may have run it get it again.
-      const attemptsExhausted = state.mayHaveRun.size >= call.route.maxAttempts;
-      const receivers = attemptsExhausted ? state.mayHaveRun : undefined;
+      const { mayHaveRun } = attempts;
+      const attemptsExhausted = mayHaveRun.size >= call.route.maxAttempts;
+      const receivers = attemptsExhausted ? mayHaveRun : undefined;
       const withoutPermit = refused.size < maxPermitRefusals ? refused : 'all-limited';
       const target = balancer.pick(call, { excluded, receivers, withoutPermit, maxWaitMs });
       if (typeof target === 'string') return target;
@@ -250,32 +259,40 @@
     }
   }
 
-  /** Whether the request may be sent again; takes a retry from the budget where it needs one. */
-  private acquireRetry(state: RequestState, failure: Failure): boolean {
-    const { call, mayHaveRun, excluded, sends, deadline } = state;
+  /** Whether the request may be sent again. */
+  private mayRetry(state: RequestState, news: AttemptNews, failure: Failure): boolean {
+    const { call, attempts, excluded, deadline } = state;
+    // The silent upstream may have crashed under the request, and another one would.
+    const isSuspected = news.kind === 'silent' && this.crashes.isSuspected(call);
+    if (state.mayCrashAgain || isSuspected) return false;
+    const { mayHaveRun } = attempts;
     const decision = decideRetry({
       failure,
       repeatable: isRepeatable(call),
       runs: mayHaveRun.size,
       maxAttempts: call.route.maxAttempts,
       mayRunAgain: [...mayHaveRun].some((id) => !excluded.has(id)),
-      sends,
+      sends: attempts.count,
       remainingMs: deadline - this.o.clock.now(),
     });
-    if (decision === 'give-up' || state.mayCrashAgain) return false;
+    return decision === 'retry';
+  }
+
+  /** Takes a retry from the budget, where the request needs one to be sent again. */
+  private acquireRetry({ call, log }: RequestState, failure: Failure): boolean {
     if (failure === 'unreachable') return true;
     const granted = this.o.budget.tryAcquire(call.service.id);
     const reason = failure;
-    if (granted) this.o.metrics.count('request.retried', { reason });
-    else this.o.metrics.count('request.retry-refused', { reason });
-    if (!granted) state.log.info('No budget for another attempt.', { reason });
+    this.o.metrics.count(granted ? 'request.retried' : 'request.retry-refused', { reason });
+    if (!granted) log.info('No budget for another attempt.', { reason });
     return granted;
   }
 
   /** Ends a request that is not retried, with the most definite result that is known. */
   private giveUp(state: RequestState, reason: string): void {
-    const { caller, delivery, mayHaveRun, errorResponse } = state;
-    state.log.info('Gave up.', { reason, runs: mayHaveRun.size, sends: state.sends });
+    const { caller, delivery, attempts, errorResponse } = state;
+    const { mayHaveRun } = attempts;
+    state.log.info('Gave up.', { reason, runs: mayHaveRun.size, sends: attempts.count });
     this.o.metrics.count('request.given-up', { reason });
     if (delivery?.started) {
       caller.abort();
@@ -298,9 +315,8 @@
     const { upstream, path, requestLoads } = attempt.target;
     const { signal } = attempt.stop;
     const release = loads.add(requestLoads);
-    state.sends += 1;
     state.log.info('Sending.', {
-      attempt: state.sends,
+      attempt: attempts.count,
       upstream: upstream.id,
       path: path?.map((p) => `${p.stage.address}=${formatRange(p.layers)}`).join(' '),
       lastEvent: delivery?.lastEvent,
@@ -315,23 +331,27 @@
       onGone: (detail) => attempt.recordGone(detail),
     });
     const details = { upstream, path, remainingMs, lastEvent: delivery?.lastEvent };
-    const sent = await client.send(call, details, signal);
-    const response = sent.isOk() ? sent.value : undefined;
-    if (response) this.o.availability.record(call.id, upstream, response.notices);
-    const received: AttemptOutcome = response
-      ? await forwardResponse(state, attempt, response, (count) => {
-          this.recordActivity(state, attempt, watch.quietMs);
-          watch.recordActivity();
-          this.crashes.recordEvents(call, attempt.events, count);
-          attempt.recordEvents(count);
-        })
-      : failureOf(sent._unsafeUnwrapErr());
-    watch.end();
-    release();
-    const outcome = endOf(received, attempt);
-    attempt.stop.abort();
-    this.recordOutcome(state, attempt, outcome, response);
-    return outcome;
+    const onEvents = (count: number) => {
+      this.recordActivity(state, attempt, watch.quietMs);
+      watch.recordActivity();
+      this.crashes.recordEvents(call, attempt.events, count);
+      attempt.recordEvents(count);
+    };
+    try {
+      const sent = await client.send(call, details, signal);
+      const response = sent.isOk() ? sent.value : undefined;
+      if (response) this.o.availability.record(call.id, upstream, response.notices);
+      const received = response
+        ? await forwardResponse(state, attempt, response, onEvents)
+        : failureOf(sent._unsafeUnwrapErr());
+      const outcome = endOf(received, attempt);
+      this.recordOutcome(state, attempt, outcome, response);
+      return outcome;
+    } finally {
+      watch.end();
+      release();
+      attempt.stop.abort();
+    }
   }
 
   /** Records that a part of a response arrived, and lets its attempt serve the caller. */
@@ -343,7 +363,7 @@
         quietMs: Math.round(quietMs),
       });
       this.o.metrics.count('attempt.went-on', { kind: state.call.route.kind });
-      if (attempt.silence.kind === 'silent') this.o.health.recordReturn(upstream);
+      if (attempt.blamed) this.o.health.recordReturn(attempt.blamed);
     }
     state.attempts.choose(attempt);
   }
@@ -360,27 +380,17 @@
       tookMs: Math.round(this.o.clock.now() - attempt.startedAt),
     });
     this.o.metrics.count('attempt.silent', { kind: silence.kind });
-    state.mayHaveRun.add(upstream.id);
     if (silence.kind === 'cut-off') return;
-    this.recordFailure(
-      state,
-      upstream,
-      address,
-      silence.kind === 'overdue' ? 'answered' : 'silent',
-    );
+    const blamed = this.upstreamAtFault(upstream, address);
+    attempt.blame(blamed);
+    state.excluded.add(blamed.id);
+    this.o.health.recordFailure(blamed, silence.kind === 'overdue' ? 'answered' : 'silent');
   }
 
-  /** Leaves an upstream, or the one at `culprit`, out for this request and avoids it for others. */
-  private recordFailure(
-    { excluded }: RequestState,
-    upstream: UpstreamRecord,
-    culprit: string | undefined,
-    contact: Contact,
-  ): void {
+  /** The upstream at `culprit`, or else the one that received the request. */
+  private upstreamAtFault(receiver: UpstreamRecord, culprit: string | undefined): UpstreamRecord {
     const known = culprit === undefined ? undefined : this.o.balancer.upstreamAt(culprit);
-    const failed = known ?? upstream;
-    excluded.add(failed.id);
-    this.o.health.recordFailure(failed, contact);
+    return known ?? receiver;
   }
 
   /** Records the outcome of an attempt in the log, the metrics and the health of the upstream. */
@@ -411,13 +421,15 @@
     const fields = { upstream: upstream.id, failure, detail, culprit, tookMs: took };
     state.log.info('Attempt failed.', fields);
     this.o.metrics.count('attempt.failed', { reason: failure });
-    if (failure === 'broken') state.mayHaveRun.add(upstream.id);
     state.errorResponse = outcome.response ?? state.errorResponse;
     if (failure === 'failed') this.crashes.recordAnswer(call, events);
     if (failure === 'broken' && contact !== 'gone' && culprit === undefined) {
       state.mayCrashAgain = this.crashes.recordBreak(call, upstream, events, tookMs);
     }
-    this.recordFailure(state, upstream, culprit, contact);
+    const failed = this.upstreamAtFault(upstream, culprit);
+    // One that only did not accept a connection in time may do so a moment later.
+    if (contact !== 'silent') state.excluded.add(failed.id);
+    this.o.health.recordFailure(failed, contact);
   }
 }
 
@@ -427,12 +439,12 @@
 }
 
 /** How an attempt ended that received `received`. */
-function endOf(received: AttemptOutcome, { stop, gone }: RunningAttempt): AttemptOutcome {
+function endOf(received: AttemptOutcome, { isCancelled, gone }: RunningAttempt): AttemptOutcome {
   if (received.kind === 'delivered') return received;
   if (gone !== undefined) {
     return { kind: 'failed', failure: 'broken', detail: gone, contact: 'gone' };
   }
-  return stop.signal.aborted ? { kind: 'cancelled' } : received;
+  return isCancelled ? { kind: 'cancelled' } : received;
 }
 
 /**
@@ -464,8 +476,8 @@
 }
 
 /** Whether no upstream but this one and earlier ones may run the request. */
-function isLastUpstream({ call, mayHaveRun }: RequestState, upstream: UpstreamId): boolean {
-  return new Set([...mayHaveRun, upstream]).size >= call.route.maxAttempts;
+function isLastUpstream({ call, attempts }: RequestState, upstream: UpstreamId): boolean {
+  return new Set([...attempts.mayHaveRun, upstream]).size >= call.route.maxAttempts;
 }
 
 /**
@@ -484,7 +496,7 @@
   if (response.notices.notRun) {
     return { kind: 'failed', failure: 'not-run', detail: `status ${status}` };
   }
-  state.mayHaveRun.add(attempt.target.upstream.id);
+  attempt.recordRun();
   if (delivery && status === 200) {
     const outcome = await delivery.forward(response, onEvents, signal);
     if (outcome === 'complete') return { kind: 'delivered' };
--- a/packages/relay/src/silence.ts
+++ b/packages/relay/src/silence.ts
@@ -19,7 +19,7 @@
   | { readonly kind: 'cut-off' }
   /** No answer came, for whatever reason: the upstream may be at work. */
   | { readonly kind: 'silent'; readonly detail: string }
-  /** The incarnation has ended: nothing listens at its address, or another one does. */
+  /** It has ended: nothing listens at its address, or another instance does. */
   | { readonly kind: 'gone'; readonly detail: string };
 
 /** Why an attempt counts as silent; `overdue` if its upstream is at work all the same. */
