Elect the node that has formed the log at once

Cause: after it had formed the log, the forming node waited for a whole election timeout, 0.7 to 1.4 s, as if a leader had fallen silent. Meanwhile the first configuration was answered 503, and its sender backs off.

Ruled out: shorter election timeouts. They guard a leader that is held up.

Change: `formLog` tells whether this node has formed the log, and this node then stands for election at once, with a pre-vote and votes as always. No other node can win before it has that log.

--- a/packages/log/src/election.ts
+++ b/packages/log/src/election.ts
@@ -44,6 +44,14 @@
     }
   }
 
+  /**
+   * Stands for election at once, after this node has formed the log: no other node can be elected
+   * before it has that log, and there is no leader whose silence would have to be awaited.
+   */
+  standAfterForming(): Promise<void> {
+    return this.campaign(false);
+  }
+
   /** Runs one election, without a pre-vote if the leader asked this node to take over. */
   private async campaign(transfer: boolean): Promise<void> {
     const { state } = this;
--- a/packages/log/src/formation.ts
+++ b/packages/log/src/formation.ts
@@ -12,22 +12,25 @@
 /** Timeout of an `inspect` call, in milliseconds. */
 const inspectTimeoutMs: Millis = 1000;
 
-/** Background task: forms the log if this node is the one to do so; ends once the log exists. */
-export async function formLog(state: RaftState): Promise<void> {
+/**
+ * Forms the log if this node is the one to do so; resolves, once the log exists, to whether this
+ * node has formed it.
+ */
+export async function formLog(state: RaftState): Promise<boolean> {
   const { clock, initialVoters, self, timing } = state.o;
-  if (!initialVoters.includes(self)) return;
+  if (!initialVoters.includes(self)) return false;
   const sortedVoters = [...initialVoters].sort();
   while (!state.stopped && state.voters.isEmpty && state.store.lastIndex === 0) {
     const replies = await Promise.all(sortedVoters.map((id) => inspectNode(state, id)));
     const formingNode = sortedVoters[replies.findIndex((r) => r?.forms === true)];
     if (formingNode === self && replies.every((r) => r?.empty === true)) {
-      await state.exclusive(() =>
+      return state.exclusive(() =>
         writeFirstEntry(state, sortedVoters, replies as readonly InspectReply[]),
       );
-      return;
     }
     await clock.sleep(timing.heartbeatMs, state.stopping.signal);
   }
+  return false;
 }
 
 async function inspectNode(state: RaftState, id: NodeId): Promise<InspectReply | undefined> {
@@ -41,20 +44,23 @@
 /**
  * Writes entry 1 with a term higher than any earlier attempt can have used. Each node uses a
  * different term, so that first entries written by two nodes are never taken for the same entry.
+ * Resolves to whether the entry is written.
  */
 async function writeFirstEntry(
   state: RaftState,
   sortedVoters: readonly NodeId[],
   replies: readonly InspectReply[],
-): Promise<void> {
+): Promise<boolean> {
   const { logger, self } = state.o;
-  if (state.store.lastIndex > 0 || state.stopped) return;
+  if (state.store.lastIndex > 0 || state.stopped) return false;
   const latestTerm = Math.max(state.term, ...replies.map((r) => r.term));
   const term = latestTerm + 1 + sortedVoters.indexOf(self);
   const voters = sortedVoters.map((id, i): Member => ({ id, disk: replies[i]!.disk }));
   const payload = { kind: 'voters', config: { voters, learners: [] } } as const;
   const entry: LogEntry = { index: 1, term, payload };
-  if (!(await state.raiseTerm(term)) || !state.noteWrite(await state.store.append([entry]))) return;
+  if (!(await state.raiseTerm(term))) return false;
+  if (!state.noteWrite(await state.store.append([entry]))) return false;
   state.voters.append([entry]);
   logger.info('Formed a new log.', { voters: sortedVoters.join(' '), term });
+  return true;
 }
--- a/packages/log/src/raft.ts
+++ b/packages/log/src/raft.ts
@@ -36,8 +36,10 @@
     const proposals = Proposals.create(state, applier, replication);
     const voterChanges = VoterChanges.create(state, applier, replication, proposals);
     Receiver.create(state, applier);
-    Election.create(state, replication);
-    state.tasks.start(() => formLog(state));
+    const election = Election.create(state, replication);
+    state.tasks.start(async () => {
+      if (await formLog(state)) await election.standAfterForming();
+    });
     return new Raft(state, applier, replication, proposals, voterChanges);
   }
 
--- a/packages/log/test/raft.test.ts
+++ b/packages/log/test/raft.test.ts
@@ -1,7 +1,13 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { NodeId, SeededRandom, silentLogger } from '@tanagercart/base';
-import { DiskStore, LogCluster, MemoryDisk, forceSingleVoter } from '../src/index.js';
+import {
+  DiskStore,
+  LogCluster,
+  MemoryDisk,
+  defaultTiming,
+  forceSingleVoter,
+} from '../src/index.js';
 import type { LogClusterOptions } from '../src/index.js';
 
 const nodes = ['a', 'b', 'c', 'd', 'e'].map(NodeId);
@@ -265,6 +271,19 @@
   await proposeAll(cluster, 'x');
 });
 
+test('a new log has a leader without waiting for the silence of an earlier one', async () => {
+  for (let seed = 60; seed < 70; seed += 1) {
+    const cluster = LogCluster.create({
+      seed,
+      nodes: nodes.slice(0, 3),
+      initialVoters: nodes.slice(0, 3),
+    });
+    await cluster.startAll();
+    const tookMs = await cluster.advanceUntil(() => cluster.leaseHolder !== undefined, 5000);
+    assert.ok(tookMs !== undefined && tookMs < defaultTiming.electionMs, `${seed}: ${tookMs} ms`);
+  }
+});
+
 test('proposals that arrive during a sync share the next one', async () => {
   const cluster = await startCluster(14, 1, { syncMs: 5 });
   const disk = cluster.diskOf(nodes[0]!);
