Order layers and poll their loads a few upstreams at a time

All loads are then polled at the same time, and their ends recorded: held up for 838 ms. The lease (0.63 s) lapses, another voter is elected 2 s after the first order and orders again what is loading already; no configuration can be acknowledged meanwhile.

Cause: `Placer` starts all orders of the first placement at once, and each waits for the same times until it polls. One call over HTTP takes the leader 2 to 3 ms.

Ruled out: the plan itself, 11 ms on an idle core, and the whole state for 191 entries, which has its turns already (200 ms at most in the log, a second or two before).

Change: an order, and each poll of its load, waits for its turn in a `TurnQueue` as the callers of the whole state do: three pass, and the next three once a timer has fired, so that heartbeats and calls are read in between.

--- a/packages/fleet/src/leaderterm.ts
+++ b/packages/fleet/src/leaderterm.ts
@@ -55,7 +55,7 @@
   private readonly monitor: SlownessMonitor;
   private readonly collector: TombstoneCollector;
   private readonly pacer: ReplyPacer;
-  private readonly turns: TurnQueue;
+  private readonly turns: TurnQueue<NodeId>;
   /** Time at which layers were last planned. */
   private plannedAt: Millis = -Infinity;
 
--- a/packages/fleet/src/placer.ts
+++ b/packages/fleet/src/placer.ts
@@ -8,6 +8,7 @@
 import type { Result } from 'neverthrow';
 import type { Liveness } from './liveness.js';
 import type { UpstreamRegistry } from './registry.js';
+import { TurnQueue } from './turnqueue.js';
 import type { Voter } from './voter.js';
 
 /** The reply of an upstream to an order. */
@@ -95,13 +96,20 @@
   /** Number of orders that each incarnation has started. */
   private readonly started = new Map<string, number>();
   private readonly arrivals = new Map<string, Arrivals>();
+  /**
+   * The first placement orders all upstreams at once, and their loads are polled at the same time:
+   * a few in turn, so that the leader answers others in between.
+   */
+  private readonly turns: TurnQueue<UpstreamId>;
   private issuedTokens = 0;
   private stopped = false;
 
   private constructor(
     private readonly o: PlacerOptions,
     private readonly term: number,
-  ) {}
+  ) {
+    this.turns = TurnQueue.create(o.clock);
+  }
 
   static create(options: PlacerOptions, term: number): Placer {
     return new Placer(options, term);
@@ -186,6 +194,8 @@
    */
   private async place(engine: Engine, record: UpstreamRecord, layers: LayerRange): Promise<void> {
     const { logger, registry } = this.o;
+    await this.turns.wait(record.id);
+    if (this.stopped) return;
     const fields = { upstream: record.id, address: record.address, layers: formatRange(layers) };
     logger.info('Placing layers.', {
       ...fields,
@@ -249,6 +259,7 @@
     while (clock.now() < deadline && this.isEligible(record)) {
       await clock.sleep(pollMs);
       pollMs = Math.min(maxLoadPollMs, pollMs * loadPollGrowth);
+      await this.turns.wait(record.id);
       const report = await orders.report(record);
       if (report.isErr()) continue;
       this.started.set(keyOf(record), report.value.startedOrders);
--- a/packages/fleet/src/turnqueue.ts
+++ b/packages/fleet/src/turnqueue.ts
@@ -1,9 +1,10 @@
 /**
- * Lets the callers that need the whole state pass a few at a time, so that a crowd of them does not
- * keep the leader from the heartbeats between voters.
+ * Lets work that falls due at the same time pass a few pieces at a time, so that a crowd of callers
+ * that need the whole state, or of upstreams that are sent orders, does not keep the leader from the
+ * heartbeats between voters.
  */
 
-import type { Clock, Millis, NodeId } from '@tanagercart/base';
+import type { Clock, Millis } from '@tanagercart/base';
 
 /** Callers that pass together. */
 const groupSize = 3;
@@ -12,13 +13,13 @@
 const pauseMs: Millis = 2;
 
 /** Callers in the order of the first call that has not passed. */
-export class TurnQueue {
-  private readonly waiting = new Map<NodeId, (mayPass: boolean) => void>();
+export class TurnQueue<Caller> {
+  private readonly waiting = new Map<Caller, (mayPass: boolean) => void>();
   private isServing = false;
 
   private constructor(private readonly clock: Clock) {}
 
-  static create(clock: Clock): TurnQueue {
+  static create<Caller>(clock: Clock): TurnQueue<Caller> {
     return new TurnQueue(clock);
   }
 
@@ -26,7 +27,7 @@
    * Resolves to true when it is the caller's turn. A caller that calls again keeps its place, and its
    * earlier call, on which it has given up, resolves to false at once.
    */
-  wait(caller: NodeId): Promise<boolean> {
+  wait(caller: Caller): Promise<boolean> {
     return new Promise((resolve) => {
       const earlier = this.waiting.get(caller);
       this.waiting.set(caller, resolve);
--- a/packages/fleet/test/turnqueue.test.ts
+++ b/packages/fleet/test/turnqueue.test.ts
@@ -19,7 +19,7 @@
 
 test('callers that give up on a busy leader and call again are not passed over for ever', async () => {
   const clock = HeldClock.create();
-  const queue = TurnQueue.create(lateClock(clock, 150));
+  const queue = TurnQueue.create<NodeId>(lateClock(clock, 150));
   const giveUpMs: Millis = 1500;
   const served = new Set<NodeId>();
   const follow = async (caller: NodeId) => {
@@ -35,7 +35,7 @@
 
 test('a caller that calls again keeps its place, and its earlier call ends at once', async () => {
   const clock = HeldClock.create();
-  const queue = TurnQueue.create(clock);
+  const queue = TurnQueue.create<NodeId>(clock);
   const passed: string[] = [];
   const call = (name: string, label: string) =>
     queue.wait(NodeId(name)).then((mayPass) => passed.push(`${label} ${mayPass}`));
