Count the wait for entries from the commit of a document

Cause: operators turn to another voter after a second without a response, and the wait for the entries, 0.7 s while a leader is newer than a lease, began anew with each call.

Ruled out: a shorter wait, or none while the leader is new: entries that only the leader before has confirmed may answer by the older document until their leases end (`a leader that does not know the entries yet takes them to lack a document`).

--- a/packages/fleet/src/control.ts
+++ b/packages/fleet/src/control.ts
@@ -403,7 +403,9 @@
     const proposed = await voter.propose({ kind: 'document', version, base: base.version, delta });
     if (proposed.isErr()) return this.unavailable(proposed.error.kind);
     if (proposed.value.kind === 'base-differs') return this.unavailable('the base has changed');
-    return { kind: 'accepted', inForce: voter.state.document.version };
+    const inForce = voter.state.document.version;
+    this.currentTerm()?.rollout.recordCommit(inForce);
+    return { kind: 'accepted', inForce };
   }
 
   /** Confirms that this node still leads, and so that `inForce` is the version in force. */
