--- a/packages/fleet/src/leaderterm.ts
+++ b/packages/fleet/src/leaderterm.ts
@@ -55,7 +55,7 @@
   private readonly monitor: SlownessMonitor;
   private readonly collector: TombstoneCollector;
   private readonly pacer: ReplyPacer;
-  private readonly turns: TurnQueue;
+  private readonly turns: TurnQueue<NodeId>;
   /** Time at which layers were last planned. */
   private plannedAt: Millis = -Infinity;
 
@@ -70,6 +70,7 @@
       logger: o.logger.part('rollout'),
       leaseMs: o.entryLeaseMs,
     });
+    this.rollout.recordCommit(voter.state.document.version);
     this.replies = ReplyStatistics.create(clock, o.logger.part('replies'));
     this.liveness = Liveness.create(clock, o.heartbeatMs);
     const { liveness } = this;
