Do not count an upstream as lost for a second of silence between short heartbeats

Cause: an upstream that nobody reports as gone is lost after 3.2 intervals of heartbeats, here 1.92 s, although one that is silent for 1.5 s just before a heartbeat is due is heard again after 2.1 s.

Ruled out: reports of entries (two said that it is silent, none that it has ended), and outliers.

Change: it is lost no earlier than an interval and the longest sound silence after its last heartbeat. With the 1.2 s of the sites nothing changes (3.84 s).

The new test fails without the change and passes with it, as do the other nine of the file.

--- a/packages/fleet/src/liveness.ts
+++ b/packages/fleet/src/liveness.ts
@@ -155,12 +155,13 @@
   isLost({ id, born }: UpstreamRecord): boolean {
     const { heartbeatMs } = this;
     const silentMs = this.silentMsOf(id);
-    if (silentMs > heartbeatMs * maxMissedHeartbeats) return true;
+    const soundSilentMs = heartbeatMs + longestSoundSilenceMs;
+    if (silentMs > Math.max(heartbeatMs * maxMissedHeartbeats, soundSilentMs)) return true;
     if (this.isOutlier(id, born)) return true;
     const { reporters, unreached } = this.reportersOf(id, born);
     if (unreached.size >= reportersForLoss) return true;
     if (unreached.size > 0 && silentMs > heartbeatMs * maxMissedWhenSuspected) return true;
-    return reporters.size > 0 && silentMs > heartbeatMs + longestSoundSilenceMs;
+    return reporters.size > 0 && silentMs > soundSilentMs;
   }
 
   /**
--- a/packages/fleet/test/liveness.test.ts
+++ b/packages/fleet/test/liveness.test.ts
@@ -7,9 +7,9 @@
 
 const u1 = UpstreamId('u1');
 
-function fixture() {
+function fixture(heartbeatMs = 1000) {
   const clock = HeldClock.create();
-  const liveness = Liveness.create(SuspendAwareClock.create(clock), 1000);
+  const liveness = Liveness.create(SuspendAwareClock.create(clock), heartbeatMs);
   let sequence = 0;
   const heartbeat = () => {
     sequence += 1;
@@ -111,6 +111,16 @@
   }
 });
 
+test('an upstream that is silent for a second or so is not lost for short intervals of heartbeats', async () => {
+  const { clock, liveness, heartbeat } = fixture(600);
+  heartbeat();
+  // The silence begins just before the next heartbeat is due.
+  await clock.advance(600 + 1400);
+  assert.equal(liveness.isLost(announcementOf('u1')), false);
+  await clock.advance(200);
+  assert.equal(liveness.isLost(announcementOf('u1')), true);
+});
+
 test('an upstream that is silent for longer, without a heartbeat, is lost before it misses three', async () => {
   const { clock, liveness, heartbeat, report } = fixture();
   heartbeat();
