Refuse a request as not run where a silent upstream says so in the end

Callers do not retry such a stream, and do after a 503.

Cause: an upstream that is silent counts as one that may have run the request, and stayed so when its answer, or a connection that was never made, showed that it has not.

Change: what silence alone suggests is taken back by an outcome that says that the request did not run.

The new test got `unknown` without the change and gets `not-run` with it, for both outcomes; the 71 tests of the package pass.

--- a/packages/relay/src/attempts.ts
+++ b/packages/relay/src/attempts.ts
@@ -16,6 +16,8 @@
   events = 0;
   /** Why it counts as silent; undefined while it does not. */
   silence: Silence | undefined;
+  /** Whether its upstream may have run the request for its silence only. */
+  mayHaveRun = false;
   /** What shows that its upstream has ended; undefined as long as nothing does. */
   gone: string | undefined;
 
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -360,6 +360,7 @@
       tookMs: Math.round(this.o.clock.now() - attempt.startedAt),
     });
     this.o.metrics.count('attempt.silent', { kind: silence.kind });
+    attempt.mayHaveRun ||= !state.mayHaveRun.has(upstream.id);
     state.mayHaveRun.add(upstream.id);
     if (silence.kind === 'cut-off') return;
     this.recordFailure(
@@ -386,7 +387,7 @@
   /** Records the outcome of an attempt in the log, the metrics and the health of the upstream. */
   private recordOutcome(
     state: RequestState,
-    { target, startedAt, events }: RunningAttempt,
+    { target, startedAt, events, mayHaveRun }: RunningAttempt,
     outcome: AttemptOutcome,
     response: UpstreamResponse | undefined,
   ): void {
@@ -412,6 +413,8 @@
     state.log.info('Attempt failed.', fields);
     this.o.metrics.count('attempt.failed', { reason: failure });
     if (failure === 'broken') state.mayHaveRun.add(upstream.id);
+    const hasNotRun = failure === 'not-run' || failure === 'unreachable';
+    if (hasNotRun && mayHaveRun) state.mayHaveRun.delete(upstream.id);
     state.errorResponse = outcome.response ?? state.errorResponse;
     if (failure === 'failed') this.crashes.recordAnswer(call, events);
     if (failure === 'broken' && contact !== 'gone' && culprit === undefined) {
--- a/packages/relay/test/silence.test.ts
+++ b/packages/relay/test/silence.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import * as fc from 'fast-check';
+import { err, ok } from 'neverthrow';
 import { HeldClock } from '@tanagercart/base';
 import type { Millis } from '@tanagercart/base';
 import type { CallKind, Route } from '@tanagercart/config';
@@ -10,6 +11,7 @@
   callOf,
   events,
   relayOf,
+  responseOf,
   routeOf,
   upstreamOf,
   viewOf,
@@ -138,6 +140,25 @@
   assert.equal(caller.received, whole);
 });
 
+test('a request is refused as not run where a silent upstream says in the end that it did not run it', async () => {
+  for (const end of [
+    ok(responseOf(503, [], true)),
+    err({ kind: 'unreachable', detail: 'connect timeout', isGone: false } as const),
+  ]) {
+    const clock = HeldClock.create();
+    const client = new PausingUpstreams(clock, eventCount, pauseOfBoth(0, 900));
+    const { send } = client;
+    client.send = (...args) => send.apply(client, args).then(() => end);
+    const view = viewOf(clock, [upstreamOf('one')]);
+    const { relay } = relayOf({ clock, client, view, slack: 0 });
+    const caller = new FakeCaller();
+    const route = routeOf('resumable-stream', { timeoutMs: 20_000 });
+    void relay.serve(callOf('resumable-stream', { route, startedAt: 0 }), caller);
+    for (let i = 0; i < 300; i += 1) await clock.advance(10);
+    assert.equal(caller.received, 'not-run');
+  }
+});
+
 test('a caller that reads slowly makes no upstream silent', async () => {
   const pending: (() => void)[] = [];
   class SlowCaller extends FakeCaller {
