Let upstreams of the program soak fall silent, and check that nothing is lost for it

Change: a fault `mute`, drawn in series of several upstreams each, in two variants: connections are accepted meanwhile or not. Some series begin with SIGHUP to all entries (`reload`) or a restart of one after the other (`roll`).

Ruled out: not accepting by the upstream itself, as a listening socket accepts on loopback in any case; the preloaded module holds the connect back.

--- a/packages/soak/src/fault.ts
+++ b/packages/soak/src/fault.ts
@@ -74,6 +74,20 @@
       readonly how: 'hang' | 'reset' | 'refuse';
       readonly forMs: Millis;
     }
+  /**
+   * Sound upstreams fall silent for `forMs`, and then handle what they have received; those that
+   * have only just been silent do not. Where none `accepts`, no connection to them opens meanwhile.
+   */
+  | {
+      readonly kind: 'mute';
+      readonly indexes: readonly number[];
+      readonly accepts: boolean;
+      readonly forMs: Millis;
+    }
+  /** Tells all entries that their settings may have changed. */
+  | { readonly kind: 'reload' }
+  /** Asks the entries to terminate, one after the other, and starts each of them again. */
+  | { readonly kind: 'roll' }
   /** An upstream announces that it is draining, and then stops. */
   | { readonly kind: 'leave'; readonly index: number }
   /** An upstream names a limit of `perSecond` requests in its responses for `forMs`. */
@@ -135,6 +149,49 @@
   });
 }
 
+/** Planned work that begins with a series of silences, if any. */
+const plannedWork: readonly (Fault | undefined)[] = [
+  undefined,
+  undefined,
+  { kind: 'reload' },
+  { kind: 'reload' },
+  { kind: 'roll' },
+];
+
+/** Number of upstreams that silences are drawn for. */
+const upstreamCount = 8;
+
+/**
+ * Draws `count` series of silences of sound upstreams that begin between `fromMs` and `toMs`, some
+ * of them beside planned work. They are drawn apart from other faults, like limits.
+ */
+export function randomMutes(
+  random: Random,
+  { fromMs, toMs, count }: Omit<RandomFaultOptions, 'minDiskLossGapMs'>,
+): readonly TimedFault[] {
+  return Array.from({ length: count }, () => {
+    const startMs = between(random, fromMs, toMs);
+    const work = pick(random, plannedWork);
+    const series = muteSeries(random, startMs, toMs);
+    return work ? [...series, { atMs: startMs, fault: work }] : series;
+  }).flat();
+}
+
+/** One to four silences, one after the other, that begin up to `toMs`. */
+function muteSeries(random: Random, startMs: Millis, toMs: Millis): readonly TimedFault[] {
+  const share = pick(random, [0.2, 0.5, 1]);
+  const series: TimedFault[] = [];
+  let atMs = startMs;
+  for (let left = between(random, 1, 4); left > 0 && atMs <= toMs; left -= 1) {
+    const all = Array.from({ length: upstreamCount }, (_, i) => i);
+    const indexes = all.filter(() => random.next() < share);
+    const forMs = between(random, 400, 1600);
+    series.push({ atMs, fault: { kind: 'mute', indexes, accepts: random.next() < 0.6, forMs } });
+    atMs += forMs + between(random, 300, 1200);
+  }
+  return series;
+}
+
 /** All kinds of faults; the last two lose a disk. */
 const faultKinds = [
   'kill',
--- a/packages/soak/src/program.ts
+++ b/packages/soak/src/program.ts
@@ -116,6 +116,11 @@
     clearTimeout(timer);
   }
 
+  /** Tells the process that its settings may have changed. */
+  reload(): void {
+    this.process?.kill('SIGHUP');
+  }
+
   pause(): void {
     this.process?.kill('SIGSTOP');
   }
--- a/packages/soak/src/shim.ts
+++ b/packages/soak/src/shim.ts
@@ -21,9 +21,11 @@
   /** Addresses to which connections cannot be opened, and what becomes of the attempts. */
   readonly unreachable?:
     { readonly addresses: readonly string[]; readonly how: 'hang' | 'refuse' } | undefined;
+  /** Addresses that accept no connection at present; attempts go on once they do. */
+  readonly unaccepting?: readonly string[];
 }
 
-/** Interval at which the control file is read, in milliseconds. */
+/** Interval at which the control file is read, and held connections are tried, in milliseconds. */
 const pollMs = 50;
 
 const path = process.env.SOAK_CONTROL ?? '';
@@ -62,7 +64,15 @@
   ...args: unknown[]
 ) {
   const options = (Array.isArray(args[0]) ? args[0][0] : args[0]) as ConnectTarget;
-  const { unreachable } = faults;
+  const { unreachable, unaccepting } = faults;
+  if (unaccepting?.includes(options.host ?? '')) {
+    this.connecting = true;
+    const retry = () => {
+      if (!this.destroyed) this.connect(...(args as [never]));
+    };
+    setTimeout(retry, pollMs).unref();
+    return this;
+  }
   if (unreachable?.addresses.includes(options.host ?? '')) {
     if (unreachable.how === 'hang') {
       this.connecting = true;
