--- a/packages/fleet/src/liveness.ts
+++ b/packages/fleet/src/liveness.ts
@@ -44,9 +44,11 @@
 const maxMissedHeartbeats = 3.2;
 const maxMissedWhenSuspected = 1.5;
 
-/** Suspicions closer together than this count as one failure, or one silence. */
+/** Suspicions closer together than this count as one failure. */
 const sameFailureMs: Millis = 700;
-const sameSilenceMs: Millis = 1500;
+
+/** For so long a sound upstream may be silent, and then go on. */
+const longestSoundSilenceMs: Millis = 1500;
 
 /** The last report of an entry. */
 interface EntrySeen {
@@ -153,7 +155,8 @@
   isLost({ id, born }: UpstreamRecord): boolean {
     const { heartbeatMs } = this;
     const silentMs = this.silentMsOf(id);
-    if (silentMs > heartbeatMs * maxMissedHeartbeats) return true;
+    const soundSilentMs = heartbeatMs + longestSoundSilenceMs;
+    if (silentMs > Math.max(heartbeatMs * maxMissedHeartbeats, soundSilentMs)) return true;
     if (this.isOutlier(id, born)) return true;
     const { unreached } = this.reportersOf(id, born);
     if (unreached.size >= reportersForLoss) return true;
@@ -298,7 +301,9 @@
         reporters,
         unreached,
         failureTimes: isSilent ? failureTimes : withTime(failureTimes, at, now, sameFailureMs),
-        silenceTimes: isSilent ? withTime(silenceTimes, at, now, sameSilenceMs) : silenceTimes,
+        silenceTimes: isSilent
+          ? withTime(silenceTimes, at, now, longestSoundSilenceMs)
+          : silenceTimes,
       });
       if (!isKnown || (isNewReporter && reporters.size <= reportersForLoss)) changed = true;
     }
