Acknowledge what a voter knows to be committed without asking the leader

Cause: an operator leaves a call after a second, and sends it again to another voter. Each of these calls asked the leader twice, for a barrier and for the word that the entries have the document, though the document is long committed and the called voter has applied it. Where the leader is busy, either takes most of a second or more, so that each call is late, for as long as the load lasts. This is a way to no acknowledgement for over 6 s while the voters are stable.

Change: what a voter has applied is committed. `CommitTimes` keeps since when a voter knows the latest documents to be committed, which is never before their commit; `submit` of a version that is not newer than the voter's own is acknowledged 0.7 s after that time, or once the leader says that the entries have it. This is the rule of decision 0080 and of `spec/rollout.pml`; who states it is open there. The acknowledgement names the version that this voter knows; reads go by a barrier as before.

The test of an order that is sent again moves there from `start.test.ts`; it now sends it a second after the first call, as operators do, with the same bound, as another voter learns of the commit up to a heartbeat later.

--- a/packages/fleet/src/control.ts
+++ b/packages/fleet/src/control.ts
@@ -198,9 +198,15 @@
 
   /**
    * Puts a validated document in force; returns the version in force afterwards, once entries that
-   * lack it cannot answer for long; see `Rollout`.
+   * lack it cannot answer for long; see `Rollout`. One that this node knows to be committed, as an
+   * operator sends it again, needs no word of the leader.
    */
   async submit(document: Document): Promise<Result<number, NoLeader>> {
+    const committed = this.voter.state.document.version;
+    if (document.version <= committed) {
+      await this.awaitAdoption(committed);
+      return ok(committed);
+    }
     const reply = await this.client.call('submit', document, forwardTimeoutMs);
     if (reply.isErr()) return err(reply.error);
     if (reply.value.kind !== 'accepted') {
@@ -212,15 +218,15 @@
   }
 
   /**
-   * Waits until the leader says that the entries have a committed version, or for the time that
-   * suffices without its word.
+   * Waits until the leader says that the entries have a committed version, or until its commit is so
+   * long ago that its word is not needed.
    */
   private async awaitAdoption(version: number): Promise<void> {
+    const waitMs = adoptionWaitMs - this.voter.commitTimes.ageMsOf(version);
+    if (waitMs <= 0) return;
     const stop = new AbortController();
-    const elapsed = this.o.clock.sleep(adoptionWaitMs, stop.signal);
-    const asked = this.client.call('adoption', { version }, adoptionWaitMs, {
-      holdMs: adoptionWaitMs,
-    });
+    const elapsed = this.o.clock.sleep(waitMs, stop.signal);
+    const asked = this.client.call('adoption', { version }, waitMs, { holdMs: waitMs });
     await Promise.race([elapsed, asked.then((reply) => (reply.isOk() ? undefined : elapsed))]);
     stop.abort(waitEnded);
   }
@@ -403,9 +409,7 @@
     const proposed = await voter.propose({ kind: 'document', version, base: base.version, delta });
     if (proposed.isErr()) return this.unavailable(proposed.error.kind);
     if (proposed.value.kind === 'base-differs') return this.unavailable('the base has changed');
-    const inForce = voter.state.document.version;
-    this.currentTerm()?.rollout.recordCommit(inForce);
-    return { kind: 'accepted', inForce };
+    return { kind: 'accepted', inForce: voter.state.document.version };
   }
 
   /** Confirms that this node still leads, and so that `inForce` is the version in force. */
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -5,6 +5,7 @@
 export * from './bulletin.js';
 export * from './latereplies.js';
 export * from './leaderclient.js';
+export * from './committimes.js';
 export * from './voter.js';
 export * from './membership.js';
 export * from './registry.js';
--- a/packages/fleet/src/leaderterm.ts
+++ b/packages/fleet/src/leaderterm.ts
@@ -70,7 +70,6 @@
       logger: o.logger.part('rollout'),
       leaseMs: o.entryLeaseMs,
     });
-    this.rollout.recordCommit(voter.state.document.version);
     this.replies = ReplyStatistics.create(clock, o.logger.part('replies'));
     this.liveness = Liveness.create(clock, o.heartbeatMs);
     const { liveness } = this;
--- a/packages/fleet/src/rollout.ts
+++ b/packages/fleet/src/rollout.ts
@@ -35,9 +35,6 @@
   return Math.min(leaseMs, revokeMs * revocationShare);
 }
 
-/** Number of documents whose commit times are kept; operators repeat recent orders only. */
-const maxCommitTimes = 8;
-
 /** What is known of an entry. */
 interface EntryState {
   /** The version of its document, as of its last call. */
@@ -57,8 +54,6 @@
 export class Rollout {
   private readonly startedAt: Millis;
   private readonly entries = new Map<NodeId, EntryState>();
-  /** Since when the latest documents are known to be committed, by version. */
-  private readonly committedAt = new Map<number, Millis>();
   /** Signals that an entry has received a document. */
   private readonly adopted = Bell.create();
 
@@ -87,24 +82,11 @@
     if (known) this.entries.set(to, { ...known, at: this.o.clock.now() });
   }
 
-  /** Notes that a document is committed; the wait for its adoption counts from the first note. */
-  recordCommit(version: number): void {
-    if (this.committedAt.has(version)) return;
-    this.committedAt.set(version, this.o.clock.now());
-    const [oldest] = this.committedAt.keys();
-    if (this.committedAt.size > maxCommitTimes) this.committedAt.delete(oldest!);
-  }
-
-  /**
-   * Waits until the entries have `version`, which is committed, or until `adoptionWaitMs` after its
-   * commit. An order that is sent again, as its first acknowledgement was late, waits for the rest
-   * only: it would be late each time otherwise.
-   */
+  /** Waits until the entries have `version`, which is committed; for `adoptionWaitMs` at most. */
   async wait(version: number): Promise<void> {
     const { clock, logger } = this.o;
-    this.recordCommit(version);
     const since = clock.now();
-    const until = this.committedAt.get(version)! + adoptionWaitMs;
+    const until = since + adoptionWaitMs;
     while (!this.isAdopted(version) && clock.now() < until) {
       await this.adopted.waitUpTo(until - clock.now(), clock);
     }
--- a/packages/fleet/src/voter.ts
+++ b/packages/fleet/src/voter.ts
@@ -9,6 +9,7 @@
 import type { Transport } from '@tanagercart/protocol';
 import { decodeOutcome, encodeCommand } from './command.js';
 import type { Command, Outcome } from './command.js';
+import { CommitTimes } from './committimes.js';
 import { FleetState } from './state.js';
 
 /** Delay before a failed disk is opened again. */
@@ -52,10 +53,14 @@
 export class Voter {
   /** Signals each change of the state. */
   readonly changed = Bell.create();
+  /** Since when this node knows documents to be committed. */
+  readonly commitTimes: CommitTimes;
   private currentState = FleetState.create();
   private log: Raft | undefined;
 
-  private constructor(private readonly o: VoterOptions) {}
+  private constructor(private readonly o: VoterOptions) {
+    this.commitTimes = CommitTimes.create(o.clock);
+  }
 
   static create(options: VoterOptions): Voter {
     return new Voter(options);
@@ -137,7 +142,10 @@
     const { hardState, lastIndex } = store.value;
     logger.info('Opened the data folder.', { term: hardState.term, lastIndex });
     const state = FleetState.create();
-    state.onChange = () => this.changed.ring();
+    state.onChange = () => {
+      this.commitTimes.record(state.document.version);
+      this.changed.ring();
+    };
     this.currentState = state;
     const limits = { ...defaultLimits, snapshotEveryBytes: segmentBytes };
     this.log = Raft.create({
