--- a/packages/relay/test/sidebyside.test.ts
+++ b/packages/relay/test/sidebyside.test.ts
@@ -114,17 +114,15 @@
 
 /** Sends events 0..1, is silent until `untilMs`, sends event 2, and then breaks off. */
 function silentThenBreaks(clock: HeldClock, untilMs: Millis, thenMs: Millis): Send {
-  return async (_, stop) =>
-    streamOf(
-      (async function* body() {
-        yield Buffer.from(events(0, 1));
-        await clock.sleep(untilMs - clock.now(), stop);
-        if (stop.aborted) throw new Error('cancelled');
-        yield Buffer.from(events(2, 2));
-        if (thenMs > 0) await clock.sleep(thenMs, stop);
-        throw new Error('cut');
-      })(),
-    );
+  async function* body(stop: AbortSignal) {
+    yield Buffer.from(events(0, 1));
+    await clock.sleep(untilMs - clock.now(), stop);
+    if (stop.aborted) throw new Error('cancelled');
+    yield Buffer.from(events(2, 2));
+    if (thenMs > 0) await clock.sleep(thenMs, stop);
+    throw new Error('cut');
+  }
+  return async (_, stop) => streamOf(body(stop));
 }
 
 const rest: Send = async ({ lastEvent = -1 }) => ok(responseOf(200, [events(lastEvent + 1, 9)]));
