--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -18,30 +18,21 @@
 import { decideRetry } from './retry.js';
 import type { Failure } from './retry.js';
 import { SilenceWatch } from './silence.js';
-import type { Silence, SilenceTimeouts } from './silence.js';
+import type { Silence } from './silence.js';
+import { silenceTimeoutsFor } from './silencetimeouts.js';
 import { CrashWatch } from './crashwatch.js';
+import { forwardResponse } from './forwarding.js';
+import type { RequestState } from './requeststate.js';
 import { fingerprintOf, sharedPartsOf } from './quarantine.js';
 import type { Quarantine } from './quarantine.js';
 import { StreamDelivery } from './stream.js';
 import type { Balancer, NoTarget, Target } from './balancer.js';
 import { LogRateLimit, RequestLog } from './requestlog.js';
-import { failureOf, readResponse, sendResponse } from './outcome.js';
-import type { AttemptOutcome, CompleteResponse } from './outcome.js';
+import { failureOf, sendResponse } from './outcome.js';
+import type { AttemptOutcome } from './outcome.js';
 import { maxPermitWaitMs } from './permitwait.js';
 import type { UpstreamClient, UpstreamResponse } from './upstream.js';
 
-/** Fraction of the remaining time after which another attempt runs beside an unanswered one. */
-const responseTimeoutRatio = 0.5;
-
-/** A stream without a first event is tried elsewhere as well after this multiple of its objective. */
-const firstEventTimeoutFactor = 4;
-
-/** A stream without an event for this long is tried elsewhere as well, before its caller disconnects. */
-const maxGapMs: Millis = 1900;
-
-/** Fraction of its objective after which the upstream of a silent stream is probed. */
-const probeDelayRatio = 0.6;
-
 /**
  * Mean retry-after time of refused requests, before jitter and in addition to the time until an
  * upstream accepts requests again.
@@ -68,24 +59,6 @@
   readonly availability: Availability;
 }
 
-/** State of one request over all of its attempts. */
-interface RequestState {
-  readonly call: Call;
-  readonly caller: Caller;
-  readonly attempts: Attempts;
-  /** Time at which the request ends. */
-  readonly deadline: Millis;
-  /** Upstreams that caused an attempt to fail; the request is not sent to them again. */
-  readonly excluded: Set<UpstreamId>;
-  /** Undefined where the response is not a stream. */
-  readonly delivery: StreamDelivery | undefined;
-  readonly log: RequestLog;
-  /** The last complete error response; sent to the caller where no attempt succeeds. */
-  errorResponse: CompleteResponse | undefined;
-  /** Whether an upstream crashed under the request when it, or a part, was suspected before. */
-  mayCrashAgain: boolean;
-}
-
 /** Serves the requests of callers from upstreams. */
 export class Relay {
   private readonly logRateLimit: LogRateLimit;
@@ -433,6 +406,11 @@
   }
 }
 
+/** Whether no upstream but this one and earlier ones may run the request. */
+function isLastUpstream({ call, attempts }: RequestState, upstream: UpstreamId): boolean {
+  return new Set([...attempts.mayHaveRun, upstream]).size >= call.route.maxAttempts;
+}
+
 /** The failure that news is, for a request that is not yet answered. */
 function failureIn(news: AttemptNews): Failure {
   return news.kind === 'ended' && news.outcome.kind === 'failed' ? news.outcome.failure : 'silent';
@@ -446,71 +424,3 @@
   }
   return isCancelled ? { kind: 'cancelled' } : received;
 }
-
-/**
- * How long an attempt may go without an event before the request is tried elsewhere as well. There
- * is no limit where the request may not run again or where no other upstream may run it (`isLast`);
- * a stream is still probed in the latter case, as its upstream may be gone.
- */
-export function silenceTimeoutsFor(
-  call: Call,
-  remainingMs: Millis,
-  isLast: boolean,
-): SilenceTimeouts {
-  if (!isRepeatable(call)) return { firstEventMs: Infinity, gapMs: Infinity, probeMs: undefined };
-  const { latencyTargetMs, maxEventGapMs } = call.route;
-  const probeMs = Math.min(latencyTargetMs * probeDelayRatio, (maxEventGapMs ?? Infinity) * 1.5);
-  if (isLast) {
-    return {
-      firstEventMs: Infinity,
-      gapMs: Infinity,
-      probeMs: isStream(call) ? probeMs : undefined,
-    };
-  }
-  if (!isStream(call)) {
-    const ms = remainingMs * responseTimeoutRatio;
-    return { firstEventMs: ms, gapMs: ms, probeMs: undefined };
-  }
-  const firstEventMs = Math.min(remainingMs, latencyTargetMs * firstEventTimeoutFactor);
-  return { firstEventMs, gapMs: maxGapMs, probeMs };
-}
-
-/** Whether no upstream but this one and earlier ones may run the request. */
-function isLastUpstream({ call, attempts }: RequestState, upstream: UpstreamId): boolean {
-  return new Set([...attempts.mayHaveRun, upstream]).size >= call.route.maxAttempts;
-}
-
-/**
- * Forwards a response to the caller. An error response to a repeatable request is not forwarded, as
- * another attempt may succeed; nor is one after a stream has begun, of which it is no part.
- */
-async function forwardResponse(
-  state: RequestState,
-  attempt: RunningAttempt,
-  response: UpstreamResponse,
-  onEvents: (count: number) => void,
-): Promise<AttemptOutcome> {
-  const { call, caller, delivery, attempts } = state;
-  const { status } = response.head;
-  const { signal } = attempt.stop;
-  if (response.notices.notRun) {
-    return { kind: 'failed', failure: 'not-run', detail: `status ${status}` };
-  }
-  attempt.recordRun();
-  if (delivery && status === 200) {
-    const outcome = await delivery.forward(response, onEvents, signal);
-    if (outcome === 'complete') return { kind: 'delivered' };
-    return { kind: 'failed', failure: 'broken', detail: 'the stream broke off' };
-  }
-  if (delivery?.started) return { kind: 'failed', failure: 'failed', detail: `status ${status}` };
-  const complete = await readResponse(response);
-  if (!complete) return { kind: 'failed', failure: 'broken', detail: 'the answer broke off' };
-  if (status >= 500 && isRepeatable(call)) {
-    return { kind: 'failed', failure: 'failed', detail: `status ${status}`, response: complete };
-  }
-  if (signal.aborted) return { kind: 'cancelled' };
-  if (delivery?.started) return { kind: 'failed', failure: 'failed', detail: `status ${status}` };
-  attempts.choose(attempt);
-  sendResponse(complete, caller);
-  return { kind: 'delivered' };
-}
--- /dev/null
+++ b/packages/relay/src/requeststate.ts
@@ -0,0 +1,26 @@
+/** What is kept of one request over all of its attempts. */
+
+import type { Millis, UpstreamId } from '@tanagercart/base';
+import type { Attempts } from './attempts.js';
+import type { Call, Caller } from './call.js';
+import type { CompleteResponse } from './outcome.js';
+import type { RequestLog } from './requestlog.js';
+import type { StreamDelivery } from './stream.js';
+
+/** State of one request over all of its attempts. */
+export interface RequestState {
+  readonly call: Call;
+  readonly caller: Caller;
+  readonly attempts: Attempts;
+  /** Time at which the request ends. */
+  readonly deadline: Millis;
+  /** Upstreams that caused an attempt to fail; the request is not sent to them again. */
+  readonly excluded: Set<UpstreamId>;
+  /** Undefined where the response is not a stream. */
+  readonly delivery: StreamDelivery | undefined;
+  readonly log: RequestLog;
+  /** The last complete error response; sent to the caller where no attempt succeeds. */
+  errorResponse: CompleteResponse | undefined;
+  /** Whether an upstream crashed under the request when it, or a part, was suspected before. */
+  mayCrashAgain: boolean;
+}
