--- a/packages/fleet/src/control.ts
+++ b/packages/fleet/src/control.ts
@@ -425,9 +425,15 @@
     return { kind: 'adopted' };
   }
 
+  /**
+   * Answers by the state that this node has applied: while it holds the lease no other node can have
+   * committed anything. Without the lease it asks the other voters.
+   */
   private async handleRead(knownVersion: number): Promise<ReadReply> {
-    const proposed = await this.voter.propose({ kind: 'barrier' });
-    if (proposed.isErr()) return this.unavailable(proposed.error.kind);
+    if (!this.voter.isLeader) {
+      const proposed = await this.voter.propose({ kind: 'barrier' });
+      if (proposed.isErr()) return this.unavailable(proposed.error.kind);
+    }
     const { version, text } = this.voter.state.document;
     return { kind: 'document', version, text: version === knownVersion ? undefined : text };
   }
