Start the calls of peers in slices, so that a busy node accepts others

Cause: Node 20 (libuv 1.46) accepts one new connection in each turn of the event loop. A node with many calls to carry out has long turns, and peers that connect meanwhile wait for as many turns as there are others before them. A connection counts as open for its peer long before: the call is sent, times out, and the peer closes a connection that never got an answer, connects again and is last once more.

Those that were looked at called the leader again and again and got no reply within 5.5 s, while its own statistics show no reply that took longer than 1.7 s from the arrival of its call. That accepting is the reason there has not been shown.

Change: a node starts the calls that it has received for 10 ms in each turn and leaves the rest to the next, in the order of arrival.

Decoding frames, and work that a handler does later, still lengthen a turn; HTTP servers have the same limit and are unchanged.

--- a/packages/protocol/src/tcp.ts
+++ b/packages/protocol/src/tcp.ts
@@ -7,6 +7,7 @@
 import { startTimer, waitEnded } from '@tanagercart/base';
 import type { Clock, Logger, NodeId } from '@tanagercart/base';
 import { parseHostPort } from './address.js';
+import { CallQueue } from './callqueue.js';
 import type { CallOf, ExchangeKind, ReplyOf } from './message.js';
 import type { CallError, CallHandler, CallOptions, Transport } from './transport.js';
 import { decodeFrames, encodeFrame } from './frame.js';
@@ -65,12 +66,16 @@
   private readonly handlers = new Map<ExchangeKind, CallHandler<ExchangeKind>>();
   private readonly connections = new Map<NodeId, Promise<Result<Connection, CallError>>>();
   private readonly sockets = new Set<Socket>();
+  /** Calls of peers that are not started yet. */
+  private readonly calls: CallQueue;
   private server: Server | undefined;
   private seq = 0;
   /** Bytes and frames sent, for measurements. */
   readonly traffic = { sentBytes: 0, sentFrames: 0 };
 
-  private constructor(private readonly options: TcpOptions) {}
+  private constructor(private readonly options: TcpOptions) {
+    this.calls = CallQueue.create(() => options.clock.now());
+  }
 
   static create(options: TcpOptions): TcpTransport {
     return new TcpTransport(options);
@@ -233,7 +238,11 @@
           from = frame.from;
         }
         if (frame.t === 'call' && from) {
-          void this.handleCall(socket, from, frame.seq, frame.kind, frame.body);
+          const { seq, kind, body } = frame;
+          const caller = from;
+          this.calls.add(() => {
+            void this.handleCall(socket, caller, seq, kind, body);
+          });
         }
       }
     } catch {
