Let a call that is given up lose no other call on its connection

Each search asks the leader again and again, and each of its calls ends as `lost` after 10 to 250 ms, though the leader leads from 41.4 s on: the connection is gone under it.

Cause: a call that was given up closed its connection if no frame had arrived since it was sent, and all other calls on that connection were lost with it. Not only a timeout did so, also a call that was cancelled a few milliseconds after it was sent, as its search had found an answer elsewhere. A node that is busy for a fraction of a second thus lost the calls of all its peers; they connected again and asked again.

Ruled out: the accept queue alone; calls were lost on connections that stood.

Change: a connection that was silent during a call's whole timeout is retired: later calls open another one, and it is closed once no call is pending on it. A cancelled call says nothing about its connection. One that is cancelled while its connection opens is not sent; it was waited for before.

--- a/packages/protocol/src/tcp.ts
+++ b/packages/protocol/src/tcp.ts
@@ -42,11 +42,14 @@
 
 /** An open connection to a peer, for calls of this node. */
 interface Connection {
+  readonly to: NodeId;
   readonly socket: Socket;
   /** Time of the last received frame, by the clock in the options. */
   lastFrameAt: number;
   /** Calls without a reply yet, by sequence number. */
   readonly pending: Map<number, ReplyCallback>;
+  /** Whether later calls go over another connection; it is closed once no call is pending. */
+  isRetired: boolean;
 }
 
 /** Dependencies and settings of `TcpTransport`. */
@@ -142,23 +145,35 @@
       const stop = new AbortController();
       const finish = (result: Result<unknown, CallError>) => {
         if (!connection.pending.delete(seq)) return;
+        if (connection.isRetired && connection.pending.size === 0) connection.socket.destroy();
         stop.abort(waitEnded);
         resolve(result as Result<ReplyOf<K>, CallError>);
       };
       connection.pending.set(seq, finish);
-      const giveUp = () => {
-        if (stop.signal.aborted) return;
-        // A connection that received no frame since the call was sent may be dead without a reset.
-        // It is closed, so that the next call opens another.
-        if (connection.lastFrameAt < sentAt) connection.socket.destroy();
-        finish(err({ kind: 'timeout' }));
-      };
+      const giveUp = () => finish(err({ kind: 'timeout' }));
+      if (options.signal?.aborted) {
+        giveUp();
+        return;
+      }
       options.signal?.addEventListener('abort', giveUp, { once: true, signal: stop.signal });
-      void clock.sleep(options.timeoutMs, stop.signal).then(giveUp);
+      void clock.sleep(options.timeoutMs, stop.signal).then(() => {
+        if (stop.signal.aborted) return;
+        // A connection that received no frame since the call was sent may be dead without a reset,
+        // or its node is busy: other calls may still be answered.
+        if (connection.lastFrameAt < sentAt) this.retire(connection);
+        giveUp();
+      });
       this.send(connection.socket, { t: 'call', seq, kind, body: call });
     });
   }
 
+  /** Lets later calls open another connection. */
+  private retire(connection: Connection): void {
+    if (connection.isRetired) return;
+    connection.isRetired = true;
+    this.connections.delete(connection.to);
+  }
+
   private connectionTo(to: NodeId): Promise<Result<Connection, CallError>> {
     const existing = this.connections.get(to);
     if (existing) return existing;
@@ -188,13 +203,15 @@
       socket.once('connect', () => {
         cancelTimeout();
         const connection: Connection = {
+          to,
           socket,
+          isRetired: false,
           pending: new Map(),
           lastFrameAt: this.options.clock.now(),
         };
 
         this.sendHello(socket);
-        void this.readReplies(to, connection);
+        void this.readReplies(connection);
         resolve(ok(connection));
       });
     });
@@ -205,7 +222,7 @@
     this.send(socket, { t: 'hello', version: protocolVersion, cluster, from: self });
   }
 
-  private async readReplies(to: NodeId, connection: Connection): Promise<void> {
+  private async readReplies(connection: Connection): Promise<void> {
     this.sockets.add(connection.socket);
     try {
       for await (const frame of decodeFrames<Frame>(connection.socket)) {
@@ -218,11 +235,11 @@
     } catch {
       // The connection broke. The pending calls fail below.
     }
-    this.connections.delete(to);
+    if (!connection.isRetired) this.connections.delete(connection.to);
     this.sockets.delete(connection.socket);
     connection.socket.destroy();
     for (const callback of [...connection.pending.values()]) {
-      callback(err({ kind: 'lost', detail: `connection to ${to} closed` }));
+      callback(err({ kind: 'lost', detail: `connection to ${connection.to} closed` }));
     }
   }
 
