--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -256,7 +256,8 @@
     if (failure === 'unreachable') return true;
     const granted = this.o.budget.tryAcquire(call.service.id);
     const reason = failure;
-    this.o.metrics.count(granted ? 'request.retried' : 'request.retry-refused', { reason });
+    if (granted) this.o.metrics.count('request.retried', { reason });
+    else this.o.metrics.count('request.retry-refused', { reason });
     if (!granted) log.info('No budget for another attempt.', { reason });
     return granted;
   }
