Use the pieces that are there: the bell, one bound on silence, one on tunnels

Behaviour stays as it is.

- `Attempts` had a wake-up of its own; `Bell` does the same.
Its attempts are cancelled by the stop signal alone, so `end` only waits and is named `join`.
- How long a sound upstream may be silent stood in relay/health and in fleet/liveness; relay takes it from fleet now.
- That peers wait longer for a tunnel than its server for the target was told by a comment; the peer's time is derived from the server's now (150 and 200 ms, as before).
- A second look at `started` in the forwarding of a response was dead: an attempt is cancelled when another one begins to serve the caller.

--- a/packages/fleet/src/liveness.ts
+++ b/packages/fleet/src/liveness.ts
@@ -48,7 +48,7 @@
 const sameFailureMs: Millis = 700;
 
 /** For so long a sound upstream may be silent, and then go on. */
-const longestSoundSilenceMs: Millis = 1500;
+export const longestSoundSilenceMs: Millis = 1500;
 
 /** The last report of an entry. */
 interface EntrySeen {
--- a/packages/protocol/src/tunnel.ts
+++ b/packages/protocol/src/tunnel.ts
@@ -14,10 +14,10 @@
 import type { HostPort } from './address.js';
 
 /**
- * Time for the server of a tunnel to connect to the target, in milliseconds. It is shorter than the
- * 200 ms for which peers wait, so that they can tell a silent target from a silent server.
+ * Time for the server of a tunnel to connect to the target, in milliseconds. Peers wait for longer, so
+ * that they can tell a silent target from a silent server.
  */
-const targetTimeoutMs = 150;
+export const tunnelTargetTimeoutMs = 150;
 
 /** Silence after which the operating system probes both connections of a tunnel. */
 const keepAliveMs = 2000;
@@ -79,7 +79,9 @@
       return;
     }
     const upstream = createConnection({ host, port, noDelay: true, allowHalfOpen: true });
-    const cancelTimeout = startTimer(targetTimeoutMs, () => upstream.destroy(new Error('timeout')));
+    const cancelTimeout = startTimer(tunnelTargetTimeoutMs, () =>
+      upstream.destroy(new Error('timeout')),
+    );
     const fail = () => refuse(client, '502 Bad Gateway');
     upstream.once('error', fail);
     upstream.once('close', cancelTimeout);
--- a/packages/relay/src/attempts.ts
+++ b/packages/relay/src/attempts.ts
@@ -3,6 +3,7 @@
  * first to go on serves the caller, and ends the others.
  */
 
+import { Bell } from '@tanagercart/base';
 import type { Millis, UpstreamId } from '@tanagercart/base';
 import type { UpstreamRecord } from '@tanagercart/protocol';
 import type { Target } from './balancer.js';
@@ -99,12 +100,15 @@
   private readonly started: RunningAttempt[] = [];
   private readonly running = new Map<RunningAttempt, Promise<void>>();
   private readonly news: AttemptNews[] = [];
+  private readonly changed = Bell.create();
   private delivered = false;
   private error: Error | undefined;
-  private wake: (() => void) | undefined;
 
   private constructor(private readonly stop: AbortSignal) {
-    stop.addEventListener('abort', () => this.cancelAll(), { once: true });
+    const cancelAll = () => {
+      for (const attempt of this.running.keys()) attempt.cancel();
+    };
+    stop.addEventListener('abort', cancelAll, { once: true });
   }
 
   /** Attempts that end when `stop` is aborted. */
@@ -161,14 +165,13 @@
       if (this.error) throw this.error;
       const news = this.news.shift();
       if (news && !isOutdated(news)) return news;
-      if (!news) await this.nextPush();
+      if (!news) await this.changed.wait(this.stop);
     }
     return undefined;
   }
 
-  /** Cancels the attempts in progress; resolves once all have ended. */
-  async end(): Promise<void> {
-    this.cancelAll();
+  /** Resolves once all attempts have ended, after `stop` was aborted. */
+  async join(): Promise<void> {
     await Promise.all(this.running.values());
   }
 
@@ -180,25 +183,14 @@
       if (outcome.kind !== 'cancelled') this.push({ kind: 'ended', attempt, outcome });
     } catch (e) {
       this.error = e as Error;
-      this.wake?.();
+      this.changed.ring();
     }
     this.running.delete(attempt);
   }
 
-  private nextPush(): Promise<void> {
-    return new Promise((resolve) => {
-      this.wake = resolve;
-    });
-  }
-
-  private cancelAll(): void {
-    for (const attempt of this.running.keys()) attempt.cancel();
-    this.wake?.();
-  }
-
   private push(news: AttemptNews): void {
     this.news.push(news);
-    this.wake?.();
+    this.changed.ring();
   }
 }
 
--- a/packages/relay/src/connector.ts
+++ b/packages/relay/src/connector.ts
@@ -7,6 +7,7 @@
 import type { Result } from 'neverthrow';
 import { shuffle, waitEnded } from '@tanagercart/base';
 import type { Clock, Logger, Metrics, Millis, NodeId, Random } from '@tanagercart/base';
+import { tunnelTargetTimeoutMs } from '@tanagercart/protocol';
 import type { EntryRecord, TunnelError } from '@tanagercart/protocol';
 import { DirectLinks } from './directlinks.js';
 import type { Way } from './directlinks.js';
@@ -14,8 +15,8 @@
 /** Time for a connection over the own link. */
 export const directTimeoutMs: Millis = 300;
 
-/** Time for a connection over another entry. */
-export const detourTimeoutMs: Millis = 200;
+/** Time for a connection over another entry, which gives up on the upstream before it is over. */
+export const detourTimeoutMs: Millis = tunnelTargetTimeoutMs + 50;
 
 /** Head start of the own link, where it is not known to be broken. */
 const headStartMs: Millis = 100;
--- a/packages/relay/src/crashwatch.ts
+++ b/packages/relay/src/crashwatch.ts
@@ -123,6 +123,7 @@
       if (answeredSince.has(subject)) quarantine.recordAnswer(subject);
     }
   }
+
   /** Asks an upstream until it answers or is known to have ended; silence tells neither. */
   private async isGone(call: Call, upstream: UpstreamRecord): Promise<boolean> {
     const { clock, client, logger } = this.o;
--- a/packages/relay/src/forwarding.ts
+++ b/packages/relay/src/forwarding.ts
@@ -35,8 +35,8 @@
   if (status >= 500 && isRepeatable(call)) {
     return { kind: 'failed', failure: 'failed', detail: `status ${status}`, response: complete };
   }
+  // Another attempt may have been chosen in the meantime.
   if (signal.aborted) return { kind: 'cancelled' };
-  if (delivery?.started) return { kind: 'failed', failure: 'failed', detail: `status ${status}` };
   attempts.choose(attempt);
   sendResponse(complete, caller);
   return { kind: 'delivered' };
--- a/packages/relay/src/health.ts
+++ b/packages/relay/src/health.ts
@@ -4,6 +4,7 @@
  */
 
 import type { Clock, Millis, UpstreamId } from '@tanagercart/base';
+import { longestSoundSilenceMs } from '@tanagercart/fleet';
 import type { Suspicion, UpstreamRecord } from '@tanagercart/protocol';
 
 /** An upstream that failed is avoided for this long; doubles with each consecutive failure. */
@@ -13,9 +14,6 @@
 /** Weight of the newest sample in the exponential moving averages. */
 const smoothingFactor = 0.2;
 
-/** Silences of one upstream closer together than this are one. */
-const sameSilenceMs: Millis = 1500;
-
 /** Failures to reach an upstream are reported to the other entries for this long. */
 const suspicionMs: Millis = 1500;
 
@@ -63,7 +61,9 @@
     const at = this.clock.now();
     const { missed } = stats;
     const isSameSilence =
-      contact === 'silent' && missed?.contact === 'silent' && at - missed.at < sameSilenceMs;
+      contact === 'silent' &&
+      missed?.contact === 'silent' &&
+      at - missed.at < longestSoundSilenceMs;
     stats.failedAt = at;
     if (contact !== 'answered') stats.missed = { at, contact };
     if (isSameSilence) return;
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -109,7 +109,7 @@
       delivered = await this.serveUntil(state, stop);
     } finally {
       stop.abort();
-      await state.attempts.end();
+      await state.attempts.join();
       const tookMs = clock.now() - call.startedAt;
       metrics.observe('request.ms', tookMs, { kind: call.route.kind });
       state.log.end(!delivered || state.attempts.count > 1);
