--- a/review/lib.mjs
+++ b/review/lib.mjs
@@ -615,8 +615,20 @@
 
 /** A client that sends requests at a steady rate to entries that are given. */
 export class Client {
-  constructor(deployment, { path, perSecond = 20, entries, method = 'GET', headers = {} }) {
-    Object.assign(this, { deployment, path, perSecond, method, entries, headers, sent: [] });
+  constructor(
+    deployment,
+    { path, perSecond = 20, entries, method = 'GET', headers = {}, timeoutMs = 4500 },
+  ) {
+    Object.assign(this, {
+      deployment,
+      path,
+      perSecond,
+      method,
+      entries,
+      headers,
+      timeoutMs,
+      sent: [],
+    });
     this.agent = new Agent({ keepAlive: true, timeout: 10_000 });
     this.timer = setInterval(() => {
       void this.sendOne();
@@ -644,7 +656,7 @@
           ...this.headers,
         },
         body: this.method === 'GET' ? undefined : 'an order',
-        timeoutMs: 4500,
+        timeoutMs: this.timeoutMs,
         agent: this.agent,
       });
       request.status = reply.status;
