A sleep never ends before its time

Callers saw a 504 up to a millisecond before their deadline: the log says `Deadline passed.` at 399 ms of 400, and nothing more was tried.

Cause: setTimeout counts in whole milliseconds. It truncates the delay and compares truncated times, so it fires early by up to a millisecond of each against the fractional clock that deadlines are computed by.

startTimer, on which the sleeps of the system clock and the timeouts of connections rest, looks at the clock when it fires and waits for what is left; it rounds delays up, so that this is rarely needed, and bounds them by the longest that setTimeout takes, which would otherwise end after 1 ms.

Shown: before the change, sleeps of 1.3 to 9.99 ms ended early on the system clock, and a timer with mocked time ended at 50.1 ms that was due at 50.5; both tests failed.

--- a/packages/base/src/clock.ts
+++ b/packages/base/src/clock.ts
@@ -40,18 +40,29 @@
 /** A timer that fires later than this is late because the process was held up. */
 const heldUpMs: Millis = 20;
 
+/** Longest delay that `setTimeout` takes; it replaces a longer one by 1 ms. */
+const longestDelayMs: Millis = 2 ** 31 - 1;
+
 /**
- * Calls `onEnd` after `ms`; returns a function that cancels the timer. If the process was held up
+ * Calls `onEnd` after `ms`, and not earlier; returns a function that cancels the timer.
+ * `setTimeout` counts in whole milliseconds and may fire up to one early. If the process was held up
  * until after that time, the input that arrived in the meantime is read first: a reply or a
  * heartbeat that is already there must not be taken for missing.
  */
 export function startTimer(ms: Millis, onEnd: () => void): () => void {
   const dueAt = performance.now() + ms;
   let pending: NodeJS.Immediate | undefined;
-  const timer = setTimeout(() => {
-    if (performance.now() - dueAt > heldUpMs) pending = setImmediate(onEnd);
+  let timer: NodeJS.Timeout | undefined;
+  const fire = () => {
+    const lateMs = performance.now() - dueAt;
+    if (lateMs < 0) wait(-lateMs);
+    else if (lateMs > heldUpMs) pending = setImmediate(onEnd);
     else onEnd();
-  }, ms);
+  };
+  const wait = (forMs: Millis) => {
+    timer = setTimeout(fire, Math.min(Math.ceil(forMs), longestDelayMs));
+  };
+  wait(ms);
   return () => {
     clearTimeout(timer);
     clearImmediate(pending);
