Return a stream to an upstream that was only silent

Callers saw a stream cut, at worst seconds before its deadline, while a sound upstream was ready: one upstream was silent for a second, the stream went on at another one, and this one broke later.

Cause: an upstream that was silent once was excluded for the whole request like one that had failed, even after it had gone on. With two upstreams, or with the route's attempts used up, none was left, and the relay gave up.

Now only failures exclude an upstream. One that was silent is avoided: it gets the request again where no other is left, or once it goes on. While the silent attempt is still in progress, no other one is started at the same upstream, so that no request runs more often than before; the bounds on upstreams, sends and retries are unchanged.

Shown in held time: 'a stream returns to an upstream that was silent once its other one breaks' got ' broken' after event 4 before the change, and gets all events now. Two tests that passed before keep what must not change: others are preferred, and a silent upstream with an attempt in progress gets no second.

The fixture selectionOf has the new fields of Selection; no test changed.

--- a/packages/relay/src/attempts.ts
+++ b/packages/relay/src/attempts.ts
@@ -136,6 +136,11 @@
     return new Set(this.started.filter((a) => a.mayHaveRun).map((a) => a.target.upstream.id));
   }
 
+  /** Whether a silence of an attempt in progress is held against the upstream. */
+  isBlamed({ id }: UpstreamRecord): boolean {
+    return [...this.running.keys()].some((a) => !a.isCancelled && a.blamed?.id === id);
+  }
+
   /** Starts an attempt; its outcome is news, unless it was cancelled before. */
   start(
     target: Target,
--- a/packages/relay/src/balancer.ts
+++ b/packages/relay/src/balancer.ts
@@ -32,8 +32,10 @@
 
 /** The targets that a request may have. */
 export interface Selection {
-  /** Upstreams that take no part in serving it. */
-  readonly excluded: ReadonlySet<UpstreamId>;
+  /** Whether an upstream takes no part in serving it. */
+  readonly isExcluded: (upstream: UpstreamRecord) => boolean;
+  /** Whether an upstream takes part only where no other is left. */
+  readonly isAvoided: (upstream: UpstreamRecord) => boolean;
   /** If set, only these may receive it; later stages of a path are not restricted. */
   readonly receivers: ReadonlySet<UpstreamId> | undefined;
   /** Upstreams that may not receive it, as no permit is free; they may be later stages. */
@@ -78,7 +80,7 @@
   /** The best target for a request. */
   pick(call: Call, selection: Selection): Target | NoTarget {
     const { engine } = call.service;
-    const usable = this.ready(call).filter((u) => !selection.excluded.has(u.id));
+    const usable = this.ready(call).filter((u) => !selection.isExcluded(u));
     const target = engine
       ? this.pickPath(call, engine, usable, selection)
       : this.pickUpstream(usable, selection);
@@ -103,6 +105,11 @@
     return availability.acceptsRequests(upstream);
   }
 
+  /** The current incarnation of an upstream; undefined where it is not known. */
+  upstreamWith(id: UpstreamId): UpstreamRecord | undefined {
+    return this.o.view.upstreams.get(id);
+  }
+
   /** The upstream at an address, unless it is gone. */
   upstreamAt(address: string): UpstreamRecord | undefined {
     return [...this.o.view.upstreams.values()].find(
@@ -115,7 +122,7 @@
     const waitMs = (u: UpstreamRecord) => this.entryWaitMs(u, selection);
     const ready = usable.filter((u) => (receivers?.has(u.id) ?? true) && waitMs(u) !== Infinity);
     const peers = this.peerCount();
-    const best = this.preferHealthy(ready)
+    const best = this.preferHealthy(ready, selection)
       .map((upstream) => ({ upstream, cost: waitMs(upstream) + this.costOf(upstream, peers) }))
       .sort((a, b) => a.cost - b.cost)[0];
     if (!best) return 'no-upstream';
@@ -133,7 +140,7 @@
     const holders = usable.filter((u) => u.layers);
     const work = expectedWork(call, engine);
     const path =
-      this.searchPath(engine, this.preferHealthy(holders), work, selection) ??
+      this.searchPath(engine, this.preferHealthy(holders, selection), work, selection) ??
       this.searchPath(engine, holders, work, selection);
     const first = path?.[0];
     if (!path || !first) return holders.length === 0 ? 'no-upstream' : 'no-path';
@@ -185,11 +192,18 @@
     );
   }
 
-  /** The upstreams that are neither avoided nor suspected; all of them where none is left. */
-  private preferHealthy(upstreams: readonly UpstreamRecord[]): readonly UpstreamRecord[] {
+  /**
+   * The upstreams that are neither avoided nor suspected; else those that the request does not
+   * avoid; all of them where none is left.
+   */
+  private preferHealthy(
+    upstreams: readonly UpstreamRecord[],
+    { isAvoided }: Selection,
+  ): readonly UpstreamRecord[] {
     const { health, isSuspected } = this.o;
-    const healthy = upstreams.filter((u) => !health.isAvoided(u) && !isSuspected(u));
-    return healthy.length > 0 ? healthy : upstreams;
+    const preferred = upstreams.filter((u) => !isAvoided(u));
+    const healthy = preferred.filter((u) => !health.isAvoided(u) && !isSuspected(u));
+    return [healthy, preferred].find((some) => some.length > 0) ?? upstreams;
   }
 
   /** Expected response time in milliseconds, weighted by utilisation, failure rate and distance. */
--- /dev/null
+++ b/packages/relay/src/exclusions.ts
@@ -0,0 +1,39 @@
+/** The upstreams that one request is not sent to again, and those that it avoids. */
+
+import type { UpstreamId } from '@tanagercart/base';
+import type { UpstreamRecord } from '@tanagercart/protocol';
+
+/** What is known of upstreams from the attempts of one request. */
+export class Exclusions {
+  private readonly failed = new Set<UpstreamId>();
+  private readonly silent = new Map<UpstreamId, number>();
+
+  static create(): Exclusions {
+    return new Exclusions();
+  }
+
+  /** Records that an attempt has failed because of an upstream. */
+  recordFailure({ id }: UpstreamRecord): void {
+    this.failed.add(id);
+  }
+
+  /** Records that an upstream was silent, which a sound one may be for a while. */
+  recordSilence({ id, born }: UpstreamRecord): void {
+    this.silent.set(id, born);
+  }
+
+  /** Records that an upstream that was silent goes on. */
+  recordReturn({ id }: UpstreamRecord): void {
+    this.silent.delete(id);
+  }
+
+  /** Whether the request is not sent to the upstream again. */
+  isExcluded({ id }: UpstreamRecord): boolean {
+    return this.failed.has(id);
+  }
+
+  /** Whether the request is sent to the upstream only where no other is left. */
+  isAvoided({ id, born }: UpstreamRecord): boolean {
+    return this.silent.get(id) === born;
+  }
+}
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -22,6 +22,7 @@
 export * from './quarantine.js';
 export * from './fleetquarantine.js';
 export * from './requestlog.js';
+export * from './exclusions.js';
 export * from './requeststate.js';
 export * from './forwarding.js';
 export * from './relay.js';
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -28,6 +28,7 @@
 import { StreamDelivery } from './stream.js';
 import type { Balancer, NoTarget, Target } from './balancer.js';
 import { LogRateLimit, RequestLog } from './requestlog.js';
+import { Exclusions } from './exclusions.js';
 import { failureOf, sendResponse } from './outcome.js';
 import type { AttemptOutcome } from './outcome.js';
 import { maxPermitWaitMs } from './permitwait.js';
@@ -98,7 +99,7 @@
       caller,
       attempts: Attempts.create(stop.signal),
       deadline,
-      excluded: new Set(),
+      exclusions: Exclusions.create(),
       delivery: isStream(call) ? StreamDelivery.create(call, caller, clock) : undefined,
       log: RequestLog.create(logger, clock, this.logRateLimit, call),
       errorResponse: undefined,
@@ -210,17 +211,20 @@
 
   /** Picks a target and waits for the permit to send it the request. */
   private async acquireTarget(state: RequestState, stop: AbortSignal): Promise<Target | NoTarget> {
-    const { call, excluded, attempts } = state;
+    const { call, exclusions, attempts } = state;
     const { balancer, availability } = this.o;
     const maxWaitMs = maxPermitWaitMs(call, state.delivery?.started ?? false);
     const refused = new Set<UpstreamId>();
+    const isExcluded = (u: UpstreamRecord) => isExcludedNow(state, u);
+    const isAvoided = (u: UpstreamRecord) => exclusions.isAvoided(u);
     for (;;) {
       // Once the route's attempts are used up, only upstreams that may have run it get it again.
       const { mayHaveRun } = attempts;
       const attemptsExhausted = mayHaveRun.size >= call.route.maxAttempts;
       const receivers = attemptsExhausted ? mayHaveRun : undefined;
       const withoutPermit = refused.size < maxPermitRefusals ? refused : 'all-limited';
-      const target = balancer.pick(call, { excluded, receivers, withoutPermit, maxWaitMs });
+      const bounds = { receivers, withoutPermit, maxWaitMs } as const;
+      const target = balancer.pick(call, { isExcluded, isAvoided, ...bounds });
       if (typeof target === 'string') return target;
       const { upstream } = target;
       const permit = await availability.acquire(upstream, maxWaitMs, stop);
@@ -234,7 +238,7 @@
 
   /** Whether the request may be sent again. */
   private mayRetry(state: RequestState, news: AttemptNews, failure: Failure): boolean {
-    const { call, attempts, excluded, deadline } = state;
+    const { call, attempts, deadline } = state;
     // The silent upstream may have crashed under the request, and another one would.
     const isSuspected = news.kind === 'silent' && this.crashes.isSuspected(call);
     if (state.mayCrashAgain || isSuspected) return false;
@@ -244,13 +248,19 @@
       repeatable: isRepeatable(call),
       runs: mayHaveRun.size,
       maxAttempts: call.route.maxAttempts,
-      mayRunAgain: [...mayHaveRun].some((id) => !excluded.has(id)),
+      mayRunAgain: [...mayHaveRun].some((id) => this.mayReceive(state, id)),
       sends: attempts.count,
       remainingMs: deadline - this.o.clock.now(),
     });
     return decision === 'retry';
   }
 
+  /** Whether an upstream is still there, and the request may be sent to it again. */
+  private mayReceive(state: RequestState, id: UpstreamId): boolean {
+    const upstream = this.o.balancer.upstreamWith(id);
+    return upstream !== undefined && !isExcludedNow(state, upstream);
+  }
+
   /** Takes a retry from the budget, where the request needs one to be sent again. */
   private acquireRetry({ call, log }: RequestState, failure: Failure): boolean {
     if (failure === 'unreachable') return true;
@@ -337,7 +347,10 @@
         quietMs: Math.round(quietMs),
       });
       this.o.metrics.count('attempt.went-on', { kind: state.call.route.kind });
-      if (attempt.blamed) this.o.health.recordReturn(attempt.blamed);
+      if (attempt.blamed) {
+        this.o.health.recordReturn(attempt.blamed);
+        state.exclusions.recordReturn(attempt.blamed);
+      }
     }
     state.attempts.choose(attempt);
   }
@@ -357,7 +370,7 @@
     if (silence.kind === 'cut-off') return;
     const blamed = this.upstreamAtFault(upstream, address);
     attempt.blame(blamed);
-    state.excluded.add(blamed.id);
+    state.exclusions.recordSilence(blamed);
     this.o.health.recordFailure(blamed, silence.kind === 'overdue' ? 'answered' : 'silent');
   }
 
@@ -402,11 +415,20 @@
     }
     const failed = this.upstreamAtFault(upstream, culprit);
     // One that only did not accept a connection in time may do so a moment later.
-    if (contact !== 'silent') state.excluded.add(failed.id);
+    if (contact === 'silent') state.exclusions.recordSilence(failed);
+    else state.exclusions.recordFailure(failed);
     this.o.health.recordFailure(failed, contact);
   }
 }
 
+/**
+ * Whether a request is not sent to an upstream at present: it has failed for it, or is silent with an
+ * attempt that may go on.
+ */
+function isExcludedNow({ exclusions, attempts }: RequestState, upstream: UpstreamRecord): boolean {
+  return exclusions.isExcluded(upstream) || attempts.isBlamed(upstream);
+}
+
 /** Whether no upstream but this one and earlier ones may run the request. */
 function isLastUpstream({ call, attempts }: RequestState, upstream: UpstreamId): boolean {
   return new Set([...attempts.mayHaveRun, upstream]).size >= call.route.maxAttempts;
--- a/packages/relay/src/requeststate.ts
+++ b/packages/relay/src/requeststate.ts
@@ -1,7 +1,8 @@
 /** What is kept of one request over all of its attempts. */
 
-import type { Millis, UpstreamId } from '@tanagercart/base';
+import type { Millis } from '@tanagercart/base';
 import type { Attempts } from './attempts.js';
+import type { Exclusions } from './exclusions.js';
 import type { Call, Caller } from './call.js';
 import type { CompleteResponse } from './outcome.js';
 import type { RequestLog } from './requestlog.js';
@@ -14,8 +15,7 @@
   readonly attempts: Attempts;
   /** Time at which the request ends. */
   readonly deadline: Millis;
-  /** Upstreams that caused an attempt to fail; the request is not sent to them again. */
-  readonly excluded: Set<UpstreamId>;
+  readonly exclusions: Exclusions;
   /** Undefined where the response is not a stream. */
   readonly delivery: StreamDelivery | undefined;
   readonly log: RequestLog;
--- /dev/null
+++ b/packages/relay/test/comeback.test.ts
@@ -0,0 +1,147 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { err, ok } from 'neverthrow';
+import { HeldClock } from '@tanagercart/base';
+import type { Millis } from '@tanagercart/base';
+import type { Route } from '@tanagercart/config';
+import type { UpstreamRecord } from '@tanagercart/protocol';
+import type { Attempt, Call, ProbeResult, UpstreamClient } from '../src/index.js';
+import {
+  FakeCaller,
+  callOf,
+  events,
+  relayOf,
+  responseOf,
+  routeOf,
+  upstreamOf,
+  viewOf,
+} from './fixtures.js';
+
+type Sent = Awaited<ReturnType<UpstreamClient['send']>>;
+
+/** What an upstream does with an attempt. */
+type Play = (attempt: Attempt, stop: AbortSignal) => Promise<Sent>;
+
+const whole = `200 ${events(0, 9)} ended`;
+
+const gone: Play = async () => err({ kind: 'unreachable', detail: 'refused', isGone: true });
+
+/** Sends the rest of the events. */
+const rest: Play = async ({ lastEvent = -1 }) => ok(responseOf(200, [events(lastEvent + 1, 9)]));
+
+/** Sends `count` events and breaks off. */
+function breaksAfter(count: number): Play {
+  return async ({ lastEvent = -1 }) =>
+    ok(responseOf(200, [events(lastEvent + 1, lastEvent + count)], false, true));
+}
+
+/** Sends the first two events, and the rest once it is no longer silent at `untilMs`. */
+function silentUntil(clock: HeldClock, untilMs: Millis): Play {
+  async function* body(from: number, stop: AbortSignal) {
+    if (from === 0) yield Buffer.from(events(0, 1));
+    if (clock.now() < untilMs) await clock.sleep(untilMs - clock.now(), stop);
+    if (stop.aborted) throw new Error('cancelled');
+    yield Buffer.from(events(Math.max(2, from), 9));
+  }
+  return async ({ lastEvent = -1 }, stop) =>
+    ok({ ...responseOf(200, []), body: body(lastEvent + 1, stop) });
+}
+
+/** Plays the attempts in order; probes of the first receiver are answered from `untilMs` on. */
+class Played implements UpstreamClient {
+  readonly sent: Attempt[] = [];
+
+  constructor(
+    private readonly clock: HeldClock,
+    private readonly plays: Play[],
+    private readonly untilMs: Millis,
+  ) {}
+
+  send(_: Call, attempt: Attempt, stop: AbortSignal): Promise<Sent> {
+    this.sent.push(attempt);
+    return (this.plays.shift() ?? gone)(attempt, stop);
+  }
+
+  async probe(_: Call, { id }: UpstreamRecord): Promise<ProbeResult> {
+    if (id !== this.sent[0]?.upstream.id) return { kind: 'waiting' };
+    await this.clock.sleep(Math.min(500, Math.max(0, this.untilMs - this.clock.now())));
+    if (this.clock.now() >= this.untilMs) return { kind: 'waiting' };
+    return { kind: 'silent', detail: 'no answer in time' };
+  }
+}
+
+/** Serves one resumable stream for at most `forMs`. */
+async function serve(
+  ids: readonly string[],
+  plays: (clock: HeldClock) => Play[],
+  {
+    untilMs = 0,
+    forMs = 6000,
+    route = {},
+  }: {
+    untilMs?: Millis;
+    forMs?: Millis;
+    route?: Partial<Route>;
+  } = {},
+) {
+  const clock = HeldClock.create();
+  const client = new Played(clock, plays(clock), untilMs);
+  const upstreams = ids.map((id) => upstreamOf(id));
+  const view = viewOf(clock, upstreams);
+  const { relay } = relayOf({ clock, client, view });
+  const caller = new FakeCaller();
+  const times = { latencyTargetMs: 500, timeoutMs: 20_000 };
+  const call = callOf('resumable-stream', {
+    route: routeOf('resumable-stream', { ...times, ...route }),
+  });
+  void relay.serve(call, caller);
+  for (let ms = 0; ms < forMs; ms += 10) {
+    await clock.advance(10);
+  }
+  return { caller, sent: client.sent.map((a) => a.upstream.id) };
+}
+
+test('a stream returns to an upstream that was silent once its other one breaks', async () => {
+  for (const [breakMs, untilMs] of [
+    [1000, 1200],
+    [0, 1200],
+    [1000, 3000],
+  ] as const) {
+    const { caller, sent } = await serve(
+      ['one', 'two'],
+      (clock) => [
+        silentUntil(clock, untilMs),
+        async (attempt, stop) => {
+          async function* body() {
+            yield Buffer.from(events(2, 4));
+            await clock.sleep(breakMs, stop);
+            throw new Error('cut');
+          }
+          assert.equal(attempt.lastEvent, 1);
+          return ok({ ...responseOf(200, []), body: body() });
+        },
+        silentUntil(clock, untilMs),
+      ],
+      { untilMs },
+    );
+    assert.equal(caller.received, whole, `breaks after ${breakMs} ms, silent until ${untilMs} ms`);
+    assert.equal(sent[2], sent[0]);
+  }
+});
+
+test('a stream prefers an upstream that was not silent for it', async () => {
+  const { caller, sent } = await serve(
+    ['one', 'two', 'three'],
+    (clock) => [silentUntil(clock, 60_000), breaksAfter(2), rest],
+    { untilMs: 60_000, route: { maxAttempts: 3 } },
+  );
+  assert.equal(caller.received, whole);
+  assert.equal(new Set(sent).size, 3);
+});
+
+test('a stream is sent to no upstream that is silent with it at the time', async () => {
+  const { sent } = await serve(['one'], (clock) => [silentUntil(clock, 60_000), rest], {
+    untilMs: 60_000,
+  });
+  assert.equal(sent.length, 1);
+});
--- a/packages/relay/test/fixtures.ts
+++ b/packages/relay/test/fixtures.ts
@@ -78,7 +78,8 @@
 export function selectionOf(overrides: Partial<Selection> = {}): Selection {
   const none = new Set<UpstreamId>();
   return {
-    excluded: none,
+    isExcluded: () => false,
+    isAvoided: () => false,
     receivers: undefined,
     withoutPermit: none,
     maxWaitMs: Infinity,
