Return a stream to an upstream that has restarted

Callers saw a stream cut while a sound upstream was ready: an upstream broke the stream as it restarted, the stream went on at another one, and this one broke after the first was back.

Cause: failures excluded an upstream by its id. What one incarnation did says nothing of the next; health already tells them apart.

The restarted upstream is the same one for the route's attempts, so no request runs at more upstreams than before, and it still needs a retry from the budget. A request that is suspected to crash upstreams is given up as before.

--- a/packages/relay/src/exclusions.ts
+++ b/packages/relay/src/exclusions.ts
@@ -3,18 +3,18 @@
 import type { UpstreamId } from '@tanagercart/base';
 import type { UpstreamRecord } from '@tanagercart/protocol';
 
-/** What is known of upstreams from the attempts of one request. */
+/** What is known of upstreams from the attempts of one request, by incarnation. */
 export class Exclusions {
-  private readonly failed = new Set<UpstreamId>();
+  private readonly failed = new Map<UpstreamId, number>();
   private readonly silent = new Map<UpstreamId, number>();
 
   static create(): Exclusions {
     return new Exclusions();
   }
 
-  /** Records that an attempt has failed because of an upstream. */
-  recordFailure({ id }: UpstreamRecord): void {
-    this.failed.add(id);
+  /** Records that an attempt has failed because of an upstream, which says nothing of a later one. */
+  recordFailure({ id, born }: UpstreamRecord): void {
+    this.failed.set(id, born);
   }
 
   /** Records that an upstream was silent, which a sound one may be for a while. */
@@ -28,8 +28,8 @@
   }
 
   /** Whether the request is not sent to the upstream again. */
-  isExcluded({ id }: UpstreamRecord): boolean {
-    return this.failed.has(id);
+  isExcluded({ id, born }: UpstreamRecord): boolean {
+    return this.failed.get(id) === born;
   }
 
   /** Whether the request is sent to the upstream only where no other is left. */
--- a/packages/relay/test/comeback.test.ts
+++ b/packages/relay/test/comeback.test.ts
@@ -8,6 +8,7 @@
 import type { Attempt, Call, ProbeResult, UpstreamClient } from '../src/index.js';
 import {
   FakeCaller,
+  bulletinOf,
   callOf,
   events,
   relayOf,
@@ -78,10 +79,13 @@
     untilMs = 0,
     forMs = 6000,
     route = {},
+    restartAt,
   }: {
     untilMs?: Millis;
     forMs?: Millis;
     route?: Partial<Route>;
+    /** Time at which the first receiver is announced as another incarnation. */
+    restartAt?: Millis;
   } = {},
 ) {
   const clock = HeldClock.create();
@@ -97,6 +101,22 @@
   void relay.serve(call, caller);
   for (let ms = 0; ms < forMs; ms += 10) {
     await clock.advance(10);
+    if (restartAt !== undefined && clock.now() === restartAt) {
+      const first = client.sent[0]!.upstream;
+      view.apply(
+        {
+          kind: 'update',
+          index: 2,
+          whole: true,
+          upstreams: upstreams.map((u) => (u.id === first.id ? { ...u, born: 2 } : u)),
+          document: undefined,
+          quarantined: [],
+          bulletin: bulletinOf(),
+        },
+        clock.now(),
+        { loads: [], documentVersion: 0 },
+      );
+    }
   }
   return { caller, sent: client.sent.map((a) => a.upstream.id) };
 }
@@ -145,3 +165,24 @@
   });
   assert.equal(sent.length, 1);
 });
+
+test('a stream returns to an upstream that has restarted once its other one breaks', async () => {
+  const { caller, sent } = await serve(
+    ['one', 'two'],
+    (clock) => [
+      breaksAfter(2),
+      async (_, stop) => {
+        async function* body() {
+          yield Buffer.from(events(2, 4));
+          await clock.sleep(1000, stop);
+          throw new Error('cut');
+        }
+        return ok({ ...responseOf(200, []), body: body() });
+      },
+      rest,
+    ],
+    { restartAt: 500 },
+  );
+  assert.equal(caller.received, whole);
+  assert.equal(sent[2], sent[0]);
+});
