Do not cut a stream for the number of upstreams that are gone

Callers saw a stream cut while sound upstreams were ready: its upstream broke while others had just ended, as in a rolling restart or a loss of power of a rack, and their records still said ready.

Cause: a request was given up after four sends, and attempts that found nothing listening at the address counted as such, although nothing was sent.

They are counted apart now and bounded by 12. Each gone incarnation is excluded after one attempt, and such attempts took nothing from the retry budget before either. The four sends, the route's attempts and the budget hold for what is sent, as before; upstreams that are only slow to accept a connection count as sends, as before.

Shown: 'a stream is not cut for the number of upstreams that are gone' (one upstream breaks, four are gone, the sixth is sound) got ' broken' before the change, and all events now. A second test keeps the new bound. In components.test.ts the fixture of decideRetry has the new field.

--- a/packages/relay/src/attempts.ts
+++ b/packages/relay/src/attempts.ts
@@ -24,6 +24,8 @@
   isCancelled = false;
   /** Whether its upstream may have run the request, as far as is known. */
   mayHaveRun = false;
+  /** Whether nothing listened at the address of its upstream. */
+  isMiss = false;
   /** The upstream that its silence was held against. */
   blamed: UpstreamRecord | undefined;
 
@@ -73,6 +75,8 @@
   recordEnd(outcome: AttemptOutcome): void {
     const failure = outcome.kind === 'failed' ? outcome.failure : undefined;
     this.mayHaveRun = failure !== 'unreachable' && failure !== 'not-run';
+    this.isMiss =
+      outcome.kind === 'failed' && failure === 'unreachable' && outcome.contact === 'gone';
   }
 
   recordEvents(count: number): void {
@@ -131,6 +135,11 @@
     return this.started.length;
   }
 
+  /** Number of attempts that found their upstream gone. */
+  get misses(): number {
+    return this.started.filter((a) => a.isMiss).length;
+  }
+
   /** The upstreams that may have run the request, as far as is known. */
   get mayHaveRun(): ReadonlySet<UpstreamId> {
     return new Set(this.started.filter((a) => a.mayHaveRun).map((a) => a.target.upstream.id));
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -249,7 +249,8 @@
       runs: mayHaveRun.size,
       maxAttempts: call.route.maxAttempts,
       mayRunAgain: [...mayHaveRun].some((id) => this.mayReceive(state, id)),
-      sends: attempts.count,
+      sends: attempts.count - attempts.misses,
+      misses: attempts.misses,
       remainingMs: deadline - this.o.clock.now(),
     });
     return decision === 'retry';
--- a/packages/relay/src/retry.ts
+++ b/packages/relay/src/retry.ts
@@ -26,8 +26,10 @@
   readonly maxAttempts: number;
   /** Whether one of the upstreams that may have run the request can be tried again. */
   readonly mayRunAgain: boolean;
-  /** How often the request was sent so far, whether it ran or not. */
+  /** How often the request was sent so far, whether it ran or not, but for upstreams that were gone. */
   readonly sends: number;
+  /** Number of attempts that found their upstream gone; the request was not sent. */
+  readonly misses: number;
   /** Time until the deadline. */
   readonly remainingMs: Millis;
 }
@@ -38,6 +40,9 @@
 /** Bounds how often one request is sent, including attempts that an upstream refused. */
 const maxSends = 4;
 
+/** Bounds the connections that are refused to one request where many upstreams have ended at once. */
+const maxMisses = 12;
+
 /** An attempt with less time than this until the deadline is not started. */
 const minRemainingMs: Millis = 30;
 
@@ -46,7 +51,8 @@
  * only where no upstream can have run it.
  */
 export function decideRetry(s: FailureContext): RetryDecision {
-  if (s.remainingMs < minRemainingMs || s.sends >= maxSends) return 'give-up';
+  if (s.remainingMs < minRemainingMs) return 'give-up';
+  if (s.sends >= maxSends || s.misses >= maxMisses) return 'give-up';
   if (s.failure === 'unreachable' || s.failure === 'not-run') {
     return s.runs > 0 && !s.repeatable ? 'give-up' : 'retry';
   }
--- a/packages/relay/test/comeback.test.ts
+++ b/packages/relay/test/comeback.test.ts
@@ -186,3 +186,23 @@
   assert.equal(caller.received, whole);
   assert.equal(sent[2], sent[0]);
 });
+
+test('a stream is not cut for the number of upstreams that are gone', async () => {
+  const { caller, sent } = await serve(['one', 'two', 'three', 'four', 'five', 'six'], () => [
+    breaksAfter(2),
+    gone,
+    gone,
+    gone,
+    gone,
+    rest,
+  ]);
+  assert.equal(caller.received, whole);
+  assert.equal(new Set(sent).size, 6);
+});
+
+test('a request bounds the connections that gone upstreams refuse to it', async () => {
+  const ids = Array.from({ length: 40 }, (_, i) => `u${i}`);
+  const { caller, sent } = await serve(ids, () => []);
+  assert.equal(caller.refusal?.kind, 'not-run');
+  assert.ok(sent.length > 4 && sent.length <= 12, `${sent.length} connections`);
+});
--- a/packages/relay/test/components.test.ts
+++ b/packages/relay/test/components.test.ts
@@ -70,6 +70,7 @@
   maxAttempts: 2,
   mayRunAgain: false,
   sends: 1,
+  misses: 0,
   remainingMs: 1000,
 };
 
