Judge whether an attempt is the last one when it is overdue

Callers saw a stream end at its deadline, or an idempotent request answered 504, while a sound upstream was free to take it: the attempt in progress was silent without end, and had been started as the last one.

Cause: whether another upstream may run a request was decided when an attempt started. An earlier attempt may prove later not to have run, as its connection was not accepted, and an upstream that was silent may return.

An overdue attempt now asks whether another upstream may run the request when it is overdue, by the same bounds as an attempt that is to be sent. Where none may, nothing is recorded, as before, so that a slow only upstream is held to have failed by nobody.

Shown in held time: 'a stream whose last upstream sends nothing returns to one that was silent' and 'an overdue request is sent to a further upstream once an earlier one has not run it' failed before the change; 'the only upstream that may run a request is not held to have failed by being slow' passed before and after.

--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -256,6 +256,14 @@
     return decision === 'retry';
   }
 
+  /** Whether another upstream than this one may run the request. */
+  private mayRunElsewhere(state: RequestState, receiver: UpstreamId): boolean {
+    const { call, attempts } = state;
+    const others = [...attempts.mayHaveRun].filter((id) => id !== receiver);
+    if (others.length + 1 < call.route.maxAttempts) return true;
+    return others.some((id) => this.mayReceive(state, id));
+  }
+
   /** Whether an upstream is still there, and the request may be sent to it again. */
   private mayReceive(state: RequestState, id: UpstreamId): boolean {
     const upstream = this.o.balancer.upstreamWith(id);
@@ -309,10 +317,14 @@
     const remainingMs = deadline - attempt.startedAt;
     const watch = SilenceWatch.create({
       clock,
-      timeouts: silenceTimeoutsFor(call, remainingMs, isLastUpstream(state, upstream.id)),
+      timeouts: silenceTimeoutsFor(call, remainingMs),
       probe: () => client.probe(call, upstream),
       isHeldByCaller: () => delivery?.isHeldByCaller ?? false,
-      onSilent: (silence) => attempts.recordSilence(attempt, silence),
+      onSilent: (silence) => {
+        // Where no other upstream may run the request, being slow is held against none.
+        if (silence.kind === 'overdue' && !this.mayRunElsewhere(state, upstream.id)) return;
+        attempts.recordSilence(attempt, silence);
+      },
       onGone: (detail) => attempt.recordGone(detail),
     });
     const details = { upstream, path, remainingMs, lastEvent: delivery?.lastEvent };
@@ -430,11 +442,6 @@
   return exclusions.isExcluded(upstream) || attempts.isBlamed(upstream);
 }
 
-/** Whether no upstream but this one and earlier ones may run the request. */
-function isLastUpstream({ call, attempts }: RequestState, upstream: UpstreamId): boolean {
-  return new Set([...attempts.mayHaveRun, upstream]).size >= call.route.maxAttempts;
-}
-
 /** The failure that news is, for a request that is not yet answered. */
 function failureIn(news: AttemptNews): Failure {
   return news.kind === 'ended' && news.outcome.kind === 'failed' ? news.outcome.failure : 'silent';
--- a/packages/relay/src/silencetimeouts.ts
+++ b/packages/relay/src/silencetimeouts.ts
@@ -19,28 +19,16 @@
 
 /**
  * How long an attempt may go without an event before the request is tried elsewhere as well. There
- * is no limit where the request may not run again or where no other upstream may run it (`isLast`);
- * a stream is still probed in the latter case, as its upstream may be gone.
+ * is no limit where the request may not run again.
  */
-export function silenceTimeoutsFor(
-  call: Call,
-  remainingMs: Millis,
-  isLast: boolean,
-): SilenceTimeouts {
+export function silenceTimeoutsFor(call: Call, remainingMs: Millis): SilenceTimeouts {
   if (!isRepeatable(call)) return { firstEventMs: Infinity, gapMs: Infinity, probeMs: undefined };
   const { latencyTargetMs, maxEventGapMs } = call.route;
-  const probeMs = Math.min(latencyTargetMs * probeDelayRatio, (maxEventGapMs ?? Infinity) * 1.5);
-  if (isLast) {
-    return {
-      firstEventMs: Infinity,
-      gapMs: Infinity,
-      probeMs: isStream(call) ? probeMs : undefined,
-    };
-  }
   if (!isStream(call)) {
     const ms = remainingMs * responseTimeoutRatio;
     return { firstEventMs: ms, gapMs: ms, probeMs: undefined };
   }
+  const probeMs = Math.min(latencyTargetMs * probeDelayRatio, (maxEventGapMs ?? Infinity) * 1.5);
   const firstEventMs = Math.min(remainingMs, latencyTargetMs * firstEventTimeoutFactor);
   return { firstEventMs, gapMs: maxGapMs, probeMs };
 }
--- a/packages/relay/test/comeback.test.ts
+++ b/packages/relay/test/comeback.test.ts
@@ -3,7 +3,7 @@
 import { err, ok } from 'neverthrow';
 import { HeldClock } from '@tanagercart/base';
 import type { Millis } from '@tanagercart/base';
-import type { Route } from '@tanagercart/config';
+import type { CallKind, Route } from '@tanagercart/config';
 import type { UpstreamRecord } from '@tanagercart/protocol';
 import type { Attempt, Call, ProbeResult, UpstreamClient } from '../src/index.js';
 import {
@@ -71,18 +71,20 @@
   }
 }
 
-/** Serves one resumable stream for at most `forMs`. */
+/** Serves one request, a resumable stream by default, for at most `forMs`. */
 async function serve(
   ids: readonly string[],
   plays: (clock: HeldClock) => Play[],
   {
     untilMs = 0,
     forMs = 6000,
+    kind = 'resumable-stream',
     route = {},
     restartAt,
   }: {
     untilMs?: Millis;
     forMs?: Millis;
+    kind?: CallKind;
     route?: Partial<Route>;
     /** Time at which the first receiver is announced as another incarnation. */
     restartAt?: Millis;
@@ -92,12 +94,10 @@
   const client = new Played(clock, plays(clock), untilMs);
   const upstreams = ids.map((id) => upstreamOf(id));
   const view = viewOf(clock, upstreams);
-  const { relay } = relayOf({ clock, client, view });
+  const { relay, health } = relayOf({ clock, client, view });
   const caller = new FakeCaller();
   const times = { latencyTargetMs: 500, timeoutMs: 20_000 };
-  const call = callOf('resumable-stream', {
-    route: routeOf('resumable-stream', { ...times, ...route }),
-  });
+  const call = callOf(kind, { route: routeOf(kind, { ...times, ...route }) });
   void relay.serve(call, caller);
   for (let ms = 0; ms < forMs; ms += 10) {
     await clock.advance(10);
@@ -118,7 +118,7 @@
       );
     }
   }
-  return { caller, sent: client.sent.map((a) => a.upstream.id) };
+  return { caller, health, sent: client.sent.map((a) => a.upstream.id) };
 }
 
 test('a stream returns to an upstream that was silent once its other one breaks', async () => {
@@ -206,3 +206,53 @@
   assert.equal(caller.refusal?.kind, 'not-run');
   assert.ok(sent.length > 4 && sent.length <= 12, `${sent.length} connections`);
 });
+
+/** Sends `count` events, and nothing more. */
+function hangsAfter(clock: HeldClock, count: number): Play {
+  async function* body(from: number, stop: AbortSignal) {
+    if (count > 0) yield Buffer.from(events(from, from + count - 1));
+    await clock.sleep(60_000, stop);
+    throw new Error('cancelled');
+  }
+  return async ({ lastEvent = -1 }, stop) =>
+    ok({ ...responseOf(200, []), body: body(lastEvent + 1, stop) });
+}
+
+test('a stream whose last upstream sends nothing returns to one that was silent', async () => {
+  const { caller, sent } = await serve(
+    ['one', 'two'],
+    (clock) => [silentUntil(clock, 1200), hangsAfter(clock, 2), rest],
+    { untilMs: 1200 },
+  );
+  assert.equal(caller.received, whole);
+  assert.equal(sent[2], sent[0]);
+});
+
+test('an overdue request is sent to a further upstream once an earlier one has not run it', async () => {
+  const { caller, sent } = await serve(
+    ['one', 'two', 'three'],
+    (clock) => [
+      async () => {
+        await clock.sleep(1200);
+        return err({ kind: 'unreachable', detail: 'connect timed out', isGone: false });
+      },
+      hangsAfter(clock, 0),
+      rest,
+    ],
+    { kind: 'idempotent', route: { timeoutMs: 2000 } },
+  );
+  assert.equal(caller.received, whole);
+  assert.equal(new Set(sent).size, 3);
+});
+
+test('the only upstream that may run a request is not held to have failed by being slow', async () => {
+  for (const kind of ['idempotent', 'resumable-stream'] as const) {
+    const { sent, health } = await serve(['one', 'two'], (clock) => [hangsAfter(clock, 1)], {
+      kind,
+      route: { maxAttempts: 1 },
+      forMs: 19_000,
+    });
+    assert.equal(sent.length, 1);
+    assert.equal(health.failureRateOf(upstreamOf(sent[0]!)), 0);
+  }
+});
