Let an interrupted stream wait for an upstream instead of cutting it

Callers saw a stream cut although a sound upstream would have taken it a moment later: its upstream broke while the others wanted to be left alone for some tenths of a second, or were not ready yet.

Cause: where the balancer had no target at that instant, the request was given up, whether its caller had received a part or not.

A stream that has begun and has no attempt left now looks for a target every 50 ms for at most a second, which is as long as it already waits for a permit, and is cut after that. A request without an answer is refused at once as before, since its caller can come back. A cut that cannot be avoided comes up to a second later.

Shown in held time: 'a stream waits for an upstream that wants to be left alone for a moment, and is not cut' got ' broken' after event 1 before the change, and all events now.

--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -43,6 +43,12 @@
 /** After this many refusals of permits, an attempt goes only to upstreams without a limit. */
 const maxPermitRefusals = 6;
 
+/** Longest wait of an interrupted stream for a target, before its caller disconnects. */
+const maxTargetWaitMs: Millis = 1000;
+
+/** Interval at which such a stream looks for a target. */
+const targetPollMs: Millis = 50;
+
 /** Retry-after time of quarantined requests. */
 const quarantineRetryAfterMs: Millis = 30_000;
 
@@ -209,7 +215,10 @@
     state.attempts.start(target, this.o.clock.now(), run);
   }
 
-  /** Picks a target and waits for the permit to send it the request. */
+  /**
+   * Picks a target and waits for the permit to send it the request. A stream that has begun and has
+   * no attempt left also waits for a target, as it could only be cut.
+   */
   private async acquireTarget(state: RequestState, stop: AbortSignal): Promise<Target | NoTarget> {
     const { call, exclusions, attempts } = state;
     const { balancer, availability } = this.o;
@@ -217,6 +226,7 @@
     const refused = new Set<UpstreamId>();
     const isExcluded = (u: UpstreamRecord) => isExcludedNow(state, u);
     const isAvoided = (u: UpstreamRecord) => exclusions.isAvoided(u);
+    const waitsUntil = this.o.clock.now() + maxTargetWaitMs;
     for (;;) {
       // Once the route's attempts are used up, only upstreams that may have run it get it again.
       const { mayHaveRun } = attempts;
@@ -225,7 +235,12 @@
       const withoutPermit = refused.size < maxPermitRefusals ? refused : 'all-limited';
       const bounds = { receivers, withoutPermit, maxWaitMs } as const;
       const target = balancer.pick(call, { isExcluded, isAvoided, ...bounds });
-      if (typeof target === 'string') return target;
+      if (typeof target === 'string') {
+        const waits = isInterrupted(state) && this.o.clock.now() < waitsUntil && !stop.aborted;
+        if (!waits) return target;
+        await this.o.clock.sleep(targetPollMs, stop);
+        continue;
+      }
       const { upstream } = target;
       const permit = await availability.acquire(upstream, maxWaitMs, stop);
       if (stop.aborted) return target;
@@ -442,6 +457,11 @@
   return exclusions.isExcluded(upstream) || attempts.isBlamed(upstream);
 }
 
+/** Whether the caller has received a part of a stream that no attempt continues at present. */
+function isInterrupted({ delivery, attempts }: RequestState): boolean {
+  return (delivery?.started ?? false) && attempts.areOver;
+}
+
 /** The failure that news is, for a request that is not yet answered. */
 function failureIn(news: AttemptNews): Failure {
   return news.kind === 'ended' && news.outcome.kind === 'failed' ? news.outcome.failure : 'silent';
--- a/packages/relay/test/comeback.test.ts
+++ b/packages/relay/test/comeback.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { err, ok } from 'neverthrow';
-import { HeldClock } from '@tanagercart/base';
+import { HeldClock, RequestId } from '@tanagercart/base';
 import type { Millis } from '@tanagercart/base';
 import type { CallKind, Route } from '@tanagercart/config';
 import type { UpstreamRecord } from '@tanagercart/protocol';
@@ -11,6 +11,7 @@
   bulletinOf,
   callOf,
   events,
+  noticesOf,
   relayOf,
   responseOf,
   routeOf,
@@ -81,6 +82,7 @@
     kind = 'resumable-stream',
     route = {},
     restartAt,
+    backOffMs,
   }: {
     untilMs?: Millis;
     forMs?: Millis;
@@ -88,17 +90,24 @@
     route?: Partial<Route>;
     /** Time at which the first receiver is announced as another incarnation. */
     restartAt?: Millis;
+    /** Time for which the others than the first receiver want to be left alone. */
+    backOffMs?: Millis;
   } = {},
 ) {
   const clock = HeldClock.create();
   const client = new Played(clock, plays(clock), untilMs);
   const upstreams = ids.map((id) => upstreamOf(id));
   const view = viewOf(clock, upstreams);
-  const { relay, health } = relayOf({ clock, client, view });
+  const { relay, health, availability } = relayOf({ clock, client, view });
   const caller = new FakeCaller();
   const times = { latencyTargetMs: 500, timeoutMs: 20_000 };
   const call = callOf(kind, { route: routeOf(kind, { ...times, ...route }) });
   void relay.serve(call, caller);
+  await clock.advance(0);
+  for (const upstream of backOffMs === undefined ? [] : upstreams) {
+    if (upstream.id === client.sent[0]!.upstream.id) continue;
+    availability.record(RequestId('other'), upstream, noticesOf({ backOffMs }));
+  }
   for (let ms = 0; ms < forMs; ms += 10) {
     await clock.advance(10);
     if (restartAt !== undefined && clock.now() === restartAt) {
@@ -256,3 +265,32 @@
     assert.equal(health.failureRateOf(upstreamOf(sent[0]!)), 0);
   }
 });
+
+test('a stream waits for an upstream that wants to be left alone for a moment, and is not cut', async () => {
+  const plays = (clock: HeldClock): Play[] => [
+    async (_, stop) => {
+      async function* body() {
+        yield Buffer.from(events(0, 1));
+        await clock.sleep(100, stop);
+        throw new Error('cut');
+      }
+      return ok({ ...responseOf(200, []), body: body() });
+    },
+    rest,
+  ];
+  assert.equal((await serve(['one', 'two'], plays, { backOffMs: 600 })).caller.received, whole);
+  const { caller, sent } = await serve(['one', 'two'], plays, { backOffMs: 3000, forMs: 1500 });
+  assert.equal(caller.ended, 'broken');
+  assert.equal(sent.length, 1);
+});
+
+test('a request that has no answer yet does not wait for an upstream', async () => {
+  const plays = (clock: HeldClock): Play[] => [
+    async (...args) => {
+      await clock.sleep(20);
+      return gone(...args);
+    },
+  ];
+  const { caller } = await serve(['one', 'two'], plays, { backOffMs: 600, forMs: 50 });
+  assert.equal(caller.refusal?.kind, 'not-run');
+});
