Look at each byte of an event and of a body once

What callers saw: an upstream that sent lines without a blank line, a few kilobytes at a time, kept the process that had called it at one whole core, and all other requests on that machine came late or not at all.

Cause: with each chunk the splitter of events copied all bytes of the incomplete event and searched them from the start, so the work grew with the square of the event. The reader of bodies kept one object per chunk, which for chunks of one byte is 250 times the memory of the bytes.

Now the splitter remembers what the last bytes are of the end of an event and looks only at new ones; bytes are collected in blocks, and chunks that are large are kept without a copy. The bounds, 1 MiB for an event and 8 MiB for a body, are as they were.

--- a/packages/base/src/body.ts
+++ b/packages/base/src/body.ts
@@ -2,21 +2,23 @@
 
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
+import { ByteBlocks } from './byteblocks.js';
 
 /**
  * Returns all bytes of a body, or `too-large` where it has more than `maxBytes`; the rest of a
- * longer body is left unread. Throws if the stream breaks off.
+ * longer body is left unread. `onHeld` is told the number of bytes that are held, after each chunk.
+ * Throws if the stream breaks off.
  */
 export async function collectBody(
   chunks: AsyncIterable<Uint8Array>,
   maxBytes: number,
+  onHeld: (bytes: number) => void = () => undefined,
 ): Promise<Result<Buffer, 'too-large'>> {
-  const parts: Uint8Array[] = [];
-  let bytes = 0;
+  const held = ByteBlocks.create();
   for await (const chunk of chunks) {
-    bytes += chunk.length;
-    if (bytes > maxBytes) return err('too-large');
-    parts.push(chunk);
+    if (held.length + chunk.length > maxBytes) return err('too-large');
+    held.append(chunk);
+    onHeld(held.length);
   }
-  return ok(Buffer.concat(parts));
+  return ok(held.take());
 }
--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -1,4 +1,5 @@
 export * from './body.js';
+export * from './byteblocks.js';
 export * from './id.js';
 export * from './heap.js';
 export * from './clock.js';
--- a/packages/relay/src/events.ts
+++ b/packages/relay/src/events.ts
@@ -1,5 +1,7 @@
 /** Splits a byte stream of server-sent events into complete events. */
 
+import { ByteBlocks } from '@tanagercart/base';
+
 /** One complete event, including the blank line that ends it. */
 export interface StreamEvent {
   readonly bytes: Buffer;
@@ -7,56 +9,81 @@
   readonly id: number | undefined;
 }
 
-/** Largest event; bytes without the end of an event are not buffered beyond this. */
+/** Largest event; bytes without the end of an event are not held beyond this. */
 export const maxEventBytes = 1024 * 1024;
 
 const newline = 0x0a;
+const carriageReturn = 0x0d;
 const idField = 'id:';
 
-/** Buffers bytes until they make up complete events. */
+/** What the bytes received last are of the end of an event. */
+type Ending = 'none' | 'line' | 'line-and-return';
+
+/** Collects bytes until they make up complete events; looks at each byte once. */
 export class EventSplitter {
-  private buffer: Buffer = Buffer.alloc(0);
+  /** The bytes of the incomplete event, without the end of an event in them. */
+  private readonly partial = ByteBlocks.create();
+  private ending: Ending = 'none';
 
   static create(): EventSplitter {
     return new EventSplitter();
   }
 
-  /** Whether bytes of an incomplete event are buffered. */
+  /** Whether bytes of an incomplete event are held. */
   get isPartial(): boolean {
-    return this.buffer.length > 0;
+    return this.partial.length > 0;
+  }
+
+  /** Number of bytes of the incomplete event. */
+  get held(): number {
+    return this.partial.length;
   }
 
   /**
-   * Adds `chunk` and returns the events that it completes. Throws if more than `maxEventBytes` are
+   * Adds `chunk`, which must not change afterwards, and returns the events that it completes. Throws if more than `maxEventBytes` are
    * left without the end of an event.
    */
   push(chunk: Uint8Array): readonly StreamEvent[] {
-    this.buffer =
-      this.buffer.length === 0 ? Buffer.from(chunk) : Buffer.concat([this.buffer, chunk]);
     const events: StreamEvent[] = [];
     let from = 0;
     for (;;) {
-      const end = endOfEvent(this.buffer, from);
+      const end = this.endOfEvent(chunk, from);
       if (end < 0) break;
-      const bytes = this.buffer.subarray(from, end);
+      const bytes = this.complete(chunk.subarray(from, end));
       events.push({ bytes, id: idOf(bytes) });
       from = end;
     }
-    this.buffer = this.buffer.subarray(from);
-    if (this.buffer.length > maxEventBytes) throw new RangeError('an event is too large');
+    if (this.partial.length + chunk.length - from > maxEventBytes) {
+      throw new RangeError('an event is too large');
+    }
+    this.partial.append(chunk.subarray(from));
     return events;
   }
-}
 
-/** Offset after the blank line that ends the event at `from`; -1 where the event is incomplete. */
-function endOfEvent(bytes: Buffer, from: number): number {
-  let at = bytes.indexOf(newline, from);
-  while (at >= 0) {
-    if (bytes[at + 1] === newline) return at + 2;
-    if (bytes[at + 1] === 0x0d && bytes[at + 2] === newline) return at + 3;
-    at = bytes.indexOf(newline, at + 1);
+  /** The present event, of which `last` are the last bytes. */
+  private complete(last: Uint8Array): Buffer {
+    if (!this.isPartial) return Buffer.from(last.buffer, last.byteOffset, last.length);
+    this.partial.append(last);
+    return this.partial.take();
+  }
+
+  /** Offset after the blank line that ends the present event; -1 where `chunk` does not end it. */
+  private endOfEvent(chunk: Uint8Array, from: number): number {
+    let { ending } = this;
+    let at = from;
+    for (; at < chunk.length; at += 1) {
+      const byte = chunk[at];
+      if (byte === newline) {
+        if (ending !== 'none') break;
+        ending = 'line';
+      } else if (ending !== 'none') {
+        ending = byte === carriageReturn && ending === 'line' ? 'line-and-return' : 'none';
+      }
+    }
+    const isEnd = at < chunk.length;
+    this.ending = isEnd ? 'none' : ending;
+    return isEnd ? at + 1 : -1;
   }
-  return -1;
 }
 
 function idOf(event: Buffer): number | undefined {
--- a/packages/relay/test/components.test.ts
+++ b/packages/relay/test/components.test.ts
@@ -34,6 +34,27 @@
   );
 });
 
+test('an event ends at its first blank line however its bytes are split', () => {
+  const pieces = fc.constantFrom('\n', '\r\n', '\r', 'a', 'id: 4');
+  fc.assert(
+    fc.property(fc.array(pieces), fc.array(fc.integer({ min: 1, max: 3 })), (parts, sizes) => {
+      const text = parts.join('');
+      const splitter = EventSplitter.create();
+      const found: string[] = [];
+      let at = 0;
+      for (const size of [...sizes, text.length]) {
+        const chunk = Buffer.from(text.slice(at, at + size));
+        at += size;
+        found.push(...splitter.push(chunk).map((e) => e.bytes.toString()));
+      }
+      const expected = text.match(/[^]*?\n\r?\n/g) ?? [];
+      assert.deepEqual(found, expected);
+      assert.equal(splitter.held, text.length - expected.join('').length);
+    }),
+    { numRuns: 500 },
+  );
+});
+
 test('retries stay within the ratio of the requests and the slack', async () => {
   const clock = HeldClock.create();
   const bounds = { ratio: 0.2, slack: 40, windowMs: 10_000 };
