Bound what attempts receive, each and all together

What callers saw: an upstream sent bytes that were no answer, without end. The process that had called it kept them and ran out of memory, or spent a whole core on them, and the requests of other callers on that machine came late or ended with it.

Cause: bytes were bounded where they were kept. What the HTTP parser skips or answers for itself (interim responses, empty lines before the status line, blanks before the value of a header, zeros of the size of a chunk) was kept nowhere and bounded by nothing but the deadline. What one attempt may keep, 8 MiB, all others might keep too.

Now every connection to an upstream, and the CONNECT of a tunnel, is a socket that counts the bytes that it passes on to the parser. Bytes without content are passed on 4 KiB at a time and may be 32 KiB; each byte of content allows for 16 more, up to the 32 KiB again. An interim response counts as 512 bytes at least. A connection over its bound is destroyed. What attempts hold (answers until they are complete, errors until their request ends, parts of events, replies to orders and reports) is counted over the process and may be 32 MiB; beyond it, the largest attempt at the upstream whose attempts hold most gives way. Either way the attempt failed and its upstream with it, the ordinary rules of retries apply, the log says why, and `attempt.overrun` counts it; such an end is no crash that is held against the request. The peer of a tunnel that answers by anything but a tunnel has its connection closed; its body was read on before.

--- /dev/null
+++ b/packages/protocol/src/responsesocket.ts
@@ -0,0 +1,91 @@
+/** Sockets that bound the bytes without content that they receive; see `Overhead`. */
+
+import type { ClientRequest, IncomingMessage } from 'node:http';
+import { Socket } from 'node:net';
+import type { TcpNetConnectOpts } from 'node:net';
+import { Overhead } from './overhead.js';
+
+/** The error of a connection that received more overhead than a response may have. */
+export class OverheadError extends Error {
+  private constructor() {
+    super('bytes that are no answer, without end');
+  }
+
+  static create(): OverheadError {
+    return new OverheadError();
+  }
+}
+
+/** A client's socket. It passes bytes on to the parser as far as the overhead of a response allows. */
+export class ResponseSocket extends Socket {
+  private overhead = Overhead.create();
+  private response: IncomingMessage | undefined;
+  /** Bytes received since the request was sent, and bytes of content that were read. */
+  private received = 0;
+  private contentRead = 0;
+
+  /** A socket that connects to an address; it sends without delay. */
+  static open(options: TcpNetConnectOpts): ResponseSocket {
+    return new ResponseSocket().setNoDelay(true).connect(options);
+  }
+
+  /** Bounds what the response to a request may receive; a connection over its bound is destroyed. */
+  static bound(request: ClientRequest): void {
+    request.once('socket', (socket) => {
+      if (socket instanceof ResponseSocket) socket.expect(request);
+    });
+  }
+
+  /** Records that a reader took `bytes` of the content of the response. */
+  recordRead(bytes: number): void {
+    this.contentRead += bytes;
+  }
+
+  /** Passes received bytes on, a part at a time, or the end of the stream. */
+  override push(chunk: Buffer | null): boolean {
+    if (chunk === null) return super.push(null);
+    let accepts = true;
+    let from = 0;
+    while (from < chunk.length && !this.destroyed) {
+      this.overhead.record(this.received - this.readableLength, this.content);
+      if (this.overhead.isExceeded) {
+        this.destroy(OverheadError.create());
+        return false;
+      }
+      const part = chunk.subarray(from, from + this.overhead.granted);
+      from += part.length;
+      this.received += part.length;
+      accepts = super.push(part);
+    }
+    return accepts;
+  }
+
+  /** Bytes of content of the present response, whether they were read or wait to be. */
+  private get content(): number {
+    return this.contentRead + (this.response?.readableLength ?? 0);
+  }
+
+  private expect(request: ClientRequest): void {
+    this.overhead = Overhead.create();
+    this.response = undefined;
+    this.received = this.readableLength;
+    this.contentRead = 0;
+    request.on('information', () => this.overhead.recordInterim());
+    request.once('response', (response) => {
+      this.response = response;
+    });
+    request.once('close', () => {
+      this.response = undefined;
+    });
+  }
+}
+
+/** Yields the content of a response to a request that `ResponseSocket.bound` was called with. */
+export async function* contentOf(response: IncomingMessage): AsyncGenerator<Buffer> {
+  const { socket } = response;
+  for await (const chunk of response) {
+    const bytes = chunk as Buffer;
+    if (socket instanceof ResponseSocket) socket.recordRead(bytes.length);
+    yield bytes;
+  }
+}
--- a/packages/protocol/src/tunnel.ts
+++ b/packages/protocol/src/tunnel.ts
@@ -12,6 +12,7 @@
 import { startTimer } from '@tanagercart/base';
 import { isPort, parseHostPort } from './address.js';
 import type { HostPort } from './address.js';
+import { ResponseSocket } from './responsesocket.js';
 
 /**
  * Time for the server of a tunnel to connect to the target, in milliseconds. Peers wait for longer, so
@@ -105,7 +106,13 @@
   timeoutMs: number,
 ): Promise<Result<Socket, TunnelError>> {
   return new Promise((resolve) => {
-    const request = httpRequest({ ...peer, method: 'CONNECT', path: target, agent: false });
+    const request = httpRequest({
+      ...peer,
+      method: 'CONNECT',
+      path: target,
+      createConnection: () => ResponseSocket.open(peer),
+    });
+    ResponseSocket.bound(request);
     const cancelTimeout = startTimer(timeoutMs, () => request.destroy(new Error('timeout')));
     const fail = (error: TunnelError) => {
       cancelTimeout();
@@ -113,8 +120,8 @@
     };
     request.once('error', (e) => fail({ kind: 'no-peer', detail: e.message }));
     request.once('response', (response) => {
-      response.resume();
       fail({ kind: 'no-peer', detail: `status ${response.statusCode}` });
+      request.destroy();
     });
     request.once('connect', (response, stream, head: Buffer) => {
       const socket = stream;
@@ -124,7 +131,6 @@
         return;
       }
       cancelTimeout();
-      socket.setNoDelay(true);
       if (head.length > 0) socket.unshift(head);
       resolve(ok(socket));
     });
--- a/packages/relay/src/attempts.ts
+++ b/packages/relay/src/attempts.ts
@@ -8,6 +8,7 @@
 import type { UpstreamRecord } from '@tanagercart/protocol';
 import type { Target } from './balancer.js';
 import type { AttemptOutcome } from './outcome.js';
+import type { Overrun } from './overrun.js';
 import type { Silence } from './silence.js';
 
 /** One attempt in progress. */
@@ -20,6 +21,8 @@
   silence: Silence | undefined;
   /** What shows that its upstream has ended; undefined as long as nothing does. */
   gone: string | undefined;
+  /** Why it had to drop what it held; undefined while it has not. */
+  overrun: Overrun | undefined;
   /** Whether it was ended because another one serves the caller, or the request has ended. */
   isCancelled = false;
   /** Whether its upstream may have run the request, as far as is known. */
@@ -88,6 +91,12 @@
     this.gone = detail;
     this.stop.abort();
   }
+
+  /** Ends the attempt, as it is not to receive any more. */
+  recordOverrun(overrun: Overrun): void {
+    this.overrun = overrun;
+    this.stop.abort();
+  }
 }
 
 /** What happened to an attempt. */
--- a/packages/relay/src/events.ts
+++ b/packages/relay/src/events.ts
@@ -1,6 +1,7 @@
 /** Splits a byte stream of server-sent events into complete events. */
 
 import { ByteBlocks } from '@tanagercart/base';
+import { Overrun } from './overrun.js';
 
 /** One complete event, including the blank line that ends it. */
 export interface StreamEvent {
@@ -41,7 +42,7 @@
 
   /**
    * Adds `chunk`, which must not change afterwards, and returns the events that it completes. Throws if more than `maxEventBytes` are
-   * left without the end of an event.
+   * left without the end of an event, an `Overrun`.
    */
   push(chunk: Uint8Array): readonly StreamEvent[] {
     const events: StreamEvent[] = [];
@@ -54,7 +55,7 @@
       from = end;
     }
     if (this.partial.length + chunk.length - from > maxEventBytes) {
-      throw new RangeError('an event is too large');
+      throw Overrun.create('event', 'an event is too large');
     }
     this.partial.append(chunk.subarray(from));
     return events;
--- a/packages/relay/src/forwarding.ts
+++ b/packages/relay/src/forwarding.ts
@@ -2,7 +2,8 @@
 
 import type { RunningAttempt } from './attempts.js';
 import { isRepeatable } from './call.js';
-import { readResponse, sendResponse } from './outcome.js';
+import type { Holding } from './intake.js';
+import { failureOfRead, readResponse, sendResponse } from './outcome.js';
 import type { AttemptOutcome } from './outcome.js';
 import type { RequestState } from './requeststate.js';
 import type { UpstreamResponse } from './upstream.js';
@@ -16,6 +17,7 @@
   attempt: RunningAttempt,
   response: UpstreamResponse,
   onEvents: (count: number) => void,
+  holding: Holding,
 ): Promise<AttemptOutcome> {
   const { call, caller, delivery, attempts } = state;
   const { status } = response.head;
@@ -25,13 +27,13 @@
   }
   attempt.recordRun();
   if (delivery && status === 200) {
-    const outcome = await delivery.forward(response, onEvents, signal);
-    if (outcome === 'complete') return { kind: 'delivered' };
-    return { kind: 'failed', failure: 'broken', detail: 'the stream broke off' };
+    const outcome = await delivery.forward(response, onEvents, signal, holding);
+    return outcome.isOk() ? { kind: 'delivered' } : failureOfRead(outcome.error);
   }
   if (delivery?.started) return { kind: 'failed', failure: 'failed', detail: `status ${status}` };
-  const complete = await readResponse(response);
-  if (!complete) return { kind: 'failed', failure: 'broken', detail: 'the answer broke off' };
+  const read = await readResponse(response, holding);
+  if (read.isErr()) return failureOfRead(read.error);
+  const complete = read.value;
   if (status >= 500 && isRepeatable(call)) {
     return { kind: 'failed', failure: 'failed', detail: `status ${status}`, response: complete };
   }
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -15,6 +15,8 @@
 export * from './silencetimeouts.js';
 export * from './permitwait.js';
 export * from './attempts.js';
+export * from './overrun.js';
+export * from './intake.js';
 export * from './outcome.js';
 export * from './stream.js';
 export * from './parthistory.js';
--- a/packages/relay/src/outcome.ts
+++ b/packages/relay/src/outcome.ts
@@ -1,8 +1,13 @@
 /** How attempts end, and the responses that are held until they are complete. */
 
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
 import { collectBody } from '@tanagercart/base';
 import type { Caller, ResponseHead } from './call.js';
 import type { Contact } from './health.js';
+import type { Holding } from './intake.js';
+import { brokenRead } from './overrun.js';
+import type { BrokenRead, OverrunKind } from './overrun.js';
 import type { Failure } from './retry.js';
 import type { SendError, UpstreamResponse } from './upstream.js';
 
@@ -20,6 +25,8 @@
       readonly detail: string;
       /** What the failure says of the upstream; `answered` unless given. */
       readonly contact?: Contact;
+      /** What the attempt received too much of; undefined where it failed otherwise. */
+      readonly overrun?: OverrunKind | undefined;
       /** The error response of the upstream, if it sent one. */
       readonly response?: CompleteResponse;
     };
@@ -34,10 +41,15 @@
 export function failureOf(error: SendError): AttemptOutcome {
   if (error.kind === 'cancelled') return { kind: 'cancelled' };
   const { kind, detail } = error;
-  if (kind === 'broken') return { kind: 'failed', failure: kind, detail };
+  if (kind === 'broken') return failureOfRead(error);
   return { kind: 'failed', failure: kind, detail, contact: error.isGone ? 'gone' : 'silent' };
 }
 
+/** The outcome of an attempt whose response was not read to its end. */
+export function failureOfRead({ detail, overrun }: BrokenRead): AttemptOutcome {
+  return { kind: 'failed', failure: 'broken', detail, overrun };
+}
+
 /** Sends a complete response to the caller. */
 export function sendResponse(response: CompleteResponse, caller: Caller): void {
   caller.start(response.head);
@@ -45,15 +57,16 @@
   caller.end();
 }
 
-/** Reads the response to its end; undefined where the body is incomplete or too large. */
-export async function readResponse({
-  head,
-  body,
-}: UpstreamResponse): Promise<CompleteResponse | undefined> {
+/** Reads the response to its end, and records in `holding` what it holds. */
+export async function readResponse(
+  { head, body }: UpstreamResponse,
+  holding: Holding,
+): Promise<Result<CompleteResponse, BrokenRead>> {
   try {
-    const bytes = await collectBody(body, maxResponseBytes);
-    return bytes.isOk() ? { head, body: bytes.value } : undefined;
-  } catch {
-    return undefined;
+    const bytes = await collectBody(body, maxResponseBytes, (held) => holding.record(held));
+    if (bytes.isOk()) return ok({ head, body: bytes.value });
+    return err({ detail: 'the answer is too large', overrun: 'body' });
+  } catch (e) {
+    return err(brokenRead(e, 'the answer broke off'));
   }
 }
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -29,7 +29,9 @@
 import type { Balancer, NoTarget, Target } from './balancer.js';
 import { LogRateLimit, RequestLog } from './requestlog.js';
 import { Exclusions } from './exclusions.js';
-import { failureOf, sendResponse } from './outcome.js';
+import type { Holding, Intake } from './intake.js';
+import { Overrun } from './overrun.js';
+import { failureOf, failureOfRead, sendResponse } from './outcome.js';
 import type { AttemptOutcome } from './outcome.js';
 import { maxPermitWaitMs } from './permitwait.js';
 import type { UpstreamClient, UpstreamResponse } from './upstream.js';
@@ -63,6 +65,7 @@
   readonly budget: RetryBudget;
   readonly metrics: Metrics;
   readonly quarantine: Quarantine;
+  readonly intake: Intake;
   readonly availability: Availability;
 }
 
@@ -109,6 +112,7 @@
       delivery: isStream(call) ? StreamDelivery.create(call, caller, clock) : undefined,
       log: RequestLog.create(logger, clock, this.logRateLimit, call),
       errorResponse: undefined,
+      errorHolding: undefined,
       mayCrashAgain: false,
     };
     let delivered = false;
@@ -117,6 +121,7 @@
     } finally {
       stop.abort();
       await state.attempts.join();
+      if (state.errorHolding) this.o.intake.close(state.errorHolding);
       const tookMs = clock.now() - call.startedAt;
       metrics.observe('request.ms', tookMs, { kind: call.route.kind });
       state.log.end(!delivered || state.attempts.count > 1);
@@ -318,7 +323,7 @@
 
   /** Sends the request to the target of an attempt and records the outcome. */
   private async runAttempt(state: RequestState, attempt: RunningAttempt): Promise<AttemptOutcome> {
-    const { clock, client, loads } = this.o;
+    const { clock, client, loads, intake } = this.o;
     const { call, delivery, attempts, deadline } = state;
     const { upstream, path, requestLoads } = attempt.target;
     const { signal } = attempt.stop;
@@ -349,23 +354,43 @@
       this.crashes.recordEvents(call, attempt.events, count);
       attempt.recordEvents(count);
     };
+    const holding = this.openHolding(state, attempt);
     try {
       const sent = await client.send(call, details, signal);
       const response = sent.isOk() ? sent.value : undefined;
       if (response) this.o.availability.record(call.id, upstream, response.notices);
       const received = response
-        ? await forwardResponse(state, attempt, response, onEvents)
+        ? await forwardResponse(state, attempt, response, onEvents, holding)
         : failureOf(sent._unsafeUnwrapErr());
       const outcome = endOf(received, attempt);
       this.recordOutcome(state, attempt, outcome, response);
+      this.keepErrorResponse(state, outcome, holding);
       return outcome;
     } finally {
       watch.end();
       release();
+      if (state.errorHolding !== holding) intake.close(holding);
       attempt.stop.abort();
     }
   }
 
+  /** Opens the holding of an attempt; where it gives way, the attempt fails or its error is dropped. */
+  private openHolding(state: RequestState, attempt: RunningAttempt): Holding {
+    const holding = this.o.intake.open(attempt.target.upstream.id, () => {
+      attempt.recordOverrun(Overrun.create('memory', 'all attempts hold too much, this one most'));
+      if (state.errorHolding === holding) state.errorResponse = undefined;
+    });
+    return holding;
+  }
+
+  /** Keeps the last complete error response, for a request that gets no other. */
+  private keepErrorResponse(state: RequestState, outcome: AttemptOutcome, holding: Holding): void {
+    if (outcome.kind !== 'failed' || !outcome.response) return;
+    if (state.errorHolding) this.o.intake.close(state.errorHolding);
+    state.errorResponse = outcome.response;
+    state.errorHolding = holding;
+  }
+
   /** Records that a part of a response arrived, and lets its attempt serve the caller. */
   private recordActivity(state: RequestState, attempt: RunningAttempt, quietMs: Millis): void {
     const { upstream } = attempt.target;
@@ -431,14 +456,16 @@
       this.o.health.recordSuccess(upstream, tookMs);
       return;
     }
-    const { failure, detail, contact = 'answered' } = outcome;
+    const { failure, detail, overrun, contact = 'answered' } = outcome;
     const culprit = response?.culprit;
     const fields = { upstream: upstream.id, failure, detail, culprit, tookMs: took };
     state.log.info('Attempt failed.', fields);
     this.o.metrics.count('attempt.failed', { reason: failure });
-    state.errorResponse = outcome.response ?? state.errorResponse;
+    if (overrun !== undefined) this.o.metrics.count('attempt.overrun', { kind: overrun });
     if (failure === 'failed') this.crashes.recordAnswer(call, events);
-    if (failure === 'broken' && contact !== 'gone' && culprit === undefined) {
+    // An upstream that sends too much has not crashed under the request.
+    const mayHaveCrashed = contact !== 'gone' && overrun === undefined;
+    if (failure === 'broken' && mayHaveCrashed && culprit === undefined) {
       state.mayCrashAgain = this.crashes.recordBreak(call, upstream, events, tookMs);
     }
     const failed = this.upstreamAtFault(upstream, culprit);
@@ -468,8 +495,12 @@
 }
 
 /** How an attempt ended that received `received`. */
-function endOf(received: AttemptOutcome, { isCancelled, gone }: RunningAttempt): AttemptOutcome {
+function endOf(
+  received: AttemptOutcome,
+  { isCancelled, gone, overrun }: RunningAttempt,
+): AttemptOutcome {
   if (received.kind === 'delivered') return received;
+  if (overrun) return failureOfRead({ detail: overrun.message, overrun: overrun.kind });
   if (gone !== undefined) {
     return { kind: 'failed', failure: 'broken', detail: gone, contact: 'gone' };
   }
--- a/packages/relay/src/requeststate.ts
+++ b/packages/relay/src/requeststate.ts
@@ -4,6 +4,7 @@
 import type { Attempts } from './attempts.js';
 import type { Exclusions } from './exclusions.js';
 import type { Call, Caller } from './call.js';
+import type { Holding } from './intake.js';
 import type { CompleteResponse } from './outcome.js';
 import type { RequestLog } from './requestlog.js';
 import type { StreamDelivery } from './stream.js';
@@ -21,6 +22,8 @@
   readonly log: RequestLog;
   /** The last complete error response; sent to the caller where no attempt succeeds. */
   errorResponse: CompleteResponse | undefined;
+  /** What is held for `errorResponse`. */
+  errorHolding: Holding | undefined;
   /** Whether an upstream crashed under the request when it, or a part, was suspected before. */
   mayCrashAgain: boolean;
 }
--- a/packages/relay/src/stream.ts
+++ b/packages/relay/src/stream.ts
@@ -1,14 +1,18 @@
 /** Joins the event streams of one or more attempts into one: each event once and in order. */
 
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
 import type { Clock, Millis } from '@tanagercart/base';
 import { isRepeatable } from './call.js';
 import type { Call, Caller } from './call.js';
 import { EventSplitter } from './events.js';
 import type { StreamEvent } from './events.js';
+import type { Holding } from './intake.js';
+import { brokenRead } from './overrun.js';
+import type { BrokenRead } from './overrun.js';
 import type { UpstreamResponse } from './upstream.js';
 
-/** How the stream of one attempt ended. */
-export type RunOutcome = 'complete' | 'broken';
+const brokenOff: BrokenRead = { detail: 'the stream broke off' };
 
 /** The stream of events to one caller, over all attempts. */
 export class StreamDelivery {
@@ -39,30 +43,32 @@
   /**
    * Forwards the events of one attempt until its stream ends. `onEvents` is called for each chunk
    * that completes new events, with their number, before these are sent. Nothing is sent once `stop`
-   * is aborted.
+   * is aborted. `holding` is told the bytes of the incomplete event.
    */
   async forward(
     response: UpstreamResponse,
     onEvents: (count: number) => void,
     stop: AbortSignal,
-  ): Promise<RunOutcome> {
+    holding: Holding,
+  ): Promise<Result<void, BrokenRead>> {
     const splitter = EventSplitter.create();
     try {
       for await (const chunk of response.body) {
-        if (stop.aborted) return 'broken';
+        if (stop.aborted) return err(brokenOff);
         const received = splitter.push(chunk);
+        holding.record(splitter.held);
         const foreign = received.findIndex((e) => this.isForeign(e.id));
         const own = foreign < 0 ? received : received.slice(0, foreign);
         const events = own.filter((e) => this.isNew(e.id));
         if (events.length > 0) await this.deliver(response, events, onEvents);
-        if (foreign >= 0) return 'broken';
+        if (foreign >= 0) return err(brokenOff);
       }
-    } catch {
-      return 'broken';
+    } catch (e) {
+      return err(brokenRead(e, brokenOff.detail));
     }
-    if (splitter.isPartial || !this.started || stop.aborted) return 'broken';
+    if (splitter.isPartial || !this.started || stop.aborted) return err(brokenOff);
     this.caller.end();
-    return 'complete';
+    return ok();
   }
 
   /** Sends new events to the caller, after the head where they are the first ones. */
--- a/packages/relay/src/upstream.ts
+++ b/packages/relay/src/upstream.ts
@@ -6,6 +6,7 @@
 import type { UpstreamRecord } from '@tanagercart/protocol';
 import type { UpstreamNotices } from './availability.js';
 import type { Call, ResponseHead } from './call.js';
+import type { OverrunKind } from './overrun.js';
 import type { ProbeResult } from './silence.js';
 
 /** One attempt to send a request. */
@@ -25,7 +26,7 @@
   readonly notices: UpstreamNotices;
   /** Address of the upstream that caused the failure, where it is not the one that responded. */
   readonly culprit: string | undefined;
-  /** Throws where the body ends before it is complete. */
+  /** Throws where the body ends before it is complete, an `Overrun` where it is not read on. */
   readonly body: AsyncIterable<Uint8Array>;
 }
 
@@ -34,7 +35,7 @@
   /** The request was not sent; `isGone` where nothing listens at the address. */
   | { readonly kind: 'unreachable'; readonly detail: string; readonly isGone: boolean }
   /** The connection broke, or the bytes received are not a response to this request. */
-  | { readonly kind: 'broken'; readonly detail: string }
+  | { readonly kind: 'broken'; readonly detail: string; readonly overrun?: OverrunKind }
   /** The relay cancelled the attempt. */
   | { readonly kind: 'cancelled' };
 
--- a/packages/relay/test/fixtures.ts
+++ b/packages/relay/test/fixtures.ts
@@ -17,7 +17,7 @@
 import { MemoryNetwork, encode } from '@tanagercart/protocol';
 import type { Bulletin, Transport, UpstreamCrash, UpstreamRecord } from '@tanagercart/protocol';
 import { Pacer } from '@tanagercart/pacing';
-import { Availability, Balancer, Health, Loads, Relay, RetryBudget } from '../src/index.js';
+import { Availability, Balancer, Health, Intake, Loads, Relay, RetryBudget } from '../src/index.js';
 import type {
   Attempt,
   Call,
@@ -159,6 +159,7 @@
   readonly suspected?: readonly string[];
   /** The node, its connection to the other entries, and all entries; one alone by default. */
   readonly peers?: Peers;
+  readonly intake?: Intake;
 }
 
 /** One of several entries that share the limits of upstreams. */
@@ -202,6 +203,7 @@
     budget: RetryBudget.create(clock, { ratio: 0, slack, windowMs: 10_000 }, () => 1),
     metrics,
     availability,
+    intake: parts.intake ?? Intake.create(),
     quarantine: parts.quarantine ?? {
       isEmpty: () => quarantined.length === 0,
       has: (subject) => quarantined.includes(subject),
