Track the end of an event by a number

The search for the end of an event kept its state as a string, which the compiler compares more slowly than a number.

--- a/packages/relay/src/events.ts
+++ b/packages/relay/src/events.ts
@@ -17,14 +17,12 @@
 const carriageReturn = 0x0d;
 const idField = 'id:';
 
-/** What the bytes received last are of the end of an event. */
-type Ending = 'none' | 'line' | 'line-and-return';
-
 /** Collects bytes until they make up complete events; looks at each byte once. */
 export class EventSplitter {
   /** The bytes of the incomplete event, without the end of an event in them. */
   private readonly partial = ByteBlocks.create();
-  private ending: Ending = 'none';
+  /** How many bytes of the end of an event were received last. */
+  private matched: 0 | 1 | 2 = 0;
 
   static create(): EventSplitter {
     return new EventSplitter();
@@ -41,8 +39,8 @@
   }
 
   /**
-   * Adds `chunk`, which must not change afterwards, and returns the events that it completes. Throws if more than `maxEventBytes` are
-   * left without the end of an event, an `Overrun`.
+   * Adds `chunk`, which must not change afterwards, and returns the events that it completes. Throws
+   * an `Overrun` if more than `maxEventBytes` are left without the end of an event.
    */
   push(chunk: Uint8Array): readonly StreamEvent[] {
     const events: StreamEvent[] = [];
@@ -70,19 +68,20 @@
 
   /** Offset after the blank line that ends the present event; -1 where `chunk` does not end it. */
   private endOfEvent(chunk: Uint8Array, from: number): number {
-    let { ending } = this;
+    const { length } = chunk;
+    let { matched } = this;
     let at = from;
-    for (; at < chunk.length; at += 1) {
+    for (; at < length; at += 1) {
       const byte = chunk[at];
       if (byte === newline) {
-        if (ending !== 'none') break;
-        ending = 'line';
-      } else if (ending !== 'none') {
-        ending = byte === carriageReturn && ending === 'line' ? 'line-and-return' : 'none';
+        if (matched !== 0) break;
+        matched = 1;
+      } else if (matched !== 0) {
+        matched = byte === carriageReturn && matched === 1 ? 2 : 0;
       }
     }
-    const isEnd = at < chunk.length;
-    this.ending = isEnd ? 'none' : ending;
+    const isEnd = at < length;
+    this.matched = isEnd ? 0 : matched;
     return isEnd ? at + 1 : -1;
   }
 }
