Send an answer in progress before the refusal of what follows it

What callers saw: bytes that are no request, after one in progress, put a 400 in the place or the middle of its answer, and ended its connection.

Where the newest request is complete and its answer is not sent yet, the connection ends with that answer; a caller that leaves amid its next request is let go as before.

--- a/packages/entry/src/callerserver.ts
+++ b/packages/entry/src/callerserver.ts
@@ -33,7 +33,10 @@
   // Connections whose request was answered before all of it had arrived. Nothing more is sent on
   // them when the rest of the request times out.
   const answeredEarly = new WeakSet<Duplex>();
+  // The answer to the newest request of each connection.
+  const newest = new WeakMap<Duplex, ServerResponse>();
   const server = createServer(options, (req, res) => {
+    newest.set(req.socket, res);
     res.on('finish', () => {
       if (!req.complete) answeredEarly.add(req.socket);
     });
@@ -45,12 +48,26 @@
   });
   server.on('clientError', (error, socket) => {
     const timedOut = (error as { readonly code?: string }).code === requestTimeoutCode;
-    if (timedOut && answeredEarly.has(socket)) socket.destroy();
+    const answer = newest.get(socket);
+    if (answer?.req.complete && !answer.writableFinished) endAfterAnswer(answer, socket);
+    else if (timedOut && answeredEarly.has(socket)) socket.destroy();
     else answerBadRequest(entry, error, socket);
   });
   return server;
 }
 
+/** Ends a connection on which something else than a request has followed, once its answer is sent. */
+function endAfterAnswer(answer: ServerResponse, socket: Duplex): void {
+  if (socket.readableEnded) {
+    // Its caller has left amid its next request.
+    socket.end();
+    return;
+  }
+  if (!answer.shouldKeepAlive) return;
+  answer.shouldKeepAlive = false;
+  answer.once('close', () => socket.end());
+}
+
 /**
  * Handles one request. An unexpected error fails this request alone; a broken invariant is also
  * reported, so that the process ends.
--- a/packages/entry/test/callerserver.test.ts
+++ b/packages/entry/test/callerserver.test.ts
@@ -5,6 +5,7 @@
 import type { AddressInfo } from 'node:net';
 import { test } from 'node:test';
 import type { TestContext } from 'node:test';
+import { setTimeout as sleep } from 'node:timers/promises';
 import {
   InvariantError,
   HeldClock,
@@ -274,3 +275,37 @@
     [200, 401],
   );
 });
+
+test('bytes that are no request cut no answer in progress', async (t) => {
+  let proceed = () => {};
+  const proceeding = new Promise<void>((resolve) => {
+    proceed = resolve;
+  });
+  async function* generate() {
+    await proceeding;
+    yield* twoTokens();
+  }
+  const { server } = await startServer(t, { generate });
+  const socket = connect(portOf(server), '127.0.0.1');
+  t.after(() => socket.destroy());
+  let received = '';
+  socket.on('data', (bytes: Buffer) => {
+    received += bytes.toString('latin1');
+  });
+  const closed = new Promise((resolve) => {
+    socket.on('close', resolve);
+  });
+  const body = JSON.stringify(validBody);
+  socket.write(
+    `POST /v1/completions HTTP/1.1\r\nHost: n1\r\nAuthorization: Bearer ${key}\r\n` +
+      `Content-Length: ${body.length}\r\n\r\n${body}`,
+  );
+  await sleep(100);
+  socket.write('\0 no request\r\n\r\n');
+  await sleep(100);
+  proceed();
+  await closed;
+  assert.match(received, /^HTTP\/1.1 200 OK\r\n/);
+  assert.match(received, /dry figs/);
+  assert.equal(received.match(/HTTP\/1.1/g)?.length, 1);
+});
