--- a/packages/base/src/body.ts
+++ b/packages/base/src/body.ts
@@ -1,5 +1,6 @@
 /** Reads the body of a request or response into memory, up to a limit. */
 
+import type { Readable } from 'node:stream';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import { ByteBlocks } from './byteblocks.js';
@@ -22,3 +23,15 @@
   }
   return ok(held.take());
 }
+
+/**
+ * As `collectBody`, for a request to a server of this process. The request stays intact where its
+ * body is too large, so that a refusal can still be sent.
+ */
+export function collectRequest(
+  request: Readable,
+  maxBytes: number,
+): Promise<Result<Buffer, 'too-large'>> {
+  const chunks = request.iterator({ destroyOnReturn: false });
+  return collectBody(chunks as AsyncIterable<Uint8Array>, maxBytes);
+}
--- a/packages/entry/src/body.ts
+++ b/packages/entry/src/body.ts
@@ -3,7 +3,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { err } from 'neverthrow';
 import type { Result } from 'neverthrow';
-import { collectBody } from '@tanagercart/base';
+import { collectRequest } from '@tanagercart/base';
 
 /** Reads a whole body of at most `limit` bytes; leaves the rest of a longer one unread. */
 export async function readBody(
@@ -11,8 +11,7 @@
   limit: number,
 ): Promise<Result<Buffer, 'too-large'>> {
   if (Number(req.headers['content-length'] ?? 0) > limit) return err('too-large');
-  // The iterator must not destroy the request, so that a refusal can still be sent.
-  return collectBody(req.iterator({ destroyOnReturn: false }) as AsyncIterable<Buffer>, limit);
+  return collectRequest(req, limit);
 }
 
 /** Parses JSON; undefined where it is malformed. */
--- a/packages/standin/src/http.ts
+++ b/packages/standin/src/http.ts
@@ -2,7 +2,7 @@
 
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
-import { collectBody } from '@tanagercart/base';
+import { collectRequest } from '@tanagercart/base';
 
 /** Limit on the body of a request, in bytes. */
 const bodyLimit = 8 * 1024 * 1024;
@@ -21,7 +21,7 @@
 
 /** Reads the body of a request as JSON; an empty body is `{}`. Throws if it exceeds the limit. */
 export async function readJson(req: IncomingMessage): Promise<unknown> {
-  const body = await collectBody(req as AsyncIterable<Buffer>, bodyLimit);
+  const body = await collectRequest(req, bodyLimit);
   if (body.isErr()) throw new RangeError('body too large');
   return body.value.length === 0 ? {} : JSON.parse(body.value.toString());
 }
