Give the search for targets a module, and the kept error one field

Where a request may still go, and the wait for it, is in targets.ts; an error that is kept and the bytes held for it are one value, so that neither can be there without the other. Nothing behaves otherwise.

The tests of relay pass, as do those of platform for faulty upstreams, endless bytes and connections (138).

--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -26,5 +26,6 @@
 export * from './requestlog.js';
 export * from './exclusions.js';
 export * from './requeststate.js';
+export * from './targets.js';
 export * from './forwarding.js';
 export * from './relay.js';
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -3,7 +3,7 @@
  * kind of the route, the deadline and the retry budget allow it.
  */
 
-import type { Clock, Logger, Metrics, Millis, Random, UpstreamId } from '@tanagercart/base';
+import type { Clock, Logger, Metrics, Millis, Random } from '@tanagercart/base';
 import { formatRange } from '@tanagercart/layers';
 import type { UpstreamRecord } from '@tanagercart/protocol';
 import { jitter } from './jitter.js';
@@ -26,14 +26,14 @@
 import { fingerprintOf, sharedPartsOf } from './quarantine.js';
 import type { Quarantine } from './quarantine.js';
 import { StreamDelivery } from './stream.js';
-import type { Balancer, NoTarget, Target } from './balancer.js';
+import type { Balancer, Target } from './balancer.js';
 import { LogRateLimit, RequestLog } from './requestlog.js';
 import { Exclusions } from './exclusions.js';
 import type { Holding, Intake } from './intake.js';
 import { Overrun } from './overrun.js';
 import { failureOf, failureOfRead, sendResponse } from './outcome.js';
 import type { AttemptOutcome } from './outcome.js';
-import { maxPermitWaitMs } from './permitwait.js';
+import { Targets } from './targets.js';
 import type { UpstreamClient, UpstreamResponse } from './upstream.js';
 
 /**
@@ -42,15 +42,6 @@
  */
 const meanRetryAfterMs: Millis = 400;
 
-/** After this many refusals of permits, an attempt goes only to upstreams without a limit. */
-const maxPermitRefusals = 6;
-
-/** Longest wait of an interrupted stream for a target, before its caller disconnects. */
-const maxTargetWaitMs: Millis = 1000;
-
-/** Interval at which such a stream looks for a target. */
-const targetPollMs: Millis = 50;
-
 /** Retry-after time of quarantined requests. */
 const quarantineRetryAfterMs: Millis = 30_000;
 
@@ -73,10 +64,12 @@
 export class Relay {
   private readonly logRateLimit: LogRateLimit;
   private readonly crashes: CrashWatch;
+  private readonly targets: Targets;
 
   private constructor(private readonly o: RelayOptions) {
     this.logRateLimit = LogRateLimit.create(o.clock, o.logger);
     this.crashes = CrashWatch.create(o);
+    this.targets = Targets.create(o);
   }
 
   static create(options: RelayOptions): Relay {
@@ -111,8 +104,7 @@
       exclusions: Exclusions.create(),
       delivery: isStream(call) ? StreamDelivery.create(call, caller, clock) : undefined,
       log: RequestLog.create(logger, clock, this.logRateLimit, call),
-      errorResponse: undefined,
-      errorHolding: undefined,
+      keptError: undefined,
       mayCrashAgain: false,
     };
     let delivered = false;
@@ -121,7 +113,7 @@
     } finally {
       stop.abort();
       await state.attempts.join();
-      if (state.errorHolding) this.o.intake.close(state.errorHolding);
+      if (state.keptError) this.o.intake.close(state.keptError.holding);
       const tookMs = clock.now() - call.startedAt;
       metrics.observe('request.ms', tookMs, { kind: call.route.kind });
       state.log.end(!delivered || state.attempts.count > 1);
@@ -155,12 +147,12 @@
 
   /** Ends a request whose deadline passed before its response was complete. */
   private expire(state: RequestState): void {
-    const { call, caller, delivery, attempts, errorResponse } = state;
+    const { call, caller, delivery, attempts, keptError } = state;
     const started = delivery?.started ?? false;
     state.log.info('Deadline passed.', { runs: attempts.mayHaveRun.size, started });
     this.o.metrics.count('request.expired', { kind: call.route.kind });
     if (started) caller.abort();
-    else if (errorResponse) sendResponse(errorResponse, caller);
+    else if (keptError) sendResponse(keptError.response, caller);
     else caller.refuse({ kind: 'timeout', reason: 'no answer within the time of the request' });
   }
 
@@ -169,7 +161,7 @@
    * of an upstream was delivered completely.
    */
   private async runAttempts(state: RequestState, stop: AbortSignal): Promise<boolean> {
-    const target = await this.acquireTarget(state, stop);
+    const target = await this.targets.acquire(state, stop);
     if (stop.aborted) return false;
     if (typeof target === 'string') {
       this.giveUp(state, target);
@@ -207,7 +199,7 @@
     if (news.kind === 'silent') this.recordSilence(state, news.attempt, news.silence);
     const failure = failureIn(news);
     if (attempts.hasActive || !this.mayRetry(state, news, failure)) return failure;
-    const target = await this.acquireTarget(state, stop);
+    const target = await this.targets.acquire(state, stop);
     if (typeof target === 'string') return target;
     // One that was silent may have gone on in the meantime.
     if (stop.aborted || attempts.hasActive) return failure;
@@ -220,42 +212,6 @@
     state.attempts.start(target, this.o.clock.now(), run);
   }
 
-  /**
-   * Picks a target and waits for the permit to send it the request. A stream that has begun and has
-   * no attempt left also waits for a target, as it could only be cut.
-   */
-  private async acquireTarget(state: RequestState, stop: AbortSignal): Promise<Target | NoTarget> {
-    const { call, exclusions, attempts } = state;
-    const { balancer, availability } = this.o;
-    const maxWaitMs = maxPermitWaitMs(call, state.delivery?.started ?? false);
-    const refused = new Set<UpstreamId>();
-    const isExcluded = (u: UpstreamRecord) => isExcludedNow(state, u);
-    const isAvoided = (u: UpstreamRecord) => exclusions.isAvoided(u);
-    const waitsUntil = this.o.clock.now() + maxTargetWaitMs;
-    for (;;) {
-      // Once the route's attempts are used up, only upstreams that may have run it get it again.
-      const { mayHaveRun } = attempts;
-      const attemptsExhausted = mayHaveRun.size >= call.route.maxAttempts;
-      const receivers = attemptsExhausted ? mayHaveRun : undefined;
-      const withoutPermit = refused.size < maxPermitRefusals ? refused : 'all-limited';
-      const bounds = { receivers, withoutPermit, maxWaitMs } as const;
-      const target = balancer.pick(call, { isExcluded, isAvoided, ...bounds });
-      if (typeof target === 'string') {
-        const waits = isInterrupted(state) && this.o.clock.now() < waitsUntil && !stop.aborted;
-        if (!waits) return target;
-        await this.o.clock.sleep(targetPollMs, stop);
-        continue;
-      }
-      const { upstream } = target;
-      const permit = await availability.acquire(upstream, maxWaitMs, stop);
-      if (stop.aborted) return target;
-      if (permit.kind === 'refused') {
-        refused.add(upstream.id);
-        state.log.info('No permit.', { upstream: upstream.id, waitMs: Math.round(permit.waitMs) });
-      } else if (balancer.isReady(upstream)) return target;
-    }
-  }
-
   /** Whether the request may be sent again. */
   private mayRetry(state: RequestState, news: AttemptNews, failure: Failure): boolean {
     const { call, attempts, deadline } = state;
@@ -268,7 +224,7 @@
       repeatable: isRepeatable(call),
       runs: mayHaveRun.size,
       maxAttempts: call.route.maxAttempts,
-      mayRunAgain: [...mayHaveRun].some((id) => this.mayReceive(state, id)),
+      mayRunAgain: this.targets.mayRunAgain(state),
       sends: attempts.count - attempts.misses,
       misses: attempts.misses,
       remainingMs: deadline - this.o.clock.now(),
@@ -276,20 +232,6 @@
     return decision === 'retry';
   }
 
-  /** Whether another upstream than this one may run the request. */
-  private mayRunElsewhere(state: RequestState, receiver: UpstreamId): boolean {
-    const { call, attempts } = state;
-    const others = [...attempts.mayHaveRun].filter((id) => id !== receiver);
-    if (others.length + 1 < call.route.maxAttempts) return true;
-    return others.some((id) => this.mayReceive(state, id));
-  }
-
-  /** Whether an upstream is still there, and the request may be sent to it again. */
-  private mayReceive(state: RequestState, id: UpstreamId): boolean {
-    const upstream = this.o.balancer.upstreamWith(id);
-    return upstream !== undefined && !isExcludedNow(state, upstream);
-  }
-
   /** Takes a retry from the budget, where the request needs one to be sent again. */
   private acquireRetry({ call, log }: RequestState, failure: Failure): boolean {
     if (failure === 'unreachable') return true;
@@ -303,14 +245,14 @@
 
   /** Ends a request that is not retried, with the most definite result that is known. */
   private giveUp(state: RequestState, reason: string): void {
-    const { caller, delivery, attempts, errorResponse } = state;
+    const { caller, delivery, attempts, keptError } = state;
     const { mayHaveRun } = attempts;
     state.log.info('Gave up.', { reason, runs: mayHaveRun.size, sends: attempts.count });
     this.o.metrics.count('request.given-up', { reason });
     if (delivery?.started) {
       caller.abort();
-    } else if (errorResponse) {
-      sendResponse(errorResponse, caller);
+    } else if (keptError) {
+      sendResponse(keptError.response, caller);
     } else if (mayHaveRun.size > 0) {
       caller.refuse({ kind: 'unknown', reason });
     } else {
@@ -342,7 +284,7 @@
       isHeldByCaller: () => delivery?.isHeldByCaller ?? false,
       onSilent: (silence) => {
         // Where no other upstream may run the request, being slow is held against none.
-        if (silence.kind === 'overdue' && !this.mayRunElsewhere(state, upstream.id)) return;
+        if (silence.kind === 'overdue' && !this.targets.mayRunElsewhere(state, upstream.id)) return;
         attempts.recordSilence(attempt, silence);
       },
       onGone: (detail) => attempt.recordGone(detail),
@@ -369,7 +311,7 @@
     } finally {
       watch.end();
       release();
-      if (state.errorHolding !== holding) intake.close(holding);
+      if (state.keptError?.holding !== holding) intake.close(holding);
       attempt.stop.abort();
     }
   }
@@ -378,7 +320,7 @@
   private openHolding(state: RequestState, attempt: RunningAttempt): Holding {
     const holding = this.o.intake.open(attempt.target.upstream.id, () => {
       attempt.recordOverrun(Overrun.create('memory', 'all attempts hold too much, this one most'));
-      if (state.errorHolding === holding) state.errorResponse = undefined;
+      if (state.keptError?.holding === holding) state.keptError = undefined;
     });
     return holding;
   }
@@ -386,9 +328,8 @@
   /** Keeps the last complete error response, for a request that gets no other. */
   private keepErrorResponse(state: RequestState, outcome: AttemptOutcome, holding: Holding): void {
     if (outcome.kind !== 'failed' || !outcome.response) return;
-    if (state.errorHolding) this.o.intake.close(state.errorHolding);
-    state.errorResponse = outcome.response;
-    state.errorHolding = holding;
+    if (state.keptError) this.o.intake.close(state.keptError.holding);
+    state.keptError = { response: outcome.response, holding };
   }
 
   /** Records that a part of a response arrived, and lets its attempt serve the caller. */
@@ -476,19 +417,6 @@
   }
 }
 
-/**
- * Whether a request is not sent to an upstream at present: it has failed for it, or is silent with an
- * attempt that may go on.
- */
-function isExcludedNow({ exclusions, attempts }: RequestState, upstream: UpstreamRecord): boolean {
-  return exclusions.isExcluded(upstream) || attempts.isBlamed(upstream);
-}
-
-/** Whether the caller has received a part of a stream that no attempt continues at present. */
-function isInterrupted({ delivery, attempts }: RequestState): boolean {
-  return (delivery?.started ?? false) && attempts.areOver;
-}
-
 /** The failure that news is, for a request that is not yet answered. */
 function failureIn(news: AttemptNews): Failure {
   return news.kind === 'ended' && news.outcome.kind === 'failed' ? news.outcome.failure : 'silent';
--- a/packages/relay/src/requeststate.ts
+++ b/packages/relay/src/requeststate.ts
@@ -9,6 +9,12 @@
 import type { RequestLog } from './requestlog.js';
 import type { StreamDelivery } from './stream.js';
 
+/** An error response of an upstream, and what is held for it. */
+export interface KeptError {
+  readonly response: CompleteResponse;
+  readonly holding: Holding;
+}
+
 /** State of one request over all of its attempts. */
 export interface RequestState {
   readonly call: Call;
@@ -21,9 +27,7 @@
   readonly delivery: StreamDelivery | undefined;
   readonly log: RequestLog;
   /** The last complete error response; sent to the caller where no attempt succeeds. */
-  errorResponse: CompleteResponse | undefined;
-  /** What is held for `errorResponse`. */
-  errorHolding: Holding | undefined;
+  keptError: KeptError | undefined;
   /** Whether an upstream crashed under the request when it, or a part, was suspected before. */
   mayCrashAgain: boolean;
 }
