Let a voter that no leader calls ask to join again

Callers saw: after a planned replacement during which a voter was silent for four seconds, the loss of one disk left no quorum for good.

Cause: the leader removes a silent voter from a set of even size, and sends nothing to former members, so the removed voter's log names it for ever. Only a node that does not find itself in its own log asked to join. Ruled out: that it asks and is refused (the leader logs no such change).

Change: a voter that no leader has called for 1 s asks to join; the leader ignores voters that answer it. The decision is fleet/voterplan, with a table. Log lines say that a voter doubts, and who is silent and who asks.

--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -7,6 +7,7 @@
 export * from './leaderclient.js';
 export * from './committimes.js';
 export * from './voter.js';
+export * from './voterplan.js';
 export * from './membership.js';
 export * from './registry.js';
 export * from './heartbeats.js';
--- a/packages/fleet/src/membership.ts
+++ b/packages/fleet/src/membership.ts
@@ -7,22 +7,27 @@
 import type { Raft } from '@tanagercart/log';
 import type { JoinCall, JoinReply, Transport } from '@tanagercart/protocol';
 import type { Voter } from './voter.js';
+import { nextVoterChange } from './voterplan.js';
+import type { VoterChange } from './voterplan.js';
 
-/** Interval at which a node that does not vote asks to join, and the leader checks the voters. */
+/** Interval at which a node that may not vote asks to join, and the leader checks the voters. */
 const reconcileIntervalMs: Millis = 200;
 
 /** A request to join expires after this time. */
 const joinRequestTtlMs: Millis = 1200;
 
-/** The leader removes a voter from a set of even size if it has not answered for this long. */
+/** A voter or learner that has not answered the leader for this long counts as silent. */
 const silentMs: Millis = 1500;
 
+/**
+ * A voter that no leader has called for this long asks to join: it may have been removed while it
+ * could not be told, and its own log names it as a voter for ever.
+ */
+const doubtMs: Millis = 1000;
+
 /** Time for a node to answer a request to join. */
 const joinTimeoutMs: Millis = 400;
 
-/** Largest number of voters. Further nodes with a disk remain on standby. */
-const maxVoters = 7;
-
 export interface MembershipOptions {
   readonly self: NodeId;
   readonly voter: Voter;
@@ -40,6 +45,8 @@
   /** Voters and leaders that were named in replies to requests to join. */
   private discovered: readonly NodeId[] = [];
   private isChanging = false;
+  /** Whether this node doubts that it still votes. */
+  private isInDoubt = false;
 
   private constructor(private readonly o: MembershipOptions) {}
 
@@ -55,19 +62,31 @@
   }
 
   /**
-   * Asks to join while this node does not vote, and maintains the voter set while it leads, until
-   * `stop` is aborted.
+   * Asks to join while this node does not vote or doubts that it does, and maintains the voter set
+   * while it leads, until `stop` is aborted.
    */
   async run(stop: AbortSignal): Promise<void> {
     const { clock, voter } = this.o;
     while (!stop.aborted) {
       const { raft } = voter;
       if (raft && voter.isLeader) this.reconcile(raft);
-      else if (raft && !voter.isVoter) await this.requestJoin();
+      else if (raft && !this.surelyVotes(raft)) await this.requestJoin();
       await clock.sleep(reconcileIntervalMs, stop);
     }
   }
 
+  /** Whether this node votes, and has been told so by the calls of a leader of late. */
+  private surelyVotes(raft: Raft): boolean {
+    const { voter, logger } = this.o;
+    const isLed = raft.leaderWithin(doubtMs) !== undefined;
+    const wasInDoubt = this.isInDoubt;
+    this.isInDoubt = voter.isVoter && !isLed;
+    if (this.isInDoubt && !wasInDoubt) {
+      logger.info('No leader calls this voter, asking to join.', { term: raft.term, doubtMs });
+    }
+    return voter.isVoter && isLed;
+  }
+
   private handleJoin(call: JoinCall): JoinReply {
     const { voter, clock } = this.o;
     if (voter.isLeader) this.joins.set(call.node, clock.now());
@@ -94,52 +113,49 @@
     void this.apply(raft, change);
   }
 
-  private async apply(raft: Raft, change: Change): Promise<void> {
+  private async apply(raft: Raft, change: VoterChange): Promise<void> {
     const { logger, clock } = this.o;
-    logger.info('Changing the voters.', { action: change.action, node: change.node });
+    const { action, node } = change;
+    logger.info('Changing the voters.', {
+      action,
+      node,
+      silent: [...silentMembers(raft)].join(' '),
+      asking: this.asking.join(' '),
+    });
     const reply = await raft.changeVoters(change);
     const reason = 'reason' in reply ? reply.reason : undefined;
     logger.info('Changed the voters.', {
-      action: change.action,
-      node: change.node,
+      action,
+      node,
       outcome: reply.kind,
       reason,
       voters: raft.voterConfig.voters.map((m) => m.id).join(' '),
     });
-    this.joins.delete(change.node);
+    this.joins.delete(node);
     if (reply.kind !== 'changed') await clock.sleep(reconcileIntervalMs);
     this.isChanging = false;
   }
 
-  /**
-   * Chooses the next change of the voter set. A set of even size tolerates no more failures than a
-   * set with one voter less, so a silent voter is removed from it. A silent voter of a set of odd
-   * size remains until a node that asks to join can replace it.
-   */
-  private nextChange(raft: Raft): Change | undefined {
-    const { clock, self } = this.o;
-    const now = clock.now();
+  private nextChange(raft: Raft): VoterChange | undefined {
     const { voters, learners } = raft.voterConfig;
-    const silent = voters.filter((m) => m.id !== self && !raft.answeredWithin(m.id, silentMs));
-    const canShrink = voters.length > 2 && voters.length % 2 === 0;
-    if (canShrink && silent[0]) return { action: 'remove', node: silent[0].id };
-    const joining = [...this.joins]
-      .filter(([, at]) => now - at < joinRequestTtlMs)
-      .map(([node]) => node);
-    const [node] = joining;
-    if (node !== undefined) {
-      if (voters.length < maxVoters || voters.some((m) => m.id === node)) {
-        return { action: 'add', node };
-      }
-      if (silent[0]) return { action: 'remove', node: silent[0].id };
-    }
-    const lost = learners.find((m) => !raft.answeredWithin(m.id, silentMs));
-    return lost ? { action: 'remove', node: lost.id } : undefined;
+    return nextVoterChange({
+      voters: voters.map((m) => m.id),
+      learners: learners.map((m) => m.id),
+      silent: silentMembers(raft),
+      asking: this.asking,
+    });
+  }
+
+  /** Nodes that asked to join lately. */
+  private get asking(): readonly NodeId[] {
+    const now = this.o.clock.now();
+    return [...this.joins].filter(([, at]) => now - at < joinRequestTtlMs).map(([node]) => node);
   }
 }
 
-/** A change of the voter set. */
-interface Change {
-  readonly action: 'add' | 'remove';
-  readonly node: NodeId;
+/** Voters and learners that have not answered this leader lately. */
+function silentMembers(raft: Raft): ReadonlySet<NodeId> {
+  const { voters, learners } = raft.voterConfig;
+  const members = [...voters, ...learners].map((m) => m.id);
+  return new Set(members.filter((id) => !raft.answeredWithin(id, silentMs)));
 }
--- /dev/null
+++ b/packages/fleet/src/voterplan.ts
@@ -0,0 +1,51 @@
+/**
+ * Decides the next change of the voter set. Answers the loss, the silence, the return and the
+ * replacement of voters, in sets of even and of odd size.
+ *
+ * | node                            | what the leader does                                          |
+ * | ------------------------------- | ------------------------------------------------------------- |
+ * | voter that answers              | keeps it, also if it asks to join                             |
+ * | silent voter, set of even size  | removes it: the set tolerates no fewer failures without it    |
+ * | silent voter, set of odd size   | keeps it, until a node that asks to join has made the set even |
+ * | silent voter that asks to join  | adds it: it may have another disk, with which it does not vote |
+ * | learner that asks to join       | lets it vote once it has caught up                            |
+ * | silent learner                  | removes it                                                    |
+ * | other node that asks to join    | adds it; a full set first loses a silent voter, if it has one |
+ */
+
+import type { NodeId } from '@tanagercart/base';
+
+/** Largest number of voters. Further nodes with a disk remain on standby. */
+export const maxVoters = 7;
+
+/** A change of the voter set. */
+export interface VoterChange {
+  readonly action: 'add' | 'remove';
+  readonly node: NodeId;
+}
+
+/** What the leader knows of the nodes that vote, learn or ask to join. */
+export interface Electorate {
+  readonly voters: readonly NodeId[];
+  readonly learners: readonly NodeId[];
+  /** Voters and learners that have not answered the leader lately; never the leader. */
+  readonly silent: ReadonlySet<NodeId>;
+  /** Nodes that asked to join lately, the earliest first. */
+  readonly asking: readonly NodeId[];
+}
+
+/** The next change of the voter set; undefined if none is due. */
+export function nextVoterChange(electorate: Electorate): VoterChange | undefined {
+  const { voters, learners, silent, asking } = electorate;
+  const silentVoter = voters.find((id) => silent.has(id));
+  const canShrink = voters.length > 2 && voters.length % 2 === 0;
+  if (canShrink && silentVoter !== undefined) return { action: 'remove', node: silentVoter };
+  const joining = asking.find((id) => !voters.includes(id)) ?? asking.find((id) => silent.has(id));
+  if (joining !== undefined) {
+    const hasRoom = voters.length < maxVoters || voters.includes(joining);
+    if (hasRoom) return { action: 'add', node: joining };
+    if (silentVoter !== undefined) return { action: 'remove', node: silentVoter };
+  }
+  const silentLearner = learners.find((id) => silent.has(id));
+  return silentLearner === undefined ? undefined : { action: 'remove', node: silentLearner };
+}
