Acknowledge a deregistration only once the log holds it

Cause: a voter answered 200 by its own copy of the state where it had no record of the upstream, and told nobody. The copy of a removed voter is old for good, and that of a sound follower by up to a heartbeat. Where the body named no incarnation, the one of the copy was taken. Ruled out: that the leader is told and the record overwritten (no line of the leader names the deregistration).

Change: the leader is sent the id and the incarnation, applies what was committed before, commits the record and answers then. An unknown upstream is recorded as gone, so that a late heartbeat does not register it.

--- a/packages/fleet/src/control.ts
+++ b/packages/fleet/src/control.ts
@@ -15,9 +15,11 @@
   AdoptionCall,
   AdoptionReply,
   Announcement,
+  BeatCall,
   BeatReply,
   CrashCall,
   CrashReply,
+  Deregistration,
   EntryRecord,
   HeartbeatsCall,
   HeartbeatsReply,
@@ -36,7 +38,7 @@
 import { LeaderTerm } from './leaderterm.js';
 import { Membership } from './membership.js';
 import type { OrderClient } from './placer.js';
-import { isUnchanged } from './registry.js';
+import { goneRecord, isUnchanged } from './registry.js';
 import { adoptionWaitMs } from './rollout.js';
 import { strikesToQuarantine } from './state.js';
 import type { Document } from './state.js';
@@ -177,7 +179,23 @@
     if (isPlain && !this.isLeader && this.leaderTakesHeartbeats) {
       return this.heartbeats.add(announcement);
     }
-    const reply = await this.client.call('beat', { announcement }, forwardTimeoutMs);
+    return this.forward({ announcement });
+  }
+
+  /**
+   * Tells the leader that an upstream has left; resolves once the log says so. What this node knows
+   * of the upstream may be out of date, and decides nothing.
+   */
+  deregister(deregistration: Deregistration): Promise<Result<void, NoLeader>> {
+    const { id, born } = deregistration;
+    const known = this.upstream(id);
+    const record = goneRecord(id, born ?? known?.born ?? 0);
+    const announcement = { ...record, sequence: Number.MAX_SAFE_INTEGER };
+    return this.forward({ announcement, deregistration });
+  }
+
+  private async forward(call: BeatCall): Promise<Result<void, NoLeader>> {
+    const reply = await this.client.call('beat', call, forwardTimeoutMs);
     if (reply.isErr()) return err(reply.error);
     return reply.value.kind === 'accepted' ? ok(undefined) : err(noLeader(true));
   }
@@ -255,7 +273,7 @@
   private serve(): void {
     const { transport } = this.o;
     transport.serve('watch', (from, call) => this.watches.handle(from, call));
-    transport.serve('beat', (_, call) => this.handleBeat(call.announcement));
+    transport.serve('beat', (_, call) => this.handleBeat(call));
     transport.serve('heartbeats', (_, call) => this.handleHeartbeats(call));
     transport.serve('submit', (_, call) => this.handleSubmit(call));
     transport.serve('adoption', (_, call) => this.handleAdoption(call));
@@ -378,11 +396,15 @@
     return { kind: 'not-leader', leader: this.voter.liveLeader };
   }
 
-  private async handleBeat(announcement: Announcement): Promise<BeatReply> {
+  private async handleBeat({ announcement, deregistration }: BeatCall): Promise<BeatReply> {
     const leaderTerm = this.currentTerm();
-    return leaderTerm
-      ? leaderTerm.registry.register(announcement, leaderTerm.liveness)
-      : this.notLeader();
+    if (!leaderTerm) return this.notLeader();
+    const { registry, liveness } = leaderTerm;
+    if (deregistration) return registry.deregister(deregistration, liveness);
+    // A voter of an earlier version announces that an upstream has left.
+    return announcement.phase === 'gone'
+      ? registry.deregister(announcement, liveness)
+      : registry.register(announcement, liveness);
   }
 
   private async handleHeartbeats({ heartbeats }: HeartbeatsCall): Promise<HeartbeatsReply> {
--- a/packages/fleet/src/registry.ts
+++ b/packages/fleet/src/registry.ts
@@ -3,15 +3,18 @@
  * are written to the log.
  */
 
+import { DataCentreId, ServiceId } from '@tanagercart/base';
 import type { Clock, LogFields, Logger, Millis, UpstreamId } from '@tanagercart/base';
 import { formatRange } from '@tanagercart/layers';
 import type {
   Announcement,
   BeatReply,
+  Deregistration,
   UpstreamIncarnation,
   UpstreamPhase,
   UpstreamRecord,
 } from '@tanagercart/protocol';
+import type { Command } from './command.js';
 import type { Liveness } from './liveness.js';
 import type { Voter } from './voter.js';
 
@@ -79,15 +82,39 @@
     // The heartbeat was sent again, as its first acknowledgement is late.
     if (pending && isSameList(pending.records, records)) return pending.reply;
     for (const r of records) this.logChange(r);
-    const change: PendingChange = { records, reply: this.commit(records) };
+    const change: PendingChange = { records, reply: this.propose({ kind: 'upstreams', records }) };
     this.pending.set(id, change);
     const reply = await change.reply;
     if (this.pending.get(id) === change) this.pending.delete(id);
     return reply;
   }
 
-  private async commit(records: readonly UpstreamRecord[]): Promise<BeatReply> {
-    const done = await this.o.voter.propose({ kind: 'upstreams', records });
+  /**
+   * Records that an upstream has left; accepts it once the log says so. An upstream that the log does
+   * not know is recorded too, so that a heartbeat that it sent before cannot register it later.
+   */
+  async deregister(deregistration: Deregistration, liveness: Liveness): Promise<BeatReply> {
+    const { voter } = this.o;
+    const { id, born: named } = deregistration;
+    const known = voter.state.upstreams.get(id);
+    if (named === undefined || known?.born !== named) {
+      // The log may hold a record that this node has not applied yet.
+      const caughtUp = await this.propose({ kind: 'barrier' });
+      if (caughtUp.kind !== 'accepted') return caughtUp;
+    }
+    const current = voter.state.upstreams.get(id);
+    const born = named ?? current?.born;
+    if (born === undefined || (current && current.born > born)) return { kind: 'accepted' };
+    liveness.recordHeartbeat({ id, born, sequence: Number.MAX_SAFE_INTEGER });
+    if (current?.born === born && current.phase === 'gone') return { kind: 'accepted' };
+    const record =
+      current?.born === born ? { ...current, phase: 'gone' as const } : goneRecord(id, born);
+    this.logChange(record);
+    return this.propose({ kind: 'upstreams', records: [record] });
+  }
+
+  private async propose(command: Command): Promise<BeatReply> {
+    const done = await this.o.voter.propose(command);
     if (done.isOk()) return { kind: 'accepted' };
     if (done.error.kind === 'not-leader') return { kind: 'not-leader', leader: done.error.leader };
     return { kind: 'unavailable', reason: done.error.kind };
@@ -155,6 +182,21 @@
   }
 }
 
+/** The record of an upstream of which no more is known than that this incarnation has left. */
+export function goneRecord(id: UpstreamId, born: number): UpstreamRecord {
+  return {
+    id,
+    born,
+    service: ServiceId(''),
+    address: '',
+    dataCentre: DataCentreId(''),
+    phase: 'gone',
+    slots: 0,
+    accelerator: undefined,
+    layers: undefined,
+  };
+}
+
 function isSameList(a: readonly UpstreamRecord[], b: readonly UpstreamRecord[]): boolean {
   return (
     a.length === b.length &&
--- a/packages/protocol/src/fleetmessage.ts
+++ b/packages/protocol/src/fleetmessage.ts
@@ -198,9 +198,19 @@
   | { readonly kind: 'accepted' }
   | { readonly kind: 'not-leader'; readonly leader: NodeId | undefined };
 
-/** Forwards the heartbeat of an upstream to the leader. */
+/** An upstream says that it has left. */
+export interface Deregistration {
+  readonly id: UpstreamId;
+  /** Undefined where the upstream does not name its incarnation. */
+  readonly born: number | undefined;
+}
+
+/** Forwards the heartbeat or the deregistration of an upstream to the leader. */
 export interface BeatCall {
+  /** For a deregistration, what a leader of an earlier version makes of it. */
   readonly announcement: Announcement;
+  /** Missing in heartbeats, and in calls of earlier versions. */
+  readonly deregistration?: Deregistration;
 }
 
 /** The reply to a `BeatCall`. */
