Let commands say what they change of an upstream's record

Cause: the record of the layers was made from a copy of the whole record and committed after the deregistration, which it took back. The state compared incarnations only. Ruled out: an entry that had not heard of the deregistration (the replica got its first request after it).

Change: the state keeps the order of phases and incarnations whatever is proposed, and each change made from a copy names its scope: phase, layers, or all but the layers. Removals spare what is not gone.

--- a/packages/fleet/src/command.ts
+++ b/packages/fleet/src/command.ts
@@ -5,6 +5,18 @@
 import { decode, encode } from '@tanagercart/protocol';
 import type { UpstreamRecord } from '@tanagercart/protocol';
 
+/**
+ * What is to change of an upstream. Only `all` adds a record; the others change that of the same
+ * incarnation. What is made from a copy of a record says so by its scope, as the record may have
+ * changed since it was copied.
+ */
+export type ChangeScope = 'all' | 'all-but-layers' | 'phase' | 'layers';
+
+/** A record, and which of its fields are to be taken; all where `scope` is missing. */
+export interface UpstreamChange extends UpstreamRecord {
+  readonly scope?: ChangeScope;
+}
+
 /** One entry of the log. */
 export type Command =
   /** Puts a document in force. `base` is the version that the delta applies to. */
@@ -14,9 +26,9 @@
       readonly base: number;
       readonly delta: Delta;
     }
-  /** Adds or replaces records. A record of an earlier incarnation is ignored. */
-  | { readonly kind: 'upstreams'; readonly records: readonly UpstreamRecord[] }
-  /** Removes the records of upstreams that have been gone for some time. */
+  /** Changes records. Those of an earlier incarnation are ignored, and no phase is reverted. */
+  | { readonly kind: 'upstreams'; readonly records: readonly UpstreamChange[] }
+  /** Removes the records of upstreams that are gone; others remain. */
   | { readonly kind: 'forget'; readonly upstreams: readonly UpstreamId[] }
   /** Counts a crash of upstreams against the request with this fingerprint. */
   | { readonly kind: 'strike'; readonly fingerprint: string }
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -1,4 +1,5 @@
 export * from './command.js';
+export * from './recordchange.js';
 export * from './state.js';
 export * from './load.js';
 export * from './liveness.js';
--- a/packages/fleet/src/placer.ts
+++ b/packages/fleet/src/placer.ts
@@ -278,7 +278,7 @@
     const { voter } = this.o;
     const current = voter.state.upstreams.get(record.id);
     if (!current || current.born !== record.born || this.stopped) return false;
-    const records = [{ ...current, layers }];
+    const records = [{ ...current, layers, scope: 'layers' as const }];
     return (await voter.propose({ kind: 'upstreams', records })).isOk();
   }
 
--- a/packages/fleet/src/registry.ts
+++ b/packages/fleet/src/registry.ts
@@ -11,11 +11,11 @@
   BeatReply,
   Deregistration,
   UpstreamIncarnation,
-  UpstreamPhase,
   UpstreamRecord,
 } from '@tanagercart/protocol';
-import type { Command } from './command.js';
+import type { Command, UpstreamChange } from './command.js';
 import type { Liveness } from './liveness.js';
+import { isLaterPhase, laterPhase } from './recordchange.js';
 import type { Voter } from './voter.js';
 
 /** For this long after an order, its outcome determines the recorded layers, not announcements. */
@@ -27,9 +27,6 @@
  */
 const placementGraceBeats = 2;
 
-/** Within one incarnation, a record only moves to a phase of higher rank. */
-const phaseRank: Record<UpstreamPhase, number> = { ready: 0, draining: 1, gone: 2 };
-
 /** When the layers of an upstream were recorded, and the last announcement before. */
 interface Placement {
   readonly born: number;
@@ -39,7 +36,7 @@
 
 /** Records that are being committed. */
 interface PendingChange {
-  readonly records: readonly UpstreamRecord[];
+  readonly records: readonly UpstreamChange[];
   readonly reply: Promise<BeatReply>;
 }
 
@@ -75,7 +72,7 @@
   /** Registers an announcement; accepts it once all changes that follow from it are committed. */
   async register(announcement: Announcement, liveness: Liveness): Promise<BeatReply> {
     if (!liveness.recordHeartbeat(announcement)) return { kind: 'accepted' };
-    const records = this.recordsFor(announcement);
+    const records = this.changesFor(announcement);
     if (records.length === 0) return { kind: 'accepted' };
     const { id } = announcement;
     const pending = this.pending.get(id);
@@ -107,10 +104,10 @@
     if (born === undefined || (current && current.born > born)) return { kind: 'accepted' };
     liveness.recordHeartbeat({ id, born, sequence: Number.MAX_SAFE_INTEGER });
     if (current?.born === born && current.phase === 'gone') return { kind: 'accepted' };
-    const record =
-      current?.born === born ? { ...current, phase: 'gone' as const } : goneRecord(id, born);
-    this.logChange(record);
-    return this.propose({ kind: 'upstreams', records: [record] });
+    const change: UpstreamChange =
+      current?.born === born ? { ...current, phase: 'gone', scope: 'phase' } : goneRecord(id, born);
+    this.logChange(change);
+    return this.propose({ kind: 'upstreams', records: [change] });
   }
 
   private async propose(command: Command): Promise<BeatReply> {
@@ -127,7 +124,7 @@
     if (record?.born !== born || record.phase !== 'ready' || this.leaving.has(id)) return;
     logger.info('The upstream says that it leaves.', { ...source, upstream: id, born });
     this.leaving.add(id);
-    const records = [{ ...record, phase: 'draining' as const }];
+    const records = [{ ...record, phase: 'draining', scope: 'phase' } as const];
     void voter.propose({ kind: 'upstreams', records }).then(() => this.leaving.delete(id));
   }
 
@@ -143,10 +140,10 @@
   }
 
   /**
-   * Returns the records that an announcement changes. Another upstream at the same address is gone
+   * Returns what an announcement changes. Another upstream at the same address is gone
    * if it started earlier; if it started later, the announcement is out of date.
    */
-  private recordsFor(announcement: Announcement): readonly UpstreamRecord[] {
+  private changesFor(announcement: Announcement): readonly UpstreamChange[] {
     const { sequence, ...announced } = announcement;
     const { upstreams } = this.o.voter.state;
     const current = upstreams.get(announced.id);
@@ -155,22 +152,27 @@
       (r) => r.address === announced.address && r.id !== announced.id && r.phase !== 'gone',
     );
     if (sameAddress.some((r) => r.born > announced.born)) return [];
-    const replaced = sameAddress.map((r): UpstreamRecord => ({ ...r, phase: 'gone' }));
-    const record = this.merge(current, announced, sequence);
-    return current && isSame(current, record) ? replaced : [...replaced, record];
+    const replaced = sameAddress.map((r): UpstreamChange => ({
+      ...r,
+      phase: 'gone',
+      scope: 'phase',
+    }));
+    const change = this.changeFor(current, announced, sequence);
+    return current && isSame(current, change) ? replaced : [...replaced, change];
   }
 
-  /** Combines an announcement with the current record of the upstream. */
-  private merge(
+  /** The change that an announcement makes to the current record of the upstream. */
+  private changeFor(
     current: UpstreamRecord | undefined,
     announced: UpstreamRecord,
     sequence: number,
-  ): UpstreamRecord {
+  ): UpstreamChange {
     if (!current || current.born < announced.born) return announced;
-    const phase =
-      phaseRank[announced.phase] > phaseRank[current.phase] ? announced.phase : current.phase;
+    const phase = laterPhase(announced.phase, current.phase);
     const keepsLayers = this.o.isPlacing(announced.id) || this.isJustPlaced(announced, sequence);
-    return { ...announced, phase, layers: keepsLayers ? current.layers : announced.layers };
+    return keepsLayers
+      ? { ...announced, phase, layers: current.layers, scope: 'all-but-layers' }
+      : { ...announced, phase };
   }
 
   /** Whether an announcement may have been sent before the last order was carried out. */
@@ -209,7 +211,7 @@
 
 /** Whether an announcement of an upstream changes nothing of its record. */
 export function isUnchanged(record: UpstreamRecord | undefined, announced: Announcement): boolean {
-  if (!record || phaseRank[announced.phase] > phaseRank[record.phase]) return false;
+  if (!record || isLaterPhase(announced.phase, record.phase)) return false;
   return isSame(record, { ...announced, phase: record.phase });
 }
 
--- a/packages/fleet/src/state.ts
+++ b/packages/fleet/src/state.ts
@@ -9,7 +9,8 @@
 import { compressDocument, compressState, decode, encode } from '@tanagercart/protocol';
 import type { DocumentUpdate, UpstreamRecord } from '@tanagercart/protocol';
 import { decodeCommand, encodeOutcome } from './command.js';
-import type { Command, Outcome } from './command.js';
+import type { Command, Outcome, UpstreamChange } from './command.js';
+import { changedRecord } from './recordchange.js';
 
 /** A configuration document as it was submitted. */
 export interface Document {
@@ -178,9 +179,7 @@
         for (const record of command.records) this.putRecord(index, record);
         return { kind: 'done' };
       case 'forget':
-        for (const id of command.upstreams) this.records.delete(id);
-        this.compacted = index;
-        this.changedIndex = index;
+        this.forget(index, command.upstreams);
         return { kind: 'done' };
       case 'strike':
         this.addStrike(index, command.fingerprint);
@@ -205,14 +204,22 @@
     return { kind: 'done' };
   }
 
-  private putRecord(index: number, record: UpstreamRecord): void {
-    const current = this.records.get(record.id);
-    if (current && current.born > record.born) return;
+  private putRecord(index: number, change: UpstreamChange): void {
+    const record = changedRecord(this.records.get(change.id), change);
+    if (!record) return;
     this.records.set(record.id, record);
     this.changedAt.set(record.id, index);
     this.changedIndex = index;
   }
 
+  private forget(index: number, ids: readonly UpstreamId[]): void {
+    const gone = ids.filter((id) => this.records.get(id)?.phase === 'gone');
+    if (gone.length === 0) return;
+    for (const id of gone) this.records.delete(id);
+    this.compacted = index;
+    this.changedIndex = index;
+  }
+
   private addStrike(index: number, fingerprint: string): void {
     const count = (this.strikes.get(fingerprint) ?? 0) + 1;
     this.strikes.set(fingerprint, count);
--- a/packages/fleet/test/deregistration.test.ts
+++ b/packages/fleet/test/deregistration.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { NodeId, UpstreamId } from '@tanagercart/base';
-import { Fleet, announcementOf } from './fleet.js';
+import { Fleet, announcementOf, documentOf } from './fleet.js';
 
 const names = ['a', 'b', 'c'].map(NodeId);
 const id = UpstreamId('u1');
@@ -72,3 +72,22 @@
   const done = await fleet.settle(leader.deregister({ id, born: 1 }));
   assert.ok(done.isErr());
 });
+
+// Guards against the record of the layers, which was made from a copy and committed after the
+// deregistration: the upstream counted as ready again.
+test('a deregistration while the layers of the upstream are recorded is not taken back', async () => {
+  const { fleet, leader } = await start(96);
+  await fleet.settle(leader.submit(documentOf(1)));
+  await fleet.runFor(['u2', 'u3', 'u4', 'u5'], 4000);
+  let acknowledged: Promise<unknown> | undefined;
+  fleet.upstreams.onReport = ({ layers, busy }, upstream) => {
+    if (upstream !== id || busy || !layers) return;
+    acknowledged ??= leader.deregister({ id, born: 1 });
+  };
+  await fleet.settle(leader.announce(fleet.nextAnnouncement('u1')));
+  await fleet.waitUntil(() => acknowledged !== undefined, 20_000);
+  await fleet.settle(acknowledged!);
+  await fleet.clock.advance(1000);
+  assert.equal(phaseAt(fleet), 'gone');
+  assert.notEqual(leader.upstream(id)?.layers, undefined, 'its layers were recorded');
+});
--- a/packages/fleet/test/fleet.ts
+++ b/packages/fleet/test/fleet.ts
@@ -88,6 +88,8 @@
   loadMs: Millis = 0;
   /** Number of reports that were asked for. */
   reports = 0;
+  /** Called before an upstream answers with its report. */
+  onReport: ((report: UpstreamReport, id: UpstreamId) => void) | undefined;
   /** Number of loads in progress. */
   activeLoads = 0;
   private readonly busy = new Set<UpstreamId>();
@@ -121,6 +123,7 @@
       layers: this.layers.get(upstream.id),
       slowness: this.slow.get(upstream.id) ?? 1,
     };
+    this.onReport?.(report, upstream.id);
     return ok(report);
   }
 }
--- a/packages/fleet/test/state.test.ts
+++ b/packages/fleet/test/state.test.ts
@@ -2,7 +2,9 @@
 import { test } from 'node:test';
 import { deltaOf } from '@tanagercart/config';
 import { decompressDocument, decompressState } from '@tanagercart/protocol';
+import type { UpstreamRecord } from '@tanagercart/protocol';
 import { FleetState, encodeCommand } from '../src/index.js';
+import type { ChangeScope } from '../src/index.js';
 import { announcementOf } from './fleet.js';
 
 /** A document with `routes` routes that differ only in name and path. */
@@ -73,3 +75,67 @@
   state.apply(3, encodeCommand({ kind: 'upstreams', records: [announcementOf('u3')] }));
   assert.equal(decompressState(state.packedState).upstreams.length, 3);
 });
+
+const layers = { from: 2, to: 6 };
+const ready = announcementOf('u1');
+
+/** The record of `u1` after commands, each of which holds one record and its scope. */
+function recordAfter(...changes: readonly (UpstreamRecord & { scope?: ChangeScope })[]) {
+  const state = FleetState.create();
+  changes.forEach((change, i) => {
+    state.apply(i + 1, encodeCommand({ kind: 'upstreams', records: [change] }));
+  });
+  const record = state.upstreams.get(ready.id);
+  return record && { phase: record.phase, layers: record.layers, slots: record.slots };
+}
+
+// Guards against a record that is written from a copy, and takes the word of an upstream back.
+test('no command takes an upstream back to an earlier phase of its incarnation', () => {
+  for (const scope of ['all', 'all-but-layers', 'phase', 'layers', undefined] as const) {
+    const stale = { ...ready, ...(scope && { scope }) };
+    assert.equal(recordAfter(ready, { ...ready, phase: 'gone' }, stale)?.phase, 'gone');
+    assert.equal(recordAfter(ready, { ...ready, phase: 'draining' }, stale)?.phase, 'draining');
+  }
+  assert.equal(recordAfter({ ...ready, phase: 'gone' }, { ...ready, born: 2 })?.phase, 'ready');
+});
+
+test('a command changes only what it says of a record', () => {
+  const current = { ...ready, layers, slots: 3 };
+  const stale = { ...ready, phase: 'draining' as const };
+  assert.deepEqual(recordAfter(current, { ...stale, scope: 'phase' }), {
+    phase: 'draining',
+    layers,
+    slots: 3,
+  });
+  assert.deepEqual(recordAfter({ ...ready, slots: 3 }, { ...stale, layers, scope: 'layers' }), {
+    phase: 'ready',
+    layers,
+    slots: 3,
+  });
+  assert.deepEqual(recordAfter(current, { ...stale, scope: 'all-but-layers' }), {
+    phase: 'draining',
+    layers,
+    slots: 8,
+  });
+});
+
+test('a change of a part of a record neither adds one nor alters another incarnation', () => {
+  for (const scope of ['phase', 'layers'] as const) {
+    assert.equal(recordAfter({ ...ready, scope }), undefined);
+    const later = { ...ready, born: 2, layers };
+    assert.deepEqual(recordAfter(later, { ...ready, phase: 'gone', scope }), recordAfter(later));
+    const restarted = { ...ready, born: 3, phase: 'gone' as const, scope };
+    assert.deepEqual(recordAfter(later, restarted), recordAfter(later));
+  }
+});
+
+// Guards against an upstream that came back between the proposal and its commit.
+test('a removal spares an upstream that is not gone', () => {
+  const state = FleetState.create();
+  state.apply(1, encodeCommand({ kind: 'upstreams', records: [ready] }));
+  state.apply(2, encodeCommand({ kind: 'forget', upstreams: [ready.id] }));
+  assert.equal(state.upstreams.size, 1);
+  state.apply(3, encodeCommand({ kind: 'upstreams', records: [{ ...ready, phase: 'gone' }] }));
+  state.apply(4, encodeCommand({ kind: 'forget', upstreams: [ready.id] }));
+  assert.equal(state.upstreams.size, 0);
+});
