Accept an overtaken announcement once the log says that its upstream leaves

An upstream that says twice that it drains, as its first heartbeat is late, had the overtaken heartbeat accepted at once, while the change that follows from the later one was still being committed, or had failed.

Change: what an overtaken announcement says of the end of its upstream is committed too, as a change of the phase only.

Before: the new test of registry.test fails (accepted before the record is 'draining').

--- a/packages/fleet/src/registry.ts
+++ b/packages/fleet/src/registry.ts
@@ -71,8 +71,9 @@
 
   /** Registers an announcement; accepts it once all changes that follow from it are committed. */
   async register(announcement: Announcement, liveness: Liveness): Promise<BeatReply> {
-    if (!liveness.recordHeartbeat(announcement)) return { kind: 'accepted' };
-    const records = this.changesFor(announcement);
+    const records = liveness.recordHeartbeat(announcement)
+      ? this.changesFor(announcement)
+      : this.overtakenChangesFor(announcement);
     if (records.length === 0) return { kind: 'accepted' };
     const { id } = announcement;
     const pending = this.pending.get(id);
@@ -161,6 +162,19 @@
     return current && isSame(current, change) ? replaced : [...replaced, change];
   }
 
+  /**
+   * The change that follows from an announcement after a later one of the upstream: what the later one
+   * changes may not be committed yet, or never be, so the log has to say that the upstream leaves.
+   */
+  private overtakenChangesFor(announcement: Announcement): readonly UpstreamChange[] {
+    const { sequence, ...announced } = announcement;
+    const current = this.o.voter.state.upstreams.get(announced.id);
+    if (announced.phase === 'ready' || (current && current.born > announced.born)) return [];
+    const isKnown = current?.born === announced.born;
+    if (isKnown && !isLaterPhase(announced.phase, current.phase)) return [];
+    return [{ ...announced, scope: 'phase' }];
+  }
+
   /** The change that an announcement makes to the current record of the upstream. */
   private changeFor(
     current: UpstreamRecord | undefined,
--- a/packages/fleet/test/registry.test.ts
+++ b/packages/fleet/test/registry.test.ts
@@ -85,3 +85,20 @@
   await clock.advance(heartbeatMs);
   assert.deepEqual(record()?.layers, layers);
 });
+
+// Guards against an acknowledgement that rests on a later announcement, whose commit is under way
+// or fails.
+test('an overtaken announcement that an upstream leaves is accepted once the log says so', async () => {
+  const { clock, beat, record } = start(500);
+  void beat();
+  await clock.advance(600);
+  void beat({ phase: 'draining', sequence: 9 });
+  let accepted = false;
+  void beat({ phase: 'draining', sequence: 8 }).then(() => {
+    accepted = true;
+  });
+  await clock.advance(400);
+  assert.deepEqual([accepted, record()?.phase], [false, 'ready']);
+  await clock.advance(200);
+  assert.deepEqual([accepted, record()?.phase], [true, 'draining']);
+});
