Let no machine that joins hold up the joining or removal of others

Cause: one flag around a whole change of the voter set, the call to the node and the wait for it to catch up included, in the log and in the maintenance of the set.

Change: only the commits of the set take turns. A learner that does not answer is not waited for, stays a learner, and goes on when it asks again; one that is silent for 10 s is removed.

--- a/packages/fleet/src/membership.ts
+++ b/packages/fleet/src/membership.ts
@@ -16,9 +16,12 @@
 /** A request to join expires after this time. */
 const joinRequestTtlMs: Millis = 1200;
 
-/** A voter or learner that has not answered the leader for this long counts as silent. */
+/** A voter that has not answered the leader for this long counts as silent. */
 const silentMs: Millis = 1500;
 
+/** The same for a learner, which may be writing the whole state to a slow disk, and has no vote. */
+const learnerSilentMs: Millis = 10_000;
+
 /**
  * A voter that no leader has called for this long asks to join: it may have been removed while it
  * could not be told, and its own log names it as a voter for ever.
@@ -44,7 +47,8 @@
   private readonly joins = new Map<NodeId, Millis>();
   /** Voters and leaders that were named in replies to requests to join. */
   private discovered: readonly NodeId[] = [];
-  private isChanging = false;
+  /** Nodes that are being added or removed. */
+  private readonly changing = new Set<NodeId>();
   /** Whether this node doubts that it still votes. */
   private isInDoubt = false;
 
@@ -106,10 +110,9 @@
   }
 
   private reconcile(raft: Raft): void {
-    if (this.isChanging) return;
     const change = this.nextChange(raft);
-    if (!change) return;
-    this.isChanging = true;
+    if (!change || this.changing.has(change.node)) return;
+    this.changing.add(change.node);
     void this.apply(raft, change);
   }
 
@@ -133,7 +136,7 @@
     });
     this.joins.delete(node);
     if (reply.kind !== 'changed') await clock.sleep(reconcileIntervalMs);
-    this.isChanging = false;
+    this.changing.delete(node);
   }
 
   private nextChange(raft: Raft): VoterChange | undefined {
@@ -142,7 +145,7 @@
       voters: voters.map((m) => m.id),
       learners: learners.map((m) => m.id),
       silent: silentMembers(raft),
-      asking: this.asking,
+      asking: this.asking.filter((id) => !this.changing.has(id)),
     });
   }
 
@@ -156,6 +159,7 @@
 /** Voters and learners that have not answered this leader lately. */
 function silentMembers(raft: Raft): ReadonlySet<NodeId> {
   const { voters, learners } = raft.voterConfig;
-  const members = [...voters, ...learners].map((m) => m.id);
-  return new Set(members.filter((id) => !raft.answeredWithin(id, silentMs)));
+  const silentVoters = voters.filter((m) => !raft.answeredWithin(m.id, silentMs));
+  const silentLearners = learners.filter((m) => !raft.answeredWithin(m.id, learnerSilentMs));
+  return new Set([...silentVoters, ...silentLearners].map((m) => m.id));
 }
--- a/packages/log/src/voterchanges.ts
+++ b/packages/log/src/voterchanges.ts
@@ -1,6 +1,6 @@
 /**
  * Changes of the voter set, one member at a time. A new voter first joins as a learner, and votes
- * only after its log has caught up.
+ * only after its log has caught up. No change waits for the member of another one.
  */
 
 import { err, ok } from 'neverthrow';
@@ -23,7 +23,7 @@
 
 /** Carries out changes of the voter set on the leader. */
 export class VoterChanges {
-  private changing = false;
+  private lastStep: Promise<unknown> = Promise.resolve();
 
   private constructor(
     private readonly state: RaftState,
@@ -55,10 +55,8 @@
     const { state } = this;
     if (state.role !== 'leader') return this.notLeader();
     if (call.action === 'show') return { kind: 'changed', config: state.voters.config };
-    if (this.changing) return refused('another change is under way');
-    this.changing = true;
-    const done = call.action === 'add' ? await this.add(call.node) : await this.remove(call.node);
-    this.changing = false;
+    const { action, node } = call;
+    const done = await (action === 'add' ? this.add(node) : this.inTurn(() => this.remove(node)));
     if (done.isErr()) return done.error;
     return { kind: 'changed', config: state.voters.config };
   }
@@ -74,37 +72,58 @@
     if (inspected.isErr()) return err(refused(`${id} does not answer, or has no disk`));
     const member: Member = { id, disk: inspected.value.disk };
     if (state.voters.isVoter(id, member.disk)) return ok(undefined);
-    if (state.voters.hasOtherDisk(id, member.disk)) {
-      const removed = await this.remove(id);
+    const learnerAdded = await this.inTurn(() => this.addLearner(member));
+    if (learnerAdded.isErr()) return learnerAdded;
+    const caughtUp = await this.awaitCatchUp(member);
+    return caughtUp.isErr() ? caughtUp : this.inTurn(() => this.promote(member));
+  }
+
+  /** Runs a step after all earlier steps; each reads and commits the voter set as it is then. */
+  private inTurn<T>(step: () => Promise<T>): Promise<T> {
+    const run = this.lastStep.then(step);
+    this.lastStep = run.catch(() => undefined);
+    return run;
+  }
+
+  private async addLearner(member: Member): Promise<Result<void, Failure>> {
+    const { state } = this;
+    if (state.voters.hasOtherDisk(member.id, member.disk)) {
+      const removed = await this.remove(member.id);
       if (removed.isErr()) return removed;
     }
-    const learnerAdded = await this.addLearner(member);
-    if (learnerAdded.isErr()) return learnerAdded;
-    if (!(await this.awaitCatchUp(member))) return err(refused(`${id} has not caught up in time`));
+    if (state.voters.includes(member)) return ok(undefined);
+    const { voters, learners } = state.voters.config;
+    return this.commitConfig({ voters, learners: [...learners, member] });
+  }
+
+  /** Lets a learner vote. */
+  private async promote(member: Member): Promise<Result<void, Failure>> {
+    const { state } = this;
+    if (state.voters.isVoter(member.id, member.disk)) return ok(undefined);
+    if (!state.voters.includes(member)) return err(refused(`${member.id} was removed`));
     const { voters, learners } = state.voters.config;
     return this.commitConfig({
       voters: [...voters, member],
-      learners: learners.filter((m) => m.id !== id),
+      learners: learners.filter((m) => m.id !== member.id),
     });
   }
 
-  private async addLearner(member: Member): Promise<Result<void, Failure>> {
-    const { voters, learners } = this.state.voters.config;
-    if (learners.some((m) => m.id === member.id)) return ok(undefined);
-    return this.commitConfig({ voters, learners: [...learners, member] });
-  }
-
-  /** Waits until a learner has stored the last entry of the log; false if it does not in time. */
-  private async awaitCatchUp(member: Member): Promise<boolean> {
+  /**
+   * Waits until a learner has stored the last entry of the log. One that does not answer is not waited
+   * for; it remains a learner, and the next request to add it goes on from there.
+   */
+  private async awaitCatchUp(member: Member): Promise<Result<void, Failure>> {
     const { state } = this;
     const { clock, timing } = state.o;
     const { term } = state;
     const deadline = clock.now() + catchUpTimeoutMs;
     while (state.leads(term) && clock.now() < deadline) {
-      if (this.replication.matchIndexOf(member.id) >= state.store.lastIndex) return true;
+      if (!state.voters.includes(member)) return err(refused(`${member.id} was removed`));
+      if (this.replication.matchIndexOf(member.id) >= state.store.lastIndex) return ok(undefined);
+      if (!this.isLive(member)) return err(refused(`${member.id} does not answer`));
       await state.changed.waitUpTo(timing.heartbeatMs, clock, state.stopping.signal);
     }
-    return false;
+    return err(refused(`${member.id} has not caught up in time`));
   }
 
   private async remove(id: NodeId): Promise<Result<void, Failure>> {
--- a/packages/log/src/voterset.ts
+++ b/packages/log/src/voterset.ts
@@ -70,6 +70,11 @@
     return this.config.voters.some((m) => m.id === id && m.disk === diskId);
   }
 
+  /** Whether a node with this disk is a voter or learner. */
+  includes({ id, disk }: Member): boolean {
+    return this.members.some((m) => m.id === id && m.disk === disk);
+  }
+
   /** Whether node `id` is a voter or learner, but with another disk than `diskId`. */
   hasOtherDisk(id: NodeId, diskId: string): boolean {
     const known = this.members.filter((m) => m.id === id);
