Remove silent voters from sets of odd size where the others bear more alone

A set of five of which two are silent was kept as it is, being of odd size: the next lost disk left no quorum for good, though the three that answer would bear one loss by themselves.

Change: the leader removes a silent voter where the voters that answer would tolerate more failures as a set of their own. Sets of even size are handled as before, and so is an odd one with a single silent voter.

--- a/packages/fleet/src/membership.ts
+++ b/packages/fleet/src/membership.ts
@@ -1,6 +1,6 @@
 /**
  * Maintains the voter set without an operator: nodes with a disk ask to join, and the leader
- * removes a voter that does not answer as soon as the log tolerates no fewer failures without it.
+ * removes voters that do not answer where the others tolerate more failures by themselves.
  */
 
 import type { Clock, Logger, Millis, NodeId } from '@tanagercart/base';
--- a/packages/fleet/src/voterplan.ts
+++ b/packages/fleet/src/voterplan.ts
@@ -2,18 +2,20 @@
  * Decides the next change of the voter set. Answers the loss, the silence, the return and the
  * replacement of voters, in sets of even and of odd size.
  *
- * | node                            | what the leader does                                          |
- * | ------------------------------- | ------------------------------------------------------------- |
- * | voter that answers              | keeps it, also if it asks to join                             |
- * | silent voter, set of even size  | removes it: the set tolerates no fewer failures without it    |
- * | silent voter, set of odd size   | keeps it, until a node that asks to join has made the set even |
- * | silent voter that asks to join  | adds it: it may have another disk, with which it does not vote |
- * | learner that asks to join       | lets it vote once it has caught up                            |
- * | silent learner                  | removes it                                                    |
- * | other node that asks to join    | adds it; a full set first loses a silent voter, if it has one |
+ * | node                            | what the leader does                                            |
+ * | ------------------------------- | --------------------------------------------------------------- |
+ * | voter that answers              | keeps it, also if it asks to join                               |
+ * | silent voter                    | removes it where the voters that answer would tolerate more     |
+ * |                                 | failures by themselves: one of a set of even size, two of five  |
+ * | one silent voter of an odd set  | keeps it, until a node that asks to join has made the set even  |
+ * | silent voter that asks to join  | adds it: it may have another disk, with which it does not vote  |
+ * | learner that asks to join       | lets it vote once it has caught up                              |
+ * | silent learner                  | removes it                                                      |
+ * | other node that asks to join    | adds it; a full set first loses a silent voter, if it has one   |
  */
 
 import type { NodeId } from '@tanagercart/base';
+import { quorumSize } from '@tanagercart/log';
 
 /** Largest number of voters. Further nodes with a disk remain on standby. */
 export const maxVoters = 7;
@@ -38,8 +40,9 @@
 export function nextVoterChange(electorate: Electorate): VoterChange | undefined {
   const { voters, learners, silent, asking } = electorate;
   const silentVoter = voters.find((id) => silent.has(id));
-  const canShrink = voters.length > 2 && voters.length % 2 === 0;
-  if (canShrink && silentVoter !== undefined) return { action: 'remove', node: silentVoter };
+  if (silentVoter !== undefined && bearsMoreWithout(voters, silent)) {
+    return { action: 'remove', node: silentVoter };
+  }
   const joining = asking.find((id) => !voters.includes(id)) ?? asking.find((id) => silent.has(id));
   if (joining !== undefined) {
     const hasRoom = voters.length < maxVoters || voters.includes(joining);
@@ -49,3 +52,10 @@
   const silentLearner = learners.find((id) => silent.has(id));
   return silentLearner === undefined ? undefined : { action: 'remove', node: silentLearner };
 }
+
+/** Whether a set without its silent voters tolerates more failures than it does with them. */
+function bearsMoreWithout(voters: readonly NodeId[], silent: ReadonlySet<NodeId>): boolean {
+  const answering = voters.filter((id) => !silent.has(id)).length;
+  const tolerated = answering - quorumSize(voters.length);
+  return voters.length > 2 && answering - quorumSize(answering) > tolerated;
+}
--- a/packages/fleet/test/voterplan.test.ts
+++ b/packages/fleet/test/voterplan.test.ts
@@ -22,6 +22,15 @@
   assert.equal(changeOf('ab', 'b'), undefined);
 });
 
+// Guards against a set whose next loss leaves no quorum, while all but the lost voters run.
+test('silent voters leave a set of odd size where the others bear more failures alone', () => {
+  assert.equal(changeOf('abcde', 'b'), undefined);
+  assert.equal(changeOf('abcde', 'bc'), 'remove b');
+  assert.equal(changeOf('acde', 'c'), 'remove c');
+  assert.equal(changeOf('abcdefg', 'b'), undefined);
+  assert.equal(changeOf('abcdefg', 'bc'), 'remove b');
+});
+
 test('a node that asks to join is added, and takes the place of a silent voter', () => {
   assert.equal(changeOf('abc', '', 'd'), 'add d');
   assert.equal(changeOf('abc', 'b', 'd'), 'add d');
--- a/packages/log/src/index.ts
+++ b/packages/log/src/index.ts
@@ -9,3 +9,4 @@
 export * from './cluster.js';
 export * from './restore.js';
 export * from './initialvoters.js';
+export { quorumSize } from './voterset.js';
--- a/packages/log/src/voterchanges.ts
+++ b/packages/log/src/voterchanges.ts
@@ -153,7 +153,7 @@
       return err(refused('an earlier change is not committed yet'));
     }
     const live = config.voters.filter((m) => this.isLive(m));
-    if (live.length < quorumSize(config)) {
+    if (live.length < quorumSize(config.voters.length)) {
       return err(refused('too few of the new voters answer for a quorum'));
     }
     const done = await this.proposals.propose({ kind: 'voters', config });
--- a/packages/log/src/voterset.ts
+++ b/packages/log/src/voterset.ts
@@ -83,7 +83,7 @@
 
   /** Number of voters that form a majority. */
   get quorum(): number {
-    return quorumSize(this.config);
+    return quorumSize(this.config.voters.length);
   }
 
   /** The highest value that at least a quorum of the voters has reached. */
@@ -106,7 +106,7 @@
   );
 }
 
-/** Number of voters that form a majority of `config`. */
-export function quorumSize(config: VoterConfig): number {
-  return Math.floor(config.voters.length / 2) + 1;
+/** Number of voters that form a majority of `voters`. */
+export function quorumSize(voters: number): number {
+  return Math.floor(voters / 2) + 1;
 }
