--- a/packages/fleet/src/placer.ts
+++ b/packages/fleet/src/placer.ts
@@ -143,7 +143,7 @@
     for (const { id, layers } of wanted.slice(0, this.maxNewOrders(engine, records))) {
       const record = records.find((r) => r.id === id)!;
       this.placements.set(id, layers);
-      void this.place(engine, record, layers);
+      void this.run(engine, record, layers);
     }
   }
 
@@ -188,6 +188,17 @@
     return [{ id, dataCentre, accelerator, layers: target ?? layers, busy, sequences }];
   }
 
+  /** Runs one placement. An unexpected error in it ends this placement only. */
+  private async run(engine: Engine, record: UpstreamRecord, layers: LayerRange): Promise<void> {
+    try {
+      await this.place(engine, record, layers);
+    } catch (e) {
+      const detail = (e as Error).stack;
+      this.o.logger.error('Unexpected error in a placement.', { upstream: record.id, detail });
+    }
+    this.placements.delete(record.id);
+  }
+
   /**
    * Withdraws the layers that the upstream is to give up, sends the order, and records the new
    * layers once the upstream holds them.
@@ -209,7 +220,6 @@
       registry.markPlaced(record, this.o.liveness);
     }
     logger.info(done ? 'Placed layers.' : 'Could not place layers.', fields);
-    this.placements.delete(record.id);
   }
 
   /**
--- a/packages/fleet/test/control.test.ts
+++ b/packages/fleet/test/control.test.ts
@@ -167,6 +167,21 @@
 });
 
 // More loads at a time than the weight store serves at full speed would delay all of them.
+// Guards against an upstream that cannot be sent an order, and holds the place of a load for good.
+test('an error in the placement on one upstream keeps none from the others', async () => {
+  const fleet = await Fleet.start(17);
+  await submit(fleet, a, 7);
+  const place = fleet.upstreams.place.bind(fleet.upstreams);
+  fleet.upstreams.place = (upstream, order) => {
+    if (upstream.id === UpstreamId('u1')) throw new TypeError('invalid character');
+    return place(upstream, order);
+  };
+  await fleet.runFor(ids, 4000);
+  await fleet.runFor(ids.slice(1), 8000);
+  assert.ok(allLayersHeld(fleet, ids.slice(1)));
+  assert.equal(fleet.failure, undefined);
+});
+
 test('while a service has layers placed, the number of concurrent loads is limited', async () => {
   const fleet = await Fleet.start(12);
   await submit(fleet, a, 7);
