Count learners for the size of the voter set

Found by reading the change; no caller saw it.

Change: a learner that is to vote takes a place in the set.

After: the tests of voterplan, joining, removedvoter, control, disk and random pass, 34 of 34.

--- a/packages/fleet/src/voterplan.ts
+++ b/packages/fleet/src/voterplan.ts
@@ -17,7 +17,7 @@
 import type { NodeId } from '@tanagercart/base';
 import { quorumSize } from '@tanagercart/log';
 
-/** Largest number of voters. Further nodes with a disk remain on standby. */
+/** Largest number of voters, with the learners that are to vote. Further nodes with a disk stand by. */
 export const maxVoters = 7;
 
 /** A change of the voter set. */
@@ -45,8 +45,8 @@
   }
   const joining = asking.find((id) => !voters.includes(id)) ?? asking.find((id) => silent.has(id));
   if (joining !== undefined) {
-    const hasRoom = voters.length < maxVoters || voters.includes(joining);
-    if (hasRoom) return { action: 'add', node: joining };
+    const others = [...voters, ...learners].filter((id) => id !== joining);
+    if (others.length < maxVoters) return { action: 'add', node: joining };
     if (silentVoter !== undefined) return { action: 'remove', node: silentVoter };
   }
   const silentLearner = learners.find((id) => silent.has(id));
--- a/packages/fleet/test/voterplan.test.ts
+++ b/packages/fleet/test/voterplan.test.ts
@@ -39,6 +39,12 @@
   assert.equal(changeOf('abcdefg', '', 'h'), undefined);
 });
 
+test('a learner that is to vote counts for the size of the set', () => {
+  assert.equal(changeOf('abcdef', '', 'h', 'g'), undefined);
+  assert.equal(changeOf('abcdef', '', 'g', 'g'), 'add g');
+  assert.equal(changeOf('abcde', '', 'h', 'g'), 'add h');
+});
+
 test('a voter that asks to join is added again only where it does not answer', () => {
   assert.equal(changeOf('abc', '', 'b'), undefined);
   assert.equal(changeOf('abc', 'b', 'b'), 'add b');
