Let the random runs of the fleet silence voters and replace them as planned

They start three to five voters now, silence one for 2.5 s, and replace voters with the successor first. What has to hold after the repair is stricter: the set has all running nodes, and tolerates as many failures as they would by themselves.

--- a/packages/fleet/test/random.test.ts
+++ b/packages/fleet/test/random.test.ts
@@ -3,6 +3,7 @@
 import * as fc from 'fast-check';
 import { NodeId } from '@tanagercart/base';
 import type { Millis } from '@tanagercart/base';
+import { quorumSize } from '@tanagercart/log';
 import { Fleet, documentOf } from './fleet.js';
 
 /** More runs: `FLEET_RUNS=200 FLEET_SEED=7 node --test packages/fleet/dist/test/random.test.js`. */
@@ -11,7 +12,10 @@
 
 /** One step of a schedule. `at` selects a node. */
 type Step =
-  | { readonly kind: 'kill' | 'cut' | 'submit' | 'wipe' | 'replace'; readonly at: number }
+  | {
+      readonly kind: 'kill' | 'cut' | 'submit' | 'silence' | 'wipe' | 'replace' | 'succeed';
+      readonly at: number;
+    }
   | { readonly kind: 'heal' | 'restart' }
   | { readonly kind: 'wait'; readonly ms: Millis };
 
@@ -29,7 +33,14 @@
     {
       weight: 3,
       arbitrary: fc.record({
-        kind: fc.constantFrom('kill' as const, 'cut' as const, 'wipe' as const, 'replace' as const),
+        kind: fc.constantFrom(
+          'kill' as const,
+          'cut' as const,
+          'silence' as const,
+          'wipe' as const,
+          'replace' as const,
+          'succeed' as const,
+        ),
         at,
       }),
     },
@@ -41,19 +52,27 @@
   { minLength: 5, maxLength: 20 },
 );
 
+/** Time for which a voter is silent, after which it is removed from a set of even size. */
+const silenceMs: Millis = 2500;
+
+const names = ['a', 'b', 'c', 'd', 'e'];
+
 /** A fleet whose voters fail and are replaced without an operator. */
 class Simulation {
   /** Nodes that should run, and those of them that are down. */
-  private nodes = ['a', 'b', 'c'].map(NodeId);
+  private nodes: readonly NodeId[];
   private readonly down = new Set<NodeId>();
   private version = 0;
   private acknowledged = 0;
   private replaced = 0;
 
-  private constructor(private readonly fleet: Fleet) {}
+  private constructor(private readonly fleet: Fleet) {
+    this.nodes = fleet.seeds;
+  }
 
+  /** Starts three to five voters. */
   static async create(runSeed: number): Promise<Simulation> {
-    return new Simulation(await Fleet.start(runSeed));
+    return new Simulation(await Fleet.start(runSeed, names.slice(0, 3 + (runSeed % 3))));
   }
 
   async step(step: Step): Promise<void> {
@@ -68,12 +87,16 @@
         return this.kill(this.pick(step.at));
       case 'cut':
         return this.isolate(this.pick(step.at));
+      case 'silence':
+        return this.silence(this.pick(step.at));
       case 'submit':
         return this.submit(this.pick(step.at));
       case 'wipe':
         return this.loseDisk(this.pick(step.at), false);
       case 'replace':
         return this.loseDisk(this.pick(step.at), true);
+      case 'succeed':
+        return this.succeed(this.pick(step.at));
       default:
         return step;
     }
@@ -112,6 +135,12 @@
     }
   }
 
+  private async silence(id: NodeId): Promise<void> {
+    this.isolate(id);
+    await this.fleet.clock.advance(silenceMs);
+    this.fleet.network.heal();
+  }
+
   /** Submits through a node. Without a reply, the document may or may not be in force. */
   private async submit(id: NodeId): Promise<void> {
     const node = this.fleet.nodes.get(id);
@@ -130,6 +159,18 @@
       this.down.add(id);
       return;
     }
+    this.startSuccessor(id);
+  }
+
+  /** Replaces a voter as planned: its successor joins first, while another voter is silent. */
+  private async succeed(id: NodeId): Promise<void> {
+    await this.repair();
+    this.startSuccessor(id);
+    await this.silence(this.nodes[0]!);
+    this.fleet.kill(id);
+  }
+
+  private startSuccessor(id: NodeId): void {
     this.replaced += 1;
     const successor = NodeId(`n${this.replaced}`);
     this.nodes = [...this.nodes.filter((n) => n !== id), successor];
@@ -145,9 +186,12 @@
       () => this.fleet.leader !== undefined && this.nodes.every(isVoter),
       20_000,
     );
-    // Waits until lost voters have left the set, so that the next loss occurs in a set of three.
-    const members = () => this.fleet.leader?.voters.length ?? 0;
-    await this.fleet.waitUntil(() => members() === this.nodes.length, 20_000);
+    // Waits until the set has all nodes, and tolerates as many failures as they could by themselves.
+    await this.fleet.waitUntil(() => {
+      const members = this.fleet.leader?.voters ?? [];
+      const hasAll = this.nodes.every((id) => members.includes(id));
+      return hasAll && quorumSize(members.length) === quorumSize(this.nodes.length);
+    }, 20_000);
   }
 }
 
