Replace voters as planned in the soak of the programs

The soak removed voters before it started their successors, so the set was never of even size while a voter was silent.

--- a/packages/soak/src/fault.ts
+++ b/packages/soak/src/fault.ts
@@ -64,6 +64,11 @@
   | { readonly kind: 'wipe'; readonly index: number; readonly downMs: Millis }
   /** Removes a voter for good and starts one with an empty disk at another address. */
   | { readonly kind: 'replace'; readonly index: number }
+  /**
+   * Starts a voter with an empty disk at another address, and `afterMs` later asks the one that it
+   * replaces to terminate for good.
+   */
+  | { readonly kind: 'succeed'; readonly index: number; readonly afterMs: Millis }
   /**
    * An entry loses its links to all upstreams for `forMs`; callers and other programs reach it. New
    * connections hang, or are refused; open ones hang, are reset, or live on.
@@ -192,6 +197,36 @@
   return series;
 }
 
+/** Longest series of a succession, in milliseconds. */
+export const successionMs: Millis = 14_000;
+
+/**
+ * Draws `count` planned replacements of voters that begin between `fromMs` and `toMs`, one after the
+ * other. During each, another voter is paused, so that the set may lose it; after it, one loses its
+ * disk. They are drawn apart from other faults, like limits.
+ */
+export function randomSuccessions(
+  random: Random,
+  { fromMs, toMs, count }: Omit<RandomFaultOptions, 'minDiskLossGapMs'>,
+): readonly TimedFault[] {
+  const starts = Array.from({ length: count }, (_, i) => fromMs + i * successionMs);
+  return starts
+    .filter((startMs) => startMs <= toMs)
+    .flatMap((startMs): readonly TimedFault[] => {
+      const index = Math.floor(random.next() * 3);
+      const paused = (index + 1 + Math.floor(random.next() * 2)) % 3;
+      const forMs = between(random, 1600, 3000);
+      const pauseMs = startMs + between(random, 0, 2500);
+      const afterMs = between(random, 5500, 6500);
+      const wipeMs = startMs + between(random, 10_500, 11_500);
+      return [
+        { atMs: startMs, fault: { kind: 'succeed', index, afterMs } },
+        { atMs: pauseMs, fault: { kind: 'pause', role: 'voter', index: paused, forMs } },
+        { atMs: wipeMs, fault: { kind: 'wipe', index: paused, downMs: between(random, 50, 1500) } },
+      ];
+    });
+}
+
 /** All kinds of faults; the last two lose a disk. */
 const faultKinds = [
   'kill',
