--- /dev/null
+++ b/spec/membership.pml
@@ -0,0 +1,187 @@
+/*
+ * The voter set is maintained so that the losses that it was built for can always be borne: while
+ * no more than BORNE machines are lost at a time, the voters that run and hold the log are a quorum.
+ *
+ * Machines fall silent and are heard again, end and start again, lose their disks, and are replaced
+ * as planned: the successor joins first. One that is back counts as lost until the set has settled,
+ * as no change of it is due any more. A leader is there whenever a quorum can elect one.
+ *
+ * Defining NO_DOUBT leaves out the rule that a voter which no leader calls asks to join; KEEP_SILENT
+ * the one that silent voters are removed; NO_DISK_CHECK the one that a voter with another disk is
+ * removed and added anew.
+ */
+
+#ifndef FIRST
+#define FIRST 3               /* voters at the start */
+#endif
+#ifndef NODES
+#define NODES 5               /* with all successors */
+#endif
+#ifndef FAULTS
+#define FAULTS 4
+#endif
+#define MOST 7                /* voters at most */
+#define BORNE ((FIRST - 1) / 2)
+
+typedef Node {
+  bool owned;                 /* is to run: started, and not replaced */
+  bool runs;
+  bool silent;
+  bool holds;                 /* has the disk with which it is in the set */
+  bool believes;              /* its own log names it as a voter */
+  bool voter;                 /* is in the set */
+  bool recent                 /* was lost, and the set has not settled since */
+}
+
+Node n[NODES];
+byte faults = FAULTS;
+byte i;
+byte size, live, answering, lost;
+byte change;                  /* the change that is due: 0 none, else the node and 1 */
+bool adds;
+
+#define ANSWERS(x) (n[x].runs && !n[x].silent && n[x].holds)
+#define HEARD(x) (n[x].runs && !n[x].silent)
+#define QUORUM(x) ((x) / 2 + 1)
+#define LED (live >= QUORUM(size))
+
+#ifdef NO_DOUBT
+#define ASKS(x) (HEARD(x) && !n[x].believes)
+#else
+#define ASKS(x) (HEARD(x) && (!n[x].believes || !n[x].voter || !n[x].holds))
+#endif
+
+inline count() {
+  size = 0; live = 0; lost = 0;
+  for (i : 0 .. NODES - 1) {
+    if :: n[i].voter -> size++ :: else fi;
+    if :: n[i].voter && ANSWERS(i) -> live++ :: else fi;
+    if :: n[i].recent || (n[i].owned && !HEARD(i)) -> lost++ :: else fi
+  }
+}
+
+/* The next change of the set, as the leader decides it. */
+inline decide() {
+  count();
+  change = 0; adds = false;
+  if
+  :: LED ->
+    for (i : 0 .. NODES - 1) {
+#ifndef KEEP_SILENT
+      if
+      :: change == 0 && n[i].voter && !ANSWERS(i) && size > 2 &&
+         QUORUM(size) > QUORUM(live) && live >= QUORUM(size - 1) -> change = i + 1
+      :: else
+      fi
+#else
+      skip
+#endif
+    }
+    for (i : 0 .. NODES - 1) {
+      if
+#ifdef NO_DISK_CHECK
+      :: change == 0 && ASKS(i) && !n[i].voter && size < MOST -> change = i + 1; adds = true
+#else
+      :: change == 0 && ASKS(i) && !(n[i].voter && n[i].holds) && size < MOST ->
+        /* a member with another disk is removed before it is added */
+        if
+        :: n[i].voter && live >= QUORUM(size - 1) -> change = i + 1
+        :: !n[i].voter && live + 1 >= QUORUM(size + 1) -> change = i + 1; adds = true
+        :: else
+        fi
+#endif
+      :: else
+      fi
+    }
+  :: else
+  fi
+}
+
+/* All that is due until the set has settled. */
+inline settle() {
+  decide();
+  do
+  :: change > 0 ->
+    n[change - 1].voter = adds;
+    if
+    :: adds -> n[change - 1].holds = true; n[change - 1].believes = true
+    :: else
+    fi;
+    decide()
+  :: else -> break
+  od;
+  for (i : 0 .. NODES - 1) {
+    if :: HEARD(i) || !n[i].owned -> n[i].recent = false :: else fi
+  }
+  count();
+  assert(lost > BORNE || LED)
+}
+
+inline pick(x) {
+  x = 0;
+  do
+  :: x < NODES - 1 -> x++
+  :: break
+  od
+}
+
+active proctype world() {
+  byte x;
+  atomic {
+    for (i : 0 .. FIRST - 1) {
+      n[i].owned = true; n[i].runs = true; n[i].holds = true;
+      n[i].believes = true; n[i].voter = true
+    }
+    count()
+  }
+  do
+  :: faults > 0 && lost < BORNE ->
+    pick(x);
+    atomic {
+      if
+      :: n[x].owned && HEARD(x) -> n[x].silent = true; n[x].recent = true; faults--
+      :: n[x].owned && HEARD(x) -> n[x].runs = false; n[x].recent = true; faults--
+      /* the disk is lost, and the machine is down for a while */
+      :: n[x].owned && HEARD(x) ->
+        n[x].runs = false; n[x].holds = false; n[x].believes = false; n[x].recent = true; faults--
+      :: else
+      fi;
+      count()
+    }
+  /* the fault ends */
+  :: pick(x);
+    atomic {
+      if
+      :: n[x].owned && !HEARD(x) -> n[x].silent = false; n[x].runs = true
+      :: else
+      fi;
+      count()
+    }
+  /* a successor is started */
+  :: pick(x);
+    atomic {
+      if
+      :: !n[x].owned && !n[x].runs && !n[x].voter && !n[x].recent && x >= FIRST ->
+        n[x].owned = true; n[x].runs = true; n[x].holds = true
+      :: else
+      fi;
+      count()
+    }
+  /* a machine whose successor has had its time is stopped, as planned, whoever votes by then */
+  :: lost == 0 ->
+    pick(x);
+    atomic {
+      byte owned;
+      owned = 0;
+      for (i : 0 .. NODES - 1) { if :: n[i].owned && HEARD(i) -> owned++ :: else fi };
+      if
+      :: n[x].owned && HEARD(x) && owned > FIRST ->
+        n[x].owned = false; n[x].runs = false; n[x].recent = true
+      :: else
+      fi;
+      count()
+    }
+  /* the set settles, or the next event comes before it does */
+  :: atomic { settle() }
+  od
+}
