--- a/packages/soak/src/fault.ts
+++ b/packages/soak/src/fault.ts
@@ -121,6 +121,11 @@
   readonly minDiskLossGapMs: Millis;
 }
 
+/** Whether a fault loses a disk. */
+export function losesDisk({ fault }: TimedFault): boolean {
+  return fault.kind === 'wipe' || fault.kind === 'replace';
+}
+
 /** Draws `count` faults at random times between `fromMs` and `toMs`; they may overlap. */
 export function randomFaults(random: Random, options: RandomFaultOptions): readonly TimedFault[] {
   const times = Array.from({ length: options.count }, () =>
@@ -131,8 +136,9 @@
   for (const atMs of times) {
     const mayLoseDisk = atMs - lastDiskLossMs >= options.minDiskLossGapMs;
     const fault = randomFault(random, mayLoseDisk);
-    if (fault.kind === 'wipe' || fault.kind === 'replace') lastDiskLossMs = atMs;
-    faults.push({ atMs, fault });
+    const timed = { atMs, fault };
+    if (losesDisk(timed)) lastDiskLossMs = atMs;
+    faults.push(timed);
   }
   return faults;
 }
@@ -197,8 +203,8 @@
   return series;
 }
 
-/** Longest series of a succession, in milliseconds. */
-export const successionMs: Millis = 14_000;
+/** Time between two planned replacements, after which the set has settled. */
+const successionIntervalMs: Millis = 14_000;
 
 /**
  * Draws `count` planned replacements of voters that begin between `fromMs` and `toMs`, one after the
@@ -209,7 +215,7 @@
   random: Random,
   { fromMs, toMs, count }: Omit<RandomFaultOptions, 'minDiskLossGapMs'>,
 ): readonly TimedFault[] {
-  const starts = Array.from({ length: count }, (_, i) => fromMs + i * successionMs);
+  const starts = Array.from({ length: count }, (_, i) => fromMs + i * successionIntervalMs);
   return starts
     .filter((startMs) => startMs <= toMs)
     .flatMap((startMs): readonly TimedFault[] => {
