Run steps one at a time by one piece of code

The commits of the voter set, the writes of a node of the log and the documents of the leader each had a queue of promises of their own, the first one written again beside the second in. All three use base/serial; what they do stays as it is.

--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -13,4 +13,5 @@
 export * from './processload.js';
 export * from './sink.js';
 export * from './tasks.js';
+export * from './serial.js';
 export * from './suspendclock.js';
--- a/packages/fleet/src/control.ts
+++ b/packages/fleet/src/control.ts
@@ -6,7 +6,7 @@
 import { isDeepStrictEqual } from 'node:util';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
-import { OwnerTable, TaskGroup, createStopController, waitEnded } from '@tanagercart/base';
+import { OwnerTable, Serial, TaskGroup, createStopController, waitEnded } from '@tanagercart/base';
 import type { Clock, Logger, Millis, NodeId, Random, UtilizationMeter } from '@tanagercart/base';
 import { deltaOf } from '@tanagercart/config';
 import type { Configuration } from '@tanagercart/config';
@@ -95,7 +95,7 @@
   private leaderTerm: LeaderTerm | undefined;
   /** Whether the lease was held at the last check, while this node leads. */
   private hadLease = false;
-  private lastSubmission: Promise<unknown> = Promise.resolve();
+  private readonly submissions = Serial.create();
   /** The entries as the leader last reported them; used while another node leads. */
   private followed: readonly EntryRecord[] = [];
   private followedRevision = '';
@@ -416,9 +416,7 @@
 
   /** Commits documents one at a time, as each is stored as a delta to the one before. */
   private handleSubmit(document: Document): Promise<SubmitReply> {
-    const submission = this.lastSubmission.then(() => this.commitDocument(document));
-    this.lastSubmission = submission.catch(() => undefined);
-    return submission;
+    return this.submissions.run(() => this.commitDocument(document));
   }
 
   private async commitDocument(document: Document): Promise<SubmitReply> {
--- a/packages/log/src/raftstate.ts
+++ b/packages/log/src/raftstate.ts
@@ -1,6 +1,6 @@
 /** State that the components of a Raft node share: role, term, voter set and the write queue. */
 
-import { Bell, TaskGroup, invariant, createStopController } from '@tanagercart/base';
+import { Bell, Serial, TaskGroup, invariant, createStopController } from '@tanagercart/base';
 import type { Millis, NodeId } from '@tanagercart/base';
 import type { Result } from 'neverthrow';
 import type { RaftOptions } from './options.js';
@@ -41,7 +41,7 @@
    * a leader. No change of term ends the promise, as that leader may still rely on it.
    */
   private promisedAt: Millis;
-  private lastWrite: Promise<unknown> = Promise.resolve();
+  private readonly writes = Serial.create();
 
   private constructor(readonly o: RaftOptions) {
     this.timerAt = o.clock.now();
@@ -84,9 +84,7 @@
 
   /** Runs `step` after every earlier step that writes to the store. */
   exclusive<T>(step: () => Promise<T>): Promise<T> {
-    const run = this.lastWrite.then(step);
-    this.lastWrite = run.catch(() => undefined);
-    return run;
+    return this.writes.run(step);
   }
 
   /** Becomes a follower of `leader` on its call, and promises to elect no other for a while. */
--- a/packages/log/src/voterchanges.ts
+++ b/packages/log/src/voterchanges.ts
@@ -5,6 +5,7 @@
 
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
+import { Serial } from '@tanagercart/base';
 import type { Millis, NodeId } from '@tanagercart/base';
 import type { Member, VoterConfig, VotersCall, VotersReply } from '@tanagercart/protocol';
 import type { Applier } from './applier.js';
@@ -23,7 +24,8 @@
 
 /** Carries out changes of the voter set on the leader. */
 export class VoterChanges {
-  private lastStep: Promise<unknown> = Promise.resolve();
+  /** Each step reads and commits the voter set as it is then. */
+  private readonly steps = Serial.create();
 
   private constructor(
     private readonly state: RaftState,
@@ -56,7 +58,9 @@
     if (state.role !== 'leader') return this.notLeader();
     if (call.action === 'show') return { kind: 'changed', config: state.voters.config };
     const { action, node } = call;
-    const done = await (action === 'add' ? this.add(node) : this.inTurn(() => this.remove(node)));
+    const done = await (action === 'add'
+      ? this.add(node)
+      : this.steps.run(() => this.remove(node)));
     if (done.isErr()) return done.error;
     return { kind: 'changed', config: state.voters.config };
   }
@@ -72,17 +76,10 @@
     if (inspected.isErr()) return err(refused(`${id} does not answer, or has no disk`));
     const member: Member = { id, disk: inspected.value.disk };
     if (state.voters.isVoter(id, member.disk)) return ok(undefined);
-    const learnerAdded = await this.inTurn(() => this.addLearner(member));
+    const learnerAdded = await this.steps.run(() => this.addLearner(member));
     if (learnerAdded.isErr()) return learnerAdded;
     const caughtUp = await this.awaitCatchUp(member);
-    return caughtUp.isErr() ? caughtUp : this.inTurn(() => this.promote(member));
-  }
-
-  /** Runs a step after all earlier steps; each reads and commits the voter set as it is then. */
-  private inTurn<T>(step: () => Promise<T>): Promise<T> {
-    const run = this.lastStep.then(step);
-    this.lastStep = run.catch(() => undefined);
-    return run;
+    return caughtUp.isErr() ? caughtUp : this.steps.run(() => this.promote(member));
   }
 
   private async addLearner(member: Member): Promise<Result<void, Failure>> {
