--- a/packages/fleet/src/voterplan.ts
+++ b/packages/fleet/src/voterplan.ts
@@ -53,9 +53,11 @@
   return silentLearner === undefined ? undefined : { action: 'remove', node: silentLearner };
 }
 
-/** Whether a set without its silent voters tolerates more failures than it does with them. */
+/**
+ * Whether the voters that answer tolerate more failures as a set of their own, in which a smaller
+ * number of them is a quorum.
+ */
 function bearsMoreWithout(voters: readonly NodeId[], silent: ReadonlySet<NodeId>): boolean {
   const answering = voters.filter((id) => !silent.has(id)).length;
-  const tolerated = answering - quorumSize(voters.length);
-  return voters.length > 2 && answering - quorumSize(answering) > tolerated;
+  return voters.length > 2 && quorumSize(answering) < quorumSize(voters.length);
 }
