--- a/packages/fleet/test/control.test.ts
+++ b/packages/fleet/test/control.test.ts
@@ -116,10 +116,7 @@
   await submit(fleet, a, 7);
   const leader = [a, b, c].find((id) => fleet.nodes.get(id)!.isLeader)!;
   const others = [a, b, c].filter((id) => id !== leader);
-  for (const id of others) {
-    fleet.network.cut(leader, id);
-    fleet.network.cut(id, leader);
-  }
+  fleet.isolate(leader);
   await fleet.waitUntil(() => others.some((id) => fleet.nodes.get(id)!.isLeader));
   assert.equal(await submit(fleet, others[0]!, 9), 9);
   assert.equal(await versionAt(fleet, leader), -1);
--- a/packages/fleet/test/deregistration.test.ts
+++ b/packages/fleet/test/deregistration.test.ts
@@ -65,10 +65,7 @@
 test('a deregistration through a voter that reaches no quorum is not acknowledged', async () => {
   const { fleet, leader } = await start(95);
   const self = names.find((n) => fleet.nodes.get(n) === leader)!;
-  for (const other of names.filter((n) => n !== self)) {
-    fleet.network.cut(self, other);
-    fleet.network.cut(other, self);
-  }
+  fleet.isolate(self);
   const done = await fleet.settle(leader.deregister({ id, born: 1 }));
   assert.ok(done.isErr());
 });
--- a/packages/fleet/test/fleet.ts
+++ b/packages/fleet/test/fleet.ts
@@ -311,6 +311,15 @@
     return { view, watcher, stop: () => ending.abort() };
   }
 
+  /** Cuts all links between a node and others, by default all that run. */
+  isolate(id: NodeId, others: Iterable<NodeId> = this.nodes.keys()): void {
+    for (const other of others) {
+      if (other === id) continue;
+      this.network.cut(id, other);
+      this.network.cut(other, id);
+    }
+  }
+
   /** Kills a process. Its disk keeps synced data. */
   kill(id: NodeId): void {
     this.network.detach(id);
--- a/packages/fleet/test/random.test.ts
+++ b/packages/fleet/test/random.test.ts
@@ -86,7 +86,7 @@
       case 'kill':
         return this.kill(this.pick(step.at));
       case 'cut':
-        return this.isolate(this.pick(step.at));
+        return this.fleet.isolate(this.pick(step.at), this.nodes);
       case 'silence':
         return this.silence(this.pick(step.at));
       case 'submit':
@@ -128,15 +128,8 @@
     this.down.clear();
   }
 
-  private isolate(id: NodeId): void {
-    for (const other of this.nodes.filter((n) => n !== id)) {
-      this.fleet.network.cut(id, other);
-      this.fleet.network.cut(other, id);
-    }
-  }
-
   private async silence(id: NodeId): Promise<void> {
-    this.isolate(id);
+    this.fleet.isolate(id, this.nodes);
     await this.fleet.clock.advance(silenceMs);
     this.fleet.network.heal();
   }
--- a/packages/fleet/test/removedvoter.test.ts
+++ b/packages/fleet/test/removedvoter.test.ts
@@ -9,12 +9,9 @@
 const silenceMs = 4000;
 const returnMs = 3000;
 
-/** Cuts a node off from all others for a while. */
+/** Isolates a node for a while. */
 async function silence(fleet: Fleet, id: NodeId): Promise<void> {
-  for (const other of names.filter((n) => n !== id)) {
-    fleet.network.cut(id, other);
-    fleet.network.cut(other, id);
-  }
+  fleet.isolate(id);
   await fleet.clock.advance(silenceMs);
 }
 
@@ -70,23 +67,21 @@
 
 // Guards against a set of five that keeps two silent voters: the next lost disk leaves no quorum.
 test('a lost disk after two of five voters have fallen silent loses no document', async () => {
-  for (const seed of [87]) {
-    const five = ['a', 'b', 'c', 'd', 'e'].map(NodeId);
-    const fleet = await Fleet.start(seed, five);
-    await fleet.waitUntil(() => five.every((id) => votes(fleet, id)));
-    const followers = five.filter((id) => !fleet.nodes.get(id)!.isLeader);
-    const [first, second, wiped] = followers as [NodeId, NodeId, NodeId];
-    fleet.kill(first);
-    fleet.kill(second);
-    await fleet.clock.advance(4000);
-    const submitted = await fleet.settle(fleet.nodes.get(wiped)!.submit(documentOf(7)));
-    assert.equal(submitted.unwrapOr(-1), 7);
-    fleet.wipe(wiped);
-    fleet.startNode(wiped);
-    await fleet.waitUntil(() => votes(fleet, wiped), 5000);
-    for (const id of [first, second]) fleet.startNode(id);
-    await fleet.waitUntil(() => five.every((id) => votes(fleet, id)), 5000);
-    const read = await fleet.settle(fleet.nodes.get(first)!.readDocument());
-    assert.equal(read._unsafeUnwrap().version, 7);
-  }
+  const five = ['a', 'b', 'c', 'd', 'e'].map(NodeId);
+  const fleet = await Fleet.start(87, five);
+  await fleet.waitUntil(() => five.every((id) => votes(fleet, id)));
+  const followers = five.filter((id) => !fleet.nodes.get(id)!.isLeader);
+  const [first, second, wiped] = followers as [NodeId, NodeId, NodeId];
+  fleet.kill(first);
+  fleet.kill(second);
+  await fleet.clock.advance(4000);
+  const submitted = await fleet.settle(fleet.nodes.get(wiped)!.submit(documentOf(7)));
+  assert.equal(submitted.unwrapOr(-1), 7);
+  fleet.wipe(wiped);
+  fleet.startNode(wiped);
+  await fleet.waitUntil(() => votes(fleet, wiped), 5000);
+  for (const id of [first, second]) fleet.startNode(id);
+  await fleet.waitUntil(() => five.every((id) => votes(fleet, id)), 5000);
+  const read = await fleet.settle(fleet.nodes.get(first)!.readDocument());
+  assert.equal(read._unsafeUnwrap().version, 7);
 });
--- a/packages/relay/test/comeback.test.ts
+++ b/packages/relay/test/comeback.test.ts
@@ -18,8 +18,7 @@
   upstreamOf,
   viewOf,
 } from './fixtures.js';
-
-type Sent = Awaited<ReturnType<UpstreamClient['send']>>;
+import type { Sent } from './fixtures.js';
 
 /** What an upstream does with an attempt. */
 type Play = (attempt: Attempt, stop: AbortSignal) => Promise<Sent>;
--- a/packages/relay/test/drawn.test.ts
+++ b/packages/relay/test/drawn.test.ts
@@ -16,8 +16,7 @@
   upstreamOf,
   viewOf,
 } from './fixtures.js';
-
-type Sent = Awaited<ReturnType<UpstreamClient['send']>>;
+import type { Sent } from './fixtures.js';
 
 const eventCount = 10;
 const timeoutMs = 8000;
--- a/packages/relay/test/ends.test.ts
+++ b/packages/relay/test/ends.test.ts
@@ -17,8 +17,7 @@
   upstreamOf,
   viewOf,
 } from './fixtures.js';
-
-type Sent = Awaited<ReturnType<UpstreamClient['send']>>;
+import type { Sent } from './fixtures.js';
 
 const timeoutMs: Millis = 6000;
 const eventCount = 8;
--- a/packages/relay/test/fixtures.ts
+++ b/packages/relay/test/fixtures.ts
@@ -32,6 +32,9 @@
   UpstreamResponse,
 } from '../src/index.js';
 
+/** What one send of an attempt resolves to. */
+export type Sent = Awaited<ReturnType<UpstreamClient['send']>>;
+
 /** Id of the service of all test requests. */
 export const desk = ServiceId('desk');
 
--- a/packages/relay/test/sidebyside.test.ts
+++ b/packages/relay/test/sidebyside.test.ts
@@ -17,9 +17,7 @@
   upstreamOf,
   viewOf,
 } from './fixtures.js';
-import type { RelayParts, Script } from './fixtures.js';
-
-type Sent = Awaited<ReturnType<UpstreamClient['send']>>;
+import type { RelayParts, Script, Sent } from './fixtures.js';
 
 /** A step of the answer of one attempt; times are from the start of the request. */
 type Send = (attempt: Attempt, stop: AbortSignal) => Promise<Sent>;
