Give a newcomer its vote only where the others are a quorum without it

Cause: the newcomer's vote raises the quorum of an odd set, in which a silent voter is still a member, to a number that counts on the newcomer. commitConfig counted the newcomer among those that had answered, by answers of up to 1.4 s ago. If it ends before it has stored the entry, the entry cannot be committed, and nobody can be elected by the set that it names.

Ruled out: that the newcomer stayed a learner and held the others up, as then a leader would be there. A swap of two voters in one entry, as its quorums need not intersect with those before.

Change: a learner votes only where the other voters are a quorum of the set with it, by answers to calls sent after it had caught up. A change may name the voter that it replaces, which leaves first where it has not answered.

Before: joining.test "a node that ends at any moment of its joining does not end the service" fails ("ended after 4 ms"), both tests of raft.test "a newcomer that ends as it is given its vote costs no quorum" fail.

--- a/packages/cli/src/voters.ts
+++ b/packages/cli/src/voters.ts
@@ -25,14 +25,20 @@
     description: 'Add or remove a voter of the replicated log',
     examples: [
       ['Add a node, or add it again after the loss of its disk', 'tanagercart voters add n4'],
+      ['Add a node in place of a dead voter', 'tanagercart voters add n6 --replaces n2'],
       ['Remove a node', 'tanagercart voters remove n2'],
     ],
   });
 
   node = Option.String();
 
+  replaces = Option.String('--replaces', {
+    description: 'With add: a voter that leaves first if it does not answer',
+  });
+
   execute(): Promise<number> {
     const [, action] = this.path;
-    return this.send('POST', '/operators/v1/voters', JSON.stringify({ action, node: this.node }));
+    const { node, replaces } = this;
+    return this.send('POST', '/operators/v1/voters', JSON.stringify({ action, node, replaces }));
   }
 }
--- a/packages/entry/src/voters.ts
+++ b/packages/entry/src/voters.ts
@@ -20,10 +20,16 @@
 /** Largest body of a change, in bytes. */
 const maxBodyBytes = 4096;
 
-const changeSchema = z.strictObject({
-  action: z.enum(['add', 'remove']),
-  node: z.string().min(1).transform(NodeId),
-});
+const nodeSchema = z.string().min(1).transform(NodeId);
+
+const changeSchema = z.discriminatedUnion('action', [
+  z.strictObject({
+    action: z.literal('add'),
+    node: nodeSchema,
+    replaces: nodeSchema.optional(),
+  }),
+  z.strictObject({ action: z.literal('remove'), node: nodeSchema }),
+]);
 
 /** Parts of the node that these handlers use. */
 export interface VoterHandlerOptions {
@@ -43,7 +49,8 @@
   const body = await readBody(req, maxBodyBytes);
   const call = changeSchema.safeParse(body.isOk() ? parseJson(body.value) : undefined);
   if (!call.success) {
-    const message = 'expected {"action": "add" or "remove", "node": NAME}';
+    const message =
+      'expected {"action": "add" or "remove", "node": NAME}, for "add" also "replaces": NAME';
     return sendJson(res, 400, { error: { code: 'invalid', message } });
   }
   return sendReply(res, await askLeader(o, call.data));
--- a/packages/fleet/src/membership.ts
+++ b/packages/fleet/src/membership.ts
@@ -5,10 +5,9 @@
 
 import type { Clock, Logger, Millis, NodeId } from '@tanagercart/base';
 import type { Raft } from '@tanagercart/log';
-import type { JoinCall, JoinReply, Transport } from '@tanagercart/protocol';
+import type { JoinCall, JoinReply, Transport, VoterChange } from '@tanagercart/protocol';
 import type { Voter } from './voter.js';
 import { nextVoterChange } from './voterplan.js';
-import type { VoterChange } from './voterplan.js';
 
 /** Interval at which a node that may not vote asks to join, and the leader checks the voters. */
 const reconcileIntervalMs: Millis = 200;
--- a/packages/fleet/src/voterplan.ts
+++ b/packages/fleet/src/voterplan.ts
@@ -7,25 +7,21 @@
  * | voter that answers              | keeps it, also if it asks to join                               |
  * | silent voter                    | removes it where the voters that answer would tolerate more     |
  * |                                 | failures by themselves: one of a set of even size, two of five  |
- * | one silent voter of an odd set  | keeps it, until a node that asks to join has made the set even  |
+ * | one silent voter of an odd set  | keeps it, until a node that has caught up can take its place    |
  * | silent voter that asks to join  | adds it: it may have another disk, with which it does not vote  |
- * | learner that asks to join       | lets it vote once it has caught up                              |
+ * | learner that asks to join       | lets it vote once it has caught up, and the others that answer  |
+ * |                                 | are a quorum without it; a silent voter leaves first otherwise  |
  * | silent learner                  | removes it                                                      |
  * | other node that asks to join    | adds it; a full set first loses a silent voter, if it has one   |
  */
 
 import type { NodeId } from '@tanagercart/base';
 import { quorumSize } from '@tanagercart/log';
+import type { VoterChange } from '@tanagercart/protocol';
 
 /** Largest number of voters, with the learners that are to vote. Further nodes with a disk stand by. */
 export const maxVoters = 7;
 
-/** A change of the voter set. */
-export interface VoterChange {
-  readonly action: 'add' | 'remove';
-  readonly node: NodeId;
-}
-
 /** What the leader knows of the nodes that vote, learn or ask to join. */
 export interface Electorate {
   readonly voters: readonly NodeId[];
@@ -46,7 +42,8 @@
   const joining = asking.find((id) => !voters.includes(id)) ?? asking.find((id) => silent.has(id));
   if (joining !== undefined) {
     const others = [...voters, ...learners].filter((id) => id !== joining);
-    if (others.length < maxVoters) return { action: 'add', node: joining };
+    const replaces = voters.find((id) => silent.has(id) && id !== joining);
+    if (others.length < maxVoters) return { action: 'add', node: joining, replaces };
     if (silentVoter !== undefined) return { action: 'remove', node: silentVoter };
   }
   const silentLearner = learners.find((id) => silent.has(id));
--- a/packages/fleet/test/joining.test.ts
+++ b/packages/fleet/test/joining.test.ts
@@ -45,6 +45,25 @@
   }
 });
 
+// Guards against a machine that ends as it is given its vote, which a quorum then depends on for good.
+test('a node that ends at any moment of its joining does not end the service', async () => {
+  for (let afterMs = 0; afterMs < 16; afterMs += 1) {
+    const fleet = await Fleet.start(111 + afterMs);
+    const leader = fleet.leader!;
+    const lost = [a, b, c].find((id) => fleet.nodes.get(id) !== leader)!;
+    fleet.kill(lost);
+    await fleet.clock.advance(2000);
+    fleet.startNode(d);
+    while (!leader.voters.includes(d)) await fleet.clock.advance(1);
+    await fleet.clock.advance(afterMs);
+    fleet.kill(d);
+    const done = await fleet.settle(leader.submit(documentOf(7)));
+    assert.equal(done.unwrapOr(-1), 7, `ended after ${afterMs} ms`);
+    fleet.startNode(e);
+    await fleet.waitUntil(() => fleet.nodes.get(e)!.isVoter, 5000);
+  }
+});
+
 // Guards against a learner that is given up as its disk is slow.
 test('a node whose disk takes seconds for a write votes in the end, and keeps no other out', async () => {
   const fleet = await Fleet.start(104);
--- a/packages/fleet/test/voterplan.test.ts
+++ b/packages/fleet/test/voterplan.test.ts
@@ -13,7 +13,8 @@
     silent: new Set(ids(silent)),
     asking: ids(asking),
   });
-  return change && `${change.action} ${change.node}`;
+  if (change?.action !== 'add') return change && `remove ${change.node}`;
+  return `add ${change.node}${change.replaces ? ` for ${change.replaces}` : ''}`;
 }
 
 test('a silent voter leaves a set of even size, and stays in one of odd size', () => {
@@ -33,7 +34,7 @@
 
 test('a node that asks to join is added, and takes the place of a silent voter', () => {
   assert.equal(changeOf('abc', '', 'd'), 'add d');
-  assert.equal(changeOf('abc', 'b', 'd'), 'add d');
+  assert.equal(changeOf('abc', 'b', 'd'), 'add d for b');
   assert.equal(changeOf('abcd', 'b', 'd'), 'remove b');
   assert.equal(changeOf('abcdefg', 'b', 'h'), 'remove b');
   assert.equal(changeOf('abcdefg', '', 'h'), undefined);
@@ -48,7 +49,7 @@
 test('a voter that asks to join is added again only where it does not answer', () => {
   assert.equal(changeOf('abc', '', 'b'), undefined);
   assert.equal(changeOf('abc', 'b', 'b'), 'add b');
-  assert.equal(changeOf('abc', 'b', 'bd'), 'add d');
+  assert.equal(changeOf('abc', 'b', 'bd'), 'add d for b');
 });
 
 test('a learner that falls silent is removed, also while others ask in vain', () => {
--- a/packages/log/src/replication.ts
+++ b/packages/log/src/replication.ts
@@ -101,6 +101,12 @@
     return peer !== undefined && peer.answeredAt + ms > this.state.o.clock.now();
   }
 
+  /** Whether member `id` answered a call that this leader sent at `time` or later. */
+  answeredSince(id: NodeId, time: Millis): boolean {
+    if (id === this.state.o.self) return true;
+    return (this.peers.get(id)?.answeredAt ?? -Infinity) >= time;
+  }
+
   /** Steps down if no quorum has answered calls sent within twice the shortest election timeout. */
   checkQuorum(): void {
     const { state } = this;
--- a/packages/log/src/voterchanges.ts
+++ b/packages/log/src/voterchanges.ts
@@ -5,14 +5,20 @@
 
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
-import { Serial } from '@tanagercart/base';
+import { Serial, unreachable } from '@tanagercart/base';
 import type { Millis, NodeId } from '@tanagercart/base';
-import type { Member, VoterConfig, VotersCall, VotersReply } from '@tanagercart/protocol';
+import type {
+  Member,
+  VoterChange,
+  VoterConfig,
+  VotersCall,
+  VotersReply,
+} from '@tanagercart/protocol';
 import type { Applier } from './applier.js';
 import type { RaftState } from './raftstate.js';
 import type { Proposals } from './proposals.js';
 import type { Replication } from './replication.js';
-import { quorumSize } from './voterset.js';
+import { bearsNewcomer, quorumSize } from './voterset.js';
 
 /** Time within which a learner must catch up, in milliseconds; otherwise the change is refused. */
 const catchUpTimeoutMs: Millis = 60_000;
@@ -57,19 +63,27 @@
     const { state } = this;
     if (state.role !== 'leader') return this.notLeader();
     if (call.action === 'show') return { kind: 'changed', config: state.voters.config };
-    const { action, node } = call;
-    const done = await (action === 'add'
-      ? this.add(node)
-      : this.steps.run(() => this.remove(node)));
+    const done = await this.apply(call);
     if (done.isErr()) return done.error;
     return { kind: 'changed', config: state.voters.config };
   }
 
+  private apply(change: VoterChange): Promise<Result<void, Failure>> {
+    switch (change.action) {
+      case 'add':
+        return this.add(change.node, change.replaces);
+      case 'remove':
+        return this.steps.run(() => this.remove(change.node));
+      default:
+        return unreachable(change);
+    }
+  }
+
   private notLeader(): VotersReply & { kind: 'not-leader' } {
     return { kind: 'not-leader', leader: this.state.leader };
   }
 
-  private async add(id: NodeId): Promise<Result<void, Failure>> {
+  private async add(id: NodeId, replaces: NodeId | undefined): Promise<Result<void, Failure>> {
     const { state } = this;
     const options = { timeoutMs: inspectTimeoutMs };
     const inspected = await state.o.transport.call(id, 'inspect', { from: state.o.self }, options);
@@ -79,7 +93,10 @@
     const learnerAdded = await this.steps.run(() => this.addLearner(member));
     if (learnerAdded.isErr()) return learnerAdded;
     const caughtUp = await this.awaitCatchUp(member);
-    return caughtUp.isErr() ? caughtUp : this.steps.run(() => this.promote(member));
+    if (caughtUp.isErr()) return caughtUp;
+    const since = state.o.clock.now();
+    await this.awaitAnswers(since);
+    return this.steps.run(() => this.promote(member, replaces, since));
   }
 
   private async addLearner(member: Member): Promise<Result<void, Failure>> {
@@ -93,11 +110,26 @@
     return this.commitConfig({ voters, learners: [...learners, member] });
   }
 
-  /** Lets a learner vote. */
-  private async promote(member: Member): Promise<Result<void, Failure>> {
-    const { state } = this;
+  /**
+   * Lets a learner vote, unless a quorum would then depend on the learner. Where `replaces` does not
+   * answer, that voter leaves first.
+   */
+  private async promote(
+    member: Member,
+    replaces: NodeId | undefined,
+    since: Millis,
+  ): Promise<Result<void, Failure>> {
+    const { state, replication } = this;
     if (state.voters.isVoter(member.id, member.disk)) return ok(undefined);
     if (!state.voters.includes(member)) return err(refused(`${member.id} was removed`));
+    const canReplace = replaces !== undefined && !replication.answeredSince(replaces, since);
+    if (!this.bearsNewcomer(since) && canReplace) {
+      const removed = await this.remove(replaces);
+      if (removed.isErr()) return removed;
+    }
+    if (!this.bearsNewcomer(since)) {
+      return err(refused(`a quorum would depend on ${member.id}: ${this.silentText(since)}`));
+    }
     const { voters, learners } = state.voters.config;
     return this.commitConfig({
       voters: [...voters, member],
@@ -123,6 +155,35 @@
     return err(refused(`${member.id} has not caught up in time`));
   }
 
+  /** Waits until the voters that are not silent have answered a call sent at `since` or later. */
+  private async awaitAnswers(since: Millis): Promise<void> {
+    const { state, replication } = this;
+    const { clock, timing } = state.o;
+    const { term } = state;
+    const isAwaited = (m: Member) => this.isLive(m) && !replication.answeredSince(m.id, since);
+    state.sendDue.ring();
+    while (
+      state.leads(term) &&
+      !this.bearsNewcomer(since) &&
+      state.voters.config.voters.some(isAwaited)
+    ) {
+      await state.changed.waitUpTo(timing.heartbeatMs, clock, state.stopping.signal);
+    }
+  }
+
+  /** Whether the voters that have answered since a time can let another one vote. */
+  private bearsNewcomer(since: Millis): boolean {
+    const { voters } = this.state.voters.config;
+    const answering = voters.filter((m) => this.replication.answeredSince(m.id, since));
+    return bearsNewcomer(voters.length, answering.length);
+  }
+
+  private silentText(since: Millis): string {
+    const { voters } = this.state.voters.config;
+    const silent = voters.filter((m) => !this.replication.answeredSince(m.id, since));
+    return `${silent.map((m) => m.id).join(', ')} must answer or be replaced`;
+  }
+
   private async remove(id: NodeId): Promise<Result<void, Failure>> {
     const { state } = this;
     const { voters, learners } = state.voters.config;
--- a/packages/log/src/voterset.ts
+++ b/packages/log/src/voterset.ts
@@ -106,6 +106,14 @@
   );
 }
 
+/**
+ * Whether a set of `voters` of which `answering` answer can commit the vote of one more, and go on,
+ * if that one ends at the same moment. A set of one cannot grow but with the help of the second.
+ */
+export function bearsNewcomer(voters: number, answering: number): boolean {
+  return answering >= Math.min(voters, quorumSize(voters + 1));
+}
+
 /** Number of voters that form a majority of `voters`. */
 export function quorumSize(voters: number): number {
   return Math.floor(voters / 2) + 1;
--- a/packages/log/test/raft.test.ts
+++ b/packages/log/test/raft.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { NodeId, SeededRandom, silentLogger } from '@tanagercart/base';
+import type { VoterChange } from '@tanagercart/protocol';
 import {
   DiskStore,
   LogCluster,
@@ -42,9 +43,13 @@
 }
 
 /** Carries out a change of the voter set on the leader and returns its reply. */
-async function changeVoters(cluster: LogCluster, action: 'add' | 'remove', node: NodeId) {
+function changeVoters(cluster: LogCluster, action: 'add' | 'remove', node: NodeId) {
+  return carryOut(cluster, { action, node });
+}
+
+async function carryOut(cluster: LogCluster, change: VoterChange) {
   await cluster.advanceUntil(() => cluster.leaseHolder !== undefined, 10_000);
-  const pending = cluster.raftOf(cluster.leaseHolder!)!.changeVoters({ action, node });
+  const pending = cluster.raftOf(cluster.leaseHolder!)!.changeVoters(change);
   let reply: Awaited<typeof pending> | undefined;
   void pending.then((r) => {
     reply = r;
@@ -177,7 +182,10 @@
   await proposeAll(cluster, ...numbered(50));
   const [crashed] = nonLeaders(cluster).filter((n) => nodes.indexOf(n) < 3);
   cluster.crash(crashed!);
-  assert.equal((await changeVoters(cluster, 'add', nodes[3]!)).kind, 'changed');
+  const added = await changeVoters(cluster, 'add', nodes[3]!);
+  assert.equal(added.kind === 'refused' && added.reason.includes(`${crashed!} must`), true);
+  const change: VoterChange = { action: 'add', node: nodes[3]!, replaces: crashed! };
+  assert.equal((await carryOut(cluster, change)).kind, 'changed');
   assert.equal((await changeVoters(cluster, 'remove', crashed!)).kind, 'changed');
   const ids = cluster.raftOf(cluster.leaseHolder!)!.voterConfig.voters.map((m) => m.id);
   assert.equal(ids.length, 3);
@@ -185,6 +193,34 @@
   assert.deepEqual(cluster.stateOf(nodes[3]!), numbered(50));
 });
 
+test('a voter that answers stays where another one is to replace it', async () => {
+  const cluster = await startCluster(12, 3, { nodes });
+  const [replaces] = nonLeaders(cluster).filter((n) => nodes.indexOf(n) < 3);
+  const change: VoterChange = { action: 'add', node: nodes[3]!, replaces: replaces! };
+  assert.equal((await carryOut(cluster, change)).kind, 'changed');
+  assert.equal(cluster.raftOf(cluster.leaseHolder!)!.voterConfig.voters.length, 4);
+});
+
+// Guards against a newcomer that ends while its vote is committed, and takes the quorum with it.
+for (const after of ['crashed just now', 'silent for long'] as const) {
+  test(`a newcomer that ends as it is given its vote costs no quorum, with a voter ${after}`, async () => {
+    for (let seed = 30; seed < 40; seed += 1) {
+      const cluster = await startCluster(seed, 3, { nodes, syncMs: 1 });
+      await proposeAll(cluster, 'x');
+      const [crashed] = nonLeaders(cluster).filter((n) => nodes.indexOf(n) < 3);
+      cluster.crash(crashed!);
+      if (after === 'silent for long') await cluster.advance(2000);
+      const leader = cluster.raftOf(cluster.leaseHolder!)!;
+      const change: VoterChange = { action: 'add', node: nodes[3]!, replaces: crashed! };
+      void leader.changeVoters(change);
+      const isVoter = () => leader.voterConfig.voters.some((m) => m.id === nodes[3]);
+      assert.ok((await cluster.advanceUntil(isVoter, 5000)) !== undefined);
+      cluster.crash(nodes[3]!);
+      await proposeAll(cluster, 'y');
+    }
+  });
+}
+
 test('removing the leader transfers leadership, and the next leader removes it', async () => {
   const cluster = await startCluster(10, 3);
   const formerLeader = cluster.leaseHolder!;
--- a/packages/protocol/src/logmessage.ts
+++ b/packages/protocol/src/logmessage.ts
@@ -117,9 +117,18 @@
   readonly term: number;
 }
 
+/** A change of the voter set by one node. */
+export type VoterChange =
+  | {
+      readonly action: 'add';
+      readonly node: NodeId;
+      /** A voter that leaves first, if it does not answer and the others could not do without `node`. */
+      readonly replaces?: NodeId | undefined;
+    }
+  | { readonly action: 'remove'; readonly node: NodeId };
+
 /** Changes or shows the voter set through the leader. */
-export type VotersCall =
-  { readonly action: 'add' | 'remove'; readonly node: NodeId } | { readonly action: 'show' };
+export type VotersCall = VoterChange | { readonly action: 'show' };
 
 /** The reply to a `VotersCall`. */
 export type VotersReply =
--- a/spec/membership.pml
+++ b/spec/membership.pml
@@ -6,9 +6,14 @@
  * as planned: the successor joins first. One that is back counts as lost until the set has settled,
  * as no change of it is due any more. A leader is there whenever a quorum can elect one.
  *
+ * A successor may end for good at the moment at which it is given its vote, before the set that names
+ * it is committed. It has borne nothing by then: what counts as lost is still the machine that it was
+ * to replace.
+ *
  * Defining NO_DOUBT leaves out the rule that a voter which no leader calls asks to join; KEEP_SILENT
  * the one that silent voters are removed; NO_DISK_CHECK the one that a voter with another disk is
- * removed and added anew.
+ * removed and added anew; COUNT_NEWCOMER the one that a node votes only where the others that answer
+ * are a quorum of the set with it, for which a silent voter leaves first.
  */
 
 #ifndef FIRST
@@ -20,6 +25,9 @@
 #ifndef FAULTS
 #define FAULTS 4
 #endif
+#ifndef ENDINGS
+#define ENDINGS 2             /* successors that end as they are given their vote */
+#endif
 #define MOST 7                /* voters at most */
 #define BORNE ((FIRST - 1) / 2)
 
@@ -30,13 +38,16 @@
   bool holds;                 /* has the disk with which it is in the set */
   bool believes;              /* its own log names it as a voter */
   bool voter;                 /* is in the set */
+  bool isNew;                 /* has not voted since it was started as a successor */
   bool recent                 /* was lost, and the set has not settled since */
 }
 
 Node n[NODES];
 byte faults = FAULTS;
-byte i;
-byte size, live, answering, lost;
+byte endings = ENDINGS;
+byte i, j;
+byte size, live, lost;
+byte missing;                 /* machines that are to run and have no successor that votes */
 byte change;                  /* the change that is due: 0 none, else the node and 1 */
 bool adds;
 
@@ -44,6 +55,12 @@
 #define HEARD(x) (n[x].runs && !n[x].silent)
 #define QUORUM(x) ((x) / 2 + 1)
 #define LED (live >= QUORUM(size))
+#ifdef COUNT_NEWCOMER
+#define BEARS_NEWCOMER (live + 1 >= QUORUM(size + 1))
+#else
+/* a set of one cannot grow but with the help of the second */
+#define BEARS_NEWCOMER (live >= QUORUM(size + 1) || live == size)
+#endif
 
 #ifdef NO_DOUBT
 #define ASKS(x) (HEARD(x) && !n[x].believes)
@@ -52,12 +69,14 @@
 #endif
 
 inline count() {
-  size = 0; live = 0; lost = 0;
+  size = 0; live = 0; lost = 0; missing = FIRST;
   for (i : 0 .. NODES - 1) {
     if :: n[i].voter -> size++ :: else fi;
     if :: n[i].voter && ANSWERS(i) -> live++ :: else fi;
-    if :: n[i].recent || (n[i].owned && !HEARD(i)) -> lost++ :: else fi
+    if :: n[i].recent || (n[i].owned && !HEARD(i)) -> lost++ :: else fi;
+    if :: n[i].owned && !n[i].isNew && missing > 0 -> missing-- :: else fi
   }
+  lost = lost + missing
 }
 
 /* The next change of the set, as the leader decides it. */
@@ -86,7 +105,14 @@
         /* a member with another disk is removed before it is added */
         if
         :: n[i].voter && live >= QUORUM(size - 1) -> change = i + 1
-        :: !n[i].voter && live + 1 >= QUORUM(size + 1) -> change = i + 1; adds = true
+        :: !n[i].voter && BEARS_NEWCOMER -> change = i + 1; adds = true
+#ifndef COUNT_NEWCOMER
+        /* a silent voter leaves, so that the others are a quorum without the newcomer */
+        :: !n[i].voter && !BEARS_NEWCOMER && live >= QUORUM(size - 1) ->
+          for (j : 0 .. NODES - 1) {
+            if :: n[j].voter && !ANSWERS(j) && change == 0 -> change = j + 1 :: else fi
+          }
+#endif
         :: else
         fi
 #endif
@@ -104,7 +130,14 @@
   :: change > 0 ->
     n[change - 1].voter = adds;
     if
-    :: adds -> n[change - 1].holds = true; n[change - 1].believes = true
+    :: adds ->
+      n[change - 1].holds = true; n[change - 1].believes = true;
+      if
+      :: endings > 0 && n[change - 1].isNew ->
+        endings--; n[change - 1].owned = false; n[change - 1].runs = false
+      :: skip
+      fi;
+      n[change - 1].isNew = false
     :: else
     fi;
     decide()
@@ -162,7 +195,7 @@
     atomic {
       if
       :: !n[x].owned && !n[x].runs && !n[x].voter && !n[x].recent && x >= FIRST ->
-        n[x].owned = true; n[x].runs = true; n[x].holds = true
+        n[x].owned = true; n[x].runs = true; n[x].holds = true; n[x].isNew = true
       :: else
       fi;
       count()
