End on SIGTERM when nobody reads the log any more

Cause: a write to a closed standard output fails with EPIPE, the handler of uncaught errors logs that, and so writes again, without end: the program keeps a core busy and does not come to its end.

Change: once standard output has failed, lines are dropped.

--- a/packages/base/src/sink.ts
+++ b/packages/base/src/sink.ts
@@ -20,6 +20,7 @@
 export class BoundedSink {
   /** Lines dropped since the last one that was written. */
   private dropped = 0;
+  private isClosed = false;
 
   private constructor(
     private readonly target: SinkTarget,
@@ -30,8 +31,14 @@
     return new BoundedSink(target, maxBufferedBytes);
   }
 
+  /** Drops all lines from now on, as nobody reads them any more. */
+  close(): void {
+    this.isClosed = true;
+  }
+
   /** Writes a line, or drops it if the buffer of the target is full. Always returns true. */
   write(line: string): boolean {
+    if (this.isClosed) return true;
     if (this.target.writableLength + line.length > this.maxBufferedBytes) {
       this.dropped += 1;
       return true;
