Let the soak end a successor while it joins

Change: a fault that loses a voter, starts a successor, ends it some hundred milliseconds later, and starts the next one.

--- a/packages/soak/src/fault.ts
+++ b/packages/soak/src/fault.ts
@@ -69,6 +69,16 @@
    * replaces to terminate for good.
    */
   | { readonly kind: 'succeed'; readonly index: number; readonly afterMs: Millis }
+  /**
+   * Removes a voter for good, and starts one with an empty disk `awayMs` later, which ends for good
+   * `endsAfterMs` after its start, while it joins; then another one.
+   */
+  | {
+      readonly kind: 'replace-twice';
+      readonly index: number;
+      readonly awayMs: Millis;
+      readonly endsAfterMs: Millis;
+    }
   /**
    * An entry loses its links to all upstreams for `forMs`; callers and other programs reach it. New
    * connections hang, or are refused; open ones hang, are reset, or live on.
@@ -123,7 +133,7 @@
 
 /** Whether a fault loses a disk. */
 export function losesDisk({ fault }: TimedFault): boolean {
-  return fault.kind === 'wipe' || fault.kind === 'replace';
+  return fault.kind === 'wipe' || fault.kind === 'replace' || fault.kind === 'replace-twice';
 }
 
 /** Draws `count` faults at random times between `fromMs` and `toMs`; they may overlap. */
@@ -203,13 +213,14 @@
   return series;
 }
 
-/** Time between two planned replacements, after which the set has settled. */
+/** Time between two replacements, after which the set has settled. */
 const successionIntervalMs: Millis = 14_000;
 
 /**
- * Draws `count` planned replacements of voters that begin between `fromMs` and `toMs`, one after the
- * other. During each, another voter is paused, so that the set may lose it; after it, one loses its
- * disk. They are drawn apart from other faults, like limits.
+ * Draws `count` replacements of voters that begin between `fromMs` and `toMs`, one after the other:
+ * planned ones, during which another voter is paused, so that the set may lose it, and such whose
+ * first successor ends while it joins. After each, a voter loses its disk. They are drawn apart from
+ * other faults, like limits.
  */
 export function randomSuccessions(
   random: Random,
@@ -220,19 +231,37 @@
     .filter((startMs) => startMs <= toMs)
     .flatMap((startMs): readonly TimedFault[] => {
       const index = Math.floor(random.next() * 3);
-      const paused = (index + 1 + Math.floor(random.next() * 2)) % 3;
-      const forMs = between(random, 1600, 3000);
-      const pauseMs = startMs + between(random, 0, 2500);
-      const afterMs = between(random, 5500, 6500);
+      const other = (index + 1 + Math.floor(random.next() * 2)) % 3;
+      const isPlanned = random.next() < 0.5;
       const wipeMs = startMs + between(random, 10_500, 11_500);
       return [
-        { atMs: startMs, fault: { kind: 'succeed', index, afterMs } },
-        { atMs: pauseMs, fault: { kind: 'pause', role: 'voter', index: paused, forMs } },
-        { atMs: wipeMs, fault: { kind: 'wipe', index: paused, downMs: between(random, 50, 1500) } },
+        ...(isPlanned ? planned(random, startMs, index, other) : failing(random, startMs, index)),
+        { atMs: wipeMs, fault: { kind: 'wipe', index: other, downMs: between(random, 50, 1500) } },
       ];
     });
 }
 
+function planned(
+  random: Random,
+  atMs: Millis,
+  index: number,
+  paused: number,
+): readonly TimedFault[] {
+  const forMs = between(random, 1600, 3000);
+  const pauseMs = atMs + between(random, 0, 2500);
+  const afterMs = between(random, 5500, 6500);
+  return [
+    { atMs, fault: { kind: 'succeed', index, afterMs } },
+    { atMs: pauseMs, fault: { kind: 'pause', role: 'voter', index: paused, forMs } },
+  ];
+}
+
+function failing(random: Random, atMs: Millis, index: number): readonly TimedFault[] {
+  const awayMs = between(random, 0, 2500);
+  const endsAfterMs = between(random, 200, 900);
+  return [{ atMs, fault: { kind: 'replace-twice', index, awayMs, endsAfterMs } }];
+}
+
 /** All kinds of faults; the last two lose a disk. */
 const faultKinds = [
   'kill',
