--- a/packages/fleet/src/membership.ts
+++ b/packages/fleet/src/membership.ts
@@ -121,6 +121,7 @@
     logger.info('Changing the voters.', {
       action,
       node,
+      replaces: change.action === 'add' ? change.replaces : undefined,
       silent: [...silentMembers(raft)].join(' '),
       asking: this.asking.join(' '),
     });
