Draw one lost disk at a time in the soak

One machine of three is borne, so the draw broke the bound of the soak. The new kind of fault had brought this: planned replacements lose their machine 5.5 s after they begin, those whose successor ends at once.

Change: replacements begin 18 s apart, and those whose successor ends lose their voter 3 s after they begin. The checks stay as they are.

--- a/packages/soak/src/fault.ts
+++ b/packages/soak/src/fault.ts
@@ -214,7 +214,10 @@
 }
 
 /** Time between two replacements, after which the set has settled. */
-const successionIntervalMs: Millis = 14_000;
+const successionIntervalMs: Millis = 18_000;
+
+/** Time after which a voter is lost for good, so that one disk is lost at a time. */
+const failingOffsetMs: Millis = 3000;
 
 /**
  * Draws `count` replacements of voters that begin between `fromMs` and `toMs`, one after the other:
@@ -233,11 +236,12 @@
       const index = Math.floor(random.next() * 3);
       const other = (index + 1 + Math.floor(random.next() * 2)) % 3;
       const isPlanned = random.next() < 0.5;
-      const wipeMs = startMs + between(random, 10_500, 11_500);
-      return [
-        ...(isPlanned ? planned(random, startMs, index, other) : failing(random, startMs, index)),
-        { atMs: wipeMs, fault: { kind: 'wipe', index: other, downMs: between(random, 50, 1500) } },
-      ];
+      const work = isPlanned
+        ? planned(random, startMs, index, other)
+        : failing(random, startMs + failingOffsetMs, index);
+      const wipeMs = startMs + (isPlanned ? 0 : failingOffsetMs) + between(random, 10_500, 11_500);
+      const wipe: Fault = { kind: 'wipe', index: other, downMs: between(random, 50, 1500) };
+      return [...work, { atMs: wipeMs, fault: wipe }];
     });
 }
 
