Stop the voter as planned in the test of a lost disk beside it

Cause: the test that is marked todo killed the voter, so that a mend of the planned stop could not have made it pass.

--- a/packages/fleet/test/removedvoter.test.ts
+++ b/packages/fleet/test/removedvoter.test.ts
@@ -95,8 +95,10 @@
     await fleet.waitUntil(() => names.every((id) => votes(fleet, id)));
     const [old, lost] = names.filter((id) => !fleet.nodes.get(id)!.isLeader) as [NodeId, NodeId];
     fleet.seeds = names.filter((id) => id !== old);
-    fleet.wipe(lost);
+    void fleet.nodes.get(old)!.stop();
+    await fleet.clock.advance(300);
     fleet.kill(old);
+    fleet.wipe(lost);
     await fleet.clock.advance(3000);
     fleet.startNode(lost);
     await fleet.waitUntil(() => fleet.leader !== undefined && votes(fleet, lost), 12_000);
