Refuse requests for which a service has no room

Cause: the relay sends every request on, however full the stages are.

Ruled out: a decision for each attempt, as a retry would then compete with new work for the room that its request already holds.

Change: the relay asks RoomAdmission before the first attempt; a refusal is `no-room`, not run, with a return time. Entries report `demand` in watch calls, the leader sums it and the bulletin carries it; both fields are optional. The capacity of a stage is computed in `layers`, for balancer and room.

--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -2,6 +2,7 @@
 export * from './recordchange.js';
 export * from './state.js';
 export * from './load.js';
+export * from './demand.js';
 export * from './liveness.js';
 export * from './bulletin.js';
 export * from './latereplies.js';
--- a/packages/fleet/src/liveness.ts
+++ b/packages/fleet/src/liveness.ts
@@ -6,13 +6,16 @@
 import type { Clock, Millis, NodeId, UpstreamId } from '@tanagercart/base';
 import type {
   EntryRecord,
+  FleetDemand,
   PlainHeartbeat,
+  ServiceDemand,
   Slowness,
   Suspicion,
   UpstreamLoad,
   UpstreamRecord,
   WatchCall,
 } from '@tanagercart/protocol';
+import { sumDemand } from './demand.js';
 import { sumByUpstream } from './load.js';
 
 /** An entry that has not called for this long is no longer listed for callers. */
@@ -57,6 +60,8 @@
   readonly loads: readonly UpstreamLoad[];
   /** Slow upstreams among those that it polls; undefined if it polls none. */
   readonly slow: readonly Slowness[] | undefined;
+  /** Demand at it; undefined if it does not report any. */
+  readonly demand: readonly ServiceDemand[] | undefined;
 }
 
 /**
@@ -215,6 +220,13 @@
     return this.loadSum.loads;
   }
 
+  /** Demand at all entries together that report it. */
+  get demand(): FleetDemand {
+    const now = this.clock.now();
+    const recent = [...this.entrySeen.values()].filter((e) => now - e.at <= loadTimeoutMs);
+    return sumDemand(recent.flatMap((e) => (e.demand ? [e.demand] : [])));
+  }
+
   /** Upstreams that failed requests and have sent no heartbeat since, and outliers. */
   get suspicions(): readonly Suspicion[] {
     const now = this.clock.now();
@@ -266,10 +278,10 @@
 
   /** Records the state of an entry; returns how it changed for the others. */
   private recordEntryState(from: NodeId, call: WatchCall, now: Millis): EntryChange {
-    const { entry, loads, slow } = call;
+    const { entry, loads, slow, demand } = call;
     if (!entry) return 'none';
     const known = this.entrySeen.get(from);
-    this.entrySeen.set(from, { entry, at: now, loads, slow });
+    this.entrySeen.set(from, { entry, at: now, loads, slow, demand });
     if (!known || now - known.at > entryTimeoutMs) return 'gain';
     if (known.entry.isDetached !== entry.isDetached) return entry.isDetached ? 'loss' : 'gain';
     if (known.entry.phase === entry.phase) return 'none';
--- a/packages/fleet/src/view.ts
+++ b/packages/fleet/src/view.ts
@@ -1,13 +1,14 @@
 /** An entry's copy of the state of the fleet, and how old that copy is. */
 
 import { Bell } from '@tanagercart/base';
-import type { Clock, Logger, Millis, NodeId, UpstreamId } from '@tanagercart/base';
+import type { Clock, Logger, Millis, NodeId, ServiceId, UpstreamId } from '@tanagercart/base';
 import { RoutingTable, applyDelta } from '@tanagercart/config';
 import type { Configuration, Delta } from '@tanagercart/config';
 import { decompressDocument, decompressState } from '@tanagercart/protocol';
 import type {
   DocumentUpdate,
   EntryRecord,
+  FleetDemand,
   LimitNotice,
   Suspicion,
   UpstreamLoad,
@@ -17,6 +18,7 @@
 } from '@tanagercart/protocol';
 import { decodeBulletin } from './bulletin.js';
 import type { DecodedBulletin } from './bulletin.js';
+import { rateOf } from './demand.js';
 import { addLoad, clampLoad } from './load.js';
 import type { Document } from './state.js';
 
@@ -24,7 +26,7 @@
 type Update = Extract<WatchReply, { kind: 'update' }>;
 
 /** What a watch call said of the entry that sent it, on which its reply builds. */
-type ReportedState = Pick<WatchCall, 'loads' | 'documentVersion'>;
+type ReportedState = Pick<WatchCall, 'loads' | 'documentVersion' | 'demand'>;
 
 export interface ViewOptions {
   readonly clock: Clock;
@@ -52,6 +54,8 @@
   private records = new Map<UpstreamId, UpstreamRecord>();
   private peerLoads = new Map<UpstreamId, UpstreamLoad>();
   private reportedLoads = new Map<UpstreamId, UpstreamLoad>();
+  private demand: FleetDemand | undefined;
+  private reportedDemand: WatchCall['demand'];
   private suspicions: readonly (Suspicion & { readonly at: Millis })[] = [];
   private slowFactors = new Map<UpstreamId, number>();
   /** Fingerprints of the quarantined requests. */
@@ -110,6 +114,23 @@
     return this.reportedLoads.get(id);
   }
 
+  /** Number of entries that report their demand, by the last update. */
+  get demandReporters(): number {
+    return this.demand?.reporters ?? 0;
+  }
+
+  /**
+   * Tokens per second that requests at other entries ask for, by priority; undefined if the leader
+   * names none.
+   */
+  peerDemandFor(service: ServiceId): readonly number[] | undefined {
+    if (!this.demand) return undefined;
+    const own = rateOf(this.reportedDemand ?? [], service);
+    const all = rateOf(this.demand.services, service);
+    // The sum may be slightly older than the rates to subtract.
+    return all.map((rate, priority) => Math.max(0, rate - (own[priority] ?? 0)));
+  }
+
   /** How many times slower an upstream is than is usual for its kind; 1 if nothing is known. */
   slownessOf(id: UpstreamId): number {
     return this.slowFactors.get(id) ?? 1;
@@ -149,6 +170,7 @@
     if (quarantined) this.fingerprints = new Set(quarantined);
     this.index = update.index;
     this.applyBulletin(decodeBulletin(update.bulletin), call.loads, latest - repliedAt);
+    this.reportedDemand = call.demand;
     this.confirmedAt = Math.max(repliedAt, this.confirmedAt);
     this.changed.ring();
     return true;
@@ -168,6 +190,7 @@
     this.peerLoads = subtractLoads(bulletin.loads, reported);
     this.reportedLoads = new Map(reported.map((l) => [l.id, l]));
     this.slowFactors = new Map(bulletin.slow.map((s) => [s.id, s.factor]));
+    this.demand = bulletin.demand;
     this.suspects = new Set(bulletin.suspectedParts ?? []);
     this.o.onLimits((bulletin.limits ?? []).map((n) => ({ ...n, ageMs: n.ageMs + lateMs })));
     const sentAt = this.o.clock.now() - lateMs;
--- a/packages/fleet/src/watcher.ts
+++ b/packages/fleet/src/watcher.ts
@@ -8,6 +8,7 @@
   CrashCall,
   EntryRecord,
   LimitNotice,
+  ServiceDemand,
   Slowness,
   Suspicion,
   Transport,
@@ -60,6 +61,8 @@
   readonly leaving: () => readonly UpstreamIncarnation[];
   /** What responses told this entry of the limits of upstreams lately. */
   readonly limits: () => readonly LimitNotice[];
+  /** Demand for services with an engine; undefined if this entry does not measure it. */
+  readonly demand?: () => readonly ServiceDemand[];
 }
 
 /** Keeps the view of an entry up to date. */
@@ -113,6 +116,7 @@
       limits: limits(),
       slow: slow(),
       leaving: leaving().filter((u) => isReadyIn(view, u)),
+      ...(this.o.demand ? { demand: this.o.demand() } : {}),
       since: view.index,
       documentVersion: view.document.version,
       entriesRevision: view.entriesRevision,
--- a/packages/layers/src/stage.ts
+++ b/packages/layers/src/stage.ts
@@ -1,6 +1,9 @@
 /** Layer ranges, the upstreams that hold them (stages), and paths through several stages. */
 
 import type { DataCentreId, Millis, UpstreamId } from '@tanagercart/base';
+import type { Accelerator, Engine } from '@tanagercart/config';
+
+const bytesPerMegabyte = 1e6;
 
 /** A half-open range of layers: `from` is included, `to` is not. */
 export interface LayerRange {
@@ -44,6 +47,16 @@
   readonly slowness: number;
 }
 
+/** KV cache capacity of a stage with `layerCount` layers, in tokens times layers; below 0 without room. */
+export function tokenLayerCapacityOf(
+  engine: Engine,
+  accelerator: Accelerator,
+  layerCount: number,
+): number {
+  const freeMb = accelerator.memoryMb - layerCount * engine.layerMb;
+  return (freeMb * bytesPerMegabyte * engine.layerCount) / engine.kvBytesPerToken;
+}
+
 /** The layers that one stage runs for a request. */
 export interface PathSegment {
   readonly stage: Stage;
--- a/packages/protocol/src/fleetmessage.ts
+++ b/packages/protocol/src/fleetmessage.ts
@@ -83,6 +83,20 @@
   readonly factor: number;
 }
 
+/** What the requests for a service ask for. */
+export interface ServiceDemand {
+  readonly service: ServiceId;
+  /** Tokens per second, by priority. */
+  readonly tokensPerSecond: readonly number[];
+}
+
+/** The demand at all entries that report it. */
+export interface FleetDemand {
+  /** Number of these entries. */
+  readonly reporters: number;
+  readonly services: readonly ServiceDemand[];
+}
+
 /** The part of the leader's reply that is the same for all entries. */
 export interface Bulletin {
   readonly entries: readonly EntryRecord[];
@@ -98,6 +112,8 @@
   readonly suspectedParts?: readonly string[];
   /** Limits that upstreams name or have just ceased to name; missing in bulletins of older leaders. */
   readonly limits?: readonly LimitNotice[];
+  /** Demand for services with an engine; missing in bulletins of older leaders. */
+  readonly demand?: FleetDemand;
 }
 
 /** A load as id, sequences, entered and token layers; its fields would need more bytes than it does. */
@@ -126,6 +142,8 @@
   readonly limits?: readonly LimitNotice[];
   /** Ready upstreams that told the caller that they leave; missing in older entries. */
   readonly leaving?: readonly UpstreamIncarnation[];
+  /** Demand for services with an engine at the caller; missing in older entries. */
+  readonly demand?: readonly ServiceDemand[];
   /**
    * Slow upstreams among those that the caller polls on behalf of all entries; missing in entries
    * that poll none.
--- a/packages/relay/src/balancer.ts
+++ b/packages/relay/src/balancer.ts
@@ -5,7 +5,7 @@
 
 import type { DataCentreId, Millis, Random, UpstreamId } from '@tanagercart/base';
 import type { Engine } from '@tanagercart/config';
-import { findPath } from '@tanagercart/layers';
+import { findPath, tokenLayerCapacityOf } from '@tanagercart/layers';
 import type { Path, RequestSize, Stage } from '@tanagercart/layers';
 import type { UpstreamLoad, UpstreamRecord } from '@tanagercart/protocol';
 import type { FleetView } from '@tanagercart/fleet';
@@ -58,8 +58,6 @@
   readonly isSuspected: (upstream: UpstreamRecord) => boolean;
 }
 
-const bytesPerMegabyte = 1e6;
-
 /** Assumed mean response time of an upstream without samples, in milliseconds. */
 const defaultResponseMs = 100;
 
@@ -228,7 +226,6 @@
     if (!accelerator || !layers) return [];
     const load = this.loadAt(upstream.id, peers);
     const layerCount = layers.to - layers.from;
-    const freeMb = accelerator.memoryMb - layerCount * engine.layerMb;
     return [
       {
         id: upstream.id,
@@ -240,8 +237,7 @@
         sequences: load.sequences,
         entered: load.entered,
         entryWaitMs,
-        tokenLayerCapacity:
-          (freeMb * bytesPerMegabyte * engine.layerCount) / engine.kvBytesPerToken,
+        tokenLayerCapacity: tokenLayerCapacityOf(engine, accelerator, layerCount),
         tokenLayersUsed: load.tokenLayers,
         slowness: this.o.view.slownessOf(upstream.id),
       },
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -9,6 +9,7 @@
 export * from './connector.js';
 export * from './budget.js';
 export * from './balancer.js';
+export * from './roomadmission.js';
 export * from './retry.js';
 export * from './jitter.js';
 export * from './silence.js';
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -30,6 +30,7 @@
 import { LogRateLimit, RequestLog } from './requestlog.js';
 import { Exclusions } from './exclusions.js';
 import type { Holding, Intake } from './intake.js';
+import type { RoomAdmission } from './roomadmission.js';
 import { Overrun } from './overrun.js';
 import { failureOf, failureOfRead, sendResponse } from './outcome.js';
 import type { AttemptOutcome } from './outcome.js';
@@ -58,6 +59,8 @@
   readonly quarantine: Quarantine;
   readonly intake: Intake;
   readonly availability: Availability;
+  /** Refuses requests for which there is no room; without it, all are admitted. */
+  readonly admission?: Pick<RoomAdmission, 'admit'>;
 }
 
 /** Serves the requests of callers from upstreams. */
@@ -81,6 +84,20 @@
    * attempt throws unexpectedly.
    */
   async serve(call: Call, caller: Caller): Promise<void> {
+    const admittance = this.o.admission?.admit(call);
+    if (admittance?.kind === 'refused') {
+      const { retryAfterMs } = admittance;
+      caller.refuse({ kind: 'not-run', reason: 'no-room', retryAfterMs });
+      return;
+    }
+    try {
+      await this.serveAdmitted(call, caller);
+    } finally {
+      admittance?.end();
+    }
+  }
+
+  private async serveAdmitted(call: Call, caller: Caller): Promise<void> {
     const { clock, budget, logger, metrics } = this.o;
     budget.recordRequest(call.service.id);
     if (this.isQuarantined(call)) {
