Test and measure admission by room at an entry

Cause: the decisions were tested in a model of entries only.

Ruled out: a test on wall time; the bench shows what a decision costs.

Up to 20 refusals a second are logged, so that `explain` finds most of them.

--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -29,6 +29,7 @@
   'logging',
   'permits',
   'documents',
+  'admission',
 ];
 
 async function main(args: readonly string[]): Promise<number> {
--- a/packages/fleet/test/liveness.test.ts
+++ b/packages/fleet/test/liveness.test.ts
@@ -1,7 +1,14 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { DataCentreId, HeldClock, NodeId, SuspendAwareClock, UpstreamId } from '@tanagercart/base';
-import type { Suspicion } from '@tanagercart/protocol';
+import {
+  DataCentreId,
+  HeldClock,
+  NodeId,
+  ServiceId,
+  SuspendAwareClock,
+  UpstreamId,
+} from '@tanagercart/base';
+import type { ServiceDemand, Suspicion } from '@tanagercart/protocol';
 import { Liveness } from '../src/index.js';
 import { announcementOf } from './fleet.js';
 
@@ -15,12 +22,16 @@
     sequence += 1;
     liveness.recordHeartbeat(announcementOf('u1', { sequence }));
   };
-  const report = (name: string, suspicions: readonly Suspicion[]) => {
+  const report = (
+    name: string,
+    suspicions: readonly Suspicion[],
+    demand?: readonly ServiceDemand[],
+  ) => {
     const node = NodeId(name);
     const dataCentre = DataCentreId('north');
     const entry = { node, dataCentre, address: `${name}:1`, phase: 'ready' } as const;
     const rest = { loads: [], since: 0, documentVersion: 0, waitMs: 0 };
-    return liveness.recordEntry(node, { entry, suspicions, ...rest });
+    return liveness.recordEntry(node, { entry, suspicions, ...rest, ...(demand && { demand }) });
   };
   return { clock, liveness, heartbeat, report };
 }
@@ -154,3 +165,15 @@
   await clock.advance(200);
   assert.equal(liveness.isLost(announcementOf('u1')), true);
 });
+
+test('demand is that of the entries that report it, and ends with their reports', async () => {
+  const { clock, liveness, report } = fixture();
+  const service = ServiceId('pool');
+  report('a', [], [{ service, tokensPerSecond: [5, 1] }]);
+  report('b', [], [{ service, tokensPerSecond: [5, 0, 2] }]);
+  report('old', []);
+  const services = [{ service, tokensPerSecond: [10, 1, 2] }];
+  assert.deepEqual(liveness.demand, { reporters: 2, services });
+  await clock.advance(3000);
+  assert.deepEqual(liveness.demand, { reporters: 0, services: [] });
+});
--- a/packages/relay/src/roomadmission.ts
+++ b/packages/relay/src/roomadmission.ts
@@ -23,8 +23,9 @@
 /** What the others use is summed again after this time, as it takes all upstreams. */
 const peerUseMaxAgeMs: Millis = 50;
 
-/** Interval between two log lines of refusals. */
-const logIntervalMs: Millis = 1000;
+/** Refusals that are logged in one second; an entry may refuse some hundred. */
+const maxLinesPerSecond = 20;
+const secondMs: Millis = 1000;
 
 export interface RoomAdmissionOptions {
   readonly clock: Clock;
@@ -58,7 +59,7 @@
 /** Decides for each request whether it may be sent to an upstream. */
 export class RoomAdmission {
   private readonly services = new Map<ServiceId, ServiceState>();
-  private loggedAt: Millis = -Infinity;
+  private second = { startedAt: -Infinity, lines: 0 };
   /** Refusals since the last log line. */
   private refusals = 0;
 
@@ -176,7 +177,9 @@
 
   private log(call: Call, decision: Extract<Decision, { kind: 'refused' }>, now: Millis): void {
     this.refusals += 1;
-    if (now - this.loggedAt < logIntervalMs) return;
+    if (now - this.second.startedAt >= secondMs) this.second = { startedAt: now, lines: 0 };
+    if (this.second.lines >= maxLinesPerSecond) return;
+    this.second.lines += 1;
     const { roomTokens, usedPart, ownPart, sharePart, ceiling } = decision.figures;
     this.o.logger.info('No room for a request.', {
       request: call.id,
@@ -193,7 +196,6 @@
       retryAfterMs: Math.round(decision.retryAfterMs),
       refusals: this.refusals,
     });
-    this.loggedAt = now;
     this.refusals = 0;
   }
 }
--- a/packages/relay/test/fixtures.ts
+++ b/packages/relay/test/fixtures.ts
@@ -25,6 +25,7 @@
   ProbeResult,
   Quarantine,
   Refusal,
+  RelayOptions,
   ResponseHead,
   Selection,
   UpstreamClient,
@@ -195,7 +196,7 @@
   const availability = Availability.create({ clock, random, logger, metrics, pacer });
   const balancerParts = { view, health, loads, random, dataCentre, isSuspected, availability };
   const balancer = Balancer.create(balancerParts);
-  const relay = Relay.create({
+  const options: RelayOptions = {
     clock,
     random,
     logger,
@@ -219,8 +220,20 @@
         answered.push(subject);
       },
     },
-  });
-  return { relay, balancer, health, pacer, availability, loads, crashes, answered, suspected };
+  };
+  const relay = Relay.create(options);
+  return {
+    options,
+    relay,
+    balancer,
+    health,
+    pacer,
+    availability,
+    loads,
+    crashes,
+    answered,
+    suspected,
+  };
 }
 
 /** Records what a caller is sent. */
