Pace started and recovered upstreams

Cause: an upstream that had just started or come back received requests from all entries at once, as each of them found it free. Ruled out: limits that each entry keeps alone, as 40 entries then send 40 first requests; an end of the pace at a limit equal to the slots, as entries without an answer of their own then send to it together. Change: the leader opens a pace for an upstream that starts, recovers or turns very slow, and steps it by the answers that entries report in watch calls; the bulletin has a row for each paced upstream. Entries judge answers against the prediction for the load and the mean of upstreams that are not paced, use their part of the limit, and step it alone while the bulletin is older than 2 s. A stage at its limit costs as much as one without memory; a plain upstream at its limit is used where no other has a free slot. Counters pace.step and pace.answer, gauge entry.paced, a log line for each step.

--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -13,6 +13,8 @@
 export * from './registry.js';
 export * from './heartbeats.js';
 export * from './crashes.js';
+export * from './pace.js';
+export * from './paces.js';
 export * from './placer.js';
 export * from './replypacer.js';
 export * from './replystatistics.js';
--- a/packages/fleet/src/leaderterm.ts
+++ b/packages/fleet/src/leaderterm.ts
@@ -7,6 +7,7 @@
 import { BulletinCache, rowOf } from './bulletin.js';
 import { Liveness } from './liveness.js';
 import { CrashSuspicions } from './crashes.js';
+import { Paces } from './paces.js';
 import { Placer } from './placer.js';
 import type { OrderClient } from './placer.js';
 import { ReplyPacer } from './replypacer.js';
@@ -49,6 +50,7 @@
   readonly rollout: Rollout;
   readonly replies: ReplyStatistics;
   private readonly limits: NamedLimits;
+  private readonly paces: Paces;
   /** The part of replies that is the same for all callers, in the forms that these know. */
   private readonly bulletins: Readonly<Record<BulletinForm, BulletinCache>>;
   private readonly placer: Placer;
@@ -87,6 +89,7 @@
     this.placer = Placer.create(placerOptions, term);
     this.crashes = CrashSuspicions.create(clock);
     this.limits = NamedLimits.create(clock, logger);
+    this.paces = Paces.create(logger);
     this.pacer = ReplyPacer.create(clock, o.utilization);
     this.turns = TurnQueue.create(clock);
     this.monitor = SlownessMonitor.create({ orders, clock, logger });
@@ -114,6 +117,7 @@
     const { liveness, limits, rollout, registry } = this;
     rollout.recordCall(from, call);
     for (const upstream of call.leaving ?? []) registry.recordLeaving(upstream, { from });
+    this.paces.record(from, call.paces ?? [], this.o.clock.now());
     const changes = (call.limits ?? []).filter((notice) => limits.record(notice, { from }));
     if (changes.length > 0) liveness.revision += 1;
     return liveness.recordEntry(from, call) || changes.length > 0;
@@ -129,6 +133,7 @@
     }
     if (!this.liveness.slow) this.monitor.poll(pipelineStages(config, upstreams.values()));
     this.collector.collect(upstreams);
+    this.stepPaces(now);
   }
 
   /** Stops sending orders. */
@@ -164,6 +169,18 @@
     return `${this.term}.${this.liveness.entryList.revision}`;
   }
 
+  /** Opens, steps and ends the paces of upstreams. */
+  private stepPaces(now: Millis): void {
+    const { liveness, monitor, paces } = this;
+    const { loads } = liveness;
+    const hasChanged = paces.observe([...this.o.voter.state.upstreams.values()], now, {
+      isLost: (upstream) => liveness.isLost(upstream),
+      slow: liveness.slow ?? monitor.slow,
+      sequencesAt: (id) => loads.get(id)?.sequences ?? 0,
+    });
+    if (hasChanged) liveness.revision += 1;
+  }
+
   private buildCompact(withEntries: boolean): CompactBulletin {
     const { entries, loads, ...rest } = this.buildBulletin();
     return {
@@ -176,6 +193,7 @@
 
   private buildBulletin(): Bulletin {
     const { liveness, monitor, o } = this;
+    const paces = this.paces.rows;
     return {
       entries: liveness.entries,
       voters: o.nodes(),
@@ -184,6 +202,7 @@
       slow: liveness.slow ?? monitor.slow,
       suspectedParts: this.crashes.suspected,
       limits: this.limits.notices,
+      ...(paces.length > 0 ? { paces } : {}),
     };
   }
 }
--- a/packages/fleet/src/view.ts
+++ b/packages/fleet/src/view.ts
@@ -9,6 +9,7 @@
   DocumentUpdate,
   EntryRecord,
   LimitNotice,
+  PaceRow,
   Suspicion,
   UpstreamLoad,
   UpstreamRecord,
@@ -58,6 +59,8 @@
   private fingerprints = new Set<string>();
   /** Requests and parts of prompts that may crash upstreams, and have not been answered since. */
   suspects: ReadonlySet<string> = new Set();
+  /** The paced upstreams, by the last update. */
+  paces: readonly PaceRow[] = [];
   /** Time by `Clock.latest` at which the leader last confirmed this state. */
   private confirmedAt: Millis = -Infinity;
   /** Signals each update. */
@@ -169,6 +172,7 @@
     this.reportedLoads = new Map(reported.map((l) => [l.id, l]));
     this.slowFactors = new Map(bulletin.slow.map((s) => [s.id, s.factor]));
     this.suspects = new Set(bulletin.suspectedParts ?? []);
+    this.paces = bulletin.paces ?? [];
     this.o.onLimits((bulletin.limits ?? []).map((n) => ({ ...n, ageMs: n.ageMs + lateMs })));
     const sentAt = this.o.clock.now() - lateMs;
     this.suspicions = bulletin.suspicions.map((s) => ({ ...s, at: sentAt - s.ageMs }));
--- a/packages/fleet/src/watcher.ts
+++ b/packages/fleet/src/watcher.ts
@@ -8,6 +8,7 @@
   CrashCall,
   EntryRecord,
   LimitNotice,
+  PaceReport,
   Slowness,
   Suspicion,
   Transport,
@@ -60,6 +61,8 @@
   readonly leaving: () => readonly UpstreamIncarnation[];
   /** What responses told this entry of the limits of upstreams lately. */
   readonly limits: () => readonly LimitNotice[];
+  /** What this entry observed of paced upstreams. */
+  readonly paces?: () => readonly PaceReport[];
 }
 
 /** Keeps the view of an entry up to date. */
@@ -104,7 +107,7 @@
   }
 
   private async poll(waitMs: Millis): Promise<boolean> {
-    const { clock, view, entry, loads, suspicions, limits, leaving, slow } = this.o;
+    const { clock, view, entry, loads, suspicions, limits, leaving, slow, paces } = this.o;
     const sentAt = clock.latest();
     const call = {
       entry: entry(),
@@ -112,6 +115,7 @@
       suspicions: suspicions(),
       limits: limits(),
       slow: slow(),
+      ...(paces ? { paces: paces() } : {}),
       leaving: leaving().filter((u) => isReadyIn(view, u)),
       since: view.index,
       documentVersion: view.document.version,
--- a/packages/fleet/test/fleet.ts
+++ b/packages/fleet/test/fleet.ts
@@ -19,6 +19,7 @@
   Announcement,
   EntryRecord,
   LimitNotice,
+  PaceReport,
   UpstreamIncarnation,
   UpstreamLoad,
   UpstreamRecord,
@@ -137,6 +138,7 @@
   readonly limits?: () => readonly LimitNotice[];
   readonly onLimits?: (notices: readonly LimitNotice[]) => void;
   readonly onCall?: () => void;
+  readonly paces?: () => readonly PaceReport[];
 }
 
 export function announcementOf(id: string, change: Partial<Announcement> = {}): Announcement {
@@ -267,7 +269,7 @@
     options: EntryOptions = {},
   ): { readonly view: FleetView; readonly watcher: Watcher; readonly stop: () => void } {
     const { loads = [], polls = false, limits = () => [], leaving = () => [], onCall } = options;
-    const { onLimits = () => undefined } = options;
+    const { onLimits = () => undefined, paces = () => [] } = options;
     const clock = this.clockOf(node);
     const view = FleetView.create({
       clock,
@@ -305,6 +307,7 @@
       limits,
       leaving,
       slow: () => slowness.slow,
+      paces,
     });
     const ending = createStopController();
     void watcher.run(ending.signal);
--- a/packages/layers/src/cost.ts
+++ b/packages/layers/src/cost.ts
@@ -79,10 +79,16 @@
   return ((bits * 1000) / (engine.interDataCentreMbps * bitsPerMegabit)) * linkQueueFactor;
 }
 
-/** Penalty for the memory that the stage would have in use; 0 while that is less than half. */
+/**
+ * Penalty for the memory that the stage would have in use; 0 while that is less than half. A paced
+ * stage at its limit counts as full.
+ */
 function memoryCostMs(stage: Stage, layerCount: number, size: RequestSize): Millis {
   const needed = (size.promptTokens + size.answerTokens) * layerCount;
   const usedShare = (stage.tokenLayersUsed + needed) / Math.max(1, stage.tokenLayerCapacity);
+  if (stage.paceLoad !== undefined) {
+    return fullMemoryCostMs * Math.max(1, usedShare, stage.paceLoad);
+  }
   if (usedShare < 0.5) return 0;
   if (usedShare > fullMemoryShare) return fullMemoryCostMs * usedShare;
   return (usedShare - 0.5) * 100;
--- a/packages/layers/src/index.ts
+++ b/packages/layers/src/index.ts
@@ -2,3 +2,4 @@
 export * from './cost.js';
 export * from './path.js';
 export * from './plan.js';
+export * from './prediction.js';
--- a/packages/layers/src/stage.ts
+++ b/packages/layers/src/stage.ts
@@ -42,6 +42,11 @@
   readonly tokenLayersUsed: number;
   /** Measured time relative to other upstreams with this accelerator; 1 where it is not known. */
   readonly slowness: number;
+  /**
+   * Requests in progress at a paced stage that counts as full, as a multiple of its limit; missing
+   * for any other stage.
+   */
+  readonly paceLoad?: number;
 }
 
 /** The layers that one stage runs for a request. */
--- a/packages/protocol/src/fleetmessage.ts
+++ b/packages/protocol/src/fleetmessage.ts
@@ -83,6 +83,29 @@
   readonly factor: number;
 }
 
+/**
+ * The limit on the requests that all entries together have in progress at an upstream. `step` grows
+ * with each change of the limit, `turn` each time that it is dealt to other entries.
+ */
+export type PaceRow = readonly [
+  id: UpstreamId,
+  born: number,
+  limit: number,
+  step: number,
+  turn: number,
+];
+
+/** A pace as an entry knows it, and the answers that it received since the step began. */
+export type PaceReport = readonly [
+  id: UpstreamId,
+  born: number,
+  limit: number,
+  step: number,
+  good: number,
+  slow: number,
+  failed: number,
+];
+
 /** The part of the leader's reply that is the same for all entries. */
 export interface Bulletin {
   readonly entries: readonly EntryRecord[];
@@ -98,6 +121,8 @@
   readonly suspectedParts?: readonly string[];
   /** Limits that upstreams name or have just ceased to name; missing in bulletins of older leaders. */
   readonly limits?: readonly LimitNotice[];
+  /** The paced upstreams; missing where there are none, and in bulletins of older leaders. */
+  readonly paces?: readonly PaceRow[];
 }
 
 /** A load as id, sequences, entered and token layers; its fields would need more bytes than it does. */
@@ -131,6 +156,8 @@
    * that poll none.
    */
   readonly slow?: readonly Slowness[];
+  /** The paced upstreams that the caller knows; missing in older entries. */
+  readonly paces?: readonly PaceReport[];
   /** Log index up to which the caller has received the state; 0 if it has none. */
   readonly since: number;
   /** Version of the caller's document; 0 if it has none. */
--- a/packages/relay/src/balancer.ts
+++ b/packages/relay/src/balancer.ts
@@ -14,6 +14,7 @@
 import { estimateLoad } from './estimate.js';
 import type { Health } from './health.js';
 import type { Loads } from './loads.js';
+import type { PaceLimits } from './pacelimits.js';
 
 /** Where a request is sent, and the load that it adds there. */
 export interface Target {
@@ -56,6 +57,8 @@
   >;
   /** Whether other entries lately reported that the upstream is unreachable. */
   readonly isSuspected: (upstream: UpstreamRecord) => boolean;
+  /** Limits of paced upstreams; none is paced where it is missing. */
+  readonly paces?: Pick<PaceLimits, 'size' | 'isFull' | 'limitOf'>;
 }
 
 const bytesPerMegabyte = 1e6;
@@ -122,7 +125,7 @@
     const waitMs = (u: UpstreamRecord) => this.entryWaitMs(u, selection);
     const ready = usable.filter((u) => (receivers?.has(u.id) ?? true) && waitMs(u) !== Infinity);
     const peers = this.peerCount();
-    const best = this.preferHealthy(ready, selection)
+    const best = this.preferBelowPace(this.preferHealthy(ready, selection))
       .map((upstream) => ({ upstream, cost: waitMs(upstream) + this.costOf(upstream, peers) }))
       .sort((a, b) => a.cost - b.cost)[0];
     if (!best) return 'no-upstream';
@@ -206,10 +209,30 @@
     return [healthy, preferred].find((some) => some.length > 0) ?? upstreams;
   }
 
+  /** The upstreams that are not at the limit of a pace, if one of them has a free slot; else all. */
+  private preferBelowPace(upstreams: readonly UpstreamRecord[]): readonly UpstreamRecord[] {
+    if (!this.o.paces?.size) return upstreams;
+    const below = upstreams.filter((u) => !this.isAtPaceLimit(u));
+    if (below.length === upstreams.length) return upstreams;
+    // The estimate of what peers have changed since may only seem to take the last free slot.
+    const hasRoom = below.some((u) => this.loadAt(u.id, 0).sequences < u.slots);
+    return hasRoom ? below : upstreams;
+  }
+
+  private isAtPaceLimit(upstream: UpstreamRecord): boolean {
+    const { paces, loads } = this.o;
+    return paces?.isFull(upstream, loads.at(upstream.id)?.sequences ?? 0) ?? false;
+  }
+
+  private paceLoadOf(upstream: UpstreamRecord, { sequences }: UpstreamLoad): number {
+    return sequences / (this.o.paces?.limitOf(upstream) ?? 1);
+  }
+
   /** Expected response time in milliseconds, weighted by utilisation, failure rate and distance. */
   private costOf(upstream: UpstreamRecord, peers: number): number {
-    const { health, random, dataCentre } = this.o;
-    const utilisation = this.loadAt(upstream.id, peers).sequences / Math.max(1, upstream.slots);
+    const { health, random, dataCentre, paces } = this.o;
+    const slots = Math.min(upstream.slots, paces?.limitOf(upstream) ?? Infinity);
+    const utilisation = this.loadAt(upstream.id, peers).sequences / Math.max(1, slots);
     const ms = health.meanMsOf(upstream) ?? defaultResponseMs;
     const failurePenalty = 1 + failureFactor * health.failureRateOf(upstream);
     const distance = upstream.dataCentre === dataCentre ? 1 : remoteFactor;
@@ -244,6 +267,7 @@
           (freeMb * bytesPerMegabyte * engine.layerCount) / engine.kvBytesPerToken,
         tokenLayersUsed: load.tokenLayers,
         slowness: this.o.view.slownessOf(upstream.id),
+        ...(this.isAtPaceLimit(upstream) ? { paceLoad: this.paceLoadOf(upstream, load) } : {}),
       },
     ];
   }
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -8,6 +8,7 @@
 export * from './directlinks.js';
 export * from './connector.js';
 export * from './budget.js';
+export * from './pacelimits.js';
 export * from './balancer.js';
 export * from './retry.js';
 export * from './jitter.js';
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -31,6 +31,7 @@
 import { Exclusions } from './exclusions.js';
 import type { Holding, Intake } from './intake.js';
 import { Overrun } from './overrun.js';
+import type { Expectation, PaceLimits } from './pacelimits.js';
 import { failureOf, failureOfRead, sendResponse } from './outcome.js';
 import type { AttemptOutcome } from './outcome.js';
 import { Targets } from './targets.js';
@@ -58,6 +59,8 @@
   readonly quarantine: Quarantine;
   readonly intake: Intake;
   readonly availability: Availability;
+  /** Receives the answers of upstreams; none is paced where it is missing. */
+  readonly paces?: PaceLimits;
 }
 
 /** Serves the requests of callers from upstreams. */
@@ -269,6 +272,7 @@
     const { call, delivery, attempts, deadline } = state;
     const { upstream, path, requestLoads } = attempt.target;
     const { signal } = attempt.stop;
+    const expectation = this.o.paces?.expect(call, attempt.target, attempt.startedAt);
     const release = loads.add(requestLoads);
     state.log.info('Sending.', {
       attempt: attempts.count,
@@ -293,6 +297,7 @@
     const onEvents = (count: number) => {
       this.recordActivity(state, attempt, watch.quietMs);
       watch.recordActivity();
+      if (attempt.events === 0) this.recordPacedAnswer(expectation, attempt);
       this.crashes.recordEvents(call, attempt.events, count);
       attempt.recordEvents(count);
     };
@@ -306,6 +311,7 @@
         : failureOf(sent._unsafeUnwrapErr());
       const outcome = endOf(received, attempt);
       this.recordOutcome(state, attempt, outcome, response);
+      this.recordPace(state, attempt, expectation, outcome, response);
       this.keepErrorResponse(state, outcome, holding);
       return outcome;
     } finally {
@@ -363,6 +369,9 @@
     this.o.metrics.count('attempt.silent', { kind: silence.kind });
     if (silence.kind === 'cut-off') return;
     const blamed = this.upstreamAtFault(upstream, address);
+    const pacedAnswer = silence.kind === 'overdue' ? 'slow' : 'failed';
+    // Each further silence of an attempt is the same one.
+    if (!attempt.blamed) this.o.paces?.record(blamed, pacedAnswer, attempt.startedAt);
     attempt.blame(blamed);
     state.exclusions.recordSilence(blamed);
     this.o.health.recordFailure(blamed, silence.kind === 'overdue' ? 'answered' : 'silent');
@@ -374,6 +383,41 @@
     return known ?? receiver;
   }
 
+  private recordPacedAnswer(expectation: Expectation | undefined, attempt: RunningAttempt): void {
+    const { clock, paces } = this.o;
+    if (expectation) paces?.recordAnswer(expectation, clock.now() - attempt.startedAt);
+  }
+
+  /** Records what the end of an attempt says of the pace of its upstreams. */
+  private recordPace(
+    { delivery }: RequestState,
+    attempt: RunningAttempt,
+    expectation: Expectation | undefined,
+    outcome: AttemptOutcome,
+    response: UpstreamResponse | undefined,
+  ): void {
+    const { clock, paces } = this.o;
+    if (!paces || !expectation) return;
+    const { target, startedAt, events } = attempt;
+    const tookMs = clock.now() - startedAt;
+    const failed = this.upstreamAtFault(target.upstream, response?.culprit);
+    const isError = response !== undefined && response.head.status >= 500;
+    switch (outcome.kind) {
+      case 'failed':
+        // Too large an answer is no fault of the pace.
+        if (outcome.overrun === undefined) paces.record(failed, 'failed', startedAt);
+        return;
+      case 'delivered':
+        if (isError) paces.record(failed, 'failed', startedAt);
+        else if (!delivery) this.recordPacedAnswer(expectation, attempt);
+        return;
+      case 'cancelled':
+      default:
+        // An attempt that was given up counts only once it is slower than one that was answered.
+        if (events === 0) paces.recordUnanswered(expectation, tookMs);
+    }
+  }
+
   /** Records the outcome of an attempt in the log, the metrics and the health of the upstream. */
   private recordOutcome(
     state: RequestState,
--- a/packages/relay/test/fixtures.ts
+++ b/packages/relay/test/fixtures.ts
@@ -17,7 +17,16 @@
 import { MemoryNetwork, encode } from '@tanagercart/protocol';
 import type { Bulletin, Transport, UpstreamCrash, UpstreamRecord } from '@tanagercart/protocol';
 import { Pacer } from '@tanagercart/pacing';
-import { Availability, Balancer, Health, Intake, Loads, Relay, RetryBudget } from '../src/index.js';
+import {
+  Availability,
+  Balancer,
+  Health,
+  Intake,
+  Loads,
+  PaceLimits,
+  Relay,
+  RetryBudget,
+} from '../src/index.js';
 import type {
   Attempt,
   Call,
@@ -193,7 +202,18 @@
   const metrics = parts.metrics ?? StatsdMetrics.create();
   const pacer = Pacer.create({ ...(parts.peers ?? aloneOn(clock)), clock, logger, metrics });
   const availability = Availability.create({ clock, random, logger, metrics, pacer });
-  const balancerParts = { view, health, loads, random, dataCentre, isSuspected, availability };
+  const { self } = parts.peers ?? aloneOn(clock);
+  const paces = PaceLimits.create({ self, view, loads, clock, logger, metrics });
+  const balancerParts = {
+    view,
+    health,
+    loads,
+    random,
+    dataCentre,
+    isSuspected,
+    availability,
+    paces,
+  };
   const balancer = Balancer.create(balancerParts);
   const relay = Relay.create({
     clock,
@@ -206,6 +226,7 @@
     budget: RetryBudget.create(clock, { ratio: 0, slack, windowMs: 10_000 }, () => 1),
     metrics,
     availability,
+    paces,
     intake: parts.intake ?? Intake.create(),
     quarantine: parts.quarantine ?? {
       isEmpty: () => quarantined.length === 0,
@@ -220,7 +241,18 @@
       },
     },
   });
-  return { relay, balancer, health, pacer, availability, loads, crashes, answered, suspected };
+  return {
+    relay,
+    balancer,
+    health,
+    pacer,
+    availability,
+    loads,
+    paces,
+    crashes,
+    answered,
+    suspected,
+  };
 }
 
 /** Records what a caller is sent. */
