Count a silent attempt once for a pace, and nothing of detached entries

Cause: an attempt that was found silent and then failed counted twice, and so did one that was then given up; an entry that has lost its links reported failures of sound upstreams. Ruled out: counting only the end of an attempt, as another one may have served the caller by then. Change: a silence that is held against the upstream replaces its end; the leader leaves out what detached entries report of paces. Conclusion: without the guard the new test fails. The rule for detached entries has no test of its own.

--- a/packages/fleet/src/leaderterm.ts
+++ b/packages/fleet/src/leaderterm.ts
@@ -117,7 +117,8 @@
     const { liveness, limits, rollout, registry } = this;
     rollout.recordCall(from, call);
     for (const upstream of call.leaving ?? []) registry.recordLeaving(upstream, { from });
-    this.paces.record(from, call.paces ?? [], this.o.clock.now());
+    // What a detached entry cannot reach may well be up.
+    if (!call.entry?.isDetached) this.paces.record(from, call.paces ?? [], this.o.clock.now());
     const changes = (call.limits ?? []).filter((notice) => limits.record(notice, { from }));
     if (changes.length > 0) liveness.revision += 1;
     return liveness.recordEntry(from, call) || changes.length > 0;
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -398,14 +398,14 @@
   ): void {
     const { clock, paces } = this.o;
     if (!paces || !expectation) return;
-    const { target, startedAt, events } = attempt;
+    const { target, startedAt, events, blamed } = attempt;
     const tookMs = clock.now() - startedAt;
     const failed = this.upstreamAtFault(target.upstream, response?.culprit);
     const isError = response !== undefined && response.head.status >= 500;
     switch (outcome.kind) {
       case 'failed':
-        // Too large an answer is no fault of the pace.
-        if (outcome.overrun === undefined) paces.record(failed, 'failed', startedAt);
+        // Too large an answer is no fault of the pace, and a silence has been counted.
+        if (outcome.overrun === undefined && !blamed) paces.record(failed, 'failed', startedAt);
         return;
       case 'delivered':
         if (isError) paces.record(failed, 'failed', startedAt);
@@ -414,7 +414,7 @@
       case 'cancelled':
       default:
         // An attempt that was given up counts only once it is slower than one that was answered.
-        if (events === 0) paces.recordUnanswered(expectation, tookMs);
+        if (events === 0 && !blamed) paces.recordUnanswered(expectation, tookMs);
     }
   }
 
--- a/packages/relay/test/pacelimits.test.ts
+++ b/packages/relay/test/pacelimits.test.ts
@@ -121,6 +121,15 @@
   assert.deepEqual([refusedByLimit.length, fleet.refused], [0, 0]);
 });
 
+test('where nothing is paced, requests go where they went before', async () => {
+  const spread = async (isPaced: boolean) => {
+    const fleet = await steadyFleet(8, isPaced);
+    await fleet.run(3000, 100);
+    return fleet.upstreams.map((u) => fleet.seenAt(u.id));
+  };
+  assert.deepEqual(await spread(true), await spread(false));
+});
+
 test('an upstream in steady state has no limit after a single failed answer', async () => {
   const fleet = await steadyFleet();
   const { id } = fleet.upstreams[0]!;
@@ -183,6 +192,7 @@
     documentVersion: 0,
   });
   const client = new FakeClient(scripts);
+  client.probeResult = { kind: 'silent', detail: 'no answer' };
   const parts = relayOf({ clock, client, view });
   const serve = async (kind: 'idempotent' | 'resumable-stream') => {
     const served = parts.relay.serve(callOf(kind), new FakeCaller());
@@ -205,6 +215,7 @@
     [{ kind: 'not-run' }, 'idempotent', [0, 0, 1]],
     [{ kind: 'unreachable' }, 'idempotent', [0, 0, 1]],
     [{ kind: 'cut', chunks: [events(1, 1)] }, 'resumable-stream', [1, 0, 1]],
+    [{ kind: 'hang' }, 'resumable-stream', [0, 0, 1]],
   ];
   for (const [script, kind, expected] of endings) {
     const { serve } = relayWith([script], [one], [pacedOne]);
@@ -212,6 +223,17 @@
   }
 });
 
+test('an attempt that was found silent and then gone counts once', async () => {
+  const { serve, client } = relayWith([{ kind: 'hang' }], [one], [pacedOne]);
+  let probes = 0;
+  client.probe = () => {
+    probes += 1;
+    return Promise.resolve({ kind: probes === 1 ? 'silent' : 'gone', detail: 'refused' });
+  };
+  assert.deepEqual(await serve('resumable-stream'), [[0, 0, 1]]);
+  assert.ok(probes > 1);
+});
+
 test('an answer to an attempt from before the step does not count for it', () => {
   const { paces } = relayWith([], [one], [pacedOne]);
   paces.record(one, 'good', -1);
