--- a/packages/fleet/src/watcher.ts
+++ b/packages/fleet/src/watcher.ts
@@ -9,6 +9,7 @@
   EntryRecord,
   LimitNotice,
   ServiceDemand,
+  PaceReport,
   Slowness,
   Suspicion,
   Transport,
@@ -63,6 +64,8 @@
   readonly limits: () => readonly LimitNotice[];
   /** Demand for services with an engine; undefined if this entry does not measure it. */
   readonly demand?: () => readonly ServiceDemand[];
+  /** What this entry observed of paced upstreams. */
+  readonly paces?: () => readonly PaceReport[];
 }
 
 /** Keeps the view of an entry up to date. */
@@ -107,7 +110,7 @@
   }
 
   private async poll(waitMs: Millis): Promise<boolean> {
-    const { clock, view, entry, loads, suspicions, limits, leaving, slow } = this.o;
+    const { clock, view, entry, loads, suspicions, limits, leaving, slow, paces } = this.o;
     const sentAt = clock.latest();
     const call = {
       entry: entry(),
@@ -115,6 +118,7 @@
       suspicions: suspicions(),
       limits: limits(),
       slow: slow(),
+      ...(paces ? { paces: paces() } : {}),
       leaving: leaving().filter((u) => isReadyIn(view, u)),
       ...(this.o.demand ? { demand: this.o.demand() } : {}),
       since: view.index,
--- a/packages/layers/src/stage.ts
+++ b/packages/layers/src/stage.ts
@@ -45,6 +45,11 @@
   readonly tokenLayersUsed: number;
   /** Measured time relative to other upstreams with this accelerator; 1 where it is not known. */
   readonly slowness: number;
+  /**
+   * Requests in progress at a paced stage that counts as full, as a multiple of its limit; missing
+   * for any other stage.
+   */
+  readonly paceLoad?: number;
 }
 
 /** KV cache capacity of a stage with `layerCount` layers, in tokens times layers; below 0 without room. */
--- a/packages/protocol/src/fleetmessage.ts
+++ b/packages/protocol/src/fleetmessage.ts
@@ -96,6 +96,28 @@
   readonly reporters: number;
   readonly services: readonly ServiceDemand[];
 }
+/**
+ * The limit on the requests that all entries together have in progress at an upstream. `step` grows
+ * with each change of the limit, `turn` each time that it is dealt to other entries.
+ */
+export type PaceRow = readonly [
+  id: UpstreamId,
+  born: number,
+  limit: number,
+  step: number,
+  turn: number,
+];
+
+/** A pace as an entry knows it, and the answers that it received since the step began. */
+export type PaceReport = readonly [
+  id: UpstreamId,
+  born: number,
+  limit: number,
+  step: number,
+  good: number,
+  slow: number,
+  failed: number,
+];
 
 /** The part of the leader's reply that is the same for all entries. */
 export interface Bulletin {
@@ -114,6 +136,8 @@
   readonly limits?: readonly LimitNotice[];
   /** Demand for services with an engine; missing in bulletins of older leaders. */
   readonly demand?: FleetDemand;
+  /** The paced upstreams; missing where there are none, and in bulletins of older leaders. */
+  readonly paces?: readonly PaceRow[];
 }
 
 /** A load as id, sequences, entered and token layers; its fields would need more bytes than it does. */
@@ -149,6 +173,8 @@
    * that poll none.
    */
   readonly slow?: readonly Slowness[];
+  /** The paced upstreams that the caller knows; missing in older entries. */
+  readonly paces?: readonly PaceReport[];
   /** Log index up to which the caller has received the state; 0 if it has none. */
   readonly since: number;
   /** Version of the caller's document; 0 if it has none. */
--- a/packages/relay/test/fixtures.ts
+++ b/packages/relay/test/fixtures.ts
@@ -17,7 +17,16 @@
 import { MemoryNetwork, encode } from '@tanagercart/protocol';
 import type { Bulletin, Transport, UpstreamCrash, UpstreamRecord } from '@tanagercart/protocol';
 import { Pacer } from '@tanagercart/pacing';
-import { Availability, Balancer, Health, Intake, Loads, Relay, RetryBudget } from '../src/index.js';
+import {
+  Availability,
+  Balancer,
+  Health,
+  Intake,
+  Loads,
+  PaceLimits,
+  Relay,
+  RetryBudget,
+} from '../src/index.js';
 import type {
   Attempt,
   Call,
@@ -194,7 +203,18 @@
   const metrics = parts.metrics ?? StatsdMetrics.create();
   const pacer = Pacer.create({ ...(parts.peers ?? aloneOn(clock)), clock, logger, metrics });
   const availability = Availability.create({ clock, random, logger, metrics, pacer });
-  const balancerParts = { view, health, loads, random, dataCentre, isSuspected, availability };
+  const { self } = parts.peers ?? aloneOn(clock);
+  const paces = PaceLimits.create({ self, view, loads, clock, logger, metrics });
+  const balancerParts = {
+    view,
+    health,
+    loads,
+    random,
+    dataCentre,
+    isSuspected,
+    availability,
+    paces,
+  };
   const balancer = Balancer.create(balancerParts);
   const options: RelayOptions = {
     clock,
@@ -207,6 +227,7 @@
     budget: RetryBudget.create(clock, { ratio: 0, slack, windowMs: 10_000 }, () => 1),
     metrics,
     availability,
+    paces,
     intake: parts.intake ?? Intake.create(),
     quarantine: parts.quarantine ?? {
       isEmpty: () => quarantined.length === 0,
@@ -230,6 +251,7 @@
     pacer,
     availability,
     loads,
+    paces,
     crashes,
     answered,
     suspected,
