Charge paths for the queue on the link between data centres

Cause: a hop between data centres cost eight times its own transfer however busy the link was. Once more prompts cross than the link carries, all of them wait and hold their memory meanwhile.

Change: each entry counts the activations of prompts that cross and have no first token yet; watch calls and the bulletin carry the counts by service (`transfers`, optional). A crossing costs the larger of eight times its own transfer and the queue ahead of it, so that an idle link costs the same as before. Where the queue leaves less than the transfer of a third of the time to the latency target, a path that crosses is used only where no other has memory left. An entry assumes that the others have added as much as itself since the report, and the entries share the rest of the queue. Without a report of the last 2 s, the queue is the entry's own transfers times the entries.

Not measured: a run of the whole product under load.

--- a/packages/fleet/src/leaderterm.ts
+++ b/packages/fleet/src/leaderterm.ts
@@ -184,6 +184,7 @@
       slow: liveness.slow ?? monitor.slow,
       suspectedParts: this.crashes.suspected,
       limits: this.limits.notices,
+      transfers: liveness.transfers,
     };
   }
 }
--- a/packages/fleet/src/liveness.ts
+++ b/packages/fleet/src/liveness.ts
@@ -9,11 +9,12 @@
   PlainHeartbeat,
   Slowness,
   Suspicion,
+  TransferLoad,
   UpstreamLoad,
   UpstreamRecord,
   WatchCall,
 } from '@tanagercart/protocol';
-import { sumByUpstream } from './load.js';
+import { sumByService, sumByUpstream } from './load.js';
 
 /** An entry that has not called for this long is no longer listed for callers. */
 const entryTimeoutMs: Millis = 2500;
@@ -55,6 +56,7 @@
   readonly entry: EntryRecord;
   readonly at: Millis;
   readonly loads: readonly UpstreamLoad[];
+  readonly transfers: readonly TransferLoad[];
   /** Slow upstreams among those that it polls; undefined if it polls none. */
   readonly slow: readonly Slowness[] | undefined;
 }
@@ -215,6 +217,13 @@
     return this.loadSum.loads;
   }
 
+  /** Transfers between data centres of all entries, by service. */
+  get transfers(): readonly TransferLoad[] {
+    const now = this.clock.now();
+    const recent = [...this.entrySeen.values()].filter((e) => now - e.at <= loadTimeoutMs);
+    return [...sumByService(recent.flatMap((e) => e.transfers)).values()];
+  }
+
   /** Upstreams that failed requests and have sent no heartbeat since, and outliers. */
   get suspicions(): readonly Suspicion[] {
     const now = this.clock.now();
@@ -266,10 +275,10 @@
 
   /** Records the state of an entry; returns how it changed for the others. */
   private recordEntryState(from: NodeId, call: WatchCall, now: Millis): EntryChange {
-    const { entry, loads, slow } = call;
+    const { entry, loads, transfers = [], slow } = call;
     if (!entry) return 'none';
     const known = this.entrySeen.get(from);
-    this.entrySeen.set(from, { entry, at: now, loads, slow });
+    this.entrySeen.set(from, { entry, at: now, loads, transfers, slow });
     if (!known || now - known.at > entryTimeoutMs) return 'gain';
     if (known.entry.isDetached !== entry.isDetached) return entry.isDetached ? 'loss' : 'gain';
     if (known.entry.phase === entry.phase) return 'none';
--- a/packages/fleet/src/load.ts
+++ b/packages/fleet/src/load.ts
@@ -1,7 +1,7 @@
 /** Arithmetic on the loads that requests place on upstreams. */
 
-import type { UpstreamId } from '@tanagercart/base';
-import type { UpstreamLoad } from '@tanagercart/protocol';
+import type { ServiceId, UpstreamId } from '@tanagercart/base';
+import type { TransferLoad, UpstreamLoad } from '@tanagercart/protocol';
 
 /** The load of an upstream without requests. */
 export function emptyLoad(id: UpstreamId): UpstreamLoad {
@@ -44,6 +44,17 @@
   return sums;
 }
 
+/** Sums transfers per service. */
+export function sumByService(
+  transfers: Iterable<TransferLoad>,
+): ReadonlyMap<ServiceId, TransferLoad> {
+  const sums = new Map<ServiceId, TransferLoad>();
+  for (const { service, bytes } of transfers) {
+    sums.set(service, { service, bytes: (sums.get(service)?.bytes ?? 0) + bytes });
+  }
+  return sums;
+}
+
 type MutableLoad = { -readonly [K in keyof UpstreamLoad]: UpstreamLoad[K] };
 
 function addTo(sum: MutableLoad, load: UpstreamLoad): void {
--- a/packages/fleet/src/view.ts
+++ b/packages/fleet/src/view.ts
@@ -1,7 +1,7 @@
 /** An entry's copy of the state of the fleet, and how old that copy is. */
 
 import { Bell } from '@tanagercart/base';
-import type { Clock, Logger, Millis, NodeId, UpstreamId } from '@tanagercart/base';
+import type { Clock, Logger, Millis, NodeId, ServiceId, UpstreamId } from '@tanagercart/base';
 import { RoutingTable, applyDelta } from '@tanagercart/config';
 import type { Configuration, Delta } from '@tanagercart/config';
 import { decompressDocument, decompressState } from '@tanagercart/protocol';
@@ -10,6 +10,7 @@
   EntryRecord,
   LimitNotice,
   Suspicion,
+  TransferLoad,
   UpstreamLoad,
   UpstreamRecord,
   WatchCall,
@@ -17,14 +18,28 @@
 } from '@tanagercart/protocol';
 import { decodeBulletin } from './bulletin.js';
 import type { DecodedBulletin } from './bulletin.js';
-import { addLoad, clampLoad } from './load.js';
+import { addLoad, clampLoad, sumByService } from './load.js';
 import type { Document } from './state.js';
 
 /** A reply to a watch call that carries an update. */
 type Update = Extract<WatchReply, { kind: 'update' }>;
 
 /** What a watch call said of the entry that sent it, on which its reply builds. */
-type ReportedState = Pick<WatchCall, 'loads' | 'documentVersion'>;
+type ReportedState = Pick<WatchCall, 'loads' | 'documentVersion' | 'transfers'>;
+
+/**
+ * The leader drops reports of entries after this time; an update that is older says nothing of a
+ * queue either, which changes within fractions of a second.
+ */
+const transfersTimeoutMs: Millis = 2000;
+
+/** Transfers of a service between data centres, in bytes, by the last update. */
+export interface ReportedTransfers {
+  /** Those of this entry, as reported in the call that the update replied to. */
+  readonly own: number;
+  /** Those of the other entries. */
+  readonly others: number;
+}
 
 export interface ViewOptions {
   readonly clock: Clock;
@@ -52,6 +67,8 @@
   private records = new Map<UpstreamId, UpstreamRecord>();
   private peerLoads = new Map<UpstreamId, UpstreamLoad>();
   private reportedLoads = new Map<UpstreamId, UpstreamLoad>();
+  /** Undefined if the leader sent none. */
+  private transfers: TransferReport | undefined;
   private suspicions: readonly (Suspicion & { readonly at: Millis })[] = [];
   private slowFactors = new Map<UpstreamId, number>();
   /** Fingerprints of the quarantined requests. */
@@ -110,6 +127,15 @@
     return this.reportedLoads.get(id);
   }
 
+  /** Transfers of a service; undefined if the leader sent none, or not lately. */
+  transfersOf(service: ServiceId): ReportedTransfers | undefined {
+    if (!this.transfers || this.ageMs > transfersTimeoutMs) return undefined;
+    const own = this.transfers.own.get(service)?.bytes ?? 0;
+    const all = this.transfers.all.get(service)?.bytes ?? 0;
+    // The sum may be slightly older than what is subtracted.
+    return { own, others: Math.max(0, all - own) };
+  }
+
   /** How many times slower an upstream is than is usual for its kind; 1 if nothing is known. */
   slownessOf(id: UpstreamId): number {
     return this.slowFactors.get(id) ?? 1;
@@ -148,7 +174,7 @@
     if (upstreams.length > 0 || update.whole) this.revision += 1;
     if (quarantined) this.fingerprints = new Set(quarantined);
     this.index = update.index;
-    this.applyBulletin(decodeBulletin(update.bulletin), call.loads, latest - repliedAt);
+    this.applyBulletin(decodeBulletin(update.bulletin), call, latest - repliedAt);
     this.confirmedAt = Math.max(repliedAt, this.confirmedAt);
     this.changed.ring();
     return true;
@@ -157,7 +183,7 @@
   /** Applies a bulletin that was sent `lateMs` ago at most; the ages in it are as of then. */
   private applyBulletin(
     bulletin: DecodedBulletin,
-    reported: readonly UpstreamLoad[],
+    { loads: reported, transfers = [] }: ReportedState,
     lateMs: Millis,
   ): void {
     if (bulletin.entries) {
@@ -167,6 +193,10 @@
     this.voters = bulletin.voters;
     this.peerLoads = subtractLoads(bulletin.loads, reported);
     this.reportedLoads = new Map(reported.map((l) => [l.id, l]));
+    this.transfers = bulletin.transfers && {
+      own: sumByService(transfers),
+      all: sumByService(bulletin.transfers),
+    };
     this.slowFactors = new Map(bulletin.slow.map((s) => [s.id, s.factor]));
     this.suspects = new Set(bulletin.suspectedParts ?? []);
     this.o.onLimits((bulletin.limits ?? []).map((n) => ({ ...n, ageMs: n.ageMs + lateMs })));
@@ -221,6 +251,12 @@
   }
 }
 
+/** Transfers by service: of this entry when it last reported, and of all as the leader replied. */
+interface TransferReport {
+  readonly own: ReadonlyMap<ServiceId, TransferLoad>;
+  readonly all: ReadonlyMap<ServiceId, TransferLoad>;
+}
+
 /** Subtracts the load of one entry from that of all entries. */
 function subtractLoads(
   all: readonly UpstreamLoad[],
--- a/packages/fleet/src/watcher.ts
+++ b/packages/fleet/src/watcher.ts
@@ -10,6 +10,7 @@
   LimitNotice,
   Slowness,
   Suspicion,
+  TransferLoad,
   Transport,
   UpstreamIncarnation,
   UpstreamLoad,
@@ -52,6 +53,8 @@
   readonly entry: () => EntryRecord;
   /** Load that this entry causes at upstreams. */
   readonly loads: () => readonly UpstreamLoad[];
+  /** Transfers between data centres of this entry's requests. */
+  readonly transfers: () => readonly TransferLoad[];
   /** Upstreams that failed requests of this entry. */
   readonly suspicions: () => readonly Suspicion[];
   /** Slow upstreams among those that this entry polls. */
@@ -109,6 +112,7 @@
     const call = {
       entry: entry(),
       loads: loads(),
+      transfers: this.o.transfers(),
       suspicions: suspicions(),
       limits: limits(),
       slow: slow(),
--- a/packages/fleet/test/fleet.ts
+++ b/packages/fleet/test/fleet.ts
@@ -20,6 +20,7 @@
   EntryRecord,
   LimitNotice,
   UpstreamIncarnation,
+  TransferLoad,
   UpstreamLoad,
   UpstreamRecord,
 } from '@tanagercart/protocol';
@@ -131,6 +132,7 @@
 /** What an entry of a test reports, and what it does on news. */
 interface EntryOptions {
   readonly loads?: readonly UpstreamLoad[];
+  readonly transfers?: readonly TransferLoad[];
   /** Whether the entry polls its share of the upstreams for their speed. */
   readonly polls?: boolean;
   readonly leaving?: () => readonly UpstreamIncarnation[];
@@ -267,7 +269,7 @@
     options: EntryOptions = {},
   ): { readonly view: FleetView; readonly watcher: Watcher; readonly stop: () => void } {
     const { loads = [], polls = false, limits = () => [], leaving = () => [], onCall } = options;
-    const { onLimits = () => undefined } = options;
+    const { onLimits = () => undefined, transfers = [] } = options;
     const clock = this.clockOf(node);
     const view = FleetView.create({
       clock,
@@ -301,6 +303,7 @@
         return entry;
       },
       loads: () => loads,
+      transfers: () => transfers,
       suspicions: () => [],
       limits,
       leaving,
--- a/packages/fleet/test/view.test.ts
+++ b/packages/fleet/test/view.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { err, ok } from 'neverthrow';
-import { HeldClock, NodeId, UpstreamId, silentLogger } from '@tanagercart/base';
+import { HeldClock, NodeId, ServiceId, UpstreamId, silentLogger } from '@tanagercart/base';
 import { deltaOf } from '@tanagercart/config';
 import type { Configuration } from '@tanagercart/config';
 import { compressDocument, encode } from '@tanagercart/protocol';
@@ -361,6 +361,29 @@
   assert.equal(ageAfter(900), 900, 'a leader of an earlier version does not say for how long');
 });
 
+test('an entry learns the transfers of the others, and none from a leader that is older or lost', async () => {
+  const fleet = await Fleet.start(76);
+  const service = ServiceId('pool');
+  const [one, two] = [NodeId('one'), NodeId('two')];
+  const transfersOf = (bytes: number) => ({ transfers: [{ service, bytes }] });
+  const { view, stop } = fleet.startEntry(one, transfersOf(10));
+  const other = fleet.startEntry(two, transfersOf(32));
+  await fleet.waitUntil(() => view.transfersOf(service)?.others === 32, 2000);
+  assert.deepEqual(view.transfersOf(service), { own: 10, others: 32 });
+  assert.deepEqual(view.transfersOf(ServiceId('other')), { own: 0, others: 0 });
+  other.stop();
+  await fleet.waitUntil(() => view.transfersOf(service)?.others === 0, 4000);
+  stop();
+  await fleet.clock.advance(4000);
+  assert.equal(view.transfersOf(service), undefined);
+  const bulletin = encode({ entries: [], voters: [], loads: [], suspicions: [], slow: [] });
+  const update = { kind: 'update', index: view.index, whole: false, upstreams: [] } as const;
+  const rest = { document: undefined, quarantined: undefined, bulletin };
+  const call = { loads: [], documentVersion: 0 };
+  assert.ok(view.apply({ ...update, ...rest }, fleet.clock.now(), call));
+  assert.equal(view.transfersOf(service), undefined);
+});
+
 test('a caller of an earlier version receives the whole state as records', async () => {
   const fleet = await Fleet.start(27);
   await fleet.heartbeat(['u1']);
--- a/packages/layers/src/cost.ts
+++ b/packages/layers/src/cost.ts
@@ -6,7 +6,7 @@
 
 import type { DataCentreId, Millis } from '@tanagercart/base';
 import type { Engine } from '@tanagercart/config';
-import type { LayerRange, Stage } from './stage.js';
+import type { LayerRange, Path, Stage } from './stage.js';
 
 /** Size of a request in tokens, known or estimated before it runs. */
 export interface RequestSize {
@@ -19,7 +19,7 @@
 
 /**
  * Transfers between data centres queue behind one another on the shared link, so each one counts
- * as this many times its own duration.
+ * as at least this many times its own duration; a shorter queue does not change the choice of paths.
  */
 const linkQueueFactor = 8;
 
@@ -69,20 +69,45 @@
   to: DataCentreId,
   size: RequestSize,
 ): Millis {
-  const linkMs = from === to ? 0 : linkDelayMs(engine, from, to);
-  return (hopMs + linkMs) * (1 + size.answerTokens * decodeWeight);
+  const delayMs = from === to ? 0 : linkDelayMs(engine, from, to);
+  return (hopMs + delayMs) * (1 + size.answerTokens * decodeWeight);
 }
 
-/** Time to transfer the activations of a prompt from one stage to one in another data centre. */
-export function activationTransferMs(engine: Engine, size: RequestSize): Millis {
-  const bits = size.promptTokens * engine.activationBytes * bitsPerByte;
-  return ((bits * 1000) / (engine.interDataCentreMbps * bitsPerMegabit)) * linkQueueFactor;
+/**
+ * Cost of transferring the activations of a prompt from one stage to one in another data centre,
+ * behind a queue of `queueMs` on the link.
+ */
+export function activationTransferMs(engine: Engine, size: RequestSize, queueMs: Millis): Millis {
+  const ownMs = linkMs(engine, activationBytes(engine, size));
+  return Math.max(ownMs * linkQueueFactor, ownMs + queueMs);
+}
+
+/** Bytes that one hop between data centres transfers before the first token of a request. */
+export function activationBytes(engine: Engine, { promptTokens }: RequestSize): number {
+  return promptTokens * engine.activationBytes;
+}
+
+/** Time for which `bytes` occupy the link between data centres. */
+export function linkMs(engine: Engine, bytes: number): Millis {
+  return (bytes * bitsPerByte * 1000) / (engine.interDataCentreMbps * bitsPerMegabit);
+}
+
+/** Whether each stage of a path has memory left for the request. */
+export function hasRoom(path: Path, size: RequestSize): boolean {
+  return path.every(
+    ({ stage, layers }) => usedShareWith(stage, layers.to - layers.from, size) <= fullMemoryShare,
+  );
+}
+
+/** The share of its memory for requests that a stage would have in use with this one. */
+function usedShareWith(stage: Stage, layerCount: number, size: RequestSize): number {
+  const needed = (size.promptTokens + size.answerTokens) * layerCount;
+  return (stage.tokenLayersUsed + needed) / Math.max(1, stage.tokenLayerCapacity);
 }
 
 /** Penalty for the memory that the stage would have in use; 0 while that is less than half. */
 function memoryCostMs(stage: Stage, layerCount: number, size: RequestSize): Millis {
-  const needed = (size.promptTokens + size.answerTokens) * layerCount;
-  const usedShare = (stage.tokenLayersUsed + needed) / Math.max(1, stage.tokenLayerCapacity);
+  const usedShare = usedShareWith(stage, layerCount, size);
   if (usedShare < 0.5) return 0;
   if (usedShare > fullMemoryShare) return fullMemoryCostMs * usedShare;
   return (usedShare - 0.5) * 100;
--- a/packages/layers/src/index.ts
+++ b/packages/layers/src/index.ts
@@ -1,4 +1,5 @@
 export * from './stage.js';
 export * from './cost.js';
+export * from './link.js';
 export * from './path.js';
 export * from './plan.js';
--- a/packages/layers/src/path.ts
+++ b/packages/layers/src/path.ts
@@ -5,7 +5,7 @@
  * and a path crosses to another data centre only where that is faster.
  */
 
-import type { DataCentreId, Random, UpstreamId } from '@tanagercart/base';
+import type { DataCentreId, Millis, Random, UpstreamId } from '@tanagercart/base';
 import type { Engine } from '@tanagercart/config';
 import { activationTransferMs, hopDelayMs, remoteEntryCostMs, segmentCostMs } from './cost.js';
 import type { RequestSize } from './cost.js';
@@ -20,6 +20,11 @@
   readonly dataCentre: DataCentreId;
   /** If set, only these stages may be the first, even if all their slots are taken. */
   readonly firstStageIds?: ReadonlySet<UpstreamId>;
+  /**
+   * Time until the link between data centres has transferred what waits for it; `Infinity` where no
+   * path may cross it. 0 if not given.
+   */
+  readonly linkQueueMs?: Millis;
   /** Adds jitter to costs, so that nodes which choose at the same time don't all pick one stage. */
   readonly random: Random;
 }
@@ -64,7 +69,7 @@
   readonly origin: number;
   /** Delay of a hop, by the numbers of its sender and its receiver. */
   readonly delaysMs: readonly (readonly number[])[];
-  /** What a hop between two stages costs in addition if it crosses to another data centre. */
+  /** What a hop between two stages costs in addition if it crosses; infinite where none may. */
   readonly transferMs: number;
 }
 
@@ -109,11 +114,14 @@
 }
 
 /** Hops between data centres, the first of which sends the request. */
-function hopsBetween({ engine, size }: PathQuery, centres: readonly DataCentreId[]): Hops {
+function hopsBetween(
+  { engine, size, linkQueueMs = 0 }: PathQuery,
+  centres: readonly DataCentreId[],
+): Hops {
   return {
     origin: 0,
     delaysMs: centres.map((from) => centres.map((to) => hopDelayMs(engine, from, to, size))),
-    transferMs: activationTransferMs(engine, size),
+    transferMs: activationTransferMs(engine, size, linkQueueMs),
   };
 }
 
@@ -181,7 +189,10 @@
   return { option, costsMs };
 }
 
-/** Cost until a stage begins to run, after `previous`; undefined if that ends at the same stage. */
+/**
+ * Cost until a stage begins to run, after `previous`; undefined if that ends at the same stage, or in
+ * another data centre where no path may cross.
+ */
 function startCostMs(
   { origin, delaysMs, transferMs }: Hops,
   previous: PartialPath | undefined,
@@ -193,6 +204,7 @@
   // Only stages transfer activations; the request that the first stage receives is small.
   const crossingMs = previous ? transferMs : remoteEntryCostMs;
   const crosses = sender !== centre;
+  if (crosses && crossingMs === Infinity) return undefined;
   return (previous?.costMs ?? stage.entryWaitMs) + delayMs + (crosses ? crossingMs : 0);
 }
 
--- a/packages/layers/src/stage.ts
+++ b/packages/layers/src/stage.ts
@@ -66,3 +66,9 @@
   }
   return at === layerCount && new Set(path.map((p) => p.stage.id)).size === path.length;
 }
+
+/** Number of hops of a path that transfer activations to another data centre. */
+export function crossingsOf(path: Path): number {
+  return path.filter((p, i) => i > 0 && p.stage.dataCentre !== path[i - 1]!.stage.dataCentre)
+    .length;
+}
--- a/packages/layers/test/path.test.ts
+++ b/packages/layers/test/path.test.ts
@@ -100,7 +100,8 @@
       fc.boolean(),
       fc.boolean(),
       fc.nat({ max: 2000 }),
-      (makers, seed, isEven, isRestricted, answerTokens) => {
+      fc.constantFrom(0, 500, Infinity),
+      (makers, seed, isEven, isRestricted, answerTokens, linkQueueMs) => {
         const stages = makers.map((make, i) => make(`s${i}`));
         const first = new Set(stages.filter((_, i) => i % 2 === 0).map((s) => s.id));
         const query = () => ({
@@ -108,6 +109,7 @@
           stages,
           size: { promptTokens: 700, answerTokens },
           dataCentre: DataCentreId(['north', 'west'][seed % 2]!),
+          linkQueueMs,
           random: isEven ? { next: () => 0 } : SeededRandom.create(seed),
           ...(isRestricted ? { firstStageIds: first } : {}),
         });
--- a/packages/layers/test/plainsearch.ts
+++ b/packages/layers/test/plainsearch.ts
@@ -112,8 +112,11 @@
   const sender = previous?.segment.stage.dataCentre ?? query.dataCentre;
   const delayMs = hopDelayMs(engine, sender, stage.dataCentre, size);
   // Only stages transfer activations; the request that the first stage receives is small.
-  const crossingMs = previous ? activationTransferMs(engine, size) : remoteEntryCostMs;
+  const crossingMs = previous
+    ? activationTransferMs(engine, size, query.linkQueueMs ?? 0)
+    : remoteEntryCostMs;
   const crosses = sender !== stage.dataCentre;
+  if (crosses && crossingMs === Infinity) return;
   const startMs = (previous?.costMs ?? stage.entryWaitMs) + delayMs + (crosses ? crossingMs : 0);
   for (const to of boundaries) {
     if (to <= from) continue;
--- a/packages/protocol/src/fleetmessage.ts
+++ b/packages/protocol/src/fleetmessage.ts
@@ -65,6 +65,12 @@
   readonly tokenLayers: number;
 }
 
+/** Activations of prompts that go to another data centre, until the first tokens of the requests. */
+export interface TransferLoad {
+  readonly service: ServiceId;
+  readonly bytes: number;
+}
+
 /** A report that an upstream failed a request `ageMs` ago. */
 export interface Suspicion {
   readonly id: UpstreamId;
@@ -98,6 +104,8 @@
   readonly suspectedParts?: readonly string[];
   /** Limits that upstreams name or have just ceased to name; missing in bulletins of older leaders. */
   readonly limits?: readonly LimitNotice[];
+  /** Transfers of all entries, by service; missing in bulletins of older leaders. */
+  readonly transfers?: readonly TransferLoad[];
 }
 
 /** A load as id, sequences, entered and token layers; its fields would need more bytes than it does. */
@@ -124,6 +132,8 @@
   readonly suspicions: readonly Suspicion[];
   /** What responses told the caller of limits since a short while; missing in older entries. */
   readonly limits?: readonly LimitNotice[];
+  /** Transfers of the caller's requests, by service; missing in older entries. */
+  readonly transfers?: readonly TransferLoad[];
   /** Ready upstreams that told the caller that they leave; missing in older entries. */
   readonly leaving?: readonly UpstreamIncarnation[];
   /**
--- a/packages/relay/src/balancer.ts
+++ b/packages/relay/src/balancer.ts
@@ -4,8 +4,15 @@
  */
 
 import type { DataCentreId, Millis, Random, UpstreamId } from '@tanagercart/base';
-import type { Engine } from '@tanagercart/config';
-import { findPath } from '@tanagercart/layers';
+import type { Engine, Service } from '@tanagercart/config';
+import {
+  activationBytes,
+  crossingsOf,
+  findPath,
+  hasRoom,
+  linkMs,
+  mayCross,
+} from '@tanagercart/layers';
 import type { Path, RequestSize, Stage } from '@tanagercart/layers';
 import type { UpstreamLoad, UpstreamRecord } from '@tanagercart/protocol';
 import type { FleetView } from '@tanagercart/fleet';
@@ -14,6 +21,7 @@
 import { estimateLoad } from './estimate.js';
 import type { Health } from './health.js';
 import type { Loads } from './loads.js';
+import { estimateTransfers } from './transfers.js';
 
 /** Where a request is sent, and the load that it adds there. */
 export interface Target {
@@ -22,6 +30,17 @@
   /** Undefined for a service without layers. */
   readonly path: Path | undefined;
   readonly requestLoads: readonly UpstreamLoad[];
+  /** Its use of the link between data centres; undefined for a service without layers. */
+  readonly link?: LinkUse;
+}
+
+/** What a request transfers between data centres, and the decision about it. */
+export interface LinkUse {
+  readonly bytes: number;
+  /** Time that the link takes for what waits already. */
+  readonly queueMs: Millis;
+  /** Whether it may cross; else another path was found, or there is none with memory left. */
+  readonly decision: 'open' | 'avoided' | 'only-path';
 }
 
 /**
@@ -42,6 +61,8 @@
   readonly withoutPermit: ReadonlySet<UpstreamId> | 'all-limited';
   /** Longest wait for a permit. */
   readonly maxWaitMs: Millis;
+  /** Time until the request's latency target. */
+  readonly targetLeftMs: Millis;
 }
 
 export interface BalancerOptions {
@@ -117,6 +138,37 @@
     );
   }
 
+  /** Time that the link between data centres takes for the transfers of a service that wait. */
+  linkQueueMs({ id, engine }: Service): Millis {
+    if (!engine) return 0;
+    const { loads, view } = this.o;
+    const reported = view.transfersOf(id);
+    const peers = this.entryCount() - 1;
+    return linkMs(engine, estimateTransfers(loads.transfers.of(id), reported, peers));
+  }
+
+  /** Whether a request may join the queue of the link between data centres. */
+  private mayCross(
+    engine: Engine,
+    work: RequestSize,
+    { targetLeftMs }: Selection,
+    queueMs: Millis,
+  ): boolean {
+    if (queueMs === 0) return true;
+    return mayCross({
+      queueMs,
+      transferMs: linkMs(engine, activationBytes(engine, work)),
+      targetLeftMs,
+      entryCount: this.entryCount(),
+      draw: this.o.random.next(),
+    });
+  }
+
+  /** Number of entries that use the link, this one included. */
+  private entryCount(): number {
+    return Math.max(1, this.o.view.entries.filter((e) => e.phase === 'ready').length);
+  }
+
   private pickUpstream(usable: readonly UpstreamRecord[], selection: Selection): Target | NoTarget {
     const { receivers } = selection;
     const waitMs = (u: UpstreamRecord) => this.entryWaitMs(u, selection);
@@ -139,9 +191,15 @@
   ): Target | NoTarget {
     const holders = usable.filter((u) => u.layers);
     const work = expectedWork(call, engine);
-    const path =
-      this.searchPath(engine, this.preferHealthy(holders, selection), work, selection) ??
-      this.searchPath(engine, holders, work, selection);
+    const queueMs = this.linkQueueMs(call.service);
+    const isOpen = this.mayCross(engine, work, selection, queueMs);
+    const search = (upstreams: readonly UpstreamRecord[], linkQueueMs: Millis) =>
+      this.searchPath(engine, upstreams, work, selection, linkQueueMs);
+    const searchAll = (upstreams: readonly UpstreamRecord[]) => {
+      const within = isOpen ? undefined : search(upstreams, Infinity);
+      return within && hasRoom(within, work) ? within : search(upstreams, queueMs);
+    };
+    const path = searchAll(this.preferHealthy(holders, selection)) ?? searchAll(holders);
     const first = path?.[0];
     if (!path || !first) return holders.length === 0 ? 'no-upstream' : 'no-path';
     const requestLoads = path.map(({ stage, layers }, i) => ({
@@ -150,7 +208,10 @@
       entered: i === 0 ? 1 : 0,
       tokenLayers: (work.promptTokens + work.answerTokens) * (layers.to - layers.from),
     }));
-    return { upstream: this.o.view.upstreams.get(first.stage.id)!, path, requestLoads };
+    const bytes = activationBytes(engine, work) * crossingsOf(path);
+    const closed = bytes > 0 ? 'only-path' : 'avoided';
+    const link = { bytes, queueMs, decision: isOpen ? 'open' : closed } as const;
+    return { upstream: this.o.view.upstreams.get(first.stage.id)!, path, requestLoads, link };
   }
 
   private searchPath(
@@ -158,6 +219,7 @@
     upstreams: readonly UpstreamRecord[],
     work: RequestSize,
     selection: Selection,
+    linkQueueMs: Millis,
   ) {
     const { random, dataCentre } = this.o;
     const { receivers } = selection;
@@ -170,6 +232,7 @@
       stages,
       size: work,
       dataCentre,
+      linkQueueMs,
       random,
       ...(receivers ? { firstStageIds: receivers } : {}),
     });
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -4,6 +4,7 @@
 export * from './availability.js';
 export * from './loads.js';
 export * from './estimate.js';
+export * from './transfers.js';
 export * from './health.js';
 export * from './directlinks.js';
 export * from './connector.js';
--- a/packages/relay/src/loads.ts
+++ b/packages/relay/src/loads.ts
@@ -1,14 +1,17 @@
-/** Counts the load that this entry's requests in progress put on each upstream. */
+/** Counts the load that this entry's requests in progress put on upstreams and links. */
 
 import type { UpstreamId } from '@tanagercart/base';
 import { addLoad, emptyLoad } from '@tanagercart/fleet';
 import type { UpstreamLoad } from '@tanagercart/protocol';
+import { Transfers } from './transfers.js';
 
 /** Load that one request adds to one upstream. */
 export type RequestLoad = UpstreamLoad;
 
 /** Load of this entry's requests in progress, by upstream. */
 export class Loads {
+  /** What these requests transfer between data centres. */
+  readonly transfers = Transfers.create();
   private readonly totals = new Map<UpstreamId, UpstreamLoad>();
 
   static create(): Loads {
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -26,7 +26,7 @@
 import { fingerprintOf, sharedPartsOf } from './quarantine.js';
 import type { Quarantine } from './quarantine.js';
 import { StreamDelivery } from './stream.js';
-import type { Balancer, Target } from './balancer.js';
+import type { Balancer, LinkUse, Target } from './balancer.js';
 import { LogRateLimit, RequestLog } from './requestlog.js';
 import { Exclusions } from './exclusions.js';
 import type { Holding, Intake } from './intake.js';
@@ -267,9 +267,11 @@
   private async runAttempt(state: RequestState, attempt: RunningAttempt): Promise<AttemptOutcome> {
     const { clock, client, loads, intake } = this.o;
     const { call, delivery, attempts, deadline } = state;
-    const { upstream, path, requestLoads } = attempt.target;
+    const { upstream, path, requestLoads, link } = attempt.target;
     const { signal } = attempt.stop;
     const release = loads.add(requestLoads);
+    const recordTransferred = loads.transfers.add(call.service.id, link?.bytes ?? 0);
+    this.recordLinkUse(state, link);
     state.log.info('Sending.', {
       attempt: attempts.count,
       upstream: upstream.id,
@@ -291,6 +293,7 @@
     });
     const details = { upstream, path, remainingMs, lastEvent: delivery?.lastEvent };
     const onEvents = (count: number) => {
+      recordTransferred();
       this.recordActivity(state, attempt, watch.quietMs);
       watch.recordActivity();
       this.crashes.recordEvents(call, attempt.events, count);
@@ -300,6 +303,7 @@
     try {
       const sent = await client.send(call, details, signal);
       const response = sent.isOk() ? sent.value : undefined;
+      if (response && !delivery) recordTransferred();
       if (response) this.o.availability.record(call.id, upstream, response.notices);
       const received = response
         ? await forwardResponse(state, attempt, response, onEvents, holding)
@@ -311,11 +315,20 @@
     } finally {
       watch.end();
       release();
+      recordTransferred();
       if (state.keptError?.holding !== holding) intake.close(holding);
       attempt.stop.abort();
     }
   }
 
+  /** Records that the queue of the link between data centres was too long for a request. */
+  private recordLinkUse({ log }: RequestState, link: LinkUse | undefined): void {
+    if (!link || link.decision === 'open') return;
+    const { decision, queueMs } = link;
+    log.info('The link between data centres is full.', { decision, queueMs: Math.round(queueMs) });
+    this.o.metrics.count('attempt.link-full', { decision });
+  }
+
   /** Opens the holding of an attempt; where it gives way, the attempt fails or its error is dropped. */
   private openHolding(state: RequestState, attempt: RunningAttempt): Holding {
     const holding = this.o.intake.open(attempt.target.upstream.id, () => {
--- a/packages/relay/src/targets.ts
+++ b/packages/relay/src/targets.ts
@@ -85,6 +85,7 @@
       receivers: attemptsExhausted ? mayHaveRun : undefined,
       withoutPermit: refused.size < maxPermitRefusals ? refused : 'all-limited',
       maxWaitMs,
+      targetLeftMs: call.startedAt + call.route.latencyTargetMs - this.o.clock.now(),
     });
   }
 
--- a/packages/relay/test/fixtures.ts
+++ b/packages/relay/test/fixtures.ts
@@ -86,6 +86,7 @@
     receivers: undefined,
     withoutPermit: none,
     maxWaitMs: Infinity,
+    targetLeftMs: Infinity,
     ...overrides,
   };
 }
