Find no path over a full stage while another complete path has room

Cause: a stage whose memory for requests is full costs 4000 ms on a path. A stage of a slow kind costs more than that for an answer of 4000 tokens, and so does one that is slower than its kind by a factor of 6, so the full stage was chosen and its requests were preempted.

Ruled out: a higher cost, as that of a slow stage has no bound.

Change: where the cheapest path leads over a stage without memory for the request, the search is repeated over stages with memory; its path is used if there is one. Choices change in this case only.

--- a/packages/layers/src/cost.ts
+++ b/packages/layers/src/cost.ts
@@ -94,9 +94,12 @@
 
 /** Whether each stage of a path has memory left for the request. */
 export function hasRoom(path: Path, size: RequestSize): boolean {
-  return path.every(
-    ({ stage, layers }) => usedShareWith(stage, layers.to - layers.from, size) <= fullMemoryShare,
-  );
+  return path.every(({ stage, layers }) => hasRoomAt(stage, layers, size));
+}
+
+/** Whether a stage has memory left for `layers` of the request. */
+export function hasRoomAt(stage: Stage, layers: LayerRange, size: RequestSize): boolean {
+  return usedShareWith(stage, layers.to - layers.from, size) <= fullMemoryShare;
 }
 
 /** The share of its memory for requests that a stage would have in use with this one. */
--- a/packages/layers/src/path.ts
+++ b/packages/layers/src/path.ts
@@ -7,7 +7,14 @@
 
 import type { DataCentreId, Millis, Random, UpstreamId } from '@tanagercart/base';
 import type { Engine } from '@tanagercart/config';
-import { activationTransferMs, hopDelayMs, remoteEntryCostMs, segmentCostMs } from './cost.js';
+import {
+  activationTransferMs,
+  hasRoom,
+  hasRoomAt,
+  hopDelayMs,
+  remoteEntryCostMs,
+  segmentCostMs,
+} from './cost.js';
 import type { RequestSize } from './cost.js';
 import type { Path, PathSegment, Stage } from './stage.js';
 
@@ -81,19 +88,39 @@
   readonly centres: number[];
 }
 
+/** A query, and which stages may serve it. */
+interface StagedQuery extends PathQuery {
+  /** Whether only stages with memory left for the request may. */
+  readonly needsRoom: boolean;
+}
+
 /**
- * The complete path with the lowest cost. Returns undefined if there is none, or if each of
- * `maxSearches` searches found a path that returns to an earlier stage.
+ * The complete path with the lowest cost. It leads over a stage whose memory is full only where no
+ * other path was found: a stage of a slow kind costs more than `fullMemoryCostMs` for a long answer.
+ * Returns undefined if there is none, or if each of `maxSearches` searches found a path that returns
+ * to an earlier stage.
  */
 export function findPath(query: PathQuery): Path | undefined {
   const centres = [...new Set([query.dataCentre, ...query.stages.map((s) => s.dataCentre)])];
   const numbers = new Map(centres.map((centre, i) => [centre, i]));
   const hops = hopsBetween(query, centres);
-  let options = query.stages.map((stage): StageOption => ({
+  const options = query.stages.map((stage): StageOption => ({
     stage,
     costFactor: randomCostFactor(query),
     centre: numbers.get(stage.dataCentre)!,
   }));
+  const path = findSimplePath({ ...query, needsRoom: false }, hops, options);
+  if (!path || hasRoom(path, query.size)) return path;
+  return findSimplePath({ ...query, needsRoom: true }, hops, options) ?? path;
+}
+
+/** The cheapest path that `maxSearches` searches found without one that returns to an earlier stage. */
+function findSimplePath(
+  query: StagedQuery,
+  hops: Hops,
+  initialOptions: readonly StageOption[],
+): Path | undefined {
+  let options = initialOptions;
   for (let searches = 0; searches < maxSearches; searches += 1) {
     const path = search(query, hops, options);
     if (!path) return undefined;
@@ -129,7 +156,7 @@
  * Shortest-path search by dynamic programming. A state is a boundary, that is a layer at which some
  * range begins or ends, together with the data centre of the stage that ran the layer before it.
  */
-function search(query: PathQuery, hops: Hops, options: readonly StageOption[]): Path | undefined {
+function search(query: StagedQuery, hops: Hops, options: readonly StageOption[]): Path | undefined {
   const { layerCount } = query.engine;
   const boundaries = rangeBoundaries(options, layerCount);
   const arrivals = boundaries.map((): Arrivals => ({ cheapest: [], centres: [] }));
@@ -175,7 +202,7 @@
 
 /** The segments of a stage from the boundary at index `at` on. */
 function extensionOf(
-  { engine, size }: PathQuery,
+  { engine, size, needsRoom }: StagedQuery,
   boundaries: readonly number[],
   option: StageOption,
   at: number,
@@ -184,7 +211,9 @@
   const from = boundaries[at]!;
   const costsMs: number[] = [];
   for (let i = at + 1; i < boundaries.length && boundaries[i]! <= stage.layers.to; i += 1) {
-    costsMs.push(segmentCostMs(engine, stage, { from, to: boundaries[i]! }, size) * costFactor);
+    const layers = { from, to: boundaries[i]! };
+    if (needsRoom && !hasRoomAt(stage, layers, size)) break;
+    costsMs.push(segmentCostMs(engine, stage, layers, size) * costFactor);
   }
   return { option, costsMs };
 }
