--- a/packages/fleet/src/leaderterm.ts
+++ b/packages/fleet/src/leaderterm.ts
@@ -205,6 +205,7 @@
       limits: this.limits.notices,
       demand: liveness.demand,
       ...(paces.length > 0 ? { paces } : {}),
+      transfers: liveness.transfers,
     };
   }
 }
--- a/packages/fleet/src/view.ts
+++ b/packages/fleet/src/view.ts
@@ -12,6 +12,7 @@
   LimitNotice,
   PaceRow,
   Suspicion,
+  TransferLoad,
   UpstreamLoad,
   UpstreamRecord,
   WatchCall,
@@ -20,14 +21,28 @@
 import { decodeBulletin } from './bulletin.js';
 import type { DecodedBulletin } from './bulletin.js';
 import { rateOf } from './demand.js';
-import { addLoad, clampLoad } from './load.js';
+import { addLoad, clampLoad, sumByService } from './load.js';
 import type { Document } from './state.js';
 
 /** A reply to a watch call that carries an update. */
 type Update = Extract<WatchReply, { kind: 'update' }>;
 
 /** What a watch call said of the entry that sent it, on which its reply builds. */
-type ReportedState = Pick<WatchCall, 'loads' | 'documentVersion' | 'demand'>;
+type ReportedState = Pick<WatchCall, 'loads' | 'documentVersion' | 'demand' | 'transfers'>;
+
+/**
+ * The leader drops reports of entries after this time; an update that is older says nothing of a
+ * queue either, which changes within fractions of a second.
+ */
+const transfersTimeoutMs: Millis = 2000;
+
+/** Transfers of a service between data centres, in bytes, by the last update. */
+export interface ReportedTransfers {
+  /** Those of this entry, as reported in the call that the update replied to. */
+  readonly own: number;
+  /** Those of the other entries. */
+  readonly others: number;
+}
 
 export interface ViewOptions {
   readonly clock: Clock;
@@ -57,6 +72,8 @@
   private reportedLoads = new Map<UpstreamId, UpstreamLoad>();
   private demand: FleetDemand | undefined;
   private reportedDemand: WatchCall['demand'];
+  /** Undefined if the leader sent none. */
+  private transfers: TransferReport | undefined;
   private suspicions: readonly (Suspicion & { readonly at: Millis })[] = [];
   private slowFactors = new Map<UpstreamId, number>();
   /** Fingerprints of the quarantined requests. */
@@ -134,6 +151,15 @@
     return all.map((rate, priority) => Math.max(0, rate - (own[priority] ?? 0)));
   }
 
+  /** Transfers of a service; undefined if the leader sent none, or not lately. */
+  transfersOf(service: ServiceId): ReportedTransfers | undefined {
+    if (!this.transfers || this.ageMs > transfersTimeoutMs) return undefined;
+    const own = this.transfers.own.get(service)?.bytes ?? 0;
+    const all = this.transfers.all.get(service)?.bytes ?? 0;
+    // The sum may be slightly older than what is subtracted.
+    return { own, others: Math.max(0, all - own) };
+  }
+
   /** How many times slower an upstream is than is usual for its kind; 1 if nothing is known. */
   slownessOf(id: UpstreamId): number {
     return this.slowFactors.get(id) ?? 1;
@@ -172,8 +198,8 @@
     if (upstreams.length > 0 || update.whole) this.revision += 1;
     if (quarantined) this.fingerprints = new Set(quarantined);
     this.index = update.index;
-    this.applyBulletin(decodeBulletin(update.bulletin), call.loads, latest - repliedAt);
     this.reportedDemand = call.demand;
+    this.applyBulletin(decodeBulletin(update.bulletin), call, latest - repliedAt);
     this.confirmedAt = Math.max(repliedAt, this.confirmedAt);
     this.changed.ring();
     return true;
@@ -182,7 +208,7 @@
   /** Applies a bulletin that was sent `lateMs` ago at most; the ages in it are as of then. */
   private applyBulletin(
     bulletin: DecodedBulletin,
-    reported: readonly UpstreamLoad[],
+    { loads: reported, transfers = [] }: ReportedState,
     lateMs: Millis,
   ): void {
     if (bulletin.entries) {
@@ -192,6 +218,10 @@
     this.voters = bulletin.voters;
     this.peerLoads = subtractLoads(bulletin.loads, reported);
     this.reportedLoads = new Map(reported.map((l) => [l.id, l]));
+    this.transfers = bulletin.transfers && {
+      own: sumByService(transfers),
+      all: sumByService(bulletin.transfers),
+    };
     this.slowFactors = new Map(bulletin.slow.map((s) => [s.id, s.factor]));
     this.demand = bulletin.demand;
     this.suspects = new Set(bulletin.suspectedParts ?? []);
@@ -248,6 +278,12 @@
   }
 }
 
+/** Transfers by service: of this entry when it last reported, and of all as the leader replied. */
+interface TransferReport {
+  readonly own: ReadonlyMap<ServiceId, TransferLoad>;
+  readonly all: ReadonlyMap<ServiceId, TransferLoad>;
+}
+
 /** Subtracts the load of one entry from that of all entries. */
 function subtractLoads(
   all: readonly UpstreamLoad[],
--- a/packages/fleet/test/fleet.ts
+++ b/packages/fleet/test/fleet.ts
@@ -21,6 +21,7 @@
   LimitNotice,
   PaceReport,
   UpstreamIncarnation,
+  TransferLoad,
   UpstreamLoad,
   UpstreamRecord,
 } from '@tanagercart/protocol';
@@ -132,6 +133,7 @@
 /** What an entry of a test reports, and what it does on news. */
 interface EntryOptions {
   readonly loads?: readonly UpstreamLoad[];
+  readonly transfers?: readonly TransferLoad[];
   /** Whether the entry polls its share of the upstreams for their speed. */
   readonly polls?: boolean;
   readonly leaving?: () => readonly UpstreamIncarnation[];
@@ -269,7 +271,7 @@
     options: EntryOptions = {},
   ): { readonly view: FleetView; readonly watcher: Watcher; readonly stop: () => void } {
     const { loads = [], polls = false, limits = () => [], leaving = () => [], onCall } = options;
-    const { onLimits = () => undefined, paces = () => [] } = options;
+    const { onLimits = () => undefined, paces = () => [], transfers = [] } = options;
     const clock = this.clockOf(node);
     const view = FleetView.create({
       clock,
@@ -303,6 +305,7 @@
         return entry;
       },
       loads: () => loads,
+      transfers: () => transfers,
       suspicions: () => [],
       limits,
       leaving,
--- a/packages/protocol/src/fleetmessage.ts
+++ b/packages/protocol/src/fleetmessage.ts
@@ -65,6 +65,12 @@
   readonly tokenLayers: number;
 }
 
+/** Activations of prompts that go to another data centre, until the first tokens of the requests. */
+export interface TransferLoad {
+  readonly service: ServiceId;
+  readonly bytes: number;
+}
+
 /** A report that an upstream failed a request `ageMs` ago. */
 export interface Suspicion {
   readonly id: UpstreamId;
@@ -138,6 +144,8 @@
   readonly demand?: FleetDemand;
   /** The paced upstreams; missing where there are none, and in bulletins of older leaders. */
   readonly paces?: readonly PaceRow[];
+  /** Transfers of all entries, by service; missing in bulletins of older leaders. */
+  readonly transfers?: readonly TransferLoad[];
 }
 
 /** A load as id, sequences, entered and token layers; its fields would need more bytes than it does. */
@@ -164,6 +172,8 @@
   readonly suspicions: readonly Suspicion[];
   /** What responses told the caller of limits since a short while; missing in older entries. */
   readonly limits?: readonly LimitNotice[];
+  /** Transfers of the caller's requests, by service; missing in older entries. */
+  readonly transfers?: readonly TransferLoad[];
   /** Ready upstreams that told the caller that they leave; missing in older entries. */
   readonly leaving?: readonly UpstreamIncarnation[];
   /** Demand for services with an engine at the caller; missing in older entries. */
