Test that a paced upstream is neither left without a first request nor overfilled

Cause: with the turns of a limit removed, or the use of a full paced upstream ruled out, all tests still passed: callers were spread over all entries, and the only upstream of a service counted as a cold start. Ruled out: keeping the test of the only upstream, which the cold start hid. Change: callers at one entry of eight; a balancer with one paced upstream. Conclusion: each of these faults now fails a test.

--- a/packages/relay/test/pacedfleet.ts
+++ b/packages/relay/test/pacedfleet.ts
@@ -90,6 +90,8 @@
   hasLeader = true;
   slow: readonly Slowness[] = [];
   refused = 0;
+  /** Entries that have callers; undefined for all. */
+  callersAt: number | undefined;
   readonly lost = new Set<UpstreamId>();
   readonly tempers = new Map<UpstreamId, Temper>();
   upstreams: readonly UpstreamRecord[];
@@ -168,7 +170,8 @@
   }
 
   private send(): void {
-    const entry = this.entries[Math.floor(this.random.next() * this.entries.length)]!;
+    const count = this.callersAt ?? this.entries.length;
+    const entry = this.entries[Math.floor(this.random.next() * count)]!;
     const { balancer, loads, paces } = entry;
     const startedAt = this.clock.now();
     const call = callOf('idempotent');
--- a/packages/relay/test/pacelimits.test.ts
+++ b/packages/relay/test/pacelimits.test.ts
@@ -56,14 +56,14 @@
   assert.ok(limit === undefined && answers > 50, `limit ${limit} after ${answers} answers`);
 });
 
-test('a first request is due also where the entry that may send it has no callers', async () => {
-  const fleet = new PacedFleet(8, 5);
-  await fleet.run(2000, 100);
-  const id = fleet.start('new', sound);
-  await fleet.run(500, 0);
-  // The entries send so little that most of them have no request within a turn.
-  await fleet.run(20_000, 2);
-  assert.ok(fleet.seenAt(id).answers > 0);
+test('a first request is sent also where the entries that may send it have no callers', async () => {
+  const fleet = await steadyFleet(8);
+  fleet.callersAt = 1;
+  for (let i = 0; i < 5; i += 1) {
+    const id = fleet.start(`new${i}`, sound);
+    await fleet.run(40_000, 20);
+    assert.ok(fleet.seenAt(id).answers > 0, id);
+  }
 });
 
 test('many entries do not each send a first request', async () => {
@@ -140,15 +140,6 @@
   assert.deepEqual(fleet.paces.rows, []);
 });
 
-test('the only upstream serves requests beyond its limit rather than to refuse them', async () => {
-  const fleet = await steadyFleet();
-  const id = fleet.start('new', { ...sound, factor: 50 });
-  await fleet.run(1000, 100);
-  fleet.upstreams = fleet.upstreams.filter((u) => u.id === id);
-  await fleet.run(1000, 50);
-  assert.ok(fleet.refused === 0 && fleet.seenAt(id).highest > 1);
-});
-
 test('entries that lost the leader step a limit by their answers, and the next leader takes it over', async () => {
   const fleet = await steadyFleet(2);
   const id = fleet.start('new', sound);
@@ -250,6 +241,29 @@
   assert.notEqual(typeof balancer.pick(callOf('idempotent'), selectionOf()), 'string');
 });
 
+test('a paced upstream at its limit serves what no other can, and nothing else', () => {
+  const two = upstreamOf('two');
+  const { balancer, loads } = relayWith([], [one, two], [pacedOne]);
+  const loadAt = (id: UpstreamRecord['id'], sequences: number) =>
+    loads.add([{ id, sequences, entered: 0, tokenLayers: 0 }]);
+  const pick = (isExcluded: (u: UpstreamRecord) => boolean = () => false) => {
+    const target = balancer.pick(callOf('idempotent'), selectionOf({ isExcluded }));
+    return typeof target === 'string' ? target : target.upstream.id;
+  };
+  loadAt(one.id, 1);
+  loadAt(two.id, two.slots - 1);
+  assert.equal(pick(), 'two');
+  assert.equal(
+    pick((u) => u.id === two.id),
+    'one',
+  );
+  loadAt(two.id, two.slots * 3);
+  assert.equal(pick(), 'one');
+  // Fewer than its slots, and many times its limit.
+  loadAt(one.id, 4);
+  assert.equal(pick(), 'two');
+});
+
 const engine = engineOf();
 
 /** Two stages, of which each holds all layers. */
