--- a/packages/fleet/test/fleet.ts
+++ b/packages/fleet/test/fleet.ts
@@ -139,6 +139,7 @@
   readonly onLimits?: (notices: readonly LimitNotice[]) => void;
   readonly onCall?: () => void;
   readonly paces?: () => readonly PaceReport[];
+  readonly isDetached?: boolean;
 }
 
 export function announcementOf(id: string, change: Partial<Announcement> = {}): Announcement {
@@ -269,7 +270,7 @@
     options: EntryOptions = {},
   ): { readonly view: FleetView; readonly watcher: Watcher; readonly stop: () => void } {
     const { loads = [], polls = false, limits = () => [], leaving = () => [], onCall } = options;
-    const { onLimits = () => undefined, paces = () => [] } = options;
+    const { onLimits = () => undefined, paces = () => [], isDetached = false } = options;
     const clock = this.clockOf(node);
     const view = FleetView.create({
       clock,
@@ -283,6 +284,7 @@
       dataCentre: DataCentreId('north'),
       address: `${node}:1`,
       phase: 'ready',
+      ...(isDetached ? { isDetached } : {}),
     };
     const slowness = SlownessShare.create({
       self: node,
--- a/packages/fleet/test/pace.test.ts
+++ b/packages/fleet/test/pace.test.ts
@@ -231,3 +231,19 @@
     [['u4', 2]],
   );
 });
+
+test('failures that a detached entry reports do not hold a sound upstream down', async () => {
+  const fleet = await Fleet.start(92);
+  const report: { rows: readonly PaceReport[] } = { rows: [] };
+  const paces = () => report.rows;
+  const { view } = fleet.startEntry(NodeId('entry'), { paces, isDetached: true });
+  const [node] = fleet.nodes.values();
+  await fleet.settle(node!.submit(documentOf(1)));
+  await fleet.runFor(['u1', 'u2', 'u3'], 9000);
+  await fleet.heartbeat(['u4']);
+  await fleet.waitUntil(() => view.paces.length === 1, 1000);
+  const [id, born, limit, step] = view.paces[0]!;
+  report.rows = [[id, born, limit, step, 0, 0, 9]];
+  await fleet.clock.advance(1000);
+  assert.equal(view.paces[0]![3], step);
+});
