--- a/packages/relay/src/balancer.ts
+++ b/packages/relay/src/balancer.ts
@@ -277,8 +277,8 @@
     const below = upstreams.filter((u) => !this.isAtPaceLimit(u));
     if (below.length === upstreams.length) return upstreams;
     // The estimate of what peers have changed since may only seem to take the last free slot.
-    const hasRoom = below.some((u) => this.loadAt(u.id, 0).sequences < u.slots);
-    return hasRoom ? below : upstreams;
+    const isSlotFree = below.some((u) => this.loadAt(u.id, 0).sequences < u.slots);
+    return isSlotFree ? below : upstreams;
   }
 
   private isAtPaceLimit(upstream: UpstreamRecord): boolean {
