Name the closed link in the line of the attempt

Cause: while the link is closed, each attempt wrote a line of its own, which would double the log under the load that closes it. Sums of fractional bytes could leave a remainder, by which an idle link would not count as idle.

Change: the line `Sending.` carries the decision and the queue. Transfers count whole bytes.

--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -26,7 +26,7 @@
 import { fingerprintOf, sharedPartsOf } from './quarantine.js';
 import type { Quarantine } from './quarantine.js';
 import { StreamDelivery } from './stream.js';
-import type { Balancer, LinkUse, Target } from './balancer.js';
+import type { Balancer, Target } from './balancer.js';
 import { LogRateLimit, RequestLog } from './requestlog.js';
 import { Exclusions } from './exclusions.js';
 import type { Holding, Intake } from './intake.js';
@@ -265,18 +265,21 @@
 
   /** Sends the request to the target of an attempt and records the outcome. */
   private async runAttempt(state: RequestState, attempt: RunningAttempt): Promise<AttemptOutcome> {
-    const { clock, client, loads, intake } = this.o;
+    const { clock, client, loads, intake, metrics } = this.o;
     const { call, delivery, attempts, deadline } = state;
     const { upstream, path, requestLoads, link } = attempt.target;
     const { signal } = attempt.stop;
     const release = loads.add(requestLoads);
     const recordTransferred = loads.transfers.add(call.service.id, link?.bytes ?? 0);
-    this.recordLinkUse(state, link);
+    const closedLink = link?.decision === 'open' ? undefined : link;
+    if (closedLink) metrics.count('attempt.link-full', { decision: closedLink.decision });
     state.log.info('Sending.', {
       attempt: attempts.count,
       upstream: upstream.id,
       path: path?.map((p) => `${p.stage.address}=${formatRange(p.layers)}`).join(' '),
       lastEvent: delivery?.lastEvent,
+      link: closedLink?.decision,
+      linkQueueMs: closedLink && Math.round(closedLink.queueMs),
     });
     const remainingMs = deadline - attempt.startedAt;
     const watch = SilenceWatch.create({
@@ -321,14 +324,6 @@
     }
   }
 
-  /** Records that the queue of the link between data centres was too long for a request. */
-  private recordLinkUse({ log }: RequestState, link: LinkUse | undefined): void {
-    if (!link || link.decision === 'open') return;
-    const { decision, queueMs } = link;
-    log.info('The link between data centres is full.', { decision, queueMs: Math.round(queueMs) });
-    this.o.metrics.count('attempt.link-full', { decision });
-  }
-
   /** Opens the holding of an attempt; where it gives way, the attempt fails or its error is dropped. */
   private openHolding(state: RequestState, attempt: RunningAttempt): Holding {
     const holding = this.o.intake.open(attempt.target.upstream.id, () => {
--- a/packages/relay/src/transfers.ts
+++ b/packages/relay/src/transfers.ts
@@ -15,8 +15,10 @@
     return new Transfers();
   }
 
-  /** Counts `bytes` until the returned function is called; further calls of it do nothing. */
-  add(service: ServiceId, bytes: number): () => void {
+  /** Counts `requestBytes` until the returned function is called; further calls of it do nothing. */
+  add(service: ServiceId, requestBytes: number): () => void {
+    // Sums of whole numbers are exact, so that nothing is left over once all requests have ended.
+    const bytes = Math.round(requestBytes);
     this.apply(service, bytes);
     let counted = true;
     return () => {
