Bound the transfer that one request counts

Cause: callers name the tokens of their prompts in a header, and any number is accepted. A negative one left a transfer behind for good, and a huge one made the sum inexact; the link would never have counted as idle again.

Change: a request counts from 0 to 1e11 bytes, which keeps sums exact.

--- a/packages/relay/src/transfers.ts
+++ b/packages/relay/src/transfers.ts
@@ -7,6 +7,9 @@
 import type { ReportedTransfers } from '@tanagercart/fleet';
 import type { TransferLoad } from '@tanagercart/protocol';
 
+/** Bounds what one request counts, as callers name the tokens of their prompts. */
+const maxRequestBytes = 1e11;
+
 /** Transfers of requests whose first token has not come yet, by service. */
 export class Transfers {
   private readonly totals = new Map<ServiceId, number>();
@@ -17,8 +20,8 @@
 
   /** Counts `requestBytes` until the returned function is called; further calls of it do nothing. */
   add(service: ServiceId, requestBytes: number): () => void {
-    // Sums of whole numbers are exact, so that nothing is left over once all requests have ended.
-    const bytes = Math.round(requestBytes);
+    // Sums of whole numbers in these bounds are exact, so that nothing is left over in the end.
+    const bytes = Math.round(Math.min(Math.max(0, requestBytes), maxRequestBytes));
     this.apply(service, bytes);
     let counted = true;
     return () => {
--- a/packages/relay/test/transfers.test.ts
+++ b/packages/relay/test/transfers.test.ts
@@ -22,7 +22,7 @@
   UpstreamLoad,
   UpstreamRecord,
 } from '@tanagercart/protocol';
-import { Balancer, Health, Loads, estimateTransfers } from '../src/index.js';
+import { Balancer, Health, Loads, Transfers, estimateTransfers } from '../src/index.js';
 import type { Target, UpstreamClient } from '../src/index.js';
 import {
   FakeCaller,
@@ -282,6 +282,14 @@
   assert.deepEqual(decisions, ['avoided', 'only-path', 'only-path']);
 });
 
+test('whatever size callers name, nothing is left over once their requests have ended', () => {
+  const transfers = Transfers.create();
+  const releases = [0.1, 0.7, -5, 1e300, 24e6].map((bytes) => transfers.add(pool, bytes));
+  assert.ok(transfers.of(pool) >= 24e6);
+  releases.forEach((release) => release());
+  assert.deepEqual(transfers.all, []);
+});
+
 test('the transfers of the other entries are those reported, and what they added as this one did', () => {
   assert.equal(estimateTransfers(30, { own: 10, others: 50 }, 2), 30 + 50 + 2 * 20);
   assert.equal(estimateTransfers(0, { own: 40, others: 50 }, 2), 0);
