Check a configuration before it is sent with `tanagercart config check`

Ruled out: refusing such configurations in the control plane, as it accepts them today and deployments may hold some; rules of their own in the command, which would drift from those of the control plane.

Warnings and differences are functions of `packages/config` on the model. Exit codes are 0, 1 for warnings only, and 2 for errors; `--json` prints all findings.

Conclusion: the command needs no node. `--url`, and with it the warning of services without upstreams, is not there yet.

--- /dev/null
+++ b/packages/cli/src/configcheck.ts
@@ -0,0 +1,111 @@
+/** The command `tanagercart config check`. */
+
+import { Command, Option } from 'clipanion';
+import { differenceOf } from '@tanagercart/config';
+import type { Configuration, ConfigurationChange, ConfigurationProblem } from '@tanagercart/config';
+import { checkDocument } from '@tanagercart/platform';
+import type { DocumentCheck } from '@tanagercart/platform';
+import { readText } from './files.js';
+
+/** Nothing was found. */
+const clean = 0;
+/** Some entries can never take effect; the control plane would accept the configuration. */
+const warned = 1;
+/** The control plane would refuse the configuration, or a file cannot be read. */
+const refused = 2;
+
+/** What is found in a configuration, and how it differs from the one in force. */
+interface Findings {
+  readonly errors: readonly ConfigurationProblem[];
+  readonly warnings: readonly ConfigurationProblem[];
+  /** Missing without a configuration to compare with. */
+  readonly differences?: readonly ConfigurationChange[];
+}
+
+/** `tanagercart config check`: checks a configuration before it is sent. */
+export class ConfigCheckCommand extends Command {
+  static override paths = [['config', 'check']];
+
+  static override usage = Command.Usage({
+    description: 'Check a configuration before it is sent',
+    details: `
+      Exits with 0 if nothing was found, with 1 if there are only warnings, and with 2 on errors.
+      Differences do not count.
+    `,
+    examples: [
+      ['Check a configuration', 'tanagercart config check configuration.json'],
+      ['Compare it with the one in force', 'tanagercart config check new.json --against old.json'],
+    ],
+  });
+
+  file = Option.String();
+
+  against = Option.String('--against', { description: 'The configuration in force' });
+
+  json = Option.Boolean('--json', false, { description: 'Print JSON' });
+
+  async execute(): Promise<number> {
+    const findings = await this.check();
+    if (this.json) this.context.stdout.write(`${JSON.stringify(findings, null, 2)}\n`);
+    else this.print(findings);
+    if (findings.errors.length > 0) return refused;
+    return findings.warnings.length > 0 ? warned : clean;
+  }
+
+  private async check(): Promise<Findings> {
+    const checked = await checkFile(this.file);
+    if (this.against === undefined) return { errors: checked.errors, warnings: checked.warnings };
+    const inForce = await checkFile(this.against);
+    const { config } = checked;
+    if (!config || !inForce.config) {
+      const errors = inForce.config ? [] : inForce.errors.map((p) => inFile(this.against!, p));
+      return { errors: [...checked.errors, ...errors], warnings: checked.warnings };
+    }
+    const differences = differenceOf(inForce.config, config);
+    const versions = versionWarnings(config, inForce.config, differences);
+    return { errors: checked.errors, warnings: [...versions, ...checked.warnings], differences };
+  }
+
+  private print({ errors, warnings, differences }: Findings): void {
+    const { stdout, stderr } = this.context;
+    for (const p of errors) stderr.write(`${this.file}: error: ${textOf(p)}\n`);
+    for (const p of warnings) stderr.write(`${this.file}: warning: ${textOf(p)}\n`);
+    for (const line of (differences ?? []).flatMap(linesOf)) stdout.write(`${line}\n`);
+    if (differences?.length === 0) stdout.write('nothing changes\n');
+    if (errors.length + warnings.length === 0) stdout.write('ok\n');
+  }
+}
+
+async function checkFile(file: string): Promise<DocumentCheck> {
+  const text = await readText(file);
+  if (text.isOk()) return checkDocument(text.value);
+  const errors = text.error.map((what) => ({ where: 'file', what, remedy: 'name another file' }));
+  return { errors, warnings: [], config: undefined };
+}
+
+/** The control plane keeps the version in force where it is not lower than one that is sent. */
+function versionWarnings(
+  config: Configuration,
+  inForce: Configuration,
+  differences: readonly ConfigurationChange[],
+): readonly ConfigurationProblem[] {
+  if (config.version > inForce.version || differences.length === 0) return [];
+  const what = `${config.version} takes no effect, as ${inForce.version} is in force`;
+  return [{ where: 'version', what, remedy: 'raise the version' }];
+}
+
+function inFile(file: string, problem: ConfigurationProblem): ConfigurationProblem {
+  return { ...problem, where: `${file}: ${problem.where}` };
+}
+
+function textOf({ where, what, remedy }: ConfigurationProblem): string {
+  return `${where === '' ? 'document' : where}: ${what}; ${remedy}`;
+}
+
+function linesOf({ change, where, fields }: ConfigurationChange): readonly string[] {
+  const valueOf = (value: unknown) => JSON.stringify(value) ?? 'not set';
+  return [
+    `${change} ${where}`,
+    ...fields.map((f) => `  ${f.field}: ${valueOf(f.before)} -> ${valueOf(f.after)}`),
+  ];
+}
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -2,6 +2,7 @@
 
 import { Builtins, Cli, UsageError } from 'clipanion';
 import { CheckCommand, DemoCommand, NodeCommand } from './commands.js';
+import { ConfigCheckCommand } from './configcheck.js';
 import { usageError } from './exit.js';
 import { ExplainCommand } from './explain.js';
 import { LiftCommand, QuarantineCommand } from './quarantine.js';
@@ -13,6 +14,7 @@
 const commands = [
   NodeCommand,
   CheckCommand,
+  ConfigCheckCommand,
   SubmitCommand,
   ShowReleaseCommand,
   HistoryCommand,
