--- a/packages/fleet/test/bulletin.test.ts
+++ b/packages/fleet/test/bulletin.test.ts
@@ -1,8 +1,14 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { DataCentreId, NodeId } from '@tanagercart/base';
+import { DataCentreId, NodeId, ServiceId } from '@tanagercart/base';
 import { decode } from '@tanagercart/protocol';
-import type { Bulletin, CompactBulletin, EntryRecord, WatchReply } from '@tanagercart/protocol';
+import type {
+  Bulletin,
+  CompactBulletin,
+  EntryRecord,
+  WatchCall,
+  WatchReply,
+} from '@tanagercart/protocol';
 import { Fleet } from './fleet.js';
 
 const entry: EntryRecord = {
@@ -13,10 +19,19 @@
 };
 
 /** The bulletin that the leader sends to a caller that names this revision. */
-async function bulletinFor(fleet: Fleet, entriesRevision?: string) {
+async function bulletinFor(
+  fleet: Fleet,
+  entriesRevision?: string,
+  overrides: Partial<WatchCall> = {},
+) {
   const [leader] = [...fleet.nodes].find(([, n]) => n === fleet.leader)!;
   const state = { loads: [], suspicions: [], since: 0, documentVersion: 0, waitMs: 0 };
-  const call = { entry, ...state, ...(entriesRevision === undefined ? {} : { entriesRevision }) };
+  const call = {
+    entry,
+    ...state,
+    ...(entriesRevision === undefined ? {} : { entriesRevision }),
+    ...overrides,
+  };
   const sent = fleet.network.attach(NodeId('old')).call(leader, 'watch', call, { timeoutMs: 1000 });
   const reply = (await fleet.settle(sent))._unsafeUnwrap() as Extract<
     WatchReply,
@@ -44,3 +59,13 @@
   assert.equal(third.entries?.length, 2);
   await fleet.waitUntil(() => view.entries.length === 1, 4000);
 });
+
+test('the demand that an entry reports reaches the entries, in each form of the bulletin', async () => {
+  const fleet = await Fleet.start(75);
+  const demand = [{ service: ServiceId('pool'), tokensPerSecond: [40, 0, 2] }];
+  const expected = { reporters: 1, services: demand };
+  const compact = await bulletinFor(fleet, '', { demand });
+  assert.deepEqual(compact.demand, expected);
+  const full = await bulletinFor(fleet, undefined, { demand });
+  assert.deepEqual(full.demand, expected);
+});
