Play a planned stop beside a lost disk with the programs

Cause: the test of the programs lost the disk 0.3 s after the stop of the leader, which the code before the leave request survives as well: a new leader counts a voter as silent after 0.8 s.

--- a/packages/soak/src/fault.ts
+++ b/packages/soak/src/fault.ts
@@ -262,7 +262,7 @@
     .flatMap((atMs): readonly TimedFault[] => {
       const index = Math.floor(random.next() * 3);
       const other = (index + 1 + Math.floor(random.next() * 2)) % 3;
-      const wipeMs = atMs + succeedMs + between(random, 0, 600);
+      const wipeMs = atMs + succeedMs + between(random, 0, 300);
       const wipe: Fault = { kind: 'wipe', index: other, downMs: between(random, 50, 3000) };
       return [
         { atMs, fault: { kind: 'succeed', index, afterMs: succeedMs } },
