Compare a configuration with the one that a voter has in force

Cause: `config check` compared with a file only, which may be older than the version in force.

Change: `--url` reads the document from a voter's control listener, by the path that operators use. A document that cannot be read is an error, so that no comparison passes unseen.

Conclusion: the warning of services without upstreams needs the upstreams of a running node, which no call of the control listener lists; not there.

--- a/packages/cli/src/configcheck.ts
+++ b/packages/cli/src/configcheck.ts
@@ -1,9 +1,12 @@
 /** The command `tanagercart config check`. */
 
 import { Command, Option } from 'clipanion';
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+import { request } from 'undici';
 import { differenceOf } from '@tanagercart/config';
 import type { Configuration, ConfigurationChange, ConfigurationProblem } from '@tanagercart/config';
-import { checkDocument } from '@tanagercart/platform';
+import { checkDocument, endpoint } from '@tanagercart/platform';
 import type { DocumentCheck } from '@tanagercart/platform';
 import { readText } from './files.js';
 
@@ -35,6 +38,7 @@
     examples: [
       ['Check a configuration', 'tanagercart config check configuration.json'],
       ['Compare it with the one in force', 'tanagercart config check new.json --against old.json'],
+      ['Ask a voter for that one', 'tanagercart config check new.json --url http://10.20.1.1:9100'],
     ],
   });
 
@@ -42,6 +46,10 @@
 
   against = Option.String('--against', { description: 'The configuration in force' });
 
+  url = Option.String('--url', {
+    description: "Base URL of a voter's control listener, which is asked for the one in force",
+  });
+
   json = Option.Boolean('--json', false, { description: 'Print JSON' });
 
   async execute(): Promise<number> {
@@ -53,12 +61,12 @@
   }
 
   private async check(): Promise<Findings> {
-    const checked = await checkFile(this.file);
-    if (this.against === undefined) return { errors: checked.errors, warnings: checked.warnings };
-    const inForce = await checkFile(this.against);
+    const checked = checkText(await readText(this.file));
+    const inForce = await this.checkInForce();
+    if (!inForce) return { errors: checked.errors, warnings: checked.warnings };
     const { config } = checked;
     if (!config || !inForce.config) {
-      const errors = inForce.config ? [] : inForce.errors.map((p) => inFile(this.against!, p));
+      const errors = inForce.config ? [] : inForce.errors.map(ofVersionInForce);
       return { errors: [...checked.errors, ...errors], warnings: checked.warnings };
     }
     const differences = differenceOf(inForce.config, config);
@@ -66,6 +74,12 @@
     return { errors: checked.errors, warnings: [...versions, ...checked.warnings], differences };
   }
 
+  /** The configuration to compare with; undefined if none is named. */
+  private async checkInForce(): Promise<DocumentCheck | undefined> {
+    if (this.against !== undefined) return checkText(await readText(this.against));
+    return this.url === undefined ? undefined : checkText(await fetchText(this.url));
+  }
+
   private print({ errors, warnings, differences }: Findings): void {
     const { stdout, stderr } = this.context;
     for (const p of errors) stderr.write(`${this.file}: error: ${textOf(p)}\n`);
@@ -76,10 +90,24 @@
   }
 }
 
-async function checkFile(file: string): Promise<DocumentCheck> {
-  const text = await readText(file);
+/** Reads the document in force from a voter; each error is one line. */
+async function fetchText(base: string): Promise<Result<string, readonly string[]>> {
+  try {
+    const { statusCode, body } = await request(base + endpoint.readConfig);
+    const text = await body.text();
+    return statusCode === 200 ? ok(text) : err([`${base}: status ${statusCode}: ${text}`]);
+  } catch (error) {
+    return err([`${base}: ${(error as Error).message}`]);
+  }
+}
+
+function checkText(text: Result<string, readonly string[]>): DocumentCheck {
   if (text.isOk()) return checkDocument(text.value);
-  const errors = text.error.map((what) => ({ where: 'file', what, remedy: 'name another file' }));
+  const errors = text.error.map((what) => ({
+    where: 'source',
+    what,
+    remedy: 'name another source',
+  }));
   return { errors, warnings: [], config: undefined };
 }
 
@@ -94,8 +122,8 @@
   return [{ where: 'version', what, remedy: 'raise the version' }];
 }
 
-function inFile(file: string, problem: ConfigurationProblem): ConfigurationProblem {
-  return { ...problem, where: `${file}: ${problem.where}` };
+function ofVersionInForce(problem: ConfigurationProblem): ConfigurationProblem {
+  return { ...problem, where: `version in force: ${problem.where}` };
 }
 
 function textOf({ where, what, remedy }: ConfigurationProblem): string {
--- a/packages/cli/test/configcheck.test.ts
+++ b/packages/cli/test/configcheck.test.ts
@@ -1,6 +1,8 @@
 import assert from 'node:assert/strict';
 import { execFile } from 'node:child_process';
 import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { test } from 'node:test';
@@ -156,3 +158,22 @@
   const other = await run([documentOf({ version: 3, tenants: [] }), documentOf()]);
   assert.deepEqual([other.code, other.out], [0, 'removed account quay\nok\n']);
 });
+
+// Guards against a comparison that passes although the version in force could not be read.
+test('the version in force is read from a voter', async () => {
+  let status = 200;
+  const server = createServer((_, response) => {
+    response.writeHead(status).end(JSON.stringify(documentOf()));
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const url = `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
+  const read = await run([documentOf({ version: 3, tenants: [] })], '--url', url);
+  assert.deepEqual([read.code, read.out], [0, 'removed account quay\nok\n']);
+  status = 503;
+  const unread = await run([documentOf()], '--url', url);
+  assert.equal(unread.code, 2);
+  assert.match(unread.err, /version in force: source: .*status 503/);
+  server.close();
+});
