Ignore sizes that no request can have

Cause: the tokens that a caller announces were any finite number. Two requests of 1e308 tokens made the sum of what an entry holds infinite for good, after which it admits one request at a time; negative ones spoilt the predictions of paces. Found by review.

--- a/packages/relay/src/pacelimits.ts
+++ b/packages/relay/src/pacelimits.ts
@@ -145,6 +145,7 @@
   /** Records that an attempt was answered: with its first event if it is a stream. */
   recordAnswer(expectation: Expectation, tookMs: Millis): void {
     const { key, predicted, paced, startedAt } = expectation;
+    if (!(predicted > 0)) return;
     if (paced.length === 0) {
       const ratio = tookMs / predicted;
       const mean = this.meanRatios.get(key) ?? ratio;
