Pace only upstreams whose work others can take, and deal idle limits anew

By review: a limit was dealt anew only while no answer at all had come since the step, so that it could stay with an entry without callers for a minute; and a slow upstream whose factor moves around the bound started again at 1 each time.

--- a/packages/fleet/src/pace.ts
+++ b/packages/fleet/src/pace.ts
@@ -65,17 +65,21 @@
   return { limit: 1, step, turn: 0, changedAt: now, growsAt, falls, failedAt: now };
 }
 
-/** What the answers to a round of requests make of the limit; undefined while they are too few. */
+/**
+ * What the answers to a round of requests make of the limit; undefined while they are too few.
+ * `idleSince` is the time of the last answer, which may be earlier than the step.
+ */
 export function verdictOf(
   pace: Pace,
   tally: Tally,
   now: Millis,
   round = roundOf(pace.limit),
+  idleSince: Millis = -Infinity,
 ): Verdict | undefined {
   const bad = tally.slow + tally.failed;
   if (bad > 0 && bad >= round * badShare) return 'fell';
   if (tally.good >= round && now >= pace.growsAt) return 'grown';
-  const isIdle = tally.good + bad === 0 && now - pace.changedAt >= turnMs;
+  const isIdle = now - Math.max(pace.changedAt, idleSince) >= turnMs;
   return isIdle ? 'kept' : undefined;
 }
 
--- a/packages/fleet/src/paces.ts
+++ b/packages/fleet/src/paces.ts
@@ -8,6 +8,7 @@
 import type { PaceReport, PaceRow, Slowness, UpstreamRecord } from '@tanagercart/protocol';
 import { emptyTally, isPaceOver, openPace, stepPace, verdictOf } from './pace.js';
 import type { Pace, Tally, Verdict } from './pace.js';
+import { Holders } from './holders.js';
 
 /** An upstream counts as new for this long after its start, as in `membership/slowstart`. */
 const newMs: Millis = 8000;
@@ -15,14 +16,23 @@
 /** An upstream that is paced again within this time keeps its falls. */
 const flapMs: Millis = 60_000;
 
+/**
+ * Other upstreams, without a pace, that can do the work of one that is paced. With fewer of them, the
+ * pace would withhold more than a fifth of what they can serve together.
+ */
+const minPeers = 4;
+
 /** An upstream that is this many times slower than its kind is paced. */
 const greyFactor = 3;
 
 /** Why a pace begins. */
 type PaceCause = 'started' | 'recovered' | 'grey' | 'reported';
 
-/** Why a pace ends; `gone` where the incarnation is no longer ready. */
-type PaceEnd = 'done' | 'gone' | 'cold-start';
+/**
+ * Why a pace ends; `gone` where the incarnation is no longer ready, `needed` where too few others
+ * could take its work.
+ */
+type PaceEnd = 'done' | 'gone' | 'cold-start' | 'needed';
 
 /** What the leader knows of an upstream beside its record. */
 export interface PaceSigns {
@@ -45,6 +55,8 @@
   readonly born: number;
   readonly pace: Pace;
   readonly reports: Map<NodeId, Tally>;
+  /** Time of the last report with other counts than before. */
+  answeredAt: Millis;
 }
 
 /** The last pace of an upstream, which may have ended. */
@@ -88,7 +100,9 @@
       }
       const paced = this.paced.get(id);
       if (paced?.born !== born || paced.pace.step !== step) continue;
-      paced.reports.set(from, { good, slow, failed });
+      const tally = { good, slow, failed };
+      if (!isSameTally(paced.reports.get(from) ?? emptyTally, tally)) paced.answeredAt = now;
+      paced.reports.set(from, tally);
     }
   }
 
@@ -101,11 +115,14 @@
     for (const upstream of upstreams) {
       const { id } = upstream;
       const cause = before && causeOf(before.get(id), observed.get(id)!);
-      if (cause) this.open(upstream, cause, now);
+      // The factor of a slow upstream may move around the bound.
+      const isPaced = this.paced.get(id)?.born === upstream.born;
+      if (cause && !(cause === 'grey' && isPaced)) this.open(upstream, cause, now);
       hasChanged = this.step(upstream, now, signs) || cause !== undefined || hasChanged;
     }
     this.dropUnknown(observed);
-    return this.endColdStarts(upstreams, now) || hasChanged;
+    const hasCold = this.endColdStarts(upstreams, now);
+    return this.endNeeded(upstreams) || hasCold || hasChanged;
   }
 
   private open({ id, born }: UpstreamRecord, cause: PaceCause, now: Millis): void {
@@ -124,7 +141,7 @@
   }
 
   private begin(id: UpstreamId, born: number, pace: Pace, openedAt: Millis): void {
-    this.paced.set(id, { born, pace, reports: new Map() });
+    this.paced.set(id, { born, pace, reports: new Map(), answeredAt: -Infinity });
     this.last.set(id, { born, openedAt, step: pace.step, falls: pace.falls });
   }
 
@@ -138,10 +155,12 @@
     const { pace } = paced;
     if (isPaceOver(pace, upstream.slots, now)) return this.end(id, 'done');
     const tally = [...paced.reports.values()].reduce(addTally, emptyTally);
-    const verdict = verdictOf(pace, tally, now);
+    const verdict = verdictOf(pace, tally, now, undefined, paced.answeredAt);
     if (!verdict || (verdict === 'kept' && signs.sequencesAt(id) > 0)) return false;
     const next = stepPace(pace, verdict, tally, now);
-    this.paced.set(id, { ...paced, pace: next, reports: new Map() });
+    // A turn begins no new step, so that its answers go on counting.
+    const reports = verdict === 'kept' ? paced.reports : new Map<NodeId, Tally>();
+    this.paced.set(id, { ...paced, pace: next, reports });
     this.last.set(id, { ...this.last.get(id)!, step: next.step, falls: next.falls });
     this.logStep(id, verdict, next, tally);
     return isPaceOver(next, upstream.slots, now) ? this.end(id, 'done') : true;
@@ -189,6 +208,18 @@
     return cold.length > 0;
   }
 
+  /**
+   * Ends the paces of upstreams whose work too few others could take, as their limit would leave more
+   * requests without a place than it protects. Returns whether there were any.
+   */
+  private endNeeded(upstreams: readonly UpstreamRecord[]): boolean {
+    if (this.paced.size === 0) return false;
+    const holders = Holders.create(upstreams.filter((u) => !this.paced.has(u.id)));
+    const needed = upstreams.filter((u) => this.paced.has(u.id) && holders.leastFor(u) < minPeers);
+    for (const { id } of needed) this.end(id, 'needed');
+    return needed.length > 0;
+  }
+
   private isNew({ id }: UpstreamRecord, now: Millis): boolean {
     return this.paced.has(id) || now - (this.last.get(id)?.openedAt ?? -Infinity) < newMs;
   }
@@ -229,6 +260,10 @@
   return limit < pace.limit;
 }
 
+function isSameTally(a: Tally, b: Tally): boolean {
+  return a.good === b.good && a.slow === b.slow && a.failed === b.failed;
+}
+
 function addTally(a: Tally, b: Tally): Tally {
   return { good: a.good + b.good, slow: a.slow + b.slow, failed: a.failed + b.failed };
 }
