Keep admitted work below the share at which stages preempt, and returns from coming at once

By review: a resumed stream or the first request of an account could fill the room beyond 0.92, and a return time could be 1 ms. Both are bounded now.

--- a/packages/admission/src/admission.ts
+++ b/packages/admission/src/admission.ts
@@ -2,7 +2,7 @@
 
 import type { Millis } from '@tanagercart/base';
 import { Accounts } from './accounts.js';
-import { ceilingOf, ceilingStep, highestCeiling, openShare } from './ceiling.js';
+import { ceilingOf, ceilingStep, fullShare, highestCeiling, openShare } from './ceiling.js';
 import { Demand, MovingRate, addRates, priorityIndex, totalOf } from './demand.js';
 import { ReturnSchedule } from './returns.js';
 import type { Amount } from './room.js';
@@ -167,7 +167,7 @@
     if (usedPart <= openShare) return { kind: 'admitted', by: 'open' };
     if (usedPart <= ceiling) return { kind: 'admitted', by: 'room' };
     if (ownPart <= sharePart) return { kind: 'admitted', by: 'share' };
-    const floorPart = sharePart * (1 + ceilingStep / ceiling);
+    const floorPart = (sharePart * Math.min(fullShare, ceiling + ceilingStep)) / ceiling;
     if (isFirst && ownPart <= floorPart) return { kind: 'admitted', by: 'floor' };
     // An entry that holds nothing can always serve one request.
     if (this.heldRequests === 0) return { kind: 'admitted', by: 'floor' };
@@ -183,7 +183,7 @@
     const { room, peerUse } = known;
     const demand = addRates(this.demand.perSecond(now), known.peerDemand ?? []);
     const resumed = isResumed ? ceilingStep / 2 : 0;
-    const ceiling = ceilingOf(priority, demand) + resumed;
+    const ceiling = Math.min(fullShare, ceilingOf(priority, demand) + resumed);
     const part = this.partOf(known, now);
     const kept = this.returns.keptFor(priority, now);
     const own = { tokens: this.heldTokens + tokens + kept, requests: this.heldRequests + 1 };
--- a/packages/admission/src/returns.ts
+++ b/packages/admission/src/returns.ts
@@ -56,7 +56,7 @@
     this.drop(now);
     let booked = 0;
     const last = Math.floor((now + latestMs) / stepMs) - 1;
-    const earliest = Math.floor((now + minReturnMs) / stepMs);
+    const earliest = Math.ceil((now + minReturnMs) / stepMs);
     for (let step = Math.floor(now / stepMs); step <= last; step += 1) {
       booked += this.bookedIn(step, priority);
       const freedBy = (tokensPerSecond * ((step + 1) * stepMs - now)) / 1000;
@@ -64,7 +64,8 @@
       this.add(step, priority, tokens);
       return { afterMs: (step + spread) * stepMs - now, isBooked: true };
     }
-    return { afterMs: latestMs * (1 - lateSpread * spread), isBooked: false };
+    const lateMs = latestMs * (1 - lateSpread * spread);
+    return { afterMs: Math.max(lateMs, minReturnMs), isBooked: false };
   }
 
   /** Tokens that are kept now for callers that are more urgent than `priority`. */
