End a handover as done once another voter leads

By review: a handover to an unreachable voter returned false where the lead was lost meanwhile, and the voter then did not ask the new leader to leave.

--- a/packages/log/src/replication.ts
+++ b/packages/log/src/replication.ts
@@ -154,6 +154,7 @@
       const reply = await transport.call(target.id, 'transfer', { term }, options);
       if (reply.isErr() && reply.error.kind === 'unreachable') {
         state.transferring = false;
+        if (!state.leads(term)) return true;
         return this.transfer(new Set([...avoided, target.id]));
       }
     }
