Name what bounds and parts are of, and give their reasons

Read as a newcomer would: one constant for the share at which stages preempt, where there were two; demandPartOf and limitPartOf for two functions of one name; named constants for the bounds on callers. No change of behaviour; 118 tests of the packages pass.

--- a/packages/admission/src/accounts.ts
+++ b/packages/admission/src/accounts.ts
@@ -76,8 +76,10 @@
         held,
       }));
       const level = fairLevel(wants, room);
-      const isShort = wants.some((w) => w.held + tokens <= Math.min(w.amount, level * w.weight));
-      this.level = { at: now, value: isShort ? level : Infinity };
+      const someCanTake = wants.some(
+        (w) => w.held + tokens <= Math.min(w.amount, level * w.weight),
+      );
+      this.level = { at: now, value: someCanTake ? level : Infinity };
     }
     return this.level.value * (this.uses.get(account)?.weight ?? 1);
   }
--- a/packages/admission/src/admission.ts
+++ b/packages/admission/src/admission.ts
@@ -1,12 +1,13 @@
 /** Decides whether the requests for one service are admitted by one entry. */
 
 import type { Millis } from '@tanagercart/base';
+import { fullMemoryShare } from '@tanagercart/layers';
 import { Accounts } from './accounts.js';
-import { ceilingOf, ceilingStep, fullShare, highestCeiling, openShare } from './ceiling.js';
+import { ceilingOf, ceilingStep, highestCeiling, openShare } from './ceiling.js';
 import { Demand, MovingRate, addRates, priorityIndex, totalOf } from './demand.js';
 import { ReturnSchedule } from './returns.js';
 import type { Amount } from './room.js';
-import { partOf } from './share.js';
+import { demandPartOf } from './share.js';
 
 /** What an entry knows of a service and of the other entries. */
 export interface Conditions {
@@ -167,7 +168,7 @@
     if (usedPart <= openShare) return { kind: 'admitted', by: 'open' };
     if (usedPart <= ceiling) return { kind: 'admitted', by: 'room' };
     if (ownPart <= sharePart) return { kind: 'admitted', by: 'share' };
-    const floorPart = (sharePart * Math.min(fullShare, ceiling + ceilingStep)) / ceiling;
+    const floorPart = (sharePart * Math.min(fullMemoryShare, ceiling + ceilingStep)) / ceiling;
     if (isFirst && ownPart <= floorPart) return { kind: 'admitted', by: 'floor' };
     // An entry that holds nothing can always serve one request.
     if (this.heldRequests === 0) return { kind: 'admitted', by: 'floor' };
@@ -183,7 +184,7 @@
     const { room, peerUse } = known;
     const demand = addRates(this.demand.perSecond(now), known.peerDemand ?? []);
     const resumed = isResumed ? ceilingStep / 2 : 0;
-    const ceiling = Math.min(fullShare, ceilingOf(priority, demand) + resumed);
+    const ceiling = Math.min(fullMemoryShare, ceilingOf(priority, demand) + resumed);
     const part = this.partOf(known, now);
     const kept = this.returns.keptFor(priority, now);
     const own = { tokens: this.heldTokens + tokens + kept, requests: this.heldRequests + 1 };
@@ -196,7 +197,7 @@
 
   private partOf(known: Conditions, now: Millis): number {
     const { peerDemand, entries, reporters } = known;
-    return partOf({
+    return demandPartOf({
       own: totalOf(this.demand.perSecond(now)),
       peers: peerDemand && totalOf(peerDemand),
       entries,
--- a/packages/admission/src/ceiling.ts
+++ b/packages/admission/src/ceiling.ts
@@ -3,15 +3,16 @@
  * goes to the most urgent priority that has demand, as those below have a lower ceiling.
  */
 
+import { fullMemoryShare } from '@tanagercart/layers';
 import { totalOf } from './demand.js';
 
-/** Up to this share of the room, every request is admitted. */
+/**
+ * Up to this share of the room, every request is admitted. What is left up to the full share is what
+ * entries may admit too much between two reports, and lets the more urgent ones in.
+ */
 export const openShare = 0.85;
 
-/** Above this share of their memory, stages preempt requests that run. */
-export const fullShare = 0.92;
-
-/** What a priority leaves free for each more urgent one. */
+/** What a priority leaves free for each more urgent one: with two of them, up to the full share. */
 export const ceilingStep = 0.035;
 
 /** A priority with less than this part of the demand counts as without demand. */
@@ -28,7 +29,7 @@
 }
 
 function ceilingAbove(lessUrgent: number): number {
-  return Math.min(fullShare, openShare + lessUrgent * ceilingStep);
+  return Math.min(fullMemoryShare, openShare + lessUrgent * ceilingStep);
 }
 
 /** The priorities that have demand. */
--- a/packages/admission/src/share.ts
+++ b/packages/admission/src/share.ts
@@ -15,7 +15,7 @@
 }
 
 /** Part of the room for this entry, between 0 and 1: its part of the demand, else an even one. */
-export function partOf({ own, peers, entries, reporters, isNew }: KnownDemand): number {
+export function demandPartOf({ own, peers, entries, reporters, isNew }: KnownDemand): number {
   const even = 1 / Math.max(1, entries);
   if (peers === undefined || own + peers <= 0) return even;
   // Entries that do not report have an even part of their own.
--- a/packages/admission/test/components.test.ts
+++ b/packages/admission/test/components.test.ts
@@ -9,7 +9,7 @@
   fairLevel,
   highestCeiling,
   openShare,
-  partOf,
+  demandPartOf,
   roomOf,
 } from '../src/index.js';
 import type { AdmissionRequest, Conditions, RoomStage } from '../src/index.js';
@@ -34,11 +34,11 @@
 
 test('a part follows demand, and is even where demand says nothing', () => {
   const known = { own: 30, peers: 90, entries: 4, reporters: 4, isNew: false };
-  assert.equal(partOf(known), 0.25);
-  assert.equal(partOf({ ...known, own: 90, peers: 30, reporters: 2 }), 0.375);
-  assert.equal(partOf({ ...known, peers: undefined }), 0.25);
-  assert.equal(partOf({ ...known, own: 0, peers: 0 }), 0.25);
-  assert.equal(partOf({ ...known, own: 1, isNew: true }), 0.25);
+  assert.equal(demandPartOf(known), 0.25);
+  assert.equal(demandPartOf({ ...known, own: 90, peers: 30, reporters: 2 }), 0.375);
+  assert.equal(demandPartOf({ ...known, peers: undefined }), 0.25);
+  assert.equal(demandPartOf({ ...known, own: 0, peers: 0 }), 0.25);
+  assert.equal(demandPartOf({ ...known, own: 1, isNew: true }), 0.25);
 });
 
 test('only priorities with less urgent demand may go above the open share', () => {
--- a/packages/admission/test/load.test.ts
+++ b/packages/admission/test/load.test.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { Millis } from '@tanagercart/base';
-import { fullShare, openShare } from '../src/index.js';
+import { fullMemoryShare } from '@tanagercart/layers';
+import { openShare } from '../src/index.js';
 import { play, sum } from './fleetmodel.js';
 import type { Asked, Load, Played } from './fleetmodel.js';
 
@@ -132,7 +133,7 @@
     const played = play(loadOf({ seed, reportsAt: (ms) => !isLost(ms) }));
     assert.ok(servedPart(ofPriority(played, 0)) > 0.97);
     const lost = played.used.filter((u) => isLost(u.at));
-    assert.ok(Math.max(...lost.map((u) => u.part)) < fullShare + 0.08);
+    assert.ok(Math.max(...lost.map((u) => u.part)) < fullMemoryShare + 0.08);
     const mean = sum(lost, (u) => u.part) / lost.length;
     assert.ok(mean > 0.75, `mean use ${mean}`);
   });
--- a/packages/fleet/src/pace.ts
+++ b/packages/fleet/src/pace.ts
@@ -123,7 +123,7 @@
  * those in the data centre of the upstream get one first, in an order that differs for each step and
  * turn. An entry that knows of no other has the whole limit.
  */
-export function partOf(
+export function limitPartOf(
   { limit, step, turn }: Pick<Pace, 'limit' | 'step' | 'turn'>,
   { id, born, dataCentre }: Pick<UpstreamRecord, 'id' | 'born' | 'dataCentre'>,
   self: NodeId,
--- a/packages/fleet/test/pace.test.ts
+++ b/packages/fleet/test/pace.test.ts
@@ -4,7 +4,7 @@
 import { DataCentreId, NodeId, silentLogger } from '@tanagercart/base';
 import type { Millis } from '@tanagercart/base';
 import type { EntryRecord, PaceReport, UpstreamRecord } from '@tanagercart/protocol';
-import { Paces, emptyTally, openPace, partOf, verdictOf } from '../src/index.js';
+import { Paces, emptyTally, openPace, limitPartOf, verdictOf } from '../src/index.js';
 import type { PaceSigns, Tally } from '../src/index.js';
 import { Fleet, announcementOf, documentOf } from './fleet.js';
 
@@ -63,7 +63,9 @@
     fc.property(limits, counts, fc.nat(50), fc.nat(9), (limit, count, step, turn) => {
       const entries = entriesOf(count);
       const upstream = announcementOf('u1');
-      const parts = entries.map((e) => partOf({ limit, step, turn }, upstream, e.node, entries));
+      const parts = entries.map((e) =>
+        limitPartOf({ limit, step, turn }, upstream, e.node, entries),
+      );
       assert.equal(
         parts.reduce((a, b) => a + b, 0),
         limit,
@@ -80,7 +82,7 @@
     return i === 1 ? { ...e, isDetached: true } : e;
   });
   const partAt = (node: string) =>
-    partOf({ limit: 1, step: 1, turn: 0 }, announcementOf('u1'), NodeId(node), entries);
+    limitPartOf({ limit: 1, step: 1, turn: 0 }, announcementOf('u1'), NodeId(node), entries);
   assert.deepEqual(['e0', 'e1', 'e2', 'other'].map(partAt), [0, 0, 1, 0]);
 });
 
@@ -88,7 +90,7 @@
   const entries = entriesOf(12);
   const holders = Array.from({ length: 30 }, (_, turn) =>
     entries.findIndex((e) =>
-      partOf({ limit: 1, step: 1, turn }, announcementOf('u1'), e.node, entries),
+      limitPartOf({ limit: 1, step: 1, turn }, announcementOf('u1'), e.node, entries),
     ),
   );
   assert.ok(new Set(holders).size > 2, holders.join(' '));
--- a/packages/layers/src/cost.ts
+++ b/packages/layers/src/cost.ts
@@ -21,7 +21,7 @@
  * Transfers between data centres queue behind one another on the shared link, so each one counts
  * as at least this many times its own duration; a shorter queue does not change the choice of paths.
  */
-const linkQueueFactor = 8;
+export const linkQueueFactor = 8;
 
 /** Time that a hop adds to each token: the next stage first finishes the pass it is running. */
 const hopMs: Millis = 0.4;
@@ -39,7 +39,7 @@
 export const remoteEntryCostMs: Millis = 120;
 
 /** Above this share of a stage's memory requests are preempted, so paths should avoid the stage. */
-const fullMemoryShare = 0.92;
+export const fullMemoryShare = 0.92;
 
 /** Cost of a stage without memory for the request; a path uses it only where there is no other. */
 const fullMemoryCostMs: Millis = 4000;
--- a/packages/layers/src/link.ts
+++ b/packages/layers/src/link.ts
@@ -5,6 +5,7 @@
  */
 
 import type { Millis } from '@tanagercart/base';
+import { linkQueueFactor } from './cost.js';
 
 /**
  * A link may run at a third of its rate for seconds without a sign but later first tokens, so a
@@ -12,8 +13,11 @@
  */
 const slowLinkFactor = 3;
 
-/** Up to this many transfers of the same size ahead, the entries do not share the rest of the queue. */
-const sharedFromTransfers = 7;
+/**
+ * Up to this many transfers of the same size ahead, the entries do not share the rest of the queue:
+ * a crossing costs no more behind them than on an idle link.
+ */
+const sharedFromTransfers = linkQueueFactor - 1;
 
 /** One transfer, and what is known of the link. */
 export interface LinkDemand {
--- a/packages/relay/src/pacelimits.ts
+++ b/packages/relay/src/pacelimits.ts
@@ -5,7 +5,14 @@
  */
 
 import type { Clock, Logger, Metrics, Millis, NodeId, UpstreamId } from '@tanagercart/base';
-import { emptyTally, openPace, partOf, roundOf, stepPace, verdictOf } from '@tanagercart/fleet';
+import {
+  emptyTally,
+  limitPartOf,
+  openPace,
+  roundOf,
+  stepPace,
+  verdictOf,
+} from '@tanagercart/fleet';
 import type { FleetView, Pace, Tally } from '@tanagercart/fleet';
 import { predictedMs } from '@tanagercart/layers';
 import type {
@@ -208,7 +215,7 @@
     const { self, view } = this.o;
     const { entries } = view;
     if (paced.part?.entries === entries) return paced.part.requests;
-    const requests = partOf(paced.pace, upstream, self, entries);
+    const requests = limitPartOf(paced.pace, upstream, self, entries);
     paced.part = { entries, requests };
     return requests;
   }
