--- a/packages/soak/src/fault.ts
+++ b/packages/soak/src/fault.ts
@@ -213,6 +213,9 @@
   return series;
 }
 
+/** When replacements of voters begin, and how many there are. */
+type SuccessionOptions = Omit<RandomFaultOptions, 'minDiskLossGapMs'>;
+
 /** Time between two replacements, after which the set has settled. */
 const successionIntervalMs: Millis = 18_000;
 
@@ -227,21 +230,32 @@
  */
 export function randomSuccessions(
   random: Random,
-  { fromMs, toMs, count }: Omit<RandomFaultOptions, 'minDiskLossGapMs'>,
+  options: SuccessionOptions,
+): readonly TimedFault[] {
+  return drawSuccessions(random, options, (startMs, index, other) => {
+    const isPlanned = random.next() < 0.5;
+    const work = isPlanned
+      ? planned(random, startMs, index, other)
+      : failing(random, startMs + failingOffsetMs, index);
+    const wipeMs = startMs + (isPlanned ? 0 : failingOffsetMs) + between(random, 10_500, 11_500);
+    const wipe: Fault = { kind: 'wipe', index: other, downMs: between(random, 50, 1500) };
+    return [...work, { atMs: wipeMs, fault: wipe }];
+  });
+}
+
+/** Draws the faults of one replacement after the other: of the voter `index`, beside which `other` fails. */
+function drawSuccessions(
+  random: Random,
+  { fromMs, toMs, count }: SuccessionOptions,
+  draw: (startMs: Millis, index: number, other: number) => readonly TimedFault[],
 ): readonly TimedFault[] {
   const starts = Array.from({ length: count }, (_, i) => fromMs + i * successionIntervalMs);
   return starts
     .filter((startMs) => startMs <= toMs)
-    .flatMap((startMs): readonly TimedFault[] => {
+    .flatMap((startMs) => {
       const index = Math.floor(random.next() * 3);
       const other = (index + 1 + Math.floor(random.next() * 2)) % 3;
-      const isPlanned = random.next() < 0.5;
-      const work = isPlanned
-        ? planned(random, startMs, index, other)
-        : failing(random, startMs + failingOffsetMs, index);
-      const wipeMs = startMs + (isPlanned ? 0 : failingOffsetMs) + between(random, 10_500, 11_500);
-      const wipe: Fault = { kind: 'wipe', index: other, downMs: between(random, 50, 1500) };
-      return [...work, { atMs: wipeMs, fault: wipe }];
+      return draw(startMs, index, other);
     });
 }
 
@@ -252,23 +266,15 @@
  * Draws `count` planned replacements of voters, one after the other, at whose stop another voter loses
  * its disk. They are drawn apart from other faults, like limits.
  */
-export function randomStops(
-  random: Random,
-  { fromMs, toMs, count }: Omit<RandomFaultOptions, 'minDiskLossGapMs'>,
-): readonly TimedFault[] {
-  const starts = Array.from({ length: count }, (_, i) => fromMs + i * successionIntervalMs);
-  return starts
-    .filter((startMs) => startMs <= toMs)
-    .flatMap((atMs): readonly TimedFault[] => {
-      const index = Math.floor(random.next() * 3);
-      const other = (index + 1 + Math.floor(random.next() * 2)) % 3;
-      const wipeMs = atMs + succeedMs + between(random, 0, 300);
-      const wipe: Fault = { kind: 'wipe', index: other, downMs: between(random, 50, 3000) };
-      return [
-        { atMs, fault: { kind: 'succeed', index, afterMs: succeedMs } },
-        { atMs: wipeMs, fault: wipe },
-      ];
-    });
+export function randomStops(random: Random, options: SuccessionOptions): readonly TimedFault[] {
+  return drawSuccessions(random, options, (atMs, index, other) => {
+    const wipeMs = atMs + succeedMs + between(random, 0, 300);
+    const wipe: Fault = { kind: 'wipe', index: other, downMs: between(random, 50, 3000) };
+    return [
+      { atMs, fault: { kind: 'succeed', index, afterMs: succeedMs } },
+      { atMs: wipeMs, fault: wipe },
+    ];
+  });
 }
 
 function planned(
