Take the reports that count in one place of the leader, and a bulletin in one of the entry

Liveness filtered the reports of entries three times by the same rule; what an entry had reported of its demand was kept apart from what it reported of transfers.

--- a/packages/fleet/src/liveness.ts
+++ b/packages/fleet/src/liveness.ts
@@ -217,23 +217,20 @@
   get loads(): ReadonlyMap<UpstreamId, UpstreamLoad> {
     const now = this.clock.now();
     if (now - this.loadSum.at < loadSumMaxAgeMs) return this.loadSum.loads;
-    const recent = [...this.entrySeen.values()].filter((e) => now - e.at <= loadTimeoutMs);
-    this.loadSum = { at: now, loads: sumByUpstream(recent.flatMap((e) => e.loads)) };
+    this.loadSum = { at: now, loads: sumByUpstream(this.reports(now).flatMap((e) => e.loads)) };
     return this.loadSum.loads;
   }
 
   /** Demand at all entries together that report it. */
   get demand(): FleetDemand {
-    const now = this.clock.now();
-    const recent = [...this.entrySeen.values()].filter((e) => now - e.at <= loadTimeoutMs);
-    return sumDemand(recent.flatMap((e) => (e.demand ? [e.demand] : [])));
+    const reports = this.reports(this.clock.now());
+    return sumDemand(reports.flatMap((e) => (e.demand ? [e.demand] : [])));
   }
 
   /** Transfers between data centres of all entries, by service. */
   get transfers(): readonly TransferLoad[] {
-    const now = this.clock.now();
-    const recent = [...this.entrySeen.values()].filter((e) => now - e.at <= loadTimeoutMs);
-    return [...sumByService(recent.flatMap((e) => e.transfers)).values()];
+    const reports = this.reports(this.clock.now());
+    return [...sumByService(reports.flatMap((e) => e.transfers)).values()];
   }
 
   /** Upstreams that failed requests and have sent no heartbeat since, and outliers. */
@@ -274,6 +271,11 @@
     return [...this.entrySeen.values()].filter((e) => now - e.at < entryTimeoutMs);
   }
 
+  /** The entries whose last report still counts towards the sums over all. */
+  private reports(now: Millis): readonly EntrySeen[] {
+    return [...this.entrySeen.values()].filter((e) => now - e.at <= loadTimeoutMs);
+  }
+
   /** Whether a suspicion of the time `at` still holds, as no heartbeat has arrived since. */
   private isFresh(id: UpstreamId, at: Millis): boolean {
     const heartbeatAt = this.upstreamSeen.get(id)?.at ?? -Infinity;
--- a/packages/fleet/src/view.ts
+++ b/packages/fleet/src/view.ts
@@ -198,7 +198,6 @@
     if (upstreams.length > 0 || update.whole) this.revision += 1;
     if (quarantined) this.fingerprints = new Set(quarantined);
     this.index = update.index;
-    this.reportedDemand = call.demand;
     this.applyBulletin(decodeBulletin(update.bulletin), call, latest - repliedAt);
     this.confirmedAt = Math.max(repliedAt, this.confirmedAt);
     this.changed.ring();
@@ -208,7 +207,7 @@
   /** Applies a bulletin that was sent `lateMs` ago at most; the ages in it are as of then. */
   private applyBulletin(
     bulletin: DecodedBulletin,
-    { loads: reported, transfers = [] }: ReportedState,
+    { loads: reported, transfers = [], demand }: ReportedState,
     lateMs: Millis,
   ): void {
     if (bulletin.entries) {
@@ -224,6 +223,7 @@
     };
     this.slowFactors = new Map(bulletin.slow.map((s) => [s.id, s.factor]));
     this.demand = bulletin.demand;
+    this.reportedDemand = demand;
     this.suspects = new Set(bulletin.suspectedParts ?? []);
     this.paces = bulletin.paces ?? [];
     this.o.onLimits((bulletin.limits ?? []).map((n) => ({ ...n, ageMs: n.ageMs + lateMs })));
