--- a/packages/admission/src/demand.ts
+++ b/packages/admission/src/demand.ts
@@ -66,11 +66,6 @@
   return longer.map((rate, i) => rate + (shorter[i] ?? 0));
 }
 
-/** `a` less `b`, none of which is below 0. */
-export function subtractRates(a: readonly number[], b: readonly number[]): readonly number[] {
-  return a.map((rate, i) => Math.max(0, rate - (b[i] ?? 0)));
-}
-
 /** The sum over all priorities. */
 export function totalOf(rates: readonly number[]): number {
   return rates.reduce((n, rate) => n + rate, 0);
--- a/packages/admission/test/fleetmodel.ts
+++ b/packages/admission/test/fleetmodel.ts
@@ -2,7 +2,7 @@
 
 import type { Millis, Random } from '@tanagercart/base';
 import { SeededRandom } from '@tanagercart/base';
-import { Admission, addRates, subtractRates } from '../src/index.js';
+import { Admission, addRates } from '../src/index.js';
 import type { Amount, Conditions } from '../src/index.js';
 
 /** What callers ask for. */
@@ -127,7 +127,8 @@
       tokens: sum(others, (e) => e.held.tokens),
       requests: sum(others, (e) => e.held.requests),
     };
-    entry.heard = { ...none, peerUse, peerDemand: subtractRates(all, entry.demand) };
+    const peerDemand = all.map((rate, p) => Math.max(0, rate - (entry.demand[p] ?? 0)));
+    entry.heard = { ...none, peerUse, peerDemand };
   });
 }
 
--- a/packages/config/src/model.ts
+++ b/packages/config/src/model.ts
@@ -18,6 +18,11 @@
   /** Responds with a stream that another run may resume after any event. */
   | 'resumable-stream';
 
+/** Whether the response is a stream of events. */
+export function isStreamKind(kind: CallKind): boolean {
+  return kind === 'stream' || kind === 'resumable-stream';
+}
+
 /** The share of a route's requests that one service receives, relative to the other weights. */
 export interface TrafficShare {
   readonly service: ServiceId;
--- a/packages/config/src/warnings.ts
+++ b/packages/config/src/warnings.ts
@@ -4,6 +4,7 @@
  */
 
 import type { ConfigurationProblem } from './check.js';
+import { isStreamKind } from './model.js';
 import type { Account, Accelerator, CallerLimits, Configuration, Route, Service } from './model.js';
 
 /** All warnings about a configuration; empty if each of its entries can take effect. */
@@ -31,8 +32,7 @@
     const what = `latency target of ${latencyTargetMs} ms is beyond the timeout of ${timeoutMs} ms`;
     warnings.push(warningOf(where, what, 'lower the target or raise the timeout'));
   }
-  const isStream = kind === 'stream' || kind === 'resumable-stream';
-  if (maxEventGapMs !== undefined && !isStream) {
+  if (maxEventGapMs !== undefined && !isStreamKind(kind)) {
     const what = 'has a target for gaps between events, but is no stream';
     warnings.push(warningOf(where, what, 'remove the target'));
   }
--- a/packages/relay/src/call.ts
+++ b/packages/relay/src/call.ts
@@ -1,6 +1,7 @@
 /** A request of a caller, and the interface through which its response is sent. */
 
 import type { AccountId, Millis, RequestId } from '@tanagercart/base';
+import { isStreamKind } from '@tanagercart/config';
 import type { Route, Service } from '@tanagercart/config';
 import type { RequestSize } from '@tanagercart/layers';
 
@@ -80,5 +81,5 @@
 
 /** Whether the response is a stream of server-sent events. */
 export function isStream(call: Call): boolean {
-  return call.route.kind === 'stream' || call.route.kind === 'resumable-stream';
+  return isStreamKind(call.route.kind);
 }
