--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -9,6 +9,7 @@
 import { jitter } from './jitter.js';
 import { deadlineOf, isRepeatable, isStream } from './call.js';
 import type { Call, Caller } from './call.js';
+import { AttemptPace } from './attemptpace.js';
 import { Attempts } from './attempts.js';
 import type { AttemptNews, RunningAttempt } from './attempts.js';
 import type { Availability } from './availability.js';
@@ -32,7 +33,7 @@
 import type { Holding, Intake } from './intake.js';
 import type { RoomAdmission } from './roomadmission.js';
 import { Overrun } from './overrun.js';
-import type { Expectation, PaceLimits } from './pacelimits.js';
+import type { PaceLimits } from './pacelimits.js';
 import { failureOf, failureOfRead, sendResponse } from './outcome.js';
 import type { AttemptOutcome } from './outcome.js';
 import { Targets } from './targets.js';
@@ -285,11 +286,11 @@
 
   /** Sends the request to the target of an attempt and records the outcome. */
   private async runAttempt(state: RequestState, attempt: RunningAttempt): Promise<AttemptOutcome> {
-    const { clock, client, loads, intake, metrics } = this.o;
+    const { clock, client, loads, intake, metrics, paces } = this.o;
     const { call, delivery, attempts, deadline } = state;
     const { upstream, path, requestLoads, link } = attempt.target;
     const { signal } = attempt.stop;
-    const expectation = this.o.paces?.expect(call, attempt.target, attempt.startedAt);
+    const pace = paces && AttemptPace.create(paces, clock, call, attempt);
     const release = loads.add(requestLoads);
     const recordTransferred = loads.transfers.add(call.service.id, link?.bytes ?? 0);
     const closedLink = link?.decision === 'open' ? undefined : link;
@@ -320,7 +321,7 @@
       recordTransferred();
       this.recordActivity(state, attempt, watch.quietMs);
       watch.recordActivity();
-      if (attempt.events === 0) this.recordPacedAnswer(expectation, attempt);
+      if (attempt.events === 0) pace?.recordAnswer();
       this.crashes.recordEvents(call, attempt.events, count);
       attempt.recordEvents(count);
     };
@@ -335,7 +336,7 @@
         : failureOf(sent._unsafeUnwrapErr());
       const outcome = endOf(received, attempt);
       this.recordOutcome(state, attempt, outcome, response);
-      this.recordPace(state, attempt, expectation, outcome, response);
+      pace?.recordEnd(outcome, this.upstreamAtFault(upstream, response?.culprit), response);
       this.keepErrorResponse(state, outcome, holding);
       return outcome;
     } finally {
@@ -408,41 +409,6 @@
     return known ?? receiver;
   }
 
-  private recordPacedAnswer(expectation: Expectation | undefined, attempt: RunningAttempt): void {
-    const { clock, paces } = this.o;
-    if (expectation) paces?.recordAnswer(expectation, clock.now() - attempt.startedAt);
-  }
-
-  /** Records what the end of an attempt says of the pace of its upstreams. */
-  private recordPace(
-    { delivery }: RequestState,
-    attempt: RunningAttempt,
-    expectation: Expectation | undefined,
-    outcome: AttemptOutcome,
-    response: UpstreamResponse | undefined,
-  ): void {
-    const { clock, paces } = this.o;
-    if (!paces || !expectation) return;
-    const { target, startedAt, events, blamed } = attempt;
-    const tookMs = clock.now() - startedAt;
-    const failed = this.upstreamAtFault(target.upstream, response?.culprit);
-    const isError = response !== undefined && response.head.status >= 500;
-    switch (outcome.kind) {
-      case 'failed':
-        // Too large an answer is no fault of the pace, and a silence has been counted.
-        if (outcome.overrun === undefined && !blamed) paces.record(failed, 'failed', startedAt);
-        return;
-      case 'delivered':
-        if (isError) paces.record(failed, 'failed', startedAt);
-        else if (!delivery) this.recordPacedAnswer(expectation, attempt);
-        return;
-      case 'cancelled':
-      default:
-        // An attempt that was given up counts only once it is slower than one that was answered.
-        if (events === 0 && !blamed) paces.recordUnanswered(expectation, tookMs);
-    }
-  }
-
   /** Records the outcome of an attempt in the log, the metrics and the health of the upstream. */
   private recordOutcome(
     state: RequestState,
