Compute the stages of a path once for an attempt, and the time of a stage in one place

While the link between data centres is closed, an attempt built the stages of all upstreams again for its second search. predictedMs repeated the formula of segmentCostMs, and the pace the size of a request and the weight of utilisation.

--- a/packages/layers/src/cost.ts
+++ b/packages/layers/src/cost.ts
@@ -44,6 +44,20 @@
 /** Cost of a stage without memory for the request; a path uses it only where there is no other. */
 const fullMemoryCostMs: Millis = 4000;
 
+/**
+ * Time that a stage of usual speed computes for a request, given its load: the prefill of the prompt
+ * and a step for each token of the answer, with all layers.
+ */
+export function computeMs(
+  engine: Engine,
+  stage: Stage,
+  { promptTokens, answerTokens }: RequestSize,
+): Millis {
+  const prefillMs = (promptTokens * 1000 * stage.readFactor) / engine.prefillTokensPerSecond;
+  const stepMs = engine.stepMs + stage.sequences * engine.stepMsPerSequence;
+  return prefillMs + answerTokens * stepMs * stage.stepFactor;
+}
+
 /** Cost of prefill and decode of a request on `layers` of `stage`, given the stage's load. */
 export function segmentCostMs(
   engine: Engine,
@@ -53,13 +67,11 @@
 ): Millis {
   const layerCount = layers.to - layers.from;
   const layerShare = layerCount / engine.layerCount;
-  const prefillMs = (size.promptTokens * 1000 * stage.readFactor) / engine.prefillTokensPerSecond;
-  const stepMs = engine.stepMs + stage.sequences * engine.stepMsPerSequence;
-  const decodeMs = size.answerTokens * decodeWeight * stepMs * stage.stepFactor;
+  const weighted = { ...size, answerTokens: size.answerTokens * decodeWeight };
   // A slow stage takes longer for each request and also builds up a queue, so `slowness` counts
   // twice.
-  const computeMs = (prefillMs + decodeMs) * layerShare * stage.slowness ** 2;
-  return computeMs + memoryCostMs(stage, layerCount, size);
+  const weightedMs = computeMs(engine, stage, weighted) * layerShare * stage.slowness ** 2;
+  return weightedMs + memoryCostMs(stage, layerCount, size);
 }
 
 /** Delay that a hop adds to the tokens of a request, within or between data centres. */
--- a/packages/relay/src/balancer.ts
+++ b/packages/relay/src/balancer.ts
@@ -19,7 +19,7 @@
 import type { FleetView } from '@tanagercart/fleet';
 import type { Availability } from './availability.js';
 import type { Call } from './call.js';
-import { estimateLoad } from './estimate.js';
+import { estimateLoad, loadFactor } from './estimate.js';
 import type { Health } from './health.js';
 import type { Loads } from './loads.js';
 import type { PaceLimits } from './pacelimits.js';
@@ -195,13 +195,14 @@
     const work = expectedWork(call, engine);
     const queueMs = this.linkQueueMs(call.service);
     const isOpen = this.mayCross(engine, work, selection, queueMs);
-    const search = (upstreams: readonly UpstreamRecord[], linkQueueMs: Millis) =>
-      this.searchPath(engine, upstreams, work, selection, linkQueueMs);
-    const searchAll = (upstreams: readonly UpstreamRecord[]) => {
-      const within = isOpen ? undefined : search(upstreams, Infinity);
-      return within && hasRoom(within, work) ? within : search(upstreams, queueMs);
+    const search = (upstreams: readonly UpstreamRecord[]) => {
+      const stages = this.stagesOf(engine, upstreams, selection);
+      const searchBehind = (linkQueueMs: Millis) =>
+        this.searchPath(engine, stages, work, selection, linkQueueMs);
+      const within = isOpen ? undefined : searchBehind(Infinity);
+      return within && hasRoom(within, work) ? within : searchBehind(queueMs);
     };
-    const path = searchAll(this.preferHealthy(holders, selection)) ?? searchAll(holders);
+    const path = search(this.preferHealthy(holders, selection)) ?? search(holders);
     const first = path?.[0];
     if (!path || !first) return holders.length === 0 ? 'no-upstream' : 'no-path';
     const requestLoads = path.map(({ stage, layers }, i) => ({
@@ -218,17 +219,12 @@
 
   private searchPath(
     engine: Engine,
-    upstreams: readonly UpstreamRecord[],
+    stages: readonly Stage[],
     work: RequestSize,
-    selection: Selection,
+    { receivers }: Selection,
     linkQueueMs: Millis,
   ) {
     const { random, dataCentre } = this.o;
-    const { receivers } = selection;
-    const peers = this.peerCount();
-    const stages = upstreams.flatMap((u) =>
-      this.stageOf(engine, u, peers, this.entryWaitMs(u, selection)),
-    );
     return findPath({
       engine,
       stages,
@@ -240,6 +236,15 @@
     });
   }
 
+  private stagesOf(
+    engine: Engine,
+    upstreams: readonly UpstreamRecord[],
+    selection: Selection,
+  ): readonly Stage[] {
+    const peers = this.peerCount();
+    return upstreams.flatMap((u) => this.stageOf(engine, u, peers, this.entryWaitMs(u, selection)));
+  }
+
   /** Wait until the upstream accepts the request; infinite where that would be too late. */
   private entryWaitMs(upstream: UpstreamRecord, { withoutPermit, maxWaitMs }: Selection): Millis {
     const { availability } = this.o;
@@ -294,11 +299,11 @@
   private costOf(upstream: UpstreamRecord, peers: number): number {
     const { health, random, dataCentre, paces } = this.o;
     const slots = Math.min(upstream.slots, paces?.limitOf(upstream) ?? Infinity);
-    const utilisation = this.loadAt(upstream.id, peers).sequences / Math.max(1, slots);
+    const load = loadFactor(this.loadAt(upstream.id, peers).sequences, slots);
     const ms = health.meanMsOf(upstream) ?? defaultResponseMs;
     const failurePenalty = 1 + failureFactor * health.failureRateOf(upstream);
     const distance = upstream.dataCentre === dataCentre ? 1 : remoteFactor;
-    return ms * (1 + utilisation * 2) * failurePenalty * distance * (1 + random.next() * 0.1);
+    return ms * load * failurePenalty * distance * (1 + random.next() * 0.1);
   }
 
   /** The upstream as a stage; empty where it holds no layers or its accelerator is unknown. */
--- a/packages/relay/src/estimate.ts
+++ b/packages/relay/src/estimate.ts
@@ -8,6 +8,14 @@
 import { addLoad, clampLoad, emptyLoad } from '@tanagercart/fleet';
 import type { UpstreamLoad } from '@tanagercart/protocol';
 
+/** Weight of utilisation in the response time of a plain upstream. */
+const utilisationWeight = 2;
+
+/** Factor by which the requests in progress prolong the response time of a plain upstream. */
+export function loadFactor(sequences: number, slots: number): number {
+  return 1 + (sequences / Math.max(1, slots)) * utilisationWeight;
+}
+
 /**
  * The load of an upstream: that of this entry now (`own`), that of the other entries as last
  * reported (`others`), and what `peers` of them have changed since, assuming that each changed its
--- a/packages/relay/src/pacelimits.ts
+++ b/packages/relay/src/pacelimits.ts
@@ -22,9 +22,11 @@
   UpstreamIncarnation,
   UpstreamRecord,
 } from '@tanagercart/protocol';
+import { expectedWork } from './balancer.js';
 import type { Target } from './balancer.js';
 import { isStream } from './call.js';
 import type { Call } from './call.js';
+import { loadFactor } from './estimate.js';
 import type { Loads } from './loads.js';
 
 /**
@@ -44,9 +46,6 @@
 /** Weight of the newest answer in the mean ratio of actual to predicted time. */
 const smoothingFactor = 0.1;
 
-/** Weight of utilisation in the response time of a plain upstream, as in the cost of the balancer. */
-const utilisationWeight = 2;
-
 /** How long an attempt should take, in units of the prediction. */
 export interface Expectation {
   readonly startedAt: Millis;
@@ -133,9 +132,8 @@
       const paced = this.pacedOf(upstream) ? [upstream] : [];
       return { startedAt, key, predicted, predictedPaced: predicted, paced };
     }
-    const promptTokens = call.work?.promptTokens ?? engine.meanPromptTokens;
-    const answerTokens = call.work?.answerTokens ?? engine.meanAnswerTokens;
-    const size = { promptTokens, answerTokens: mode === 'first' ? 1 : answerTokens };
+    const work = expectedWork(call, engine);
+    const size = mode === 'first' ? { ...work, answerTokens: 1 } : work;
     let [predicted, predictedPaced] = [0, 0];
     const paced: UpstreamIncarnation[] = [];
     for (const segment of path) {
@@ -208,7 +206,7 @@
   private predictedAt({ id, slots }: UpstreamRecord): number {
     const { loads, view } = this.o;
     const sequences = (loads.at(id)?.sequences ?? 0) + (view.peerLoadAt(id)?.sequences ?? 0);
-    return 1 + (utilisationWeight * sequences) / Math.max(1, slots);
+    return loadFactor(sequences, slots);
   }
 
   private partAt(upstream: UpstreamRecord, paced: Paced): number {
