Show that a check-in of a foreign service displaces the upstream at its address

Cause: the registry takes any upstream that checks in at an address for the one that is there now, also one of a service that no configuration names, and records the one before as gone for good.

Change: review/8 has another writer check in once for each upstream of a service; the requests of that service are refused from then on (Starved). The stand-ins of review/ end their processes however a script ends. No code is changed.

--- a/review/8/run.mjs
+++ b/review/8/run.mjs
@@ -1,109 +1,120 @@
-// A request crashes each replica that runs it, after the first events of its answer, and comes again.
+// Another writer checks in replicas of a service that isn't named here, at addresses of ours. These check-ins
+// name no replica to use; the others hold. So the replicas that go on checking in must go on serving.
 import { attemptId, configOf, exchange, Replica, runCase, sleep, trouble } from '../rig-2.mjs';
 
-const host = 'advice.example';
 const key = 'key-of-quay-1';
-const contactMs = 3000;
-const backMs = 2500;
-const repeats = 8;
-const everyMs = 4500;
+const seconds = 40;
+const route = (name, host, service, kind) => ({
+  name,
+  host,
+  pathPrefix: `/${name}/`,
+  kind,
+  timeoutMs: 2000,
+  latencyGoalMs: 300,
+  priority: 2,
+  service,
+  maxAttempts: kind === 'idempotent' ? 2 : 1,
+  public: false,
+});
 const routes = [
-  {
-    name: 'advice',
-    host,
-    pathPrefix: '/advice/',
-    kind: 'streaming',
-    timeoutMs: 10000,
-    latencyGoalMs: 500,
-    priority: 1,
-    service: 'pool',
-    maxAttempts: 2,
-    public: false,
-    sticky: true,
-    resumable: true,
-    itlTargetMs: 200,
-  },
+  route('lookup', 'desk.example', 'desk', 'idempotent'),
+  route('order', 'desk.example', 'desk', 'non_idempotent'),
+  route('match', 'finish.example', 'finishes', 'idempotent'),
 ];
 
 await runCase({
   async run(rig) {
     const { record } = rig;
-    const crashes = [];
-    const arrivals = [];
     const serve = async (request, response, body, replica) => {
-      const id = request.headers['attempt-id'];
-      const last = Number(request.headers['last-event-id'] ?? 0);
-      const isPoison = body.toString() === 'poison';
       record.add(
-        `replica ${replica.id} runs ${id} from event ${last + 1}${isPoison ? ', which will crash it' : ''}`,
+        `replica ${replica.id} of ${replica.service} runs ${request.headers['attempt-id']}`,
       );
-      if (isPoison) arrivals.push(Date.now());
-      response.writeHead(200, {
-        'Attempt-Id': id,
-        'Response-Signature': `sig.${replica.id}`,
-        'Content-Type': 'text/event-stream',
-      });
-      for (let event = last + 1; event <= 20; event += 1) {
-        if (response.destroyed) return;
-        response.write(`id: ${event}\ndata: text ${event}\n\n`);
-        await sleep(30);
-        if (isPoison && event === last + 3) {
-          crashes.push({ replica: replica.id, at: Date.now() });
-          void replica.crashFor(backMs);
-          return;
-        }
-      }
-      response.end();
+      await sleep(20);
+      replica.answer(request, response, 'done');
     };
-    for (let i = 0; i < 6; i += 1) {
-      await new Replica(rig, 'pool', { serve, slots: 20, zone: `zone-${'abc'[i % 3]}` }).start();
+    const desks = [];
+    for (let i = 0; i < 3; i += 1) {
+      const zone = `zone-${'abc'[i]}`;
+      desks.push(new Replica(rig, 'desk', { serve, zone }));
+      await desks[i].start();
+      await new Replica(rig, 'finishes', { serve, zone }).start();
+    }
+    const tenants = [{ name: 'quay', apiKeys: [key], priority: 1 }];
+    const config = configOf(1, routes, ['desk', 'finishes'], tenants);
+    if ((await rig.replaceConfig(config)) !== 200) {
+      return { text: 'no configuration was accepted' };
     }
-    const config = configOf(1, routes, ['pool'], [{ name: 'quay', apiKeys: [key], priority: 1 }]);
-    if ((await rig.replaceConfig(config)) !== 200) return { text: 'no configuration was accepted' };
-    if (!(await rig.awaitReady())) return { text: 'the entries were not ready' };
-    await sleep(4000);
-    let served = 0;
-    const send = async (entry, body) => {
+    if (!(await rig.awaitReady())) {
+      return { text: 'the entries were not ready' };
+    }
+    await sleep(3000);
+    const counts = new Map(routes.map(({ name }) => [name, { asked: 0, served: 0 }]));
+    let sent = 0;
+    const sendOne = async ({ name, host, kind }) => {
+      sent += 1;
+      const entry = rig.entries[sent % rig.entries.length];
       const id = attemptId();
       const headers = {
         Host: host,
         'Attempt-Id': id,
-        'Deadline-Ms': '10000',
+        'Deadline-Ms': '2000',
         Authorization: `Token ${key}`,
       };
-      const reply = await exchange(
-        `${entry.ip}:${rig.ports.frontend}`,
-        'POST',
-        '/advice/1',
-        headers,
-        body,
-        10500,
-      );
+      const method = kind === 'idempotent' ? 'GET' : 'POST';
+      const body = kind === 'idempotent' ? undefined : '{"trays":1}';
+      const address = `${entry.ip}:${rig.ports.frontend}`;
+      const reply = await exchange(address, method, `/${name}/1`, headers, body, 2500);
       record.add(
-        `client: ${id} POST /advice/1 (${body}) at ${entry.name} -> ${reply.status ?? ''} ${reply.complete ? 'complete' : reply.error}`,
+        `client: ${id} ${method} /${name}/1 at ${entry.name} -> ${reply.status ?? reply.error}`,
       );
-      if (body === 'sound' && reply.status === 200 && reply.complete) served += 1;
+      return reply.status === 200;
     };
-    for (let i = 0; i < repeats; i += 1) {
-      const entry = rig.entries[i % rig.entries.length];
-      void send(rig.entries[(i + 1) % rig.entries.length], 'sound');
-      if (trouble) void send(entry, 'poison');
-      await sleep(everyMs);
+    for (const each of routes) {
+      if (!(await sendOne(each))) {
+        return { text: `${each.name} was not served before` };
+      }
     }
-    const replicasCrashed = new Set();
-    let thirdAt = Infinity;
-    for (const { replica, at } of crashes) {
-      replicasCrashed.add(replica);
-      if (replicasCrashed.size === 3) {
-        thirdAt = at;
-        break;
+    if (trouble) {
+      for (const { address } of desks) {
+        const body = {
+          service: 'stock-of-another-house',
+          address,
+          zone: 'zone-a',
+          version: 'v1',
+          slots: 6,
+          state: 'ready',
+          coldRemainingMs: 0,
+          sequence: 1,
+          born: Date.now(),
+        };
+        const id = `x-${address.split(':')[0].split('.').at(-1)}`;
+        record.add(`another writer: checks in ${id} of ${body.service} at ${address}, once`);
+        await rig.control(
+          'POST',
+          `/tanagercart/Instances.Heartbeat/${id}`,
+          JSON.stringify(body),
+          'another writer',
+          3000,
+        );
       }
     }
-    const late = arrivals.filter((at) => at > thirdAt + contactMs).length;
-    const text = `${crashes.length} crashes; the request reached replicas ${late} times later than ${contactMs} ms after the third (allowed: 3); ${served} sound requests were served`;
-    if (!trouble && served < repeats / 2) {
-      return { text: `only ${served} sound requests were served` };
+    const until = Date.now() + seconds * 1000;
+    while (Date.now() < until) {
+      for (const each of routes) {
+        const count = counts.get(each.name);
+        count.asked += 1;
+        count.served += (await sendOne(each)) ? 1 : 0;
+      }
+      await sleep(250);
     }
-    return { broken: late > 3, text };
+    const all = [...counts.values()];
+    const share = (some) =>
+      some.reduce((n, c) => n + c.served, 0) / some.reduce((n, c) => n + c.asked, 0);
+    const starved = [...counts]
+      .filter(([, c]) => share([c]) < share(all) / 4)
+      .map(([name]) => name);
+    const figures = [...counts].map(([name, c]) => `${name} ${c.served} of ${c.asked}`).join(', ');
+    const text = `served: ${figures}; served less than a quarter as often as all: ${starved.join(', ') || 'none'}`;
+    return { broken: starved.length > 0, text };
   },
 });
--- a/review/rig-2.mjs
+++ b/review/rig-2.mjs
@@ -78,6 +78,21 @@
   return /^run = "([^"]+)"/m.exec(section)[1].split(' ');
 }
 
+/** The running processes of the system; they end with this one, however it ends. */
+const running = new Set();
+process.on('exit', () => {
+  for (const child of running) {
+    child.kill('SIGKILL');
+  }
+});
+for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP']) {
+  process.on(signal, () => process.exit(2));
+}
+process.on('uncaughtException', (e) => {
+  process.stdout.write(`could not run: ${e.stack}\n`);
+  process.exit(2);
+});
+
 /** One machine with one process of the system. */
 export class Machine {
   constructor(rig, name, role, ip, settings) {
@@ -96,9 +111,11 @@
       stdio: ['ignore', 'pipe', 'pipe'],
     });
     this.child = child;
+    running.add(child);
     child.stdout.pipe(this.log, { end: false });
     child.stderr.pipe(this.log, { end: false });
     child.once('exit', (code, signal) => {
+      running.delete(child);
       this.rig.record.add(`platform: process of ${this.name} has ended (${code ?? signal})`);
       if (this.child === child) this.child = undefined;
     });
