--- a/review/10/run.mjs
+++ b/review/10/run.mjs
@@ -1,115 +1,109 @@
-// Replicas lose the answers of some requests that they ran, and are full now and then. A request must not run
-// on more replicas than its route's `maxAttempts`.
+// A request crashes each replica that runs it, after the first events of its answer, and comes again.
 import { attemptId, configOf, exchange, Replica, runCase, sleep, trouble } from '../rig-2.mjs';
 
-const host = 'desk.example';
+const host = 'advice.example';
 const key = 'key-of-quay-1';
-const seconds = 75;
-const clients = 48;
-/** The largest doses of `answer_lost` with resets in the site file. */
-const replicaShare = 0.5;
-const answerShare = 0.05;
-const slots = 3;
-const queue = 1;
-const workMs = 30;
+const contactMs = 3000;
+const backMs = 2500;
+const repeats = 8;
+const everyMs = 4500;
 const routes = [
   {
-    name: 'lookup',
+    name: 'advice',
     host,
-    pathPrefix: '/lookup/',
-    kind: 'idempotent',
-    timeoutMs: 2000,
-    latencyGoalMs: 300,
-    priority: 2,
-    service: 'desk',
-    maxAttempts: 1,
+    pathPrefix: '/advice/',
+    kind: 'streaming',
+    timeoutMs: 10000,
+    latencyGoalMs: 500,
+    priority: 1,
+    service: 'pool',
+    maxAttempts: 2,
     public: false,
+    sticky: true,
+    resumable: true,
+    itlTargetMs: 200,
   },
 ];
 
 await runCase({
   async run(rig) {
     const { record } = rig;
-    /** The replicas that ran each request. */
-    const runs = new Map();
-    const lost = new Set();
-    let rejected = 0;
+    const crashes = [];
+    const arrivals = [];
     const serve = async (request, response, body, replica) => {
       const id = request.headers['attempt-id'];
-      if (replica.waiting >= slots + queue) {
-        rejected += 1;
-        response.writeHead(503, { 'Attempt-Id': id, 'Not-Executed': '1', 'Content-Length': 0 });
-        response.end();
-        return;
-      }
-      replica.waiting += 1;
-      while (replica.busy >= slots) {
-        await sleep(5);
-      }
-      if (response.destroyed) {
-        replica.waiting -= 1;
-        return;
-      }
-      replica.busy += 1;
-      const known = runs.get(id) ?? new Set();
-      runs.set(id, known.add(replica.id));
-      await sleep(workMs);
-      replica.busy -= 1;
-      replica.waiting -= 1;
-      if (trouble && replica.loses && Math.random() < answerShare) {
-        lost.add(id);
-        record.add(`replica ${replica.id} ran ${id}; its answer is lost, the channel is reset`);
-        request.socket.resetAndDestroy();
-        return;
+      const last = Number(request.headers['last-event-id'] ?? 0);
+      const isPoison = body.toString() === 'poison';
+      record.add(
+        `replica ${replica.id} runs ${id} from event ${last + 1}${isPoison ? ', which will crash it' : ''}`,
+      );
+      if (isPoison) arrivals.push(Date.now());
+      response.writeHead(200, {
+        'Attempt-Id': id,
+        'Response-Signature': `sig.${replica.id}`,
+        'Content-Type': 'text/event-stream',
+      });
+      for (let event = last + 1; event <= 20; event += 1) {
+        if (response.destroyed) return;
+        response.write(`id: ${event}\ndata: text ${event}\n\n`);
+        await sleep(30);
+        if (isPoison && event === last + 3) {
+          crashes.push({ replica: replica.id, at: Date.now() });
+          void replica.crashFor(backMs);
+          return;
+        }
       }
-      replica.answer(request, response, `done ${id}`);
+      response.end();
     };
-    for (let i = 0; i < 4; i += 1) {
-      const replica = new Replica(rig, 'desk', { serve, slots, zone: `zone-${'abc'[i % 3]}` });
-      Object.assign(replica, { busy: 0, waiting: 0, loses: i < 4 * replicaShare });
-      await replica.start();
-    }
-    const tenants = [{ name: 'quay', apiKeys: [key], priority: 1 }];
-    if ((await rig.replaceConfig(configOf(1, routes, ['desk'], tenants))) !== 200) {
-      return { text: 'no configuration was accepted' };
+    for (let i = 0; i < 6; i += 1) {
+      await new Replica(rig, 'pool', { serve, slots: 20, zone: `zone-${'abc'[i % 3]}` }).start();
     }
-    if (!(await rig.awaitReady())) {
-      return { text: 'the entries were not ready' };
+    const config = configOf(1, routes, ['pool'], [{ name: 'quay', apiKeys: [key], priority: 1 }]);
+    if ((await rig.replaceConfig(config)) !== 200) return { text: 'no configuration was accepted' };
+    if (!(await rig.awaitReady())) return { text: 'the entries were not ready' };
+    await sleep(4000);
+    let served = 0;
+    const send = async (entry, body) => {
+      const id = attemptId();
+      const headers = {
+        Host: host,
+        'Attempt-Id': id,
+        'Deadline-Ms': '10000',
+        Authorization: `Token ${key}`,
+      };
+      const reply = await exchange(
+        `${entry.ip}:${rig.ports.frontend}`,
+        'POST',
+        '/advice/1',
+        headers,
+        body,
+        10500,
+      );
+      record.add(
+        `client: ${id} POST /advice/1 (${body}) at ${entry.name} -> ${reply.status ?? ''} ${reply.complete ? 'complete' : reply.error}`,
+      );
+      if (body === 'sound' && reply.status === 200 && reply.complete) served += 1;
+    };
+    for (let i = 0; i < repeats; i += 1) {
+      const entry = rig.entries[i % rig.entries.length];
+      void send(rig.entries[(i + 1) % rig.entries.length], 'sound');
+      if (trouble) void send(entry, 'poison');
+      await sleep(everyMs);
     }
-    await sleep(3000);
-    const ends = {};
-    const until = Date.now() + seconds * 1000;
-    const loop = async (number) => {
-      while (Date.now() < until) {
-        const id = attemptId();
-        const entry = rig.entries[number % rig.entries.length];
-        const headers = {
-          Host: host,
-          'Attempt-Id': id,
-          'Deadline-Ms': '2000',
-          Authorization: `Token ${key}`,
-        };
-        const address = `${entry.ip}:${rig.ports.frontend}`;
-        const reply = await exchange(address, 'GET', '/lookup/1', headers, undefined, 3000);
-        const end = String(reply.status ?? reply.error);
-        ends[end] = (ends[end] ?? 0) + 1;
-        const ran = runs.get(id)?.size ?? 0;
-        if (ran > 1) {
-          record.add(
-            `client: ${id} at ${entry.name} -> ${end}; it ran on ${[...runs.get(id)].join(', ')}`,
-          );
-        }
-        // Refused ones come back as they are told to, at once at the least.
-        await sleep(reply.status === 200 ? Math.random() * 40 : 100);
+    const replicasCrashed = new Set();
+    let thirdAt = Infinity;
+    for (const { replica, at } of crashes) {
+      replicasCrashed.add(replica);
+      if (replicasCrashed.size === 3) {
+        thirdAt = at;
+        break;
       }
-    };
-    await Promise.all(Array.from({ length: clients }, (_, i) => loop(i)));
-    await sleep(500);
-    const over = [...runs.values()].filter((replicas) => replicas.size > 1).length;
-    const text = `${runs.size} requests ran, ${lost.size} answers were lost, ${rejected} sendings were rejected; ${over} requests ran on more than 1 replica, their route's maxAttempts (allowed: 3); answers: ${JSON.stringify(ends)}`;
-    if (!ends['200']) {
-      return { text };
     }
-    return { broken: over > 3, text };
+    const late = arrivals.filter((at) => at > thirdAt + contactMs).length;
+    const text = `${crashes.length} crashes; the request reached replicas ${late} times later than ${contactMs} ms after the third (allowed: 3); ${served} sound requests were served`;
+    if (!trouble && served < repeats / 2) {
+      return { text: `only ${served} sound requests were served` };
+    }
+    return { broken: late > 3, text };
   },
 });
--- a/review/rig-2.mjs
+++ b/review/rig-2.mjs
@@ -260,6 +260,25 @@
     return rig;
   }
 
+  /** Adds an empty core machine at a new address, in the place of `gone`. */
+  async replaceVoter(gone) {
+    const ip = `${this.block}.${20 + this.voters.length}`;
+    const name = `core-${this.voters.length + 1}`;
+    const disk = join(this.folder, `disk-${name}`);
+    await mkdir(disk);
+    const settings = gone.settings
+      .replaceAll(`"${gone.name}"`, `"${name}"`)
+      .replaceAll(gone.ip, ip)
+      .replace('bootstrap = true', 'bootstrap = false')
+      .replace(/^dataDir = .*$/m, `dataDir = "${disk}"`);
+    const machine = new Machine(this, name, 'voter', ip, settings);
+    this.voters.push(machine);
+    this.controls = this.controls.filter((c) => !c.startsWith(`${gone.ip}:`));
+    this.controls.push(`${ip}:${this.ports.control}`);
+    await machine.start();
+    return machine;
+  }
+
   /** Asks an entry whether it is ready. */
   async isReady(machine) {
     const reply = await exchange(
