--- a/review/10/run.mjs
+++ b/review/10/run.mjs
@@ -71,6 +71,7 @@
         'Deadline-Ms': '10000',
         Authorization: `Token ${key}`,
       };
+      record.add(`client: sends ${id} POST /advice/1 (${body}) to ${entry.name}`);
       const reply = await exchange(
         `${entry.ip}:${rig.ports.frontend}`,
         'POST',
--- a/review/6/run.mjs
+++ b/review/6/run.mjs
@@ -14,12 +14,14 @@
 
 const host = 'desk.example';
 const key = 'key-of-quay-1';
-const seconds = 40;
+/** Time before the disruption, its length (`for_s` in the site file), and time after it. */
+const calmS = 4;
+const troubleS = 5;
 const clients = 12;
 const pauseMs = 80;
-/** The largest doses of `garble` in the site file: the replicas' share, and their answers' share. */
-const replicaShare = 0.6;
-const answerShare = 0.03;
+/** `garble` with `how = "unframed"` in the site file: half of the replicas, and x of their answers. */
+const replicaShare = 0.5;
+const answerShare = 0.05;
 const route = (name, pathPrefix, kind) => ({
   name,
   host,
@@ -96,9 +98,10 @@
     if (socket.destroyed) return;
     const body = textOf(id, this.id);
     const whole = `HTTP/1.1 200 OK\r\nAttempt-Id: ${id}\r\nResponse-Signature: sig.${this.id}.${id}\r\nConnection: close\r\n\r\n`;
-    const isBroken = trouble && this.breaksOff && Math.random() < answerShare;
+    const isBroken = this.breaksOff && this.rig.isTroubled && Math.random() < answerShare;
     if (!isBroken) {
       this.rig.runs.push({ id, replica: this.id, broken: false });
+      this.rig.record.add(`replica ${this.id} runs ${id} and answers with ${body.length} bytes`);
       socket.end(whole + body);
       return;
     }
@@ -116,9 +119,9 @@
   async run(rig) {
     const { record } = rig;
     rig.runs = [];
-    for (let i = 0; i < 5; i += 1) {
+    for (let i = 0; i < 4; i += 1) {
       const replica = new Unframed(rig, 'desk', { zone: `zone-${'abc'[i % 3]}` });
-      replica.breaksOff = i < 5 * replicaShare;
+      replica.breaksOff = i < 4 * replicaShare;
       await replica.start();
     }
     const config = configOf(1, routes, ['desk'], [{ name: 'quay', apiKeys: [key], priority: 1 }]);
@@ -127,7 +130,13 @@
     await sleep(3000);
     const ends = {};
     const wrong = [];
-    const until = Date.now() + seconds * 1000;
+    const until = Date.now() + (2 * calmS + troubleS) * 1000;
+    const disturb = async () => {
+      await sleep(calmS * 1000);
+      rig.isTroubled = trouble;
+      await sleep(troubleS * 1000);
+      rig.isTroubled = false;
+    };
     const one = async (number) => {
       const id = attemptId();
       const isOrder = Math.random() < 0.6;
@@ -135,6 +144,7 @@
       const body = isOrder ? '{"trays":40}' : '';
       const target = isOrder ? 'POST /order/1' : 'GET /lookup/1';
       const head = `${target} HTTP/1.1\r\nHost: ${host}\r\nAttempt-Id: ${id}\r\nDeadline-Ms: 2000\r\nAuthorization: Token ${key}\r\nConnection: close\r\n${isOrder ? `Content-Length: ${body.length}\r\n` : ''}\r\n`;
+      record.add(`client: sends ${id} ${target} to ${entry.name}`);
       const answer = await rawExchange(`${entry.ip}:${rig.ports.frontend}`, head + body, 4000);
       const { status, headers, body: text, isComplete } = parseAnswer(answer);
       const what = `${status ?? 'none'}${isComplete ? '' : ', incomplete'}`;
@@ -144,7 +154,10 @@
         return;
       }
       const replica = headers['response-signature']?.split('.')[1];
-      if (text === textOf(id, replica)) return;
+      if (text === textOf(id, replica)) {
+        record.add(`client: ${id} at ${entry.name} -> 200, whole`);
+        return;
+      }
       wrong.push(id);
       record.add(
         `client: ${id} ${target} at ${entry.name} -> 200, complete by the end of its channel (${answer.end}), but with ${text.length} of ${textOf(id, replica).length} bytes of the answer of ${replica}`,
@@ -156,7 +169,7 @@
         await sleep(pauseMs * (0.5 + Math.random()));
       }
     };
-    await Promise.all(Array.from({ length: clients }, (_, i) => loop(i)));
+    await Promise.all([disturb(), ...Array.from({ length: clients }, (_, i) => loop(i))]);
     const broken = rig.runs.filter((r) => r.broken).length;
     const text = `${rig.runs.length} runs, ${broken} answers reset on the way; ${wrong.length} of them reached a client as a complete success; answers: ${JSON.stringify(ends)}`;
     if (!ends['200']) return { text };
--- a/review/7/run.mjs
+++ b/review/7/run.mjs
@@ -62,6 +62,7 @@
             'Deadline-Ms': '2000',
             Authorization: `Token ${key}`,
           };
+          record.add(`client: sends ${id} ${method} ${path} to ${entry.name} with ${what}`);
           const reply = await exchange(
             `${entry.ip}:${rig.ports.frontend}`,
             method,
--- a/review/8/run.mjs
+++ b/review/8/run.mjs
@@ -63,6 +63,7 @@
       const method = kind === 'idempotent' ? 'GET' : 'POST';
       const body = kind === 'idempotent' ? undefined : '{"trays":1}';
       const address = `${entry.ip}:${rig.ports.frontend}`;
+      record.add(`client: sends ${id} ${method} /${name}/1 to ${entry.name}`);
       const reply = await exchange(address, method, `/${name}/1`, headers, body, 2500);
       record.add(
         `client: ${id} ${method} /${name}/1 at ${entry.name} -> ${reply.status ?? reply.error}`,
--- a/review/rig-2.mjs
+++ b/review/rig-2.mjs
@@ -15,11 +15,15 @@
 const root = resolve(dirname(fileURLToPath(import.meta.url)), '..');
 export const trouble = process.env.TROUBLE !== '0';
 
-/** Writes what was sent, answered and run to `record.txt` beside the script. */
+/** The record that is being written. */
+let written;
+
+/** Writes what was sent, answered and run to the file that `run.sh` names, `record.txt` in its folder. */
 export class Record {
-  constructor(folder) {
+  constructor(path) {
     this.startedAt = Date.now();
-    this.file = createWriteStream(join(folder, 'record.txt'));
+    this.file = createWriteStream(path, { flags: 'a' });
+    written = this;
   }
   get ms() {
     return Date.now() - this.startedAt;
@@ -85,13 +89,17 @@
     child.kill('SIGKILL');
   }
 });
+/** Ends a run that can't go on, with its record kept. */
+function leave(why) {
+  process.stdout.write(`could not run: ${why}\n`);
+  written?.add(`could not run: ${why}`);
+  setTimeout(() => process.exit(2), 1000);
+  void (written?.end() ?? Promise.resolve()).then(() => process.exit(2));
+}
 for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP']) {
-  process.on(signal, () => process.exit(2));
+  process.on(signal, () => leave(signal));
 }
-process.on('uncaughtException', (e) => {
-  process.stdout.write(`could not run: ${e.stack}\n`);
-  process.exit(2);
-});
+process.on('uncaughtException', (e) => leave(e.stack));
 
 /** One machine with one process of the system. */
 export class Machine {
@@ -181,9 +189,9 @@
 
 /** Voters, entries, and all stand-ins of one run. */
 export class Rig {
-  static async create(folder, { voters = 3, entries = 2, heartbeatMs = 1200 } = {}) {
+  static async create(recordPath, { voters = 3, entries = 2, heartbeatMs = 1200 } = {}) {
     const rig = new Rig();
-    rig.record = new Record(folder);
+    rig.record = new Record(recordPath);
     rig.folder = await mkdtemp(join(tmpdir(), 'review-'));
     rig.heartbeatMs = heartbeatMs;
     const block = `127.${20 + (process.pid % 200)}.${1 + Math.floor(Math.random() * 250)}`;
@@ -539,7 +547,7 @@
 /** Runs a case: exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. */
 export async function runCase(body) {
   let code = 2;
-  const guard = setTimeout(() => process.exit(2), 118_000);
+  const guard = setTimeout(() => leave('the time is over'), 115_000);
   let rig;
   const ends = async () => {
     clearTimeout(guard);
@@ -547,8 +555,8 @@
     process.exit(code);
   };
   try {
-    const folder = process.argv[2];
-    rig = await Rig.create(folder, body.options ?? {});
+    const [, , recordPath] = process.argv;
+    rig = await Rig.create(recordPath, body.options ?? {});
     const outcome = await body.run(rig);
     rig.record.add(`result: ${outcome.text}`);
     process.stdout.write(`${outcome.text}\n`);
