Ask the operating system how a connection ended that ends a body

Callers got a part of an answer without a length as a complete success, signed: orders were confirmed by a cut confirmation, lookups were not tried elsewhere, and streams ended as if whole.

Cause: where a reset arrives together with the last bytes, libuv reports the bytes and an ordinary end, and reads no further. completeBody looked for an error of the socket, and there is none. The error is still pending in the operating system.

Evidence: a plain socket shows data and end, no error, 200 of 200 resets; a write without bytes at that end fails with ECONNRESET 200 of 200, and succeeds 200 of 200 after an ordinary close, also one of 3 MB, and fails with EPIPE where the peer closed first and reset then.

Ruled out: the parser (the same without it) and the end of the caller's connection.

Change: a body that ends with its connection is whole only where that write succeeds or meets EPIPE. Nothing is sent by it. Where the request is still being sent, the end is passed on a turn later, as the waiting write meets the reset itself.

--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -10,6 +10,7 @@
 export * from './transport.js';
 export * from './frame.js';
 export * from './tcp.js';
+export * from './connectionend.js';
 export * from './overhead.js';
 export * from './responsesocket.js';
 export * from './tunnel.js';
--- a/packages/protocol/src/responsesocket.ts
+++ b/packages/protocol/src/responsesocket.ts
@@ -3,6 +3,7 @@
 import type { ClientRequest, IncomingMessage } from 'node:http';
 import { Socket } from 'node:net';
 import type { TcpNetConnectOpts } from 'node:net';
+import { watchConnectionEnd } from './connectionend.js';
 import { Overhead } from './overhead.js';
 
 /** The error of a connection that received more overhead than a response may have. */
@@ -26,7 +27,9 @@
 
   /** A socket that connects to an address; it sends without delay. */
   static open(options: TcpNetConnectOpts): ResponseSocket {
-    return new ResponseSocket().setNoDelay(true).connect(options);
+    const socket = new ResponseSocket().setNoDelay(true);
+    watchConnectionEnd(socket);
+    return socket.connect(options);
   }
 
   /** Bounds what the response to a request may receive; a connection over its bound is destroyed. */
@@ -43,7 +46,7 @@
 
   /** Passes received bytes on, a part at a time, or the end of the stream. */
   override push(chunk: Buffer | null): boolean {
-    if (chunk === null) return super.push(null);
+    if (chunk === null) return this.pushEnd();
     let accepts = true;
     let from = 0;
     while (from < chunk.length && !this.destroyed) {
@@ -60,6 +63,20 @@
     return accepts;
   }
 
+  /**
+   * Passes the end of the stream on. A write that still waits meets a reset of the connection in the
+   * same turn of the event loop, and the parser would have destroyed the socket by then.
+   */
+  private pushEnd(): boolean {
+    if (this.writableLength === 0) return super.push(null);
+    setImmediate(() => {
+      if (this.destroyed) return;
+      super.push(null);
+      this.read(0);
+    });
+    return false;
+  }
+
   /** Bytes of content of the present response, whether they were read or wait to be. */
   private get content(): number {
     return this.contentRead + (this.response?.readableLength ?? 0);
