Carry through a tunnel how the target ended its connection

Callers of an entry without links to upstreams got a 502 for each answer without a length, also for orders that had run: the end of a tunnel could be that of the target, a reset that came with the last bytes, or the death of the entry between, and was never trusted.

What the target sends now goes through the tunnel in frames, and an empty frame says that the target has closed its side; a reset of the target resets the tunnel, also where it comes with the last bytes (the same check as for the connections of the entry itself). Both sides agree on frames by a header of the CONNECT request and its answer; with a peer of an earlier version the bytes pass as before, and the end is not trusted.

--- a/packages/protocol/src/connectionend.ts
+++ b/packages/protocol/src/connectionend.ts
@@ -4,9 +4,9 @@
 
 /**
  * `closed`: the other side ended what it sent. `reset`: the connection broke, and bytes may be
- * missing.
+ * missing. `unknown`: nothing tells which of the two, as after an end of the own side.
  */
-export type ConnectionEnd = 'closed' | 'reset';
+export type ConnectionEnd = 'closed' | 'reset' | 'unknown';
 
 /** Code of the error of a write after the other side closed and reset a connection, in this order. */
 const resetAfterClose = 'EPIPE';
@@ -38,7 +38,7 @@
  * it, also one without bytes, of which the other side sees nothing.
  */
 function findEnd(socket: Socket): Promise<ConnectionEnd> {
-  if (!socket.writable) return Promise.resolve('reset');
+  if (!socket.writable) return Promise.resolve('unknown');
   return new Promise((resolve) => {
     if (socket.writableLength === 0) socket.write(noBytes, (error) => resolve(endAfter(error)));
     // A write that waits already fails in this turn of the event loop, or not at all.
--- a/packages/protocol/src/responsesocket.ts
+++ b/packages/protocol/src/responsesocket.ts
@@ -3,8 +3,10 @@
 import type { ClientRequest, IncomingMessage } from 'node:http';
 import { Socket } from 'node:net';
 import type { TcpNetConnectOpts } from 'node:net';
-import { watchConnectionEnd } from './connectionend.js';
+import { connectionEnd, watchConnectionEnd } from './connectionend.js';
+import type { ConnectionEnd } from './connectionend.js';
 import { Overhead } from './overhead.js';
+import { FrameDecoder } from './tunnelframes.js';
 
 /** The error of a connection that received more overhead than a response may have. */
 export class OverheadError extends Error {
@@ -24,6 +26,10 @@
   /** Bytes received since the request was sent, and bytes of content that were read. */
   private received = 0;
   private contentRead = 0;
+  /** Takes the bytes of the target of a tunnel out of frames; undefined where there are none. */
+  private frames: FrameDecoder | undefined;
+  /** Whether its end does not tell how the upstream ended the connection. */
+  private hidesEnd = false;
 
   /** A socket that connects to an address; it sends without delay. */
   static open(options: TcpNetConnectOpts): ResponseSocket {
@@ -39,6 +45,23 @@
     });
   }
 
+  /** How the upstream ended the connection, once this has emitted `end`. */
+  ending(): Promise<ConnectionEnd> {
+    const isHidden = this.hidesEnd || this.frames?.isClosed === false;
+    return isHidden ? Promise.resolve('unknown') : connectionEnd(this);
+  }
+
+  /**
+   * Takes what is received from now on, beginning with `received`, for what the target of a tunnel
+   * sends. The end of a `raw` tunnel may be that of the peer.
+   */
+  enterTunnel(kind: 'framed' | 'raw', received: Buffer): void {
+    this.hidesEnd = kind === 'raw';
+    if (kind === 'framed') this.frames = FrameDecoder.create();
+    const parts = this.frames?.decode(received) ?? [received];
+    for (const part of parts.toReversed()) if (part.length > 0) this.unshift(part);
+  }
+
   /** Records that a reader took `bytes` of the content of the response. */
   recordRead(bytes: number): void {
     this.contentRead += bytes;
@@ -58,11 +81,18 @@
       const part = chunk.subarray(from, from + this.overhead.granted);
       from += part.length;
       this.received += part.length;
-      accepts = super.push(part);
+      accepts = this.accept(part);
     }
     return accepts;
   }
 
+  private accept(bytes: Buffer): boolean {
+    if (!this.frames) return super.push(bytes);
+    let accepts = true;
+    for (const part of this.frames.decode(bytes)) accepts = super.push(part);
+    return accepts;
+  }
+
   /**
    * Passes the end of the stream on. A write that still waits meets a reset of the connection in the
    * same turn of the event loop, and the parser would have destroyed the socket by then.
--- a/packages/protocol/src/tunnel.ts
+++ b/packages/protocol/src/tunnel.ts
@@ -4,7 +4,7 @@
  */
 
 import { createServer, request as httpRequest } from 'node:http';
-import type { Server } from 'node:http';
+import type { IncomingMessage, Server } from 'node:http';
 import { createConnection } from 'node:net';
 import type { AddressInfo, Socket } from 'node:net';
 import { err, ok } from 'neverthrow';
@@ -12,7 +12,9 @@
 import { startTimer } from '@tanagercart/base';
 import { isPort, parseHostPort } from './address.js';
 import type { HostPort } from './address.js';
+import { connectionEnd, watchConnectionEnd } from './connectionend.js';
 import { ResponseSocket } from './responsesocket.js';
+import { FrameEncoder } from './tunnelframes.js';
 
 /**
  * Time for the server of a tunnel to connect to the target, in milliseconds. Peers wait for longer, so
@@ -23,6 +25,9 @@
 /** Silence after which the operating system probes both connections of a tunnel. */
 const keepAliveMs = 2000;
 
+/** Header by which both sides agree on frames; peers of earlier versions leave it out. */
+const framesHeader = 'Tunnel-Frames';
+
 /** Why a tunnel was not opened. */
 export type TunnelError =
   /** The peer was not reached, or has no tunnels. */
@@ -43,7 +48,7 @@
     });
     this.server.on('connect', (request, stream, head: Buffer) => {
       const target = request.url ?? '';
-      if (isAllowed(target)) this.connect(target, stream as Socket, head);
+      if (isAllowed(target)) this.connect(target, stream as Socket, head, hasFrames(request));
       else refuse(stream as Socket, '403 Forbidden');
     });
     this.server.on('clientError', (_, socket) => socket.destroy());
@@ -73,13 +78,15 @@
     this.server.close();
   }
 
-  private connect(target: string, client: Socket, head: Buffer): void {
+  private connect(target: string, client: Socket, head: Buffer, isFramed: boolean): void {
     const { host, port } = parseHostPort(target);
     if (!isPort(port)) {
       refuse(client, '502 Bad Gateway');
       return;
     }
     const upstream = createConnection({ host, port, noDelay: true, allowHalfOpen: true });
+    watchConnectionEnd(upstream);
+    watchConnectionEnd(client);
     const cancelTimeout = startTimer(tunnelTargetTimeoutMs, () =>
       upstream.destroy(new Error('timeout')),
     );
@@ -92,9 +99,10 @@
       upstream.off('error', fail);
       this.tunnels.add(client);
       client.once('close', () => this.tunnels.delete(client));
-      client.write('HTTP/1.1 200 Connected\r\n\r\n');
+      client.write(`HTTP/1.1 200 Connected\r\n${isFramed ? `${framesHeader}: 1\r\n` : ''}\r\n`);
       if (head.length > 0) upstream.write(head);
       join(client, upstream);
+      join(upstream, client, isFramed ? FrameEncoder.create() : undefined);
     });
   }
 }
@@ -110,6 +118,7 @@
       ...peer,
       method: 'CONNECT',
       path: target,
+      headers: { [framesHeader]: '1' },
       createConnection: () => ResponseSocket.open(peer),
     });
     ResponseSocket.bound(request);
@@ -124,34 +133,52 @@
       request.destroy();
     });
     request.once('connect', (response, stream, head: Buffer) => {
-      const socket = stream;
+      const socket = stream as ResponseSocket;
       if (response.statusCode !== 200) {
         socket.destroy();
         fail({ kind: 'no-target', detail: `status ${response.statusCode}` });
         return;
       }
       cancelTimeout();
-      if (head.length > 0) socket.unshift(head);
+      socket.enterTunnel(hasFrames(response) ? 'framed' : 'raw', head);
       resolve(ok(socket));
     });
     request.end();
   });
 }
 
-/** Passes bytes both ways. A reset of one connection resets the other, so that it shows. */
-function join(a: Socket, b: Socket): void {
-  for (const [from, to] of [
-    [a, b],
-    [b, a],
-  ] as const) {
-    from.setNoDelay(true);
-    from.setKeepAlive(true, keepAliveMs);
-    from.pipe(to);
-    from.on('error', () => to.resetAndDestroy());
-    from.once('close', () => {
-      if (!from.readableEnded) to.resetAndDestroy();
+function hasFrames({ headers }: IncomingMessage): boolean {
+  return headers[framesHeader.toLowerCase()] !== undefined;
+}
+
+/** Passes bytes on, over `coding` if given. A reset of one connection resets the other. */
+function join(from: Socket, to: Socket, coding?: FrameEncoder): void {
+  from.setNoDelay(true);
+  from.setKeepAlive(true, keepAliveMs);
+  const last = coding ?? to;
+  if (coding) coding.pipe(to);
+  from.pipe(last, { end: false });
+  from.once('end', () => {
+    void connectionEnd(from).then((end) => {
+      switch (end) {
+        case 'closed':
+          last.end();
+          break;
+        case 'reset':
+          to.resetAndDestroy();
+          break;
+        case 'unknown':
+          if (coding) coding.cut();
+          else to.end();
+          break;
+        default:
+      }
     });
-  }
+  });
+  from.on('error', () => to.resetAndDestroy());
+  from.once('close', () => {
+    if (!from.readableEnded) to.resetAndDestroy();
+  });
 }
 
 function refuse(client: Socket, status: string): void {
--- a/packages/protocol/test/tunnel.test.ts
+++ b/packages/protocol/test/tunnel.test.ts
@@ -4,7 +4,7 @@
 import type { AddressInfo, Socket } from 'node:net';
 import { test } from 'node:test';
 import { setTimeout as sleep } from 'node:timers/promises';
-import { TunnelServer, openTunnel } from '../src/index.js';
+import { ResponseSocket, TunnelServer, openTunnel } from '../src/index.js';
 
 const host = '127.0.0.1';
 
@@ -144,3 +144,87 @@
   assert.equal(await textOf(sound), 'figs');
   close();
 });
+
+/** How the end of a tunnel looks, once it was read to its end, and how many bytes came before. */
+async function endingOf(socket: Socket) {
+  assert.ok(socket instanceof ResponseSocket);
+  let length = 0;
+  try {
+    for await (const chunk of socket) {
+      length += (chunk as Buffer).length;
+      socket.recordRead((chunk as Buffer).length);
+    }
+  } catch {
+    return { length, end: 'broken' };
+  }
+  return { length, end: await socket.ending() };
+}
+
+// Guards against a part of an answer that passes as the whole, as its tunnel ends like any other.
+test('a reset of the target right after its last bytes is no end of the tunnel', async () => {
+  const { peer, address, close } = await start((socket) => {
+    socket.write('half');
+    socket.resetAndDestroy();
+  });
+  for (let i = 0; i < 300; i += 1) {
+    const opened = await openTunnel(peer, address, 1000);
+    if (opened.isOk()) assert.notEqual((await endingOf(opened.value)).end, 'closed');
+  }
+  close();
+});
+
+test('a target that closes ends the tunnel, also after many bytes and where it closes fully', async () => {
+  const bytes = Buffer.alloc(3 * 1024 * 1024);
+  const ends: readonly ((socket: Socket) => void)[] = [
+    (socket) => socket.end(bytes),
+    (socket) => socket.end(bytes, () => socket.destroy()),
+  ];
+  for (const end of ends) {
+    const { peer, address, close } = await start(end);
+    for (let i = 0; i < 20; i += 1) {
+      const socket = (await openTunnel(peer, address, 1000))._unsafeUnwrap();
+      assert.deepEqual(await endingOf(socket), { length: bytes.length, end: 'closed' });
+      socket.destroy();
+    }
+    close();
+  }
+});
+
+/** A peer that answers requests for tunnels by `answer`, and closes after it. */
+async function startPeer(answer: string) {
+  const server = createServer((socket) => {
+    socket.on('error', () => undefined);
+    socket.once('data', () => socket.end(answer));
+  });
+  server.listen(0, host);
+  await once(server, 'listening');
+  const { port } = server.address() as AddressInfo;
+  return { peer: { host, port }, close: () => server.close() };
+}
+
+test('the end of the peer is no end of the target', async () => {
+  const framed = 'HTTP/1.1 200 Connected\r\nTunnel-Frames: 1\r\n\r\n';
+  const part = '\0\0\0\x04half';
+  const answers: readonly [string, string][] = [
+    // A peer that dies closes its connections in the ordinary way.
+    [framed + part, 'unknown'],
+    [`${framed}${part}\0\0`, 'unknown'],
+    [`${framed}${part}\0\0\0\0`, 'closed'],
+    // A peer of an earlier version knows no frames.
+    ['HTTP/1.1 200 Connected\r\n\r\nhalf', 'unknown'],
+  ];
+  for (const [answer, end] of answers) {
+    const { peer, close } = await startPeer(answer);
+    const socket = (await openTunnel(peer, `${host}:9`, 1000))._unsafeUnwrap();
+    assert.deepEqual(await endingOf(socket), { length: 4, end }, answer);
+    close();
+  }
+});
+
+test('a client of an earlier version gets bytes without frames', async () => {
+  const { peer, address, close } = await start((socket) => socket.end('figs'));
+  const socket = createConnection(peer);
+  socket.write(`CONNECT ${address} HTTP/1.1\r\nHost: x\r\n\r\n`);
+  assert.equal(await textOf(socket), 'HTTP/1.1 200 Connected\r\n\r\nfigs');
+  close();
+});
