Count one crash of an upstream once, whenever its attempts began

A part of prompts that sound requests share could be quarantined after two crashes that one request had caused, and all requests with it were refused.

Cause: attempts count as one crash where they overlap by more than 20 ms. One that is sent to an upstream shortly before it crashes, and is found broken a moment later, overlaps the one that crashed it by less, and counted as a crash of its own, by another request.

Reports name the address of the upstream now, and reports of one address within a second tell of one crash. Without an address, as older entries report, the overlap decides as before.

The test in fleet/crashes.test failed before: ['common'].

--- a/packages/fleet/src/crashes.ts
+++ b/packages/fleet/src/crashes.ts
@@ -6,6 +6,8 @@
 
 import type { Clock, Millis } from '@tanagercart/base';
 import type { UpstreamCrash } from '@tanagercart/protocol';
+import { CrashLog } from './crashlog.js';
+import type { Crash } from './crashlog.js';
 
 /** Crashes in sequence after which a request or part that was never answered is quarantined. */
 const crashesToQuarantine = 3;
@@ -33,6 +35,8 @@
 interface CrashedAttempt {
   readonly startedAt: Millis;
   readonly crashedAt: Millis;
+  /** Undefined where an older entry has reported it. */
+  readonly crash: Crash | undefined;
 }
 
 interface Suspicion {
@@ -51,6 +55,7 @@
   private readonly suspicions = new Map<string, Suspicion>();
   /** Suspicions that led to a quarantine of which it is not known yet whether it is in the log. */
   private readonly convicted = new Map<string, Suspicion>();
+  private readonly log = CrashLog.create();
 
   private constructor(private readonly clock: Clock) {}
 
@@ -73,8 +78,12 @@
     this.dropOutdated(now);
     const answered = new Set(crash.answered);
     const crashedAt = now - crash.ageMs;
-    const attempt = { startedAt: crashedAt - crash.attemptMs, crashedAt };
-    const { request } = crash;
+    const { request, address, attemptMs } = crash;
+    const attempt = {
+      startedAt: crashedAt - attemptMs,
+      crashedAt,
+      crash: address === undefined ? undefined : this.log.record(address, crashedAt),
+    };
     const parts = crash.parts.filter((part) => {
       const suspicion = this.strike('part', part, request, attempt);
       suspicion.wasAnswered ||= answered.has(part);
@@ -127,7 +136,7 @@
       soleRequest: request,
     };
     this.suspicions.set(subject, suspicion);
-    if (suspicion.attempts.some((other) => overlap(attempt, other))) return suspicion;
+    if (suspicion.attempts.some((other) => isSameCrash(attempt, other))) return suspicion;
     suspicion.attempts.push(attempt);
     if (suspicion.attempts.length > maxCrashes) suspicion.attempts.shift();
     if (suspicion.soleRequest !== request) suspicion.soleRequest = undefined;
@@ -135,6 +144,7 @@
   }
 
   private dropOutdated(now: Millis): void {
+    this.log.forget(now - suspicionMs);
     for (const [subject, { attempts }] of this.suspicions) {
       if (now - lastCrashOf(attempts) > suspicionMs) this.suspicions.delete(subject);
     }
@@ -155,6 +165,10 @@
   return Math.max(...attempts.map((a) => a.crashedAt));
 }
 
+function isSameCrash(a: CrashedAttempt, b: CrashedAttempt): boolean {
+  return (a.crash !== undefined && a.crash === b.crash) || overlap(a, b);
+}
+
 function overlap(a: CrashedAttempt, b: CrashedAttempt): boolean {
   return a.startedAt + reportJitterMs < b.crashedAt && b.startedAt + reportJitterMs < a.crashedAt;
 }
--- a/packages/fleet/test/crashes.test.ts
+++ b/packages/fleet/test/crashes.test.ts
@@ -133,3 +133,17 @@
   crashes.settle('deadly', true);
   assert.deepEqual(await crash(['deadly']), []);
 });
+
+// Guards against a part that many share and that one crash strikes twice.
+test('one crash strikes once, also attempts that began shortly before and after one another', async () => {
+  const { clock, crashes } = create();
+  const crashOf = (address: string, request: string, attemptMs: Millis) =>
+    crashes.record({ request, address, parts: ['common'], answered: [], attemptMs, ageMs: 0 });
+  await clock.advance(1000);
+  assert.deepEqual(crashOf('a', 'f1', 60), []);
+  await clock.advance(60);
+  assert.deepEqual(crashOf('b', 'f1', 60), []);
+  // Sent to the same upstream just before it crashed, and found broken a moment later.
+  await clock.advance(15);
+  assert.deepEqual(crashOf('b', 's1', 30), []);
+});
--- a/packages/protocol/src/fleetmessage.ts
+++ b/packages/protocol/src/fleetmessage.ts
@@ -332,6 +332,8 @@
 export interface UpstreamCrash {
   /** Fingerprint of the request; missing in reports of older entries. */
   readonly request?: string;
+  /** Address of the upstream; missing in reports of older entries. */
+  readonly address?: string;
   /** Shared parts of the prompt. */
   readonly parts: readonly string[];
   /** Those of them that the entry had seen answered since an upstream last crashed with them. */
--- a/packages/relay/src/crashwatch.ts
+++ b/packages/relay/src/crashwatch.ts
@@ -110,6 +110,7 @@
     this.searches.delete(answeredSince);
     if (!isGone || this.o.availability.isLeaving(upstream)) return;
     const { request, parts, attemptMs } = attempt;
+    const { address } = upstream;
     const answered = this.history.recordCrash(parts);
     const ageMs = clock.now() - crashedAt;
     logger.info('May crash upstreams.', {
@@ -118,7 +119,7 @@
       fingerprint: request,
       parts: parts.join(', '),
     });
-    quarantine.recordCrash({ request, parts, answered, attemptMs, ageMs });
+    quarantine.recordCrash({ request, address, parts, answered, attemptMs, ageMs });
     for (const subject of [request, ...parts]) {
       if (answeredSince.has(subject)) quarantine.recordAnswer(subject);
     }
