Stop requests that crash upstreams in the middle of their answers

Callers and upstreams saw a stream that crashes each upstream after some events come again and again: 12 arrivals later than contactMs after the third crash where three are allowed, and 16 upstreams ended.

Cause: an attempt whose answer had begun was taken for sound. Its break was not looked into, and the second event, a resumed answer and an error of another upstream each ended the suspicion against the request.

Change: such breaks are reported as strikes against the request alone, and only an attempt that answers from start to end acquits it. As sound streams are struck by the same crashes, three decide only where they hit three addresses, most of the crashes meanwhile and no other request as often; else five do. What a guilty request explains is taken off the others.

The test in relay/parts.test that such a break reports nothing now demands that its report names the request and no part.

--- a/packages/fleet/src/crashes.ts
+++ b/packages/fleet/src/crashes.ts
@@ -1,7 +1,8 @@
 /**
  * Finds the requests, and the parts of prompts, that crash upstreams, at the leader. Each crash
- * strikes every request that was about to be answered there, and so sound ones too; but a sound
- * request or part is soon answered elsewhere, and one that crashes upstreams never is.
+ * strikes every request that was running there, and so sound ones too; but a sound request is
+ * answered elsewhere, and one that crashes upstreams never is to its end. Parts are struck by
+ * requests whose answer had not begun, and sound once an answer to any request with them begins.
  */
 
 import type { Clock, Millis } from '@tanagercart/base';
@@ -16,6 +17,13 @@
 const knownPartCrashes = 5;
 const knownPartSpanMs: Millis = 2000;
 
+/**
+ * The same for a request whose answers had begun, where its first crashes may be due to something
+ * else: to another request that was struck by the same ones, or to what ends other upstreams, or
+ * the same one again.
+ */
+const uncertainCrashes = 5;
+
 /** Reports of attempts and crashes that follow one another may be this much out of order. */
 const reportJitterMs: Millis = 20;
 
@@ -35,6 +43,8 @@
 interface CrashedAttempt {
   readonly startedAt: Millis;
   readonly crashedAt: Millis;
+  /** Whether its answer had begun. */
+  readonly hadBegun: boolean;
   /** Undefined where an older entry has reported it. */
   readonly crash: Crash | undefined;
 }
@@ -78,16 +88,17 @@
     this.dropOutdated(now);
     const answered = new Set(crash.answered);
     const crashedAt = now - crash.ageMs;
-    const { request, address, attemptMs } = crash;
+    const { request, address, attemptMs, hadBegun = false } = crash;
     const attempt = {
       startedAt: crashedAt - attemptMs,
       crashedAt,
+      hadBegun,
       crash: address === undefined ? undefined : this.log.record(address, crashedAt),
     };
     const parts = crash.parts.filter((part) => {
       const suspicion = this.strike('part', part, request, attempt);
       suspicion.wasAnswered ||= answered.has(part);
-      return suspicion.soleRequest === undefined && isGuilty(suspicion);
+      return suspicion.soleRequest === undefined && isGuiltyPart(suspicion);
     });
     // The part that is found explains the strikes against everything that came with it.
     if (parts.length > 0) {
@@ -96,8 +107,10 @@
       return parts;
     }
     if (request === undefined) return [];
-    if (!isGuilty(this.strike('request', request, request, attempt))) return [];
+    const suspicion = this.strike('request', request, request, attempt);
+    if (!this.isGuiltyRequest(suspicion)) return [];
     this.convict(request);
+    this.dropExplained(suspicion);
     return [request];
   }
 
@@ -118,6 +131,37 @@
     this.suspicions.delete(subject);
   }
 
+  private isGuiltyRequest(suspicion: Suspicion): boolean {
+    const { attempts } = suspicion;
+    if (attempts.length < crashesToQuarantine) return false;
+    if (attempts.length >= uncertainCrashes || !attempts.some((a) => a.hadBegun)) return true;
+    const crashes = crashesOf(suspicion);
+    const isSpread = new Set(crashes.map((c) => c.address)).size >= crashesToQuarantine;
+    const firstAt = Math.min(...crashes.map((c) => c.at));
+    const others = this.log.since(firstAt).length - crashes.length;
+    return isSpread && others < crashes.length && !this.hasRival(suspicion, crashes);
+  }
+
+  /** Whether another request was struck by all of these crashes, or all but one. */
+  private hasRival(suspicion: Suspicion, crashes: readonly Crash[]): boolean {
+    return [...this.suspicions.values()].some((other) => {
+      if (other === suspicion || other.kind === 'part') return false;
+      const shared = other.attempts.filter((a) => a.crash && crashes.includes(a.crash));
+      return shared.length >= crashes.length - 1;
+    });
+  }
+
+  /** Takes the crashes that a request has caused off the suspicions against other requests. */
+  private dropExplained(guilty: Suspicion): void {
+    const explained = crashesOf(guilty);
+    for (const [subject, { kind, attempts }] of this.suspicions) {
+      if (kind === 'part') continue;
+      const left = attempts.filter((a) => !a.crash || !explained.includes(a.crash));
+      attempts.splice(0, attempts.length, ...left);
+      if (attempts.length === 0) this.suspicions.delete(subject);
+    }
+  }
+
   /**
    * Counts a crash if its attempt overlaps none that is counted. Attempts that were in progress at
    * once may have been cut by the same crash, or by a loss of several upstreams at the same time; and
@@ -144,7 +188,7 @@
   }
 
   private dropOutdated(now: Millis): void {
-    this.log.forget(now - suspicionMs);
+    this.log.forget(now - uncertainCrashes * suspicionMs);
     for (const [subject, { attempts }] of this.suspicions) {
       if (now - lastCrashOf(attempts) > suspicionMs) this.suspicions.delete(subject);
     }
@@ -155,7 +199,11 @@
   return kind === 'part' || attempts.length >= crashesToPublishRequest;
 }
 
-function isGuilty({ attempts, wasAnswered }: Suspicion): boolean {
+function crashesOf({ attempts }: Suspicion): readonly Crash[] {
+  return attempts.flatMap((a) => a.crash ?? []);
+}
+
+function isGuiltyPart({ attempts, wasAnswered }: Suspicion): boolean {
   if (!wasAnswered) return attempts.length >= crashesToQuarantine;
   const spanMs = lastCrashOf(attempts) - Math.min(...attempts.map((a) => a.crashedAt));
   return attempts.length >= knownPartCrashes && spanMs >= knownPartSpanMs;
--- a/packages/fleet/src/crashlog.ts
+++ b/packages/fleet/src/crashlog.ts
@@ -30,6 +30,11 @@
     return crash;
   }
 
+  /** Crashes since `from`. */
+  since(from: Millis): readonly Crash[] {
+    return this.crashes.filter((c) => c.at >= from);
+  }
+
   /** Forgets crashes before `before`. */
   forget(before: Millis): void {
     if (this.crashes.some((c) => c.at < before)) {
--- a/packages/fleet/test/crashes.test.ts
+++ b/packages/fleet/test/crashes.test.ts
@@ -134,6 +134,96 @@
   assert.deepEqual(await crash(['deadly']), []);
 });
 
+/** A crash at an upstream under requests whose answers had begun; each is reported by itself. */
+interface BegunCrash {
+  readonly address: string;
+  readonly requests: readonly string[];
+}
+
+/** Records crashes one second apart, and returns what is found after each. */
+async function crashStreams(crashes: readonly BegunCrash[]) {
+  const { clock, crashes: suspicions } = create();
+  const found: (readonly string[])[] = [];
+  for (const { address, requests } of crashes) {
+    await clock.advance(1000);
+    const guilty = requests.flatMap((request) =>
+      suspicions.record({
+        ...{ request, address, hadBegun: true, parts: [], answered: [] },
+        ...{ attemptMs: 500, ageMs: 0 },
+      }),
+    );
+    found.push(guilty);
+  }
+  return { found, suspicions };
+}
+
+// Guards against a request that crashes upstreams in the middle of its answer and is never stopped.
+test('a request that crashes upstreams after its answer has begun is found by the third crash', async () => {
+  const { found } = await crashStreams([
+    { address: 'a', requests: ['f1', 's1', 's2'] },
+    { address: 'b', requests: ['s3', 'f1'] },
+    { address: 'c', requests: ['s4', 'f1', 's5'] },
+  ]);
+  assert.deepEqual(found, [[], [], ['f1']]);
+});
+
+test('a stream that was struck by the same crashes is not found with the request that caused them', async () => {
+  const { found, suspicions } = await crashStreams([
+    { address: 'a', requests: ['unlucky', 'f1'] },
+    { address: 'b', requests: ['unlucky', 'f1'] },
+    { address: 'c', requests: ['unlucky', 'f1'] },
+    { address: 'd', requests: ['f1'] },
+    { address: 'e', requests: ['f1'] },
+  ]);
+  assert.deepEqual(found, [[], [], [], [], ['f1']]);
+  assert.deepEqual(suspicions.suspected, []);
+});
+
+test('an upstream that is killed ten times makes no request guilty', async () => {
+  const kills = Array.from({ length: 10 }, (_, i) => ({
+    address: 'a',
+    requests: [`s${i}`, `t${i}`, ...(i % 3 === 0 ? ['again'] : [])],
+  }));
+  const { found, suspicions } = await crashStreams(kills);
+  assert.deepEqual(found.flat(), []);
+  assert.deepEqual(
+    suspicions.suspected.filter((s) => s !== 'again'),
+    [],
+  );
+});
+
+test('a stream that is struck by some of many crashes is not found by the third', async () => {
+  const others = (address: string) => ({ address, requests: [`at-${address}`] });
+  const { found } = await crashStreams([
+    { address: 'a', requests: ['unlucky'] },
+    ...['b', 'c'].map(others),
+    { address: 'd', requests: ['unlucky'] },
+    others('e'),
+    { address: 'f', requests: ['unlucky'] },
+  ]);
+  assert.deepEqual(found.flat(), []);
+});
+
+test('a request that crashes the same two upstreams again and again is found', async () => {
+  const addresses = ['a', 'b', 'a', 'b', 'a', 'b'];
+  const { found } = await crashStreams(addresses.map((address) => ({ address, requests: ['f1'] })));
+  assert.deepEqual(found.flat(), ['f1']);
+});
+
+test('a crash after answers had begun strikes no part', async () => {
+  const { clock, crashes } = create();
+  for (const address of ['a', 'b', 'c', 'd', 'e', 'f']) {
+    await clock.advance(1000);
+    for (const request of ['f1', `s-${address}`]) {
+      crashes.record({
+        ...{ request, address, hadBegun: true, parts: [], answered: [] },
+        ...{ attemptMs: 500, ageMs: 0 },
+      });
+    }
+    assert.ok(crashes.suspected.every((s) => s === 'f1'));
+  }
+});
+
 // Guards against a part that many share and that one crash strikes twice.
 test('one crash strikes once, also attempts that began shortly before and after one another', async () => {
   const { clock, crashes } = create();
--- a/packages/protocol/src/fleetmessage.ts
+++ b/packages/protocol/src/fleetmessage.ts
@@ -328,13 +328,15 @@
   readonly leave?: LeaveState;
 }
 
-/** An upstream crashed when it was about to answer a request. */
+/** An upstream crashed while it ran a request. */
 export interface UpstreamCrash {
   /** Fingerprint of the request; missing in reports of older entries. */
   readonly request?: string;
   /** Address of the upstream; missing in reports of older entries. */
   readonly address?: string;
-  /** Shared parts of the prompt. */
+  /** Whether its answer had begun; undefined, as for older entries, if it had not. */
+  readonly hadBegun?: boolean;
+  /** Shared parts of the prompt; empty where the answer had begun. */
   readonly parts: readonly string[];
   /** Those of them that the entry had seen answered since an upstream last crashed with them. */
   readonly answered: readonly string[];
--- a/packages/relay/src/attempts.ts
+++ b/packages/relay/src/attempts.ts
@@ -17,6 +17,8 @@
   readonly stop = new AbortController();
   /** Events received so far. */
   events = 0;
+  /** Whether it goes on behind an event of an earlier attempt. */
+  isResumed = false;
   /** Why it counts as silent; undefined while it does not. */
   silence: Silence | undefined;
   /** What shows that its upstream has ended; undefined as long as nothing does. */
--- a/packages/relay/src/crashwatch.ts
+++ b/packages/relay/src/crashwatch.ts
@@ -13,8 +13,8 @@
 import type { Quarantine } from './quarantine.js';
 import type { UpstreamClient } from './upstream.js';
 
-/** An attempt with this many events is being answered: its prompt did not crash the upstream. */
-const answeredEvents = 2;
+/** An attempt with this many events has begun to be answered: its prompt did not crash the upstream. */
+const begunEvents = 2;
 
 /** An upstream that is silent after an attempt broke is asked again for this long. */
 const crashSearchMs: Millis = 2500;
@@ -44,23 +44,33 @@
 
   /**
    * Records that an attempt has received its `before + count`th event. From the second one on, the
-   * request and the parts of its prompt are sound.
+   * parts of its prompt are sound; the request may still crash the upstream.
    */
   recordEvents(call: Call, before: number, count: number): void {
-    if (before >= answeredEvents || before + count < answeredEvents) return;
-    this.history.recordAnswer(sharedPartsOf(call));
-    this.acquit(call);
+    if (before >= begunEvents || before + count < begunEvents) return;
+    const parts = sharedPartsOf(call);
+    this.history.recordAnswer(parts);
+    this.acquit(parts);
   }
 
-  /** Records that an upstream has answered a request after `events` events, if only with an error. */
-  recordAnswer(call: Call, events: number): void {
-    if (events < answeredEvents) this.acquit(call);
+  /**
+   * Records that a request was answered to its end, after `events` events: it is sound. An attempt
+   * that was resumed tells nothing, as it did not run what earlier ones did.
+   */
+  recordAnswer(call: Call, events: number, isResumed: boolean): void {
+    const parts = events < begunEvents ? sharedPartsOf(call) : [];
+    this.acquit(isResumed ? parts : [fingerprintOf(call), ...parts]);
   }
 
-  private acquit(call: Call): void {
+  /** Records that an upstream has answered with an error: the parts of the prompt are sound. */
+  recordError(call: Call): void {
+    this.acquit(sharedPartsOf(call));
+  }
+
+  private acquit(subjects: readonly string[]): void {
     const { quarantine } = this.o;
     if (this.searches.size === 0 && !quarantine.hasSuspects()) return;
-    for (const subject of [fingerprintOf(call), ...sharedPartsOf(call)]) {
+    for (const subject of subjects) {
       if (quarantine.isSuspected(subject)) quarantine.recordAnswer(subject);
       for (const answered of this.searches) answered.add(subject);
     }
@@ -81,11 +91,14 @@
    * whether the request may crash another upstream, as it or one of its parts is suspected already.
    */
   recordBreak(call: Call, upstream: UpstreamRecord, events: number, attemptMs: Millis): boolean {
-    if (events >= answeredEvents) return false;
-    const request = fingerprintOf(call);
-    const parts = sharedPartsOf(call);
+    const hadBegun = events >= begunEvents;
     const mayCrashAgain = this.isSuspected(call);
-    void this.reportIfCrashed(call, upstream, { request, parts, attemptMs });
+    void this.reportIfCrashed(call, upstream, {
+      request: fingerprintOf(call),
+      parts: hadBegun ? [] : sharedPartsOf(call),
+      hadBegun,
+      attemptMs,
+    });
     return mayCrashAgain;
   }
 
@@ -99,6 +112,7 @@
     attempt: {
       readonly request: string;
       readonly parts: readonly string[];
+      readonly hadBegun: boolean;
       readonly attemptMs: Millis;
     },
   ): Promise<void> {
@@ -109,7 +123,7 @@
     const isGone = await this.isGone(call, upstream);
     this.searches.delete(answeredSince);
     if (!isGone || this.o.availability.isLeaving(upstream)) return;
-    const { request, parts, attemptMs } = attempt;
+    const { request, parts, hadBegun, attemptMs } = attempt;
     const { address } = upstream;
     const answered = this.history.recordCrash(parts);
     const ageMs = clock.now() - crashedAt;
@@ -117,9 +131,10 @@
       request: call.id,
       upstream: upstream.id,
       fingerprint: request,
+      hadBegun,
       parts: parts.join(', '),
     });
-    quarantine.recordCrash({ request, address, parts, answered, attemptMs, ageMs });
+    quarantine.recordCrash({ request, address, hadBegun, parts, answered, attemptMs, ageMs });
     for (const subject of [request, ...parts]) {
       if (answeredSince.has(subject)) quarantine.recordAnswer(subject);
     }
--- a/packages/relay/src/quarantine.ts
+++ b/packages/relay/src/quarantine.ts
@@ -16,7 +16,7 @@
   hasSuspects(): boolean;
   /** Whether upstreams crashed with the request or part, and no answer to it was seen since. */
   isSuspected(subject: string): boolean;
-  /** Reports that an upstream crashed when it was about to answer a request. */
+  /** Reports that an upstream crashed while it ran a request. */
   recordCrash(crash: UpstreamCrash): void;
   /** Reports that a suspected request or part was answered. */
   recordAnswer(subject: string): void;
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -317,6 +317,7 @@
       onGone: (detail) => attempt.recordGone(detail),
     });
     const details = { upstream, path, remainingMs, lastEvent: delivery?.lastEvent };
+    attempt.isResumed = details.lastEvent !== undefined;
     const onEvents = (count: number) => {
       recordTransferred();
       this.recordActivity(state, attempt, watch.quietMs);
@@ -412,7 +413,7 @@
   /** Records the outcome of an attempt in the log, the metrics and the health of the upstream. */
   private recordOutcome(
     state: RequestState,
-    { target, startedAt, events }: RunningAttempt,
+    { target, startedAt, events, isResumed }: RunningAttempt,
     outcome: AttemptOutcome,
     response: UpstreamResponse | undefined,
   ): void {
@@ -426,7 +427,7 @@
       const firstMs =
         firstEventAt === undefined ? undefined : Math.round(firstEventAt - call.startedAt);
       const pauseMs = longestGapMs === undefined ? undefined : Math.round(longestGapMs);
-      this.crashes.recordAnswer(call, events);
+      this.crashes.recordAnswer(call, events, isResumed);
       state.log.info('Delivered.', { upstream: upstream.id, tookMs: took, firstMs, pauseMs });
       this.o.metrics.count('request.delivered', { kind: call.route.kind });
       this.o.health.recordSuccess(upstream, tookMs);
@@ -438,7 +439,7 @@
     state.log.info('Attempt failed.', fields);
     this.o.metrics.count('attempt.failed', { reason: failure });
     if (overrun !== undefined) this.o.metrics.count('attempt.overrun', { kind: overrun });
-    if (failure === 'failed') this.crashes.recordAnswer(call, events);
+    if (failure === 'failed') this.crashes.recordError(call);
     // An upstream that sends too much has not crashed under the request.
     const mayHaveCrashed = contact !== 'gone' && overrun === undefined;
     if (failure === 'broken' && mayHaveCrashed && culprit === undefined) {
--- a/packages/relay/test/parts.test.ts
+++ b/packages/relay/test/parts.test.ts
@@ -57,9 +57,12 @@
   assert.deepEqual(crashes, []);
 });
 
-test('a stream that breaks off midway strikes no part', async () => {
+test('a stream that breaks off midway strikes its request, and no part', async () => {
   const { crashes } = await serveAll([[{ kind: 'cut', chunks: [events(1, 3)] }, answer]]);
-  assert.deepEqual(crashes, []);
+  assert.deepEqual(
+    crashes.map((c) => [c.request !== undefined, c.hadBegun, c.parts, c.answered]),
+    [[true, true, [], []]],
+  );
 });
 
 test('a request with a suspected part does not crash a second upstream', async () => {
