Ask for a key wherever a configuration lists accounts, also none

Callers whose key was taken away with the last account were served on, for good, and so was everyone else: {"tenants": []} opened every route.

Cause: a missing list became an empty one when the document was decoded, and an empty list meant that requests need no key.

Change: accounts are undefined where the document has no list; the table says whether requests need a key. Where the list is empty, no key is valid. The difference of two configurations shows that authentication changes.

--- a/packages/bench/src/documents.ts
+++ b/packages/bench/src/documents.ts
@@ -47,7 +47,7 @@
     version,
     routes: Array.from({ length: routes }, (_, i) => routeOf(i)),
     services: [{ id: service, maxConnections: 100, engine: undefined }],
-    accounts: [],
+    accounts: undefined,
     limits: {
       maxHeaderBytes: 16_384,
       maxBodyBytes: 4_194_304,
--- a/packages/cli/test/configcheck.test.ts
+++ b/packages/cli/test/configcheck.test.ts
@@ -159,6 +159,23 @@
   assert.deepEqual([other.code, other.out], [0, 'removed account quay\nok\n']);
 });
 
+// Guards against an operator who does not see that requests need no key any more.
+test('a list of accounts that is left out differs from an empty one', async () => {
+  const open = await run([documentOf({ version: 3, tenants: undefined }), documentOf()]);
+  const lines = [
+    'removed account quay',
+    'changed authentication',
+    '  needsKey: true -> false',
+    'ok',
+  ];
+  assert.deepEqual([open.code, open.out], [0, `${lines.join('\n')}\n`]);
+  const closed = await run([
+    documentOf({ version: 3, tenants: [] }),
+    documentOf({ tenants: undefined }),
+  ]);
+  assert.match(closed.out, /changed authentication\n {2}needsKey: false -> true/);
+});
+
 // Guards against a comparison that passes although the version in force could not be read.
 test('the version in force is read from a voter', async () => {
   let status = 200;
--- a/packages/config/src/check.ts
+++ b/packages/config/src/check.ts
@@ -48,7 +48,7 @@
 function keyProblems(config: Configuration): readonly ConfigurationProblem[] {
   const holders = new Map<string, string>();
   const problems: ConfigurationProblem[] = [];
-  for (const account of config.accounts) {
+  for (const account of config.accounts ?? []) {
     for (const key of account.keys) {
       const holder = holders.get(key);
       if (holder !== undefined && holder !== account.id) {
--- a/packages/config/src/difference.ts
+++ b/packages/config/src/difference.ts
@@ -62,7 +62,8 @@
   return new Map<string, object>([
     ...routes.map((r) => [`route ${r.id}`, r] as const),
     ...services.map((s) => [`service ${s.id}`, s] as const),
-    ...accounts.map((a) => [`account ${a.id}`, a] as const),
+    ...(accounts ?? []).map((a) => [`account ${a.id}`, a] as const),
+    ['authentication', { needsKey: accounts !== undefined }],
     ['limits', limits],
   ]);
 }
--- a/packages/config/src/model.ts
+++ b/packages/config/src/model.ts
@@ -129,6 +129,10 @@
   readonly version: number;
   readonly routes: readonly Route[];
   readonly services: readonly Service[];
-  readonly accounts: readonly Account[];
+  /**
+   * The accounts whose keys requests need; undefined if requests need no key. While it is empty, no
+   * key is valid.
+   */
+  readonly accounts: readonly Account[] | undefined;
   readonly limits: CallerLimits;
 }
--- a/packages/config/src/table.ts
+++ b/packages/config/src/table.ts
@@ -11,7 +11,7 @@
 
   private constructor(readonly config: Configuration) {
     for (const route of config.routes) this.addRoute(route);
-    for (const account of config.accounts) {
+    for (const account of config.accounts ?? []) {
       for (const key of account.keys) this.accountsByKey.set(key, account);
     }
     for (const service of config.services) this.servicesById.set(service.id, service);
@@ -36,6 +36,11 @@
     return undefined;
   }
 
+  /** Whether requests on routes that are not public need a key. */
+  get needsKey(): boolean {
+    return this.config.accounts !== undefined;
+  }
+
   /** The account that holds `key`. */
   accountOf(key: string): Account | undefined {
     return this.accountsByKey.get(key);
--- a/packages/config/src/warnings.ts
+++ b/packages/config/src/warnings.ts
@@ -12,7 +12,7 @@
   return [
     ...config.routes.flatMap((route) => routeWarnings(route, config.routes)),
     ...serviceWarnings(config),
-    ...config.accounts.flatMap(accountWarnings),
+    ...(config.accounts ?? []).flatMap(accountWarnings),
     ...limitWarnings(config.limits),
   ];
 }
--- a/packages/fleet/test/fleet.ts
+++ b/packages/fleet/test/fleet.ts
@@ -62,7 +62,7 @@
     version,
     routes: [],
     services: [{ id: pool, maxConnections: 10, engine }],
-    accounts: [],
+    accounts: undefined,
     limits: {
       maxHeaderBytes: 16384,
       maxBodyBytes: 1048576,
