Let announcements of services that are not configured move no record

One heartbeat of a foreign writer, for a service that the configuration does not have, at the address of a sound upstream, took that upstream out of use for good: it went on sending heartbeats, was acknowledged, and got nothing.

Cause: any upstream that announces itself at an address and started later was taken for the successor of the one there, whose record became gone; and with the id of another it took over that record.

Change: such an upstream is recorded, as the next configuration may have its service, and tells nothing of others.

The test in fleet/registry.test failed before: the record was taken over.

--- a/packages/fleet/src/control.ts
+++ b/packages/fleet/src/control.ts
@@ -7,7 +7,15 @@
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import { OwnerTable, Serial, TaskGroup, createStopController, waitEnded } from '@tanagercart/base';
-import type { Clock, Logger, Millis, NodeId, Random, UtilizationMeter } from '@tanagercart/base';
+import type {
+  Clock,
+  Logger,
+  Millis,
+  NodeId,
+  Random,
+  ServiceId,
+  UtilizationMeter,
+} from '@tanagercart/base';
 import { deltaOf } from '@tanagercart/config';
 import type { Configuration } from '@tanagercart/config';
 import type { Disk } from '@tanagercart/log';
@@ -297,7 +305,9 @@
     if (this.leaderTerm?.term === term) return this.leaderTerm;
     this.endTerm();
     o.logger.info('Began to lead.', { term });
-    this.leaderTerm = LeaderTerm.create({ ...o, voter, nodes: () => this.membership.nodes }, term);
+    const nodes = () => this.membership.nodes;
+    const isConfigured = (service: ServiceId) => this.isConfigured(service);
+    this.leaderTerm = LeaderTerm.create({ ...o, voter, nodes, isConfigured }, term);
     return this.leaderTerm;
   }
 
@@ -389,6 +399,11 @@
     return this.parsed.config;
   }
 
+  private isConfigured(service: ServiceId): boolean {
+    const config = this.configuration();
+    return config === undefined || config.services.some((s) => s.id === service);
+  }
+
   /**
    * Whether the leader takes collected heartbeats. One of an earlier version, which takes
    * announcements one by one only, names no revision of its list of entries.
--- a/packages/fleet/src/leaderterm.ts
+++ b/packages/fleet/src/leaderterm.ts
@@ -1,6 +1,6 @@
 /** What the leader keeps for one term and discards with it. */
 
-import type { Clock, Logger, Millis, NodeId, UtilizationMeter } from '@tanagercart/base';
+import type { Clock, Logger, Millis, NodeId, ServiceId, UtilizationMeter } from '@tanagercart/base';
 import type { Configuration } from '@tanagercart/config';
 import type { Bulletin, CompactBulletin, UpstreamRecord, WatchCall } from '@tanagercart/protocol';
 import { NamedLimits } from '@tanagercart/pacing';
@@ -40,6 +40,8 @@
   readonly utilization: UtilizationMeter;
   /** Time for which a confirmation by the leader lets an entry answer requests. */
   readonly entryLeaseMs: Millis;
+  /** Whether the configuration has the service; true while there is no configuration. */
+  readonly isConfigured: (service: ServiceId) => boolean;
 }
 
 /** Tracks, places and removes upstreams during one term of the leader. */
@@ -76,7 +78,8 @@
     this.liveness = Liveness.create(clock, o.heartbeatMs);
     const { liveness } = this;
     const isPlacing = (id: UpstreamRecord['id']) => this.placer.isPlacing(id);
-    this.registry = UpstreamRegistry.create({ voter, clock, logger, isPlacing });
+    const { isConfigured } = o;
+    this.registry = UpstreamRegistry.create({ voter, clock, logger, isPlacing, isConfigured });
     const { registry } = this;
     const placerOptions = {
       voter,
--- a/packages/fleet/src/registry.ts
+++ b/packages/fleet/src/registry.ts
@@ -46,6 +46,8 @@
   readonly logger: Logger;
   /** Whether an order to the upstream is in progress. */
   readonly isPlacing: (id: UpstreamId) => boolean;
+  /** Whether the configuration has the service; true while there is no configuration. */
+  readonly isConfigured: (service: ServiceId) => boolean;
 }
 
 /** Turns announcements into records of the replicated state. */
@@ -71,6 +73,10 @@
 
   /** Registers an announcement; accepts it once all changes that follow from it are committed. */
   async register(announcement: Announcement, liveness: Liveness): Promise<BeatReply> {
+    if (this.isForeign(announcement)) {
+      this.logForeign(announcement);
+      return { kind: 'accepted' };
+    }
     const records = liveness.recordHeartbeat(announcement)
       ? this.changesFor(announcement)
       : this.overtakenChangesFor(announcement);
@@ -129,6 +135,21 @@
     void voter.propose({ kind: 'upstreams', records }).then(() => this.leaving.delete(id));
   }
 
+  /**
+   * Whether an announcement takes the id of an upstream of another service for one that the
+   * configuration does not have: its word about that upstream does not count.
+   */
+  private isForeign({ id, service }: Announcement): boolean {
+    const current = this.o.voter.state.upstreams.get(id);
+    if (!current || current.service === service || current.phase === 'gone') return false;
+    return !this.o.isConfigured(service);
+  }
+
+  private logForeign({ id, service, address }: Announcement): void {
+    const fields = { upstream: id, service, address };
+    this.o.logger.warn('Ignored an announcement for a service that is not configured.', fields);
+  }
+
   private logChange(record: UpstreamRecord): void {
     this.o.logger.info('Upstream changed.', {
       upstream: record.id,
@@ -142,24 +163,26 @@
 
   /**
    * Returns what an announcement changes. Another upstream at the same address is gone
-   * if it started earlier; if it started later, the announcement is out of date.
+   * if it started earlier; if it started later, the announcement is out of date. Upstreams of services
+   * that are not configured are recorded, as the next configuration may have them, and tell nothing
+   * of others.
    */
   private changesFor(announcement: Announcement): readonly UpstreamChange[] {
     const { sequence, ...announced } = announcement;
-    const { upstreams } = this.o.voter.state;
+    const { isConfigured, voter } = this.o;
+    const { upstreams } = voter.state;
     const current = upstreams.get(announced.id);
     if (current && current.born > announced.born) return [];
+    const change = this.changeFor(current, announced, sequence);
+    const changes = current && isSame(current, change) ? [] : [change];
+    if (!isConfigured(announced.service)) return changes;
     const sameAddress = [...upstreams.values()].filter(
       (r) => r.address === announced.address && r.id !== announced.id && r.phase !== 'gone',
     );
-    if (sameAddress.some((r) => r.born > announced.born)) return [];
-    const replaced = sameAddress.map((r): UpstreamChange => ({
-      ...r,
-      phase: 'gone',
-      scope: 'phase',
-    }));
-    const change = this.changeFor(current, announced, sequence);
-    return current && isSame(current, change) ? replaced : [...replaced, change];
+    if (sameAddress.some((r) => r.born > announced.born && isConfigured(r.service))) return [];
+    const earlier = sameAddress.filter((r) => r.born <= announced.born);
+    const replaced = earlier.map((r): UpstreamChange => ({ ...r, phase: 'gone', scope: 'phase' }));
+    return [...replaced, ...changes];
   }
 
   /**
--- a/packages/fleet/test/registry.test.ts
+++ b/packages/fleet/test/registry.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { ok } from 'neverthrow';
-import { HeldClock, silentLogger } from '@tanagercart/base';
+import { HeldClock, ServiceId, UpstreamId, silentLogger } from '@tanagercart/base';
 import type { Announcement, UpstreamRecord } from '@tanagercart/protocol';
 import { FleetState, Liveness, UpstreamRegistry, encodeCommand } from '../src/index.js';
 import type { Command } from '../src/index.js';
@@ -25,7 +25,9 @@
     },
   };
   const liveness = Liveness.create(clock, heartbeatMs);
-  const options = { voter, clock, logger: silentLogger, isPlacing: () => false };
+  const unconfigured = new Set<ServiceId>();
+  const isConfigured = (service: ServiceId) => !unconfigured.has(service);
+  const options = { voter, clock, logger: silentLogger, isPlacing: () => false, isConfigured };
   const registry = UpstreamRegistry.create(options);
   let sequence = 0;
   const beat = (change: Partial<Announcement> = {}) => {
@@ -33,9 +35,69 @@
     return registry.register(announcementOf('u1', { sequence, ...change }), liveness);
   };
   const record = () => state.upstreams.get(announcementOf('u1').id);
-  return { clock, voter, liveness, registry, proposed, beat, record };
+  return { clock, voter, state, liveness, registry, proposed, beat, record, unconfigured };
 }
 
+const foreignService = ServiceId('stock-of-another-house');
+
+// Guards against a foreign writer whose single announcement takes an upstream out of use for good.
+test('an announcement of a service that is not configured moves no record of another', async () => {
+  const { clock, state, liveness, registry, beat, record, unconfigured } = start(0);
+  unconfigured.add(foreignService);
+  const tell = (change: Partial<Announcement>, id = 'x-1') =>
+    registry.register(
+      announcementOf(id, { service: foreignService, born: 9, ...change }),
+      liveness,
+    );
+  void beat();
+  await clock.advance(10);
+  const { address } = record()!;
+  // At its address, then with its id, there and elsewhere.
+  for (const reply of [tell({ address }), tell({ address }, 'u1'), tell({ sequence: 99 }, 'u1')]) {
+    await clock.advance(10);
+    assert.equal((await reply).kind, 'accepted');
+  }
+  assert.deepEqual([record()?.phase, record()?.born], ['ready', 1]);
+  void beat({ layers });
+  await clock.advance(10);
+  assert.deepEqual(record()?.layers, layers);
+  void beat({ phase: 'draining' });
+  await clock.advance(10);
+  assert.equal(record()?.phase, 'draining');
+  assert.equal(liveness.isLost(record()!), false);
+  assert.equal(state.upstreams.get(UpstreamId('x-1'))?.phase, 'ready');
+});
+
+test('an upstream of a service that the next configuration has is used from then on', async () => {
+  const { clock, state, liveness, registry, unconfigured } = start(0);
+  unconfigured.add(foreignService);
+  const early = announcementOf('e1', { service: foreignService, sequence: 1 });
+  void registry.register(early, liveness);
+  await clock.advance(10);
+  assert.equal(state.upstreams.get(early.id)?.phase, 'ready');
+  unconfigured.clear();
+  void registry.register({ ...early, sequence: 2 }, liveness);
+  await clock.advance(10);
+  assert.equal(liveness.isLost(state.upstreams.get(early.id)!), false);
+});
+
+test('a new upstream at the address of one that crashed takes its place, and a late heartbeat changes nothing', async () => {
+  const { clock, state, liveness, registry, beat, record } = start(0);
+  void beat();
+  await clock.advance(500);
+  const { address, service } = record()!;
+  const restarted = announcementOf('u2', { address, service, born: 7 });
+  void registry.register(restarted, liveness);
+  await clock.advance(10);
+  assert.equal(record()?.phase, 'gone');
+  for (let i = 0; i < 3; i += 1) {
+    void beat();
+    await clock.advance(10);
+  }
+  assert.equal(record()?.phase, 'gone');
+  assert.equal(state.upstreams.get(restarted.id)?.phase, 'ready');
+});
+
 test('a heartbeat that comes again before its change is committed is proposed once', async () => {
   const { clock, proposed, beat, record } = start(500);
   const replies = [beat(), beat(), beat()];
--- a/packages/relay/src/balancer.ts
+++ b/packages/relay/src/balancer.ts
@@ -133,10 +133,11 @@
     return this.o.view.upstreams.get(id);
   }
 
-  /** The upstream at an address, unless it is gone. */
+  /** The upstream of a configured service at an address, unless it is gone. */
   upstreamAt(address: string): UpstreamRecord | undefined {
-    return [...this.o.view.upstreams.values()].find(
-      (u) => u.address === address && u.phase !== 'gone',
+    const { table, upstreams } = this.o.view;
+    return [...upstreams.values()].find(
+      (u) => u.address === address && u.phase !== 'gone' && table?.serviceOf(u.service),
     );
   }
 
