Take an upstream back that goes on after another was taken for its successor

An upstream that a later one at its address had replaced stayed out of use for good, while its heartbeats were acknowledged, also where the later one was a single announcement of a foreign writer.

Cause: a record that is gone stays so, whoever said it; only the upstream itself should end itself for good.

Change: such an end is revocable. The upstream is taken back after four heartbeats with rising numbers over three intervals, while no later one at its address sends heartbeats. Its own deregistration is final.

The test in fleet/registry.test that it is taken back failed before. Others show that a burst of late heartbeats, a successor that is alive and a deregistration keep it gone.

--- a/packages/fleet/src/command.ts
+++ b/packages/fleet/src/command.ts
@@ -15,6 +15,8 @@
 /** A record, and which of its fields are to be taken; all where `scope` is missing. */
 export interface UpstreamChange extends UpstreamRecord {
   readonly scope?: ChangeScope;
+  /** Whether it revokes that the upstream is gone by the word of another. */
+  readonly revokes?: boolean;
 }
 
 /** One entry of the log. */
--- a/packages/fleet/src/leaderterm.ts
+++ b/packages/fleet/src/leaderterm.ts
@@ -78,8 +78,10 @@
     this.liveness = Liveness.create(clock, o.heartbeatMs);
     const { liveness } = this;
     const isPlacing = (id: UpstreamRecord['id']) => this.placer.isPlacing(id);
-    const { isConfigured } = o;
-    this.registry = UpstreamRegistry.create({ voter, clock, logger, isPlacing, isConfigured });
+    this.registry = UpstreamRegistry.create({
+      ...{ voter, clock, logger, isPlacing },
+      ...{ isConfigured: o.isConfigured, heartbeatMs: o.heartbeatMs },
+    });
     const { registry } = this;
     const placerOptions = {
       voter,
--- a/packages/fleet/src/recordchange.ts
+++ b/packages/fleet/src/recordchange.ts
@@ -23,24 +23,37 @@
 /** The record after a change; undefined if the change does not apply to it. */
 export function changedRecord(
   current: UpstreamRecord | undefined,
-  { scope = 'all', ...record }: UpstreamChange,
+  { scope = 'all', revokes = false, ...record }: UpstreamChange,
 ): UpstreamRecord | undefined {
   if (current?.born !== record.born) {
     const isEarlier = current !== undefined && current.born > record.born;
     const isWhole = scope === 'all' || scope === 'all-but-layers';
     return isEarlier || !isWhole ? undefined : record;
   }
+  if (revokes && current.isRevocable) return record;
   const phase = laterPhase(current.phase, record.phase);
+  const end = endOf(current, record, phase);
   switch (scope) {
     case 'all':
-      return { ...record, phase };
+      return { ...record, phase, ...end };
     case 'all-but-layers':
-      return { ...record, phase, layers: current.layers };
+      return { ...record, phase, layers: current.layers, ...end };
     case 'phase':
-      return { ...current, phase };
+      return { ...current, phase, ...end };
     case 'layers':
       return { ...current, layers: record.layers };
     default:
       return unreachable(scope);
   }
 }
+
+/** Whether the end of an upstream stays revocable: not once the upstream itself has told it. */
+function endOf(
+  current: UpstreamRecord,
+  record: UpstreamRecord,
+  phase: UpstreamPhase,
+): Pick<UpstreamRecord, 'isRevocable'> {
+  if (phase !== 'gone') return {};
+  const words = [current, record].filter((r) => r.phase === 'gone');
+  return { isRevocable: words.every((r) => r.isRevocable) };
+}
--- a/packages/fleet/src/registry.ts
+++ b/packages/fleet/src/registry.ts
@@ -27,6 +27,22 @@
  */
 const placementGraceBeats = 2;
 
+/**
+ * An upstream that is gone by the word of another is taken back after as many announcements, received
+ * over this many intervals between two: one that has ended would count as lost by then, and late
+ * announcements of it are fewer.
+ */
+const beatsToRevoke = 4;
+const intervalsToRevoke = 3;
+
+/** The announcements of an incarnation since it is gone by the word of another. */
+interface Revocation {
+  readonly born: number;
+  readonly since: Millis;
+  sequence: number;
+  beats: number;
+}
+
 /** When the layers of an upstream were recorded, and the last announcement before. */
 interface Placement {
   readonly born: number;
@@ -48,6 +64,8 @@
   readonly isPlacing: (id: UpstreamId) => boolean;
   /** Whether the configuration has the service; true while there is no configuration. */
   readonly isConfigured: (service: ServiceId) => boolean;
+  /** Interval between two announcements of an upstream. */
+  readonly heartbeatMs: Millis;
 }
 
 /** Turns announcements into records of the replicated state. */
@@ -58,6 +76,8 @@
   private readonly pending = new Map<UpstreamId, PendingChange>();
   /** Upstreams whose word that they leave is being committed. */
   private readonly leaving = new Set<UpstreamId>();
+  /** Announcements of upstreams that are gone by the word of others. */
+  private readonly revocations = new Map<UpstreamId, Revocation>();
 
   private constructor(private readonly o: UpstreamRegistryOptions) {}
 
@@ -78,7 +98,7 @@
       return { kind: 'accepted' };
     }
     const records = liveness.recordHeartbeat(announcement)
-      ? this.changesFor(announcement)
+      ? this.changesFor(announcement, liveness)
       : this.overtakenChangesFor(announcement);
     if (records.length === 0) return { kind: 'accepted' };
     const { id } = announcement;
@@ -110,9 +130,12 @@
     const born = named ?? current?.born;
     if (born === undefined || (current && current.born > born)) return { kind: 'accepted' };
     liveness.recordHeartbeat({ id, born, sequence: Number.MAX_SAFE_INTEGER });
-    if (current?.born === born && current.phase === 'gone') return { kind: 'accepted' };
+    const isFinal = current?.born === born && current.phase === 'gone' && !current.isRevocable;
+    if (isFinal) return { kind: 'accepted' };
     const change: UpstreamChange =
-      current?.born === born ? { ...current, phase: 'gone', scope: 'phase' } : goneRecord(id, born);
+      current?.born === born
+        ? { ...current, phase: 'gone', isRevocable: undefined, scope: 'phase' }
+        : goneRecord(id, born);
     this.logChange(change);
     return this.propose({ kind: 'upstreams', records: [change] });
   }
@@ -167,7 +190,7 @@
    * that are not configured are recorded, as the next configuration may have them, and tell nothing
    * of others.
    */
-  private changesFor(announcement: Announcement): readonly UpstreamChange[] {
+  private changesFor(announcement: Announcement, liveness: Liveness): readonly UpstreamChange[] {
     const { sequence, ...announced } = announcement;
     const { isConfigured, voter } = this.o;
     const { upstreams } = voter.state;
@@ -179,12 +202,51 @@
     const sameAddress = [...upstreams.values()].filter(
       (r) => r.address === announced.address && r.id !== announced.id && r.phase !== 'gone',
     );
-    if (sameAddress.some((r) => r.born > announced.born && isConfigured(r.service))) return [];
+    const later = sameAddress.filter((r) => r.born > announced.born && isConfigured(r.service));
+    if (later.some((r) => !liveness.isLost(r))) return [];
+    if (current && this.isRevokedBy(announcement, current))
+      return [{ ...announced, revokes: true }];
     const earlier = sameAddress.filter((r) => r.born <= announced.born);
-    const replaced = earlier.map((r): UpstreamChange => ({ ...r, phase: 'gone', scope: 'phase' }));
+    const replaced = earlier.map((r): UpstreamChange => ({
+      ...r,
+      phase: 'gone',
+      isRevocable: true,
+      scope: 'phase',
+    }));
     return [...replaced, ...changes];
   }
 
+  /**
+   * Whether an upstream that is gone by the word of another has announced itself so often since that
+   * it is there.
+   */
+  private isRevokedBy(
+    { id, born, phase, sequence }: Announcement,
+    current: UpstreamRecord,
+  ): boolean {
+    const isOpen = current.phase === 'gone' && current.isRevocable === true;
+    if (!isOpen || current.born !== born || phase !== 'ready') {
+      this.revocations.delete(id);
+      return false;
+    }
+    const now = this.o.clock.now();
+    const known = this.revocations.get(id);
+    const isKnown = known?.born === born;
+    const revocation = isKnown ? known : { born, since: now, sequence, beats: 1 };
+    if (!isKnown) this.revocations.set(id, revocation);
+    if (sequence <= revocation.sequence) return false;
+    revocation.sequence = sequence;
+    revocation.beats += 1;
+    const isPersistent = now - revocation.since >= this.o.heartbeatMs * intervalsToRevoke;
+    if (revocation.beats < beatsToRevoke || !isPersistent) return false;
+    this.revocations.delete(id);
+    this.o.logger.warn('An upstream that was gone by the word of another is there.', {
+      ...{ upstream: id, born, sequence, beats: revocation.beats },
+      sinceMs: Math.round(now - revocation.since),
+    });
+    return true;
+  }
+
   /**
    * The change that follows from an announcement after a later one of the upstream: what the later one
    * changes may not be committed yet, or never be, so the log has to say that the upstream leaves.
@@ -249,6 +311,8 @@
 /** Whether an announcement of an upstream changes nothing of its record. */
 export function isUnchanged(record: UpstreamRecord | undefined, announced: Announcement): boolean {
   if (!record || isLaterPhase(announced.phase, record.phase)) return false;
+  // The leader decides whether it is there after all.
+  if (record.phase === 'gone' && record.isRevocable && announced.phase === 'ready') return false;
   return isSame(record, { ...announced, phase: record.phase });
 }
 
--- a/packages/fleet/test/registry.test.ts
+++ b/packages/fleet/test/registry.test.ts
@@ -27,7 +27,10 @@
   const liveness = Liveness.create(clock, heartbeatMs);
   const unconfigured = new Set<ServiceId>();
   const isConfigured = (service: ServiceId) => !unconfigured.has(service);
-  const options = { voter, clock, logger: silentLogger, isPlacing: () => false, isConfigured };
+  const options = {
+    ...{ voter, clock, logger: silentLogger, isPlacing: () => false },
+    ...{ isConfigured, heartbeatMs },
+  };
   const registry = UpstreamRegistry.create(options);
   let sequence = 0;
   const beat = (change: Partial<Announcement> = {}) => {
@@ -164,3 +167,68 @@
   await clock.advance(200);
   assert.deepEqual([accepted, record()?.phase], [true, 'draining']);
 });
+
+/** A registry in which `u1` is gone, as another upstream has announced itself once at its address. */
+async function startReplaced() {
+  const started = start(0);
+  const { clock, state, liveness, registry, beat, record } = started;
+  void beat();
+  await clock.advance(500);
+  const { address, service } = record()!;
+  const other = announcementOf('u2', { address, service, born: 7 });
+  const beatOther = (sequence: number) => registry.register({ ...other, sequence }, liveness);
+  void beatOther(1);
+  await clock.advance(10);
+  assert.equal(record()?.phase, 'gone');
+  return { ...started, beatOther, otherRecord: () => state.upstreams.get(other.id) };
+}
+
+// Guards against an upstream that stays out of use by the word of another while it sends heartbeats.
+test('an upstream that another replaced and that goes on sending heartbeats is taken back', async () => {
+  const { clock, beat, record } = await startReplaced();
+  let beats = 0;
+  for (; record()?.phase === 'gone' && beats < 20; beats += 1) {
+    await clock.advance(heartbeatMs);
+    void beat();
+    await clock.advance(10);
+  }
+  assert.equal(record()?.phase, 'ready');
+  assert.ok(beats <= 8, `${beats} heartbeats`);
+  void beat({ phase: 'draining' });
+  await clock.advance(10);
+  assert.equal(record()?.phase, 'draining');
+});
+
+test('an upstream is not taken back while the one that replaced it sends heartbeats', async () => {
+  const { clock, beat, beatOther, record, otherRecord } = await startReplaced();
+  for (let i = 2; i < 12; i += 1) {
+    await clock.advance(heartbeatMs);
+    void beatOther(i);
+    void beat();
+    await clock.advance(10);
+  }
+  assert.deepEqual([record()?.phase, otherRecord()?.phase], ['gone', 'ready']);
+});
+
+test('a burst of late heartbeats takes back no upstream that another replaced', async () => {
+  const { clock, beat, record } = await startReplaced();
+  await clock.advance(10 * heartbeatMs);
+  for (let i = 0; i < 6; i += 1) {
+    void beat();
+    await clock.advance(50);
+  }
+  await clock.advance(10 * heartbeatMs);
+  assert.equal(record()?.phase, 'gone');
+});
+
+test('an upstream that another replaced and that deregisters is not taken back', async () => {
+  const { clock, liveness, registry, beat, record } = await startReplaced();
+  void registry.deregister({ id: record()!.id, born: 1 }, liveness);
+  await clock.advance(10);
+  for (let i = 0; i < 10; i += 1) {
+    await clock.advance(heartbeatMs);
+    void beat();
+    await clock.advance(10);
+  }
+  assert.equal(record()?.phase, 'gone');
+});
--- a/packages/protocol/src/fleetmessage.ts
+++ b/packages/protocol/src/fleetmessage.ts
@@ -30,6 +30,8 @@
   readonly accelerator: string | undefined;
   /** Layers that requests may use; undefined if it holds none. */
   readonly layers: LayerRange | undefined;
+  /** Whether it is gone by the word of another, which its own later announcements revoke. */
+  readonly isRevocable?: boolean | undefined;
 }
 
 /** Tells one incarnation of an upstream from the others. */
