Let an upstream revoke a deregistration that names no incarnation

A deregistration without an incarnation, which another writer can send for any id, ended the upstream for good while it went on sending heartbeats.

Cause: the incarnation was taken from the log, and all heartbeats of it counted as sent before. Upstreams themselves send such deregistrations, so they cannot be refused.

Change: such an end holds at once, and the upstream is taken back if it goes on sending heartbeats, as after a replacement; late ones do not do it. With an incarnation it is final as before.

The test in fleet/registry.test failed before: gone for good.

--- a/packages/fleet/src/registry.ts
+++ b/packages/fleet/src/registry.ts
@@ -115,7 +115,8 @@
 
   /**
    * Records that an upstream has left; accepts it once the log says so. An upstream that the log does
-   * not know is recorded too, so that a heartbeat that it sent before cannot register it later.
+   * not know is recorded too, so that a heartbeat that it sent before cannot register it later. One
+   * that names no incarnation ends what the log knows, until the upstream revokes it.
    */
   async deregister(deregistration: Deregistration, liveness: Liveness): Promise<BeatReply> {
     const { voter } = this.o;
@@ -129,13 +130,15 @@
     const current = voter.state.upstreams.get(id);
     const born = named ?? current?.born;
     if (born === undefined || (current && current.born > born)) return { kind: 'accepted' };
-    liveness.recordHeartbeat({ id, born, sequence: Number.MAX_SAFE_INTEGER });
-    const isFinal = current?.born === born && current.phase === 'gone' && !current.isRevocable;
-    if (isFinal) return { kind: 'accepted' };
-    const change: UpstreamChange =
-      current?.born === born
-        ? { ...current, phase: 'gone', isRevocable: undefined, scope: 'phase' }
-        : goneRecord(id, born);
+    // Without an incarnation it may come from another writer, so that the upstream may revoke it.
+    const isRevocable = named === undefined ? true : undefined;
+    if (!isRevocable) liveness.recordHeartbeat({ id, born, sequence: Number.MAX_SAFE_INTEGER });
+    const isKnown = current?.born === born;
+    const isEnded = isKnown && current.phase === 'gone';
+    if (isEnded && (isRevocable || !current.isRevocable)) return { kind: 'accepted' };
+    const change: UpstreamChange = isKnown
+      ? { ...current, phase: 'gone', isRevocable, scope: 'phase' }
+      : goneRecord(id, born);
     this.logChange(change);
     return this.propose({ kind: 'upstreams', records: [change] });
   }
@@ -204,8 +207,9 @@
     );
     const later = sameAddress.filter((r) => r.born > announced.born && isConfigured(r.service));
     if (later.some((r) => !liveness.isLost(r))) return [];
-    if (current && this.isRevokedBy(announcement, current))
+    if (current && this.isRevokedBy(announcement, current)) {
       return [{ ...announced, revokes: true }];
+    }
     const earlier = sameAddress.filter((r) => r.born <= announced.born);
     const replaced = earlier.map((r): UpstreamChange => ({
       ...r,
--- a/packages/fleet/test/registry.test.ts
+++ b/packages/fleet/test/registry.test.ts
@@ -232,3 +232,32 @@
   }
   assert.equal(record()?.phase, 'gone');
 });
+
+// Guards against a foreign writer that ends an upstream by a deregistration without an incarnation.
+test('an upstream that is deregistered without its incarnation is taken back if it goes on', async () => {
+  const { clock, liveness, registry, beat, record } = start(0);
+  void beat();
+  await clock.advance(500);
+  const { id } = record()!;
+  const deregistered = registry.deregister({ id, born: undefined }, liveness);
+  await clock.advance(10);
+  assert.equal((await deregistered).kind, 'accepted');
+  assert.equal(record()?.phase, 'gone');
+  // Late ones change nothing, nor does its drain.
+  for (let i = 0; i < 3; i += 1) void beat();
+  void beat({ phase: 'draining' });
+  await clock.advance(8 * heartbeatMs);
+  assert.equal(record()?.phase, 'gone');
+  for (let i = 0; i < 6; i += 1) {
+    void beat();
+    await clock.advance(heartbeatMs);
+  }
+  assert.equal(record()?.phase, 'ready');
+  void registry.deregister({ id, born: 1 }, liveness);
+  await clock.advance(10);
+  for (let i = 0; i < 6; i += 1) {
+    void beat();
+    await clock.advance(heartbeatMs);
+  }
+  assert.equal(record()?.phase, 'gone');
+});
