--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -3,6 +3,7 @@
  * kind of the route, the deadline and the retry budget allow it.
  */
 
+import type { Result } from 'neverthrow';
 import type { Clock, Logger, Metrics, Millis, Random } from '@tanagercart/base';
 import { formatRange } from '@tanagercart/layers';
 import type { UpstreamRecord } from '@tanagercart/protocol';
@@ -12,7 +13,7 @@
 import { AttemptPace } from './attemptpace.js';
 import { Attempts } from './attempts.js';
 import type { AttemptNews, RunningAttempt } from './attempts.js';
-import type { Availability } from './availability.js';
+import type { Availability, UpstreamNotices } from './availability.js';
 import type { RetryBudget } from './budget.js';
 import type { Health } from './health.js';
 import type { Loads } from './loads.js';
@@ -37,7 +38,7 @@
 import { failureOf, failureOfRead, sendResponse } from './outcome.js';
 import type { AttemptOutcome } from './outcome.js';
 import { Targets } from './targets.js';
-import type { UpstreamClient, UpstreamResponse } from './upstream.js';
+import type { SendError, UpstreamClient, UpstreamResponse } from './upstream.js';
 
 /**
  * Mean retry-after time of refused requests, before jitter and in addition to the time until an
@@ -331,7 +332,8 @@
       const sent = await client.send(call, details, signal);
       const response = sent.isOk() ? sent.value : undefined;
       if (response && !delivery) recordTransferred();
-      if (response) this.o.availability.record(call.id, upstream, response.notices);
+      const notices = noticesOf(sent);
+      if (notices) this.o.availability.record(call.id, upstream, notices);
       const received = response
         ? await forwardResponse(state, attempt, response, onEvents, holding)
         : failureOf(sent._unsafeUnwrapErr());
@@ -458,6 +460,12 @@
   return news.kind === 'ended' && news.outcome.kind === 'failed' ? news.outcome.failure : 'silent';
 }
 
+/** What an upstream said of itself, if it answered at all. */
+function noticesOf(sent: Result<UpstreamResponse, SendError>): UpstreamNotices | undefined {
+  if (sent.isOk()) return sent.value.notices;
+  return sent.error.kind === 'broken' ? sent.error.notices : undefined;
+}
+
 /** How an attempt ended that received `received`. */
 function endOf(
   received: AttemptOutcome,
--- a/packages/relay/src/upstream.ts
+++ b/packages/relay/src/upstream.ts
@@ -35,7 +35,13 @@
   /** The request was not sent; `isGone` where nothing listens at the address. */
   | { readonly kind: 'unreachable'; readonly detail: string; readonly isGone: boolean }
   /** The connection broke, or the bytes received are not a response to this request. */
-  | { readonly kind: 'broken'; readonly detail: string; readonly overrun?: OverrunKind }
+  | {
+      readonly kind: 'broken';
+      readonly detail: string;
+      readonly overrun?: OverrunKind;
+      /** What a response to a second sending said, where the first may have run. */
+      readonly notices?: UpstreamNotices;
+    }
   /** The relay cancelled the attempt. */
   | { readonly kind: 'cancelled' };
 
