Take no part of a service's answer for the whole in the own daemon

A call to a service that answers without a length got a part of the answer as the whole where the connection was reset, orders included.

Cause: undici takes a reset for the end of such an answer, whether it comes with the last bytes or later.

Change: such an answer is taken from a connection of its own only, where the end is known to be a close. A repeatable call that gets one over the pool is sent once more, and later ones to that service go alone at once.

The test in upstream/http.test failed before: 100 of 100 cut answers passed as whole, for each way to reset and for orders and repeatable calls.

--- a/packages/upstream/src/http.ts
+++ b/packages/upstream/src/http.ts
@@ -1,10 +1,13 @@
 /** Clients for engines and services over HTTP, based on undici. */
 
+import type { Socket } from 'node:net';
 import { StringDecoder } from 'node:string_decoder';
-import { Agent, Client, request } from 'undici';
+import { Agent, Client, buildConnector, request } from 'undici';
 import type { Dispatcher } from 'undici';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
+import { connectionEnd, watchConnectionEnd } from '@tanagercart/protocol';
+import type { ConnectionEnd } from '@tanagercart/protocol';
 import type {
   EngineClient,
   FinishReason,
@@ -115,6 +118,12 @@
 
 /** Calls services over HTTP. */
 export class HttpServiceClient implements ServiceClient {
+  /**
+   * Services that answer without a length. Only a connection of its own tells how such an answer
+   * ended.
+   */
+  private readonly closeDelimiting = new Set<string>();
+
   private constructor(private readonly pool: Dispatcher) {}
 
   static create(pool: Dispatcher): HttpServiceClient {
@@ -125,40 +134,87 @@
     call: ServiceRequest,
     signal?: AbortSignal,
   ): Promise<Result<ServiceResponse, SendError>> {
-    const dedicated = call.once ? createSingleUseClient(call.url) : undefined;
+    const { origin } = new URL(call.url);
+    const isAlone = call.once || this.closeDelimiting.has(origin);
+    const connection = isAlone ? SingleUseConnection.create(origin) : undefined;
     try {
       const response = await request(call.url, {
         method: call.method,
-        dispatcher: dedicated ?? this.pool,
+        dispatcher: connection?.client ?? this.pool,
         headers: { ...call.headers },
         body: call.body.length > 0 ? call.body : null,
         ...(signal ? { signal } : {}),
       });
-      const contentType = String(response.headers['content-type'] ?? 'application/octet-stream');
+      const { headers } = response;
+      const contentType = String(headers['content-type'] ?? 'application/octet-stream');
       const body = await response.body.text();
-      return ok({ status: response.statusCode, contentType, body });
+      const answer = ok({ status: response.statusCode, contentType, body });
+      if (!isCloseDelimited(call, response)) return answer;
+      this.closeDelimiting.add(origin);
+      // Repeatable, as others have a connection of their own.
+      if (!connection) return await this.send(call, signal);
+      if ((await connection.ending()) === 'closed') return answer;
+      return err({ kind: 'lost', detail: 'the connection broke before the answer was whole' });
     } catch (error) {
       const detail = detailOf(error);
       return err(
         mayHaveBeenSent(error) ? { kind: 'lost', detail } : { kind: 'unreachable', detail },
       );
     } finally {
-      void dedicated?.destroy();
+      void connection?.client.destroy();
     }
   }
 }
 
+/** Statuses without a body (RFC 9110). */
+const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
+
+/** Whether the body of an answer ends only where its connection does (RFC 9112, section 6.3). */
+function isCloseDelimited(
+  { method }: { readonly method: string },
+  { statusCode, headers }: Dispatcher.ResponseData,
+): boolean {
+  if (method === 'HEAD' || bodilessStatuses.has(statusCode)) return false;
+  const hasLength = headers['content-length'] !== undefined;
+  return !hasLength && headers['transfer-encoding'] === undefined;
+}
+
 /**
- * Creates a client for a single call. A kept-alive connection may be closed by the service after
- * the request was written, and it would then be unknown whether the service received the request.
+ * A connection for a single call. A kept-alive connection may be closed by the service after the
+ * request was written, and it would then be unknown whether the service received the request.
  */
-function createSingleUseClient(url: string): Client {
-  return new Client(new URL(url).origin, {
-    pipelining: 1,
-    connect: { timeout: connectTimeoutMs },
-    bodyTimeout: 0,
-    headersTimeout: 0,
-  });
+class SingleUseConnection {
+  readonly client: Client;
+  private socket: Socket | undefined;
+
+  private constructor(origin: string) {
+    const connect = buildConnector({ timeout: connectTimeoutMs });
+    this.client = new Client(origin, {
+      pipelining: 1,
+      connect: (options, onConnected) =>
+        connect(options, (...result) => {
+          const [, socket] = result;
+          if (socket) this.watch(socket);
+          onConnected(...result);
+        }),
+      bodyTimeout: 0,
+      headersTimeout: 0,
+    });
+  }
+
+  static create(origin: string): SingleUseConnection {
+    return new SingleUseConnection(origin);
+  }
+
+  /** How the service ended the connection; `undici` takes a reset for an ordinary end. */
+  ending(): Promise<ConnectionEnd> {
+    return this.socket ? connectionEnd(this.socket) : Promise.resolve('unknown');
+  }
+
+  private watch(socket: Socket): void {
+    this.socket = socket;
+    watchConnectionEnd(socket);
+  }
 }
 
 /**
--- a/packages/upstream/test/http.test.ts
+++ b/packages/upstream/test/http.test.ts
@@ -1,9 +1,10 @@
 import assert from 'node:assert/strict';
 import { createServer } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import { createServer as createTcpServer } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
 import { test } from 'node:test';
 import { GrantId, ModelId, RequestId, UpstreamId } from '@tanagercart/base';
-import { HttpEngineClient, createPool } from '../src/index.js';
+import { HttpEngineClient, HttpServiceClient, createPool } from '../src/index.js';
 import type { RunEvent, RunOrder } from '../src/index.js';
 
 const line = (value: object) => `${JSON.stringify(value)}\n`;
@@ -64,3 +65,49 @@
   const events = await runEvents(Buffer.from(token(0, 'dry ')));
   assert.deepEqual(summarize(events), [['dry '], 'failed']);
 });
+
+/** Sends `count` calls to a service that ends its answers, which have no length, by `finish`. */
+async function callService(count: number, once: boolean, finish: (socket: Socket) => void) {
+  const server = createTcpServer((socket) => {
+    socket.on('error', () => undefined);
+    socket.once('data', () => {
+      socket.write('HTTP/1.1 200 OK\r\n\r\nfigs');
+      finish(socket);
+    });
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const pool = createPool();
+  const client = HttpServiceClient.create(pool);
+  const url = `http://127.0.0.1:${(server.address() as AddressInfo).port}/desk`;
+  const outcomes = new Map<string, number>();
+  for (let i = 0; i < count; i += 1) {
+    const answer = await client.send({
+      url,
+      method: 'POST',
+      headers: {},
+      body: Buffer.from('x'),
+      once,
+    });
+    const outcome = answer.isOk() ? answer.value.body : answer.error.kind;
+    outcomes.set(outcome, (outcomes.get(outcome) ?? 0) + 1);
+  }
+  await pool.destroy();
+  server.close();
+  return Object.fromEntries(outcomes);
+}
+
+// Guards against a part of an answer that passes as the whole: undici takes a reset for an end.
+test('an answer of a service without a length is lost where its connection is reset', async () => {
+  const resets: readonly ((socket: Socket) => void)[] = [
+    (socket) => socket.resetAndDestroy(),
+    (socket) => setTimeout(() => socket.resetAndDestroy(), 5),
+  ];
+  for (const once of [true, false]) {
+    for (const reset of resets) {
+      assert.deepEqual(await callService(100, once, reset), { lost: 100 });
+    }
+    assert.deepEqual(await callService(100, once, (socket) => socket.end()), { figs: 100 });
+  }
+});
