Look for outdated suspicions twice a second, not at each report

Since breaks in the middle of answers are reported, a crash may bring a report for each stream of the upstream, and each went through all suspicions three times.

--- a/packages/fleet/src/crashes.ts
+++ b/packages/fleet/src/crashes.ts
@@ -30,6 +30,9 @@
 /** A suspicion without a further crash is dropped after this time. */
 const suspicionMs: Millis = 30_000;
 
+/** Outdated suspicions are looked for this often: a crash may be reported by hundreds of streams. */
+const dropIntervalMs: Millis = 500;
+
 /**
  * Entries are told of a request from this crash on. Most requests that a single crash strikes are
  * sound, and there may be hundreds of them.
@@ -66,6 +69,7 @@
   /** Suspicions that led to a quarantine of which it is not known yet whether it is in the log. */
   private readonly convicted = new Map<string, Suspicion>();
   private readonly log = CrashLog.create();
+  private droppedAt: Millis = -Infinity;
 
   private constructor(private readonly clock: Clock) {}
 
@@ -188,6 +192,8 @@
   }
 
   private dropOutdated(now: Millis): void {
+    if (now - this.droppedAt < dropIntervalMs) return;
+    this.droppedAt = now;
     this.log.forget(now - uncertainCrashes * suspicionMs);
     for (const [subject, { attempts }] of this.suspicions) {
       if (now - lastCrashOf(attempts) > suspicionMs) this.suspicions.delete(subject);
