--- a/packages/fleet/src/command.ts
+++ b/packages/fleet/src/command.ts
@@ -15,7 +15,7 @@
 /** A record, and which of its fields are to be taken; all where `scope` is missing. */
 export interface UpstreamChange extends UpstreamRecord {
   readonly scope?: ChangeScope;
-  /** Whether it revokes that the upstream is gone by the word of another. */
+  /** Whether the upstream revokes an end that another writer recorded. */
   readonly revokes?: boolean;
 }
 
--- a/packages/fleet/src/recordchange.ts
+++ b/packages/fleet/src/recordchange.ts
@@ -47,7 +47,7 @@
   }
 }
 
-/** Whether the end of an upstream stays revocable: not once the upstream itself has told it. */
+/** Whether the end of an upstream is revocable: not once the upstream itself has recorded it. */
 function endOf(
   current: UpstreamRecord,
   record: UpstreamRecord,
--- a/packages/fleet/src/registry.ts
+++ b/packages/fleet/src/registry.ts
@@ -28,14 +28,14 @@
 const placementGraceBeats = 2;
 
 /**
- * An upstream that is gone by the word of another is taken back after as many announcements, received
- * over this many intervals between two: one that has ended would count as lost by then, and late
- * announcements of it are fewer.
+ * An upstream that another writer recorded as gone is taken back after as many announcements, received
+ * over this many heartbeat intervals: one that has ended would count as lost by then, and its late
+ * announcements are fewer.
  */
 const beatsToRevoke = 4;
 const intervalsToRevoke = 3;
 
-/** The announcements of an incarnation since it is gone by the word of another. */
+/** The announcements of an incarnation that another writer recorded as gone. */
 interface Revocation {
   readonly born: number;
   readonly since: Millis;
@@ -76,7 +76,7 @@
   private readonly pending = new Map<UpstreamId, PendingChange>();
   /** Upstreams whose word that they leave is being committed. */
   private readonly leaving = new Set<UpstreamId>();
-  /** Announcements of upstreams that are gone by the word of others. */
+  /** Announcements of upstreams that others recorded as gone. */
   private readonly revocations = new Map<UpstreamId, Revocation>();
 
   private constructor(private readonly o: UpstreamRegistryOptions) {}
@@ -163,7 +163,7 @@
 
   /**
    * Whether an announcement takes the id of an upstream of another service for one that the
-   * configuration does not have: its word about that upstream does not count.
+   * configuration does not have: it tells nothing of that upstream.
    */
   private isForeign({ id, service }: Announcement): boolean {
     const current = this.o.voter.state.upstreams.get(id);
@@ -221,8 +221,8 @@
   }
 
   /**
-   * Whether an upstream that is gone by the word of another has announced itself so often since that
-   * it is there.
+   * Whether an upstream that another writer recorded as gone has announced itself so often since that
+   * it is up.
    */
   private isRevokedBy(
     { id, born, phase, sequence }: Announcement,
@@ -244,7 +244,7 @@
     const isPersistent = now - revocation.since >= this.o.heartbeatMs * intervalsToRevoke;
     if (revocation.beats < beatsToRevoke || !isPersistent) return false;
     this.revocations.delete(id);
-    this.o.logger.warn('An upstream that was gone by the word of another is there.', {
+    this.o.logger.warn('Took back an upstream that another writer recorded as gone.', {
       ...{ upstream: id, born, sequence, beats: revocation.beats },
       sinceMs: Math.round(now - revocation.since),
     });
--- a/packages/protocol/src/fleetmessage.ts
+++ b/packages/protocol/src/fleetmessage.ts
@@ -30,7 +30,7 @@
   readonly accelerator: string | undefined;
   /** Layers that requests may use; undefined if it holds none. */
   readonly layers: LayerRange | undefined;
-  /** Whether it is gone by the word of another, which its own later announcements revoke. */
+  /** Whether another writer recorded it as gone, which its own later announcements revoke. */
   readonly isRevocable?: boolean | undefined;
 }
 
