Form the log by a quorum of its first voters where the others are gone

A service of three core machines of which one is gone for good at its first start never began: no configuration was acknowledged and no entry was ever ready, also with an empty machine in its place.

Cause: the log was formed only once every initial voter had answered that it has none, as entry 1 was written without anybody's vote.

Ruled out: forming by the reports of a quorum. The model finds that a second log replaces what the first has committed (FORM_BY_REPORTS in spec/log.pml), and so does the test of a voter that two quorums share, where votes are left out.

Change: after 2 s in which no voter that answers has a log, the node that forms it does so by the stored votes of a quorum of empty logs that have the list of first voters; entry 1 names all of them, also the absent ones.

--- a/packages/fleet/src/voter.ts
+++ b/packages/fleet/src/voter.ts
@@ -151,6 +151,7 @@
     this.log = Raft.create({
       ...this.o,
       initialVoters: initial.value,
+      formsBy: 'quorum',
       store: store.value,
       stateMachine: state,
       timing,
--- a/packages/fleet/test/control.test.ts
+++ b/packages/fleet/test/control.test.ts
@@ -77,6 +77,24 @@
   await fleet.waitUntil(() => [a, b, c].every((id) => fleet.nodes.get(id)!.isVoter));
 });
 
+// Guards against a service that never begins, as one of its voters is gone at its first start.
+test('a voter that is gone at its first start keeps the others from nothing, and may be replaced', async () => {
+  for (const seed of [16, 17, 18]) {
+    const fleet = Fleet.create(seed);
+    for (const id of [a, b]) fleet.startNode(id, [a, b, c]);
+    await fleet.waitUntil(() => fleet.leader !== undefined, 4000);
+    assert.equal(await submit(fleet, b, 7), 7);
+    fleet.startNode(d);
+    await fleet.waitUntil(() => fleet.nodes.get(d)!.isVoter, 10_000);
+    // It was only late.
+    fleet.startNode(c, [a, b, c]);
+    await fleet.waitUntil(() => fleet.nodes.get(c)!.isVoter, 10_000);
+    fleet.kill(a);
+    await fleet.waitUntil(() => fleet.leader !== undefined);
+    assert.equal(await versionAt(fleet, d), 7);
+  }
+});
+
 test('nodes with empty disks form no log without an initial set', async () => {
   const fleet = Fleet.create(14);
   for (const id of [a, b, c]) fleet.startNode(id);
--- a/packages/log/src/cluster.ts
+++ b/packages/log/src/cluster.ts
@@ -18,6 +18,8 @@
   readonly nodes: readonly NodeId[];
   /** The first voters; one of them forms the log. */
   readonly initialVoters: readonly NodeId[];
+  /** Which of them have to be there; a node with a replaced disk gets their list again. */
+  readonly formsBy?: 'all' | 'quorum';
   readonly limits?: Partial<Limits>;
   /** Duration of one sync; 0 by default. */
   readonly syncMs?: Millis;
@@ -105,6 +107,7 @@
     node.raft = Raft.create({
       self: id,
       initialVoters: this.o.initialVoters,
+      formsBy: this.o.formsBy ?? 'all',
       transport: this.network.attach(id),
       store: store.value,
       stateMachine: this.createStateMachine(node),
--- a/packages/log/src/options.ts
+++ b/packages/log/src/options.ts
@@ -54,8 +54,13 @@
 /** Options of `Raft.create`. */
 export interface RaftOptions {
   readonly self: NodeId;
-  /** The first voters of a new log, which is formed once all of them report empty disks. */
+  /** The first voters of a new log; see `formsBy`. */
   readonly initialVoters: readonly NodeId[];
+  /**
+   * Which of the initial voters have to report empty disks before the log is formed. A `quorum` is
+   * safe only where a node that has lost its disk does not get the list again. `all` by default.
+   */
+  readonly formsBy?: 'all' | 'quorum';
   readonly transport: Transport;
   readonly store: Store;
   readonly stateMachine: StateMachine;
--- a/packages/log/test/raft.test.ts
+++ b/packages/log/test/raft.test.ts
@@ -307,6 +307,101 @@
   await proposeAll(cluster, 'x');
 });
 
+/** A cluster of `count` initial voters, of which a quorum may form the log. */
+function createQuorum(seed: number, count: number): LogCluster {
+  const initialVoters = nodes.slice(0, count);
+  return LogCluster.create({ seed, nodes: initialVoters, initialVoters, formsBy: 'quorum' });
+}
+
+// Guards against a service that never begins, as one of its voters is gone at its first start.
+test('a quorum of initial voters forms the log where the others never answer, and fewer do not', async () => {
+  for (const count of [3, 5]) {
+    const quorum = Math.floor(count / 2) + 1;
+    const cluster = createQuorum(count, count);
+    for (const id of nodes.slice(0, quorum - 1)) await cluster.start(id);
+    await cluster.advance(10_000);
+    assert.equal(cluster.leaseHolder, undefined);
+    await cluster.start(nodes[quorum - 1]!);
+    const tookMs = await cluster.advanceUntil(() => cluster.leaseHolder !== undefined, 5000);
+    assert.ok(tookMs !== undefined && tookMs > 1000, `${tookMs} ms`);
+    await proposeAll(cluster, 'x');
+  }
+});
+
+test('initial voters that are all there form the log without a wait', async () => {
+  const cluster = createQuorum(21, 3);
+  await cluster.startAll();
+  const tookMs = await cluster.advanceUntil(() => cluster.leaseHolder !== undefined, 5000);
+  assert.ok(tookMs !== undefined && tookMs < defaultTiming.electionMs, `${tookMs} ms`);
+});
+
+// Guards against a second log that replaces what the first one has committed: its node has seen the
+// voter of both empty, just before that voter got the first log.
+test('a voter that two quorums share takes part in one log only', async () => {
+  for (let seed = 100; seed < 130; seed += 1) {
+    const cluster = createQuorum(seed, 3);
+    const [a, b, c] = nodes as [NodeId, NodeId, NodeId];
+    const isolate = (...pairs: readonly (readonly [NodeId, NodeId])[]) => {
+      cluster.network.heal();
+      for (const [x, y] of pairs) {
+        cluster.network.cut(x, y);
+        cluster.network.cut(y, x);
+      }
+    };
+    isolate([a, b]);
+    void cluster.start(a);
+    void cluster.start(c);
+    await cluster.advanceUntil(() => cluster.raftOf(a)?.role === 'leader', 5000);
+    isolate([a, b], [a, c]);
+    await cluster.start(b);
+    await cluster.advanceUntil(() => cluster.raftOf(b)!.lastIndex > 0, 5000);
+    isolate([a, b], [b, c]);
+    await cluster.advanceUntil(() => cluster.leaseHolder === a, 5000);
+    void cluster.propose(a, 'first');
+    await cluster.advance(500);
+    assert.equal(cluster.acknowledged.length, 1);
+    isolate();
+    cluster.crash(a);
+    await cluster.advance(5000);
+    assert.equal(cluster.failure, undefined, `${seed}`);
+    await cluster.start(a);
+    await proposeAll(cluster, 'second');
+    await cluster.advance(3000);
+    assert.equal(cluster.failure, undefined, `${seed}`);
+    for (const { index, command } of cluster.acknowledged) {
+      assert.equal(cluster.applied.get(index), command, `${seed}`);
+    }
+  }
+});
+
+test('random starts, cuts and crashes of initial voters form one log', async () => {
+  for (let seed = 200; seed < 240; seed += 1) {
+    const count = seed % 2 === 0 ? 3 : 5;
+    const cluster = createQuorum(seed, count);
+    const voters = nodes.slice(0, count);
+    const draw = (below: number) => Math.floor(cluster.random.next() * below);
+    for (let step = 0; step < 60; step += 1) {
+      const id = voters[draw(count)]!;
+      const kind = draw(5);
+      if (kind <= 1) void cluster.start(id);
+      else if (kind === 2) cluster.crash(id);
+      else if (kind === 3) cluster.network.cut(id, voters[draw(count)]!);
+      else cluster.network.heal();
+      if (cluster.leaseHolder) void cluster.propose(cluster.leaseHolder, `${seed}-${step}`);
+      await cluster.advance(50 + draw(700));
+    }
+    cluster.network.heal();
+    await cluster.startAll();
+    await cluster.advanceUntil(() => cluster.leaseHolder !== undefined, 20_000);
+    await proposeAll(cluster, 'last');
+    await cluster.advance(1000);
+    assert.equal(cluster.failure, undefined, `${seed}`);
+    for (const { index, command } of cluster.acknowledged) {
+      assert.equal(cluster.applied.get(index), command, `${seed}`);
+    }
+  }
+});
+
 test('a new log has a leader without waiting for the silence of an earlier one', async () => {
   for (let seed = 60; seed < 70; seed += 1) {
     const cluster = LogCluster.create({
--- a/spec/log.pml
+++ b/spec/log.pml
@@ -6,8 +6,12 @@
  * sender's log, since a leader's log only grows within a term.
  *
  * Each entry holds its term and the set of voters from it on (a bit mask).
+ * A log is formed by an election among the first voters, all of whose logs are empty; the first entry
+ * names all of them, also those that were absent.
+ *
  * Defining one of NO_LOG_CHECK, NO_VOTE_MEMORY, COUNT_OLD_TERMS,
- * TWO_CHANGES or VOTE_AFTER_LOSS leaves out one rule.
+ * TWO_CHANGES, VOTE_AFTER_LOSS or FORM_BY_REPORTS leaves out one rule; the last one lets a server
+ * write the first entry once a majority reports empty logs, without their votes.
  */
 
 #ifndef SERVERS
@@ -327,6 +331,27 @@
           :: else
           fi
        :: d_step { s[x].role != 0 -> s[x].role = 0; forget(x) }          /* restart */
+#ifdef FORM_BY_REPORTS
+       :: d_step {
+            s[x].size == 0 && s[x].term < TERMS && !s[x].lost ->
+            j = 0; k = 0;
+            do
+            :: k < SERVERS -> if :: s[k].size == 0 -> j = j | (1 << k) :: else fi; k++
+            :: else -> break
+            od;
+            votersOf(x);
+            majority(j)
+          }
+          if
+          :: d_step {
+               ok ->
+               s[x].term++; s[x].vote = NONE; s[x].role = 0; forget(x);
+               append(x, FIRST_VOTERS);
+               forget(x)
+             }
+          :: else
+          fi
+#endif
 #ifdef LOSS
        :: d_step {                                                        /* empty disk */
             !s[0].lost && !s[1].lost && !s[2].lost && !s[SERVERS - 1].lost ->
