Review: a killed entry ends a stream without a length like a whole one

An answer without a length is passed on without one, so that the end of the connection, whatever its cause, is the end of the answer.

--- a/review/11/case.mjs
+++ b/review/11/case.mjs
@@ -2,117 +2,132 @@
 import http from 'node:http';
 import { dirname } from 'node:path';
 import { fileURLToPath } from 'node:url';
-import {
-  Replica,
-  answer,
-  ask,
-  call,
-  documentOf,
-  replicaPort,
-  runCase,
-  sleep,
-  trouble,
-} from '../rig-3.mjs';
+import { Replica, documentOf, newId, now, runCase, sleep, trouble } from '../rig-3.mjs';
 
-/** Work of a replica for an order, as on the users' sheet. */
-const workMs = 86;
-/** Orders are sent for this long, 50 a second. */
-const sendMs = 10_000;
-const gapMs = 20;
+/** Events of a stream, and the pause between them. */
+const eventCount = 40;
+const pauseMs = 50;
+/** Streams in progress when the entry is killed. */
+const streamCount = 160;
+/** One answer of so many has no length, at two of the three replicas. */
+const unframedEvery = 20;
+
+const eventOf = (id, n) => `id: ${n}\ndata: ${id} ${n}\n\n`;
+const wholeOf = (id) => Array.from({ length: eventCount }, (_, i) => eventOf(id, i + 1)).join('');
+
+/** Asks for a stream and reads it to its end; `isComplete` as HTTP has it. */
+function askStream(entry, id) {
+  const sentAt = now();
+  return new Promise((done) => {
+    const request = http.request({
+      host: entry,
+      port: 8227,
+      method: 'POST',
+      path: `/advice/${id}`,
+      agent: false,
+      headers: {
+        Host: 'figs.example',
+        'Attempt-Id': id,
+        'Deadline-Ms': '20000',
+        Authorization: 'Token key-of-quay',
+        'Content-Length': 4,
+      },
+    });
+    request.on('error', (e) => done({ id, sentAt, status: 0, error: e.message, text: '' }));
+    request.on('response', (response) => {
+      let text = '';
+      let error;
+      response.setEncoding('utf8');
+      response.on('data', (part) => {
+        text += part;
+      });
+      response.on('error', (e) => {
+        error = e.message;
+      });
+      response.on('close', () => {
+        const { statusCode: status, headers, complete } = response;
+        const signed = headers['response-signature'] !== undefined;
+        const framing = headers['content-length'] ?? headers['transfer-encoding'] ?? 'none';
+        const isComplete = complete && error === undefined;
+        done({ id, sentAt, status, signed, framing, text, error, isComplete });
+      });
+    });
+    request.end('figs');
+  });
+}
 
 await runCase(dirname(fileURLToPath(import.meta.url)), async (rig) => {
   await rig.startFleet({ entries: 2 });
-  const ranAt = new Map();
-  const handle = async ({ replica, response, id }) => {
-    ranAt.set(id, replica.id);
-    await sleep(workMs);
-    answer({ response, id, replica }, `done ${id}`);
+  const answers = new Map();
+  const handle = async ({ replica, request, response, id }) => {
+    const { socket } = request;
+    const count = (answers.get(replica.name) ?? 0) + 1;
+    answers.set(replica.name, count);
+    const isUnframed = replica.name !== 'r3' && count % unframedEvery === 0;
+    const headers = {
+      'Attempt-Id': id,
+      'Response-Signature': `s.${replica.id}.${id}`,
+      'Content-Type': 'text/event-stream',
+    };
+    if (isUnframed) {
+      // An answer without a length, which ends with its channel.
+      response.useChunkedEncodingByDefault = false;
+      response.shouldKeepAlive = false;
+    }
+    response.writeHead(200, headers);
+    const after = Number(request.headers['last-event-id'] ?? 0);
+    for (let n = after + 1; n <= eventCount; n += 1) {
+      await sleep(pauseMs);
+      if (socket.destroyed) return;
+      response.write(eventOf(id, n));
+    }
+    response.end();
   };
-  const desks = [1, 2, 3].map(
+  const engines = [1, 2, 3].map(
     (n) =>
-      new Replica(rig, {
-        name: `desk${n}`,
-        host: 150 + n,
-        service: 'orders-desk',
-        handle,
-      }),
+      new Replica(rig, { name: `r${n}`, host: 150 + n, service: 'advice', slots: 134, handle }),
   );
   await rig.configure(
     documentOf(1, [
       {
-        name: 'tray-order',
-        pathPrefix: '/orders/',
-        kind: 'non_idempotent',
-        service: 'orders-desk',
+        name: 'curing-advice',
+        pathPrefix: '/advice/',
+        kind: 'streaming',
+        service: 'advice',
+        timeoutMs: 20_000,
+        latencyGoalMs: 500,
+        itlTargetMs: 200,
+        resumable: true,
       },
     ]),
   );
-  for (const desk of desks) await desk.start();
+  await rig.endBootstrap();
+  for (const engine of engines) await engine.start();
   await rig.awaitReady();
   await sleep(1500);
 
-  // The server of another writer. It knows nothing of the platform's headers, and does what it is sent.
-  const foreign = new Map();
-  const host = rig.address(200);
-  const server = http.createServer((request, response) => {
-    let body = '';
-    request.on('data', (part) => {
-      body += part;
-    });
-    request.on('end', () => {
-      const id = request.headers['attempt-id'];
-      if (id !== undefined) {
-        foreign.set(id, `${request.method} ${request.url} for ${request.headers.tenant}: ${body}`);
-        rig.log(`the other writer's server runs ${id}, ${foreign.get(id)}`);
-      }
-      response.writeHead(200, { 'Content-Type': 'text/plain' });
-      response.end('ok');
-    });
-  });
-  server.listen(replicaPort, host);
-  await once(server, 'listening');
-  let ends = false;
-  const writer = (async () => {
-    const born = Date.now();
-    for (let sequence = 1; trouble && !ends; sequence += 1) {
-      // Without `slots` and `coldRemainingMs`, and with a `version` of another type.
-      const body = JSON.stringify({
-        service: 'orders-desk',
-        address: `${host}:${replicaPort}`,
-        zone: 'pamplemousses',
-        version: 3,
-        state: 'ready',
-        sequence,
-        born,
-      });
-      const to = rig.voters[sequence % rig.voters.length];
-      const reply = await call(to, 8229, 'POST', '/tanagercart/Instances.Heartbeat/w-1', body);
-      if (sequence === 1) rig.log(`check-in of the other writer: ${body} -> ${reply.status}`);
-      await sleep(1200);
-    }
-  })();
-  await sleep(1500);
+  const [entry] = rig.entries;
   const pending = [];
-  for (let i = 0; i * gapMs < sendMs; i += 1) {
-    const entry = rig.entries[i % rig.entries.length];
-    pending.push(ask(entry, { method: 'POST', path: `/orders/${i}`, body: `{"trays":${i}}` }));
-    await sleep(gapMs);
+  for (let i = 0; i < streamCount; i += 1) {
+    pending.push(askStream(entry, newId()));
+    await sleep(6);
   }
-  const replies = await Promise.all(pending);
-  ends = true;
-  await writer;
-  server.close();
-  server.closeAllConnections();
-  for (const { id, sentAt, status, tookMs } of replies) {
-    rig.log(
-      `order ${id}, sent at ${sentAt}, got ${status} after ${tookMs} ms, ran at ${ranAt.get(id) ?? 'no replica'}`,
-    );
+  await sleep(300);
+  if (trouble) {
+    const child = rig.children.get('entry-1');
+    child.kill('SIGKILL');
+    await once(child, 'exit');
+    await sleep(500);
+    rig.start('entry-1', 'entry');
   }
-  const lost = replies.filter((r) => r.status !== 200);
-  rig.log(
-    `${replies.length} orders, ${lost.length} without a success, ${foreign.size} run by the other writer's server`,
-  );
-  return [...foreign].map(
-    ([id, what]) => `${id} ran at a server that no valid check-in names: ${what}`,
-  );
+  const broken = [];
+  for (const r of await Promise.all(pending)) {
+    const isWhole = r.text === wholeOf(r.id);
+    const last = /id: (\d+)\n[^\n]*\n\n$/.exec(r.text)?.[1] ?? 'none';
+    const end = r.isComplete ? 'ends as complete' : `broken off (${r.error})`;
+    const seen = `${r.id}, sent at ${r.sentAt}: ${r.status}, signed ${r.signed}, framing ${r.framing}, ${end} after event ${last} of ${eventCount}`;
+    rig.log(seen);
+    if (r.status === 200 && r.isComplete && !isWhole) broken.push(seen);
+  }
+  return broken;
 });
--- a/review/13/case.mjs
+++ b/review/13/case.mjs
@@ -1,38 +1,101 @@
-import { once } from 'node:events';
 import { dirname } from 'node:path';
 import { fileURLToPath } from 'node:url';
-import { CannotRun, DeadlyDesks, bounds, now, runCase, sleep, trouble } from '../rig-3.mjs';
+import {
+  Replica,
+  answer,
+  ask,
+  bounds,
+  documentOf,
+  now,
+  runCase,
+  sleep,
+  trouble,
+} from '../rig-3.mjs';
 
-/** Rounds of two arrivals and one planned restart of the voter that leads. */
-const rounds = 5;
-/** A machine of the core that was stopped is started again after this time. */
-const restartMs = 500;
+/** Work for a long report; the drain is acknowledged shortly after it has begun. */
+const workMs = 2600;
+/** Of five answers of the replica, two are lost: a share of 0.4. */
+const isLost = (n) => n % 5 === 2 || n % 5 === 4;
 
 await runCase(dirname(fileURLToPath(import.meta.url)), async (rig) => {
-  const desks = await DeadlyDesks.create(rig);
-  for (let round = 0; round < rounds; round += 1) {
-    const others = desks.sendOthers(2500);
-    for (let i = 0; i < 2; i += 1) {
-      await sleep(600);
-      await desks.send(rig.entries[i], 'POST');
+  await rig.startFleet({ entries: 2 });
+  const arrivals = [];
+  let answered = 0;
+  const handle = async ({ replica, request, response, id }) => {
+    arrivals.push({ at: now(), id, replica: replica.id });
+    if (request.url.startsWith('/reports/short/')) {
+      await sleep(30);
+      answer({ response, id, replica }, `done ${id}`);
+      return;
     }
-    await others;
-    await sleep(500);
-    if (trouble) {
-      const leader = await rig.leader();
-      if (leader === undefined) throw new CannotRun('no voter says that it leads');
-      const name = `voter-${leader + 1}`;
-      const child = rig.children.get(name);
-      rig.log(`${name} leads and gets SIGTERM`);
-      desks.coreEvents.push(now());
-      child.kill('SIGTERM');
-      await once(child, 'exit');
-      await sleep(restartMs);
-      rig.start(name, 'voter');
-      desks.coreEvents.push(now());
-      rig.log(`${name} is started again`);
+    rig.log(`${id} reaches ${replica.id}, Deadline-Ms ${request.headers['deadline-ms']}`);
+    await sleep(workMs);
+    if (!replica.isUp) return;
+    if (trouble && replica.name === 'desk1') {
+      answered += 1;
+      if (isLost(answered - 1)) {
+        rig.log(`${replica.id} has run ${id}, and its answer is lost by a reset`);
+        request.socket.resetAndDestroy();
+        return;
+      }
     }
-    await sleep(bounds.contactMs + 1500);
+    answer({ response, id, replica }, `done ${id}`);
+  };
+  const desks = [1, 2].map(
+    (n) =>
+      new Replica(rig, {
+        name: `desk${n}`,
+        host: 150 + n,
+        service: 'reports-desk',
+        slots: 12,
+        handle,
+      }),
+  );
+  const [leaving] = desks;
+  await rig.configure(
+    documentOf(1, [
+      {
+        name: 'report',
+        pathPrefix: '/reports/',
+        kind: 'idempotent',
+        service: 'reports-desk',
+        timeoutMs: 10_000,
+        latencyGoalMs: 4000,
+      },
+    ]),
+  );
+  for (const desk of desks) await desk.start();
+  await rig.awaitReady();
+  await sleep(1500);
+
+  // Short reports, after which the entries keep channels to both replicas.
+  await Promise.all(
+    Array.from({ length: 24 }, (_, i) =>
+      ask(rig.entries[i % 2], { path: `/reports/short/${i}`, deadlineMs: 10_000 }),
+    ),
+  );
+  await sleep(200);
+  const sent = Array.from({ length: 16 }, (_, i) =>
+    ask(rig.entries[i % 2], { path: `/reports/long/${i}`, deadlineMs: 10_000 }),
+  );
+  await sleep(50);
+  leaving.state = 'draining';
+  while (!(await leaving.beat())) await sleep(50);
+  const ackedAt = now();
+  rig.log(`the draining of ${leaving.id} is acknowledged`);
+  const left = (async () => {
+    await sleep(bounds.drainMs + 2500);
+    const body = JSON.stringify({ born: leaving.born });
+    await leaving.tell(`/tanagercart/Instances.Deregister/${leaving.id}`, body);
+    rig.log(`${leaving.id} has left`);
+    leaving.crash();
+  })();
+  for (const r of await Promise.all(sent)) {
+    rig.log(`client ${r.id}, sent at ${r.sentAt}, got ${r.status} after ${r.tookMs} ms`);
   }
-  return desks.broken();
+  await left;
+  const late = arrivals.filter((a) => a.replica === leaving.id && a.at > ackedAt + bounds.drainMs);
+  return late.map(
+    (a) => `${a.id} reaches ${a.replica} ${a.at - ackedAt} ms after its draining was acknowledged`,
+  );
 });
