Review: keep the cases inside the limits they quote, and write each record as it comes

Change: eight entries and five replicas in case 11, eight replicas in case 13, their limits in the claims; each case names its record.txt, and each line is written at once.

--- a/review/11/case.mjs
+++ b/review/11/case.mjs
@@ -1,22 +1,22 @@
 import { once } from 'node:events';
 import http from 'node:http';
-import { dirname } from 'node:path';
+import { dirname, join } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import { Replica, documentOf, newId, now, runCase, sleep, trouble } from '../rig-3.mjs';
 
 /** Events of a stream, and the pause between them. */
 const eventCount = 40;
-const pauseMs = 50;
+const pauseMs = 100;
 /** Streams in progress when the entry is killed. */
-const streamCount = 160;
-/** One answer of so many has no length, at two of the three replicas. */
+const streamCount = 320;
+/** One answer of so many has no length, at three of the five replicas. */
 const unframedEvery = 20;
 
 const eventOf = (id, n) => `id: ${n}\ndata: ${id} ${n}\n\n`;
 const wholeOf = (id) => Array.from({ length: eventCount }, (_, i) => eventOf(id, i + 1)).join('');
 
 /** Asks for a stream and reads it to its end; `isComplete` as HTTP has it. */
-function askStream(entry, id) {
+function askStream(entry, id, onHead) {
   const sentAt = now();
   return new Promise((done) => {
     const request = http.request({
@@ -35,6 +35,9 @@
     });
     request.on('error', (e) => done({ id, sentAt, status: 0, error: e.message, text: '' }));
     request.on('response', (response) => {
+      const { headers } = response;
+      const framing = headers['content-length'] ?? headers['transfer-encoding'] ?? 'none';
+      onHead(framing);
       let text = '';
       let error;
       response.setEncoding('utf8');
@@ -45,9 +48,8 @@
         error = e.message;
       });
       response.on('close', () => {
-        const { statusCode: status, headers, complete } = response;
+        const { statusCode: status, complete } = response;
         const signed = headers['response-signature'] !== undefined;
-        const framing = headers['content-length'] ?? headers['transfer-encoding'] ?? 'none';
         const isComplete = complete && error === undefined;
         done({ id, sentAt, status, signed, framing, text, error, isComplete });
       });
@@ -56,14 +58,17 @@
   });
 }
 
-await runCase(dirname(fileURLToPath(import.meta.url)), async (rig) => {
-  await rig.startFleet({ entries: 2 });
+const record = join(dirname(fileURLToPath(import.meta.url)), 'record.txt');
+
+await runCase(record, async (rig) => {
+  await rig.startFleet({ entries: 8 });
   const answers = new Map();
   const handle = async ({ replica, request, response, id }) => {
     const { socket } = request;
     const count = (answers.get(replica.name) ?? 0) + 1;
     answers.set(replica.name, count);
-    const isUnframed = replica.name !== 'r3' && count % unframedEvery === 0;
+    const isUnframed = !['r4', 'r5'].includes(replica.name) && count % unframedEvery === 0;
+    rig.log(`${replica.id} runs ${id}, ${isUnframed ? 'without a length' : 'with chunks'}`);
     const headers = {
       'Attempt-Id': id,
       'Response-Signature': `s.${replica.id}.${id}`,
@@ -83,7 +88,7 @@
     }
     response.end();
   };
-  const engines = [1, 2, 3].map(
+  const engines = [1, 2, 3, 4, 5].map(
     (n) =>
       new Replica(rig, { name: `r${n}`, host: 150 + n, service: 'advice', slots: 134, handle }),
   );
@@ -106,19 +111,26 @@
   await rig.awaitReady();
   await sleep(1500);
 
-  const [entry] = rig.entries;
+  /** For each entry, the streams without a length that it forwards. */
+  const unframed = rig.entries.map(() => 0);
   const pending = [];
   for (let i = 0; i < streamCount; i += 1) {
-    pending.push(askStream(entry, newId()));
-    await sleep(6);
+    const at = i % rig.entries.length;
+    const onHead = (framing) => {
+      if (framing === 'none') unframed[at] += 1;
+    };
+    pending.push(askStream(rig.entries[at], newId(), onHead));
+    await sleep(5);
   }
   await sleep(300);
   if (trouble) {
-    const child = rig.children.get('entry-1');
+    const name = `entry-${1 + unframed.indexOf(Math.max(...unframed))}`;
+    rig.log(`${name} gets SIGKILL; streams without a length by entry: ${unframed.join(' ')}`);
+    const child = rig.children.get(name);
     child.kill('SIGKILL');
     await once(child, 'exit');
     await sleep(500);
-    rig.start('entry-1', 'entry');
+    rig.start(name, 'entry');
   }
   const broken = [];
   for (const r of await Promise.all(pending)) {
--- a/review/13/case.mjs
+++ b/review/13/case.mjs
@@ -1,4 +1,4 @@
-import { dirname } from 'node:path';
+import { dirname, join } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import {
   Replica,
@@ -17,13 +17,16 @@
 /** Of five answers of the replica, two are lost: a share of 0.4. */
 const isLost = (n) => n % 5 === 2 || n % 5 === 4;
 
-await runCase(dirname(fileURLToPath(import.meta.url)), async (rig) => {
+const record = join(dirname(fileURLToPath(import.meta.url)), 'record.txt');
+
+await runCase(record, async (rig) => {
   await rig.startFleet({ entries: 2 });
   const arrivals = [];
   let answered = 0;
   const handle = async ({ replica, request, response, id }) => {
     arrivals.push({ at: now(), id, replica: replica.id });
     if (request.url.startsWith('/reports/short/')) {
+      rig.log(`the short report ${id} reaches ${replica.id}`);
       await sleep(30);
       answer({ response, id, replica }, `done ${id}`);
       return;
@@ -41,13 +44,13 @@
     }
     answer({ response, id, replica }, `done ${id}`);
   };
-  const desks = [1, 2].map(
+  const desks = [1, 2, 3, 4, 5, 6, 7, 8].map(
     (n) =>
       new Replica(rig, {
         name: `desk${n}`,
         host: 150 + n,
         service: 'reports-desk',
-        slots: 12,
+        slots: 24,
         handle,
       }),
   );
@@ -68,14 +71,17 @@
   await rig.awaitReady();
   await sleep(1500);
 
-  // Short reports, after which the entries keep channels to both replicas.
-  await Promise.all(
-    Array.from({ length: 24 }, (_, i) =>
+  // Short reports, after which the entries keep channels to all replicas.
+  const shorts = await Promise.all(
+    Array.from({ length: 160 }, (_, i) =>
       ask(rig.entries[i % 2], { path: `/reports/short/${i}`, deadlineMs: 10_000 }),
     ),
   );
+  for (const r of shorts) {
+    rig.log(`client of the short report ${r.id}, sent at ${r.sentAt}, got ${r.status}`);
+  }
   await sleep(200);
-  const sent = Array.from({ length: 16 }, (_, i) =>
+  const sent = Array.from({ length: 64 }, (_, i) =>
     ask(rig.entries[i % 2], { path: `/reports/long/${i}`, deadlineMs: 10_000 }),
   );
   await sleep(50);
@@ -91,7 +97,9 @@
     leaving.crash();
   })();
   for (const r of await Promise.all(sent)) {
-    rig.log(`client ${r.id}, sent at ${r.sentAt}, got ${r.status} after ${r.tookMs} ms`);
+    rig.log(
+      `client of the long report ${r.id}, sent at ${r.sentAt}, got ${r.status} after ${r.tookMs} ms`,
+    );
   }
   await left;
   const late = arrivals.filter((a) => a.replica === leaving.id && a.at > ackedAt + bounds.drainMs);
--- a/review/14/case.mjs
+++ b/review/14/case.mjs
@@ -1,5 +1,5 @@
 import { once } from 'node:events';
-import { dirname } from 'node:path';
+import { dirname, join } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import { CannotRun, DeadlyDesks, bounds, now, runCase, sleep, trouble } from '../rig-3.mjs';
 
@@ -8,7 +8,9 @@
 /** A machine of the core that was stopped is started again after this time. */
 const restartMs = 500;
 
-await runCase(dirname(fileURLToPath(import.meta.url)), async (rig) => {
+const record = join(dirname(fileURLToPath(import.meta.url)), 'record.txt');
+
+await runCase(record, async (rig) => {
   const desks = await DeadlyDesks.create(rig);
   for (let round = 0; round < rounds; round += 1) {
     const others = desks.sendOthers(2500);
--- a/review/rig-3.mjs
+++ b/review/rig-3.mjs
@@ -6,6 +6,7 @@
 
 import { spawn } from 'node:child_process';
 import { once } from 'node:events';
+import { createWriteStream } from 'node:fs';
 import { access, mkdtemp, readFile, rm, writeFile } from 'node:fs/promises';
 import http from 'node:http';
 import net from 'node:net';
@@ -126,12 +127,11 @@
   children = new Map();
   stopped = false;
   lines = [];
-  record = [];
 
   constructor(folder, prefix, record) {
     this.folder = folder;
     this.prefix = prefix;
-    this.recordFile = record;
+    this.record = record;
   }
 
   static async create(record) {
@@ -145,14 +145,9 @@
     return rig;
   }
 
-  /** Writes the record. */
-  saveRecord() {
-    return writeFile(this.recordFile, this.record.join(''));
-  }
-
   /** Adds a line to the record. */
   log(text) {
-    this.record.push(`${String(now()).padStart(6)} ${text}\n`);
+    this.record.write(`${String(now()).padStart(6)} ${text}\n`);
   }
 
   address(host) {
@@ -596,6 +591,7 @@
   async handle({ replica, request, response, id }) {
     const { rig } = this;
     if (!request.url.endsWith('/deadly')) {
+      rig.log(`the order ${id} of another reaches ${replica.id}`);
       await sleep(orderMs);
       answer({ response, id, replica }, `done ${id}`);
       return;
@@ -639,6 +635,11 @@
       await sleep(50);
     }
     const replies = await Promise.all(sent);
+    for (const r of replies) {
+      this.rig.log(
+        `the order ${r.id} of another, sent at ${r.sentAt}, got ${r.status} after ${r.tookMs} ms`,
+      );
+    }
     const lost = replies.filter((r) => r.status !== 200);
     this.lostOrders += lost.length;
     this.rig.log(
@@ -665,12 +666,16 @@
  * Runs a case: `play` gets the rig and returns a list of what breaks the rule; empty if it held. The
  * exit code is 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
  */
-export async function runCase(folder, play) {
+export async function runCase(recordFile, play) {
+  // Each line is written as it comes, so that a run that ends early leaves its record too.
+  const record = createWriteStream(recordFile);
+  const note = (text) => record.write(`${String(now()).padStart(6)} ${text}\n`);
   let rig;
   const leave = async (code, text) => {
-    rig?.log(text);
-    await rig?.saveRecord();
+    note(text);
     await rig?.stop();
+    record.end();
+    await once(record, 'finish');
     process.stdout.write(`${text}\n`);
     process.exit(code);
   };
@@ -680,11 +685,11 @@
   process.once('SIGTERM', stop).once('SIGINT', stop);
   const late = setTimeout(stop, 115_000);
   try {
-    rig = await Rig.create(join(folder, 'record.txt'));
-    rig.log(trouble ? 'with the disruption' : 'without the disruption (TROUBLE=0)');
+    note(trouble ? 'with the disruption' : 'without the disruption (TROUBLE=0)');
+    rig = await Rig.create(record);
     const broken = await play(rig);
     clearTimeout(late);
-    for (const text of broken) rig.log(`BROKEN: ${text}`);
+    for (const text of broken) note(`BROKEN: ${text}`);
     await (broken.length === 0 ? leave(0, 'the rule held') : leave(1, 'the rule was broken'));
   } catch (e) {
     await leave(2, `could not run: ${e.stack}`);
