Tell callers the end of every answer, and believe that of an upstream only while it is there

Cause: the operating system closes the connections of a killed process like an ordinary end. Entries forwarded such answers without a length, so the close of a killed entry was the end of the body; and they took the close of a killed upstream for the end as well. Chunks had been given up as a last chunk would have sworn that the part of a killed upstream was the whole.

Ruled out: that a reset passes for an end, which connectionend tells apart.

Why this works: each body has a length or chunks towards callers, and a killed entry sends no last chunk. The last chunk has a ground of its own: after the close the upstream accepts a connection and does not say that it is another incarnation; a killed one accepts none. What is cut is resumed or run elsewhere where it may be, otherwise broken off or 502.

--- a/packages/relay/src/call.ts
+++ b/packages/relay/src/call.ts
@@ -56,8 +56,11 @@
 export interface Caller {
   /** Aborts when the caller closes its connection. */
   readonly disconnected: AbortSignal;
-  /** Sends status and headers of an upstream's response. */
-  start(head: ResponseHead): void;
+  /**
+   * Sends status and headers of an upstream's response. `bodyBytes` is the length of its body, where
+   * that is known already.
+   */
+  start(head: ResponseHead, bodyBytes?: number): void;
   /** Sends bytes of the body; resolves once the connection accepts more, for back-pressure. */
   write(bytes: Uint8Array): Promise<void>;
   /** Completes the response. */
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -1,6 +1,7 @@
 export * from './call.js';
 export * from './upstream.js';
 export * from './events.js';
+export * from './bodyend.js';
 export * from './availability.js';
 export * from './loads.js';
 export * from './estimate.js';
--- a/packages/relay/src/outcome.ts
+++ b/packages/relay/src/outcome.ts
@@ -52,7 +52,7 @@
 
 /** Sends a complete response to the caller. */
 export function sendResponse(response: CompleteResponse, caller: Caller): void {
-  caller.start(response.head);
+  caller.start(response.head, response.body.length);
   void caller.write(response.body);
   caller.end();
 }
--- a/packages/relay/src/overrun.ts
+++ b/packages/relay/src/overrun.ts
@@ -1,5 +1,7 @@
 /** Attempts that are ended for what they receive: more than an answer has, or than memory allows. */
 
+import { UnconfirmedEnd } from './bodyend.js';
+
 /** What an attempt received too much of. */
 export type OverrunKind =
   /** Bytes that are no content of a response. */
@@ -32,7 +34,8 @@
   readonly overrun?: OverrunKind;
 }
 
-/** What an error of a body tells; one that is no overrun is described by `detail`. */
+/** What an error of a body tells; one that tells nothing itself is described by `detail`. */
 export function brokenRead(error: unknown, detail: string): BrokenRead {
-  return error instanceof Overrun ? { detail: error.message, overrun: error.kind } : { detail };
+  if (error instanceof Overrun) return { detail: error.message, overrun: error.kind };
+  return { detail: error instanceof UnconfirmedEnd ? error.message : detail };
 }
