Take no answer of a killed service for a whole one in the own daemon

What callers saw: a call to a service that answers without a length, and is killed in the middle, was answered with the part as the whole.

Evidence: the new test of upstream/http, where the service stops to listen and closes, got the answer on the code before, and fails there.

Why this works: after the close the service has to accept a connection and keep it open for a moment; otherwise the call is lost, and its caller is told so or it is tried elsewhere.

--- a/packages/upstream/src/http.ts
+++ b/packages/upstream/src/http.ts
@@ -16,6 +16,7 @@
   RunOrder,
   TokenFrame,
 } from './engine.js';
+import { isListening } from './listening.js';
 import type { SendError, ServiceResponse, ServiceRequest, ServiceClient } from './service.js';
 
 /** Largest number of connections to one upstream. */
@@ -153,7 +154,9 @@
       this.closeDelimiting.add(origin);
       // Repeatable, as others have a connection of their own.
       if (!connection) return await this.send(call, signal);
-      if ((await connection.ending()) === 'closed') return answer;
+      // The connections of a service that was killed are closed, too.
+      const isWhole = (await connection.ending()) === 'closed' && (await isListening(origin));
+      if (isWhole) return answer;
       return err({ kind: 'lost', detail: 'the connection broke before the answer was whole' });
     } catch (error) {
       const detail = detailOf(error);
--- a/packages/upstream/test/http.test.ts
+++ b/packages/upstream/test/http.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { createServer } from 'node:http';
 import { createServer as createTcpServer } from 'node:net';
-import type { AddressInfo, Socket } from 'node:net';
+import type { AddressInfo, Server, Socket } from 'node:net';
 import { test } from 'node:test';
 import { GrantId, ModelId, RequestId, UpstreamId } from '@tanagercart/base';
 import { HttpEngineClient, HttpServiceClient, createPool } from '../src/index.js';
@@ -67,12 +67,16 @@
 });
 
 /** Sends `count` calls to a service that ends its answers, which have no length, by `finish`. */
-async function callService(count: number, once: boolean, finish: (socket: Socket) => void) {
+async function callService(
+  count: number,
+  once: boolean,
+  finish: (socket: Socket, server: Server) => void,
+) {
   const server = createTcpServer((socket) => {
     socket.on('error', () => undefined);
     socket.once('data', () => {
       socket.write('HTTP/1.1 200 OK\r\n\r\nfigs');
-      finish(socket);
+      finish(socket, server);
     });
   });
   await new Promise<void>((resolve) => {
@@ -111,3 +115,13 @@
     assert.deepEqual(await callService(100, once, (socket) => socket.end()), { figs: 100 });
   }
 });
+
+// Guards against the connection of a killed service passing for the end of its answer.
+test('an answer of a service without a length is lost where the service ends with it', async () => {
+  const end = (socket: Socket, server: Server) => {
+    server.close();
+    socket.end();
+  };
+  assert.deepEqual(await callService(1, true, end), { lost: 1 });
+  assert.deepEqual(await callService(1, true, (socket) => socket.end()), { figs: 1 });
+});
