--- a/packages/upstream/test/http.test.ts
+++ b/packages/upstream/test/http.test.ts
@@ -118,10 +118,10 @@
 
 // Guards against the connection of a killed service passing for the end of its answer.
 test('an answer of a service without a length is lost where the service ends with it', async () => {
-  const end = (socket: Socket, server: Server) => {
+  const stop = (socket: Socket, server: Server) => {
     server.close();
     socket.end();
   };
-  assert.deepEqual(await callService(1, true, end), { lost: 1 });
+  assert.deepEqual(await callService(1, true, stop), { lost: 1 });
   assert.deepEqual(await callService(1, true, (socket) => socket.end()), { figs: 1 });
 });
