Send a call of the own daemon once, whatever tells its end

What callers saw: a repeatable call to a service that answers without a length on a shared connection reached the service twice, with no retry of its account's budget. Found while looking for what sends again on its own.

Cause: the client fetched the answer anew over a connection of its own, as only that tells how such an answer ended.

Evidence: the new test of upstream/http counts four arrivals for three calls on the code before, and fails there.

Why this works: a service whose framing is not known yet gets a connection of its own from the start. What is left, a service that frames some of its answers only, is told as lost, and Orders decides by its budget.

--- a/packages/upstream/src/http.ts
+++ b/packages/upstream/src/http.ts
@@ -120,10 +120,10 @@
 /** Calls services over HTTP. */
 export class HttpServiceClient implements ServiceClient {
   /**
-   * Services that answer without a length. Only a connection of its own tells how such an answer
-   * ended.
+   * Services whose last answer told its end by itself. Only a connection of its own tells how an
+   * answer without a length ended.
    */
-  private readonly closeDelimiting = new Set<string>();
+  private readonly framing = new Set<string>();
 
   private constructor(private readonly pool: Dispatcher) {}
 
@@ -136,7 +136,7 @@
     signal?: AbortSignal,
   ): Promise<Result<ServiceResponse, SendError>> {
     const { origin } = new URL(call.url);
-    const isAlone = call.once || this.closeDelimiting.has(origin);
+    const isAlone = call.once || !this.framing.has(origin);
     const connection = isAlone ? SingleUseConnection.create(origin) : undefined;
     try {
       const response = await request(call.url, {
@@ -150,10 +150,12 @@
       const contentType = String(headers['content-type'] ?? 'application/octet-stream');
       const body = await response.body.text();
       const answer = ok({ status: response.statusCode, contentType, body });
-      if (!isCloseDelimited(call, response)) return answer;
-      this.closeDelimiting.add(origin);
-      // Repeatable, as others have a connection of their own.
-      if (!connection) return await this.send(call, signal);
+      if (!isCloseDelimited(call, response)) {
+        this.framing.add(origin);
+        return answer;
+      }
+      this.framing.delete(origin);
+      if (!connection) return err({ kind: 'lost', detail: 'nothing tells the end of the answer' });
       // The connections of a service that was killed are closed, too.
       const isWhole = (await connection.ending()) === 'closed' && (await isListening(origin));
       if (isWhole) return answer;
--- a/packages/upstream/test/http.test.ts
+++ b/packages/upstream/test/http.test.ts
@@ -125,3 +125,30 @@
   assert.deepEqual(await callService(1, true, stop), { lost: 1 });
   assert.deepEqual(await callService(1, true, (socket) => socket.end()), { figs: 1 });
 });
+
+// Guards against sendings that nobody decides on: the client sends a call once.
+test('a repeatable call whose answer has no length on a shared connection is lost, and not sent again', async () => {
+  let arrivals = 0;
+  const outcomes: string[] = [];
+  const server = createServer((request, response) => {
+    arrivals += 1;
+    if (arrivals === 2) response.useChunkedEncodingByDefault = false;
+    response.writeHead(200, arrivals === 2 ? { Connection: 'close' } : { 'Content-Length': 4 });
+    response.end('figs');
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const pool = createPool();
+  const client = HttpServiceClient.create(pool);
+  const url = `http://127.0.0.1:${(server.address() as AddressInfo).port}/desk`;
+  const call = { url, method: 'GET', headers: {}, body: Buffer.alloc(0), once: false } as const;
+  for (let i = 0; i < 3; i += 1) {
+    const answer = await client.send(call);
+    outcomes.push(answer.isOk() ? answer.value.body : answer.error.kind);
+  }
+  await pool.destroy();
+  server.close();
+  assert.deepEqual(outcomes, ['figs', 'lost', 'figs']);
+  assert.equal(arrivals, 3);
+});
