Let the relay decide on every sending of a request

Cause: HttpUpstreamClient.send took any reset of a kept connection for that of an idle one, however long the request had been at work, and sent it once more by itself. Ruled out: that the entry did not know of the draining, and that the relay chose the upstream.

Why this works: the client sends once, and tells whether the request may have crossed the end of an idle connection. The relay sends again within the budget, the attempts and the time left, to upstreams that take requests; a crossed request goes to the same upstream first, and is held against nobody.

--- a/packages/relay/src/attemptpace.ts
+++ b/packages/relay/src/attemptpace.ts
@@ -42,6 +42,7 @@
     const isError = response !== undefined && response.head.status >= 500;
     switch (outcome.kind) {
       case 'failed':
+        if (outcome.contact === 'crossed') return;
         // Too large an answer is no fault of the pace, and a silence has been counted.
         if (outcome.overrun === undefined && !blamed) paces.record(failed, 'failed', startedAt);
         return;
--- a/packages/relay/src/exclusions.ts
+++ b/packages/relay/src/exclusions.ts
@@ -7,6 +7,9 @@
 export class Exclusions {
   private readonly failed = new Map<UpstreamId, number>();
   private readonly silent = new Map<UpstreamId, number>();
+  private readonly crossed = new Set<UpstreamId>();
+  /** The upstream at which the last attempt failed that crossed the end of an idle connection. */
+  lastCrossed: UpstreamId | undefined;
 
   static create(): Exclusions {
     return new Exclusions();
@@ -15,6 +18,18 @@
   /** Records that an attempt has failed because of an upstream, which says nothing of a later one. */
   recordFailure({ id, born }: UpstreamRecord): void {
     this.failed.set(id, born);
+    this.lastCrossed = undefined;
+  }
+
+  /** Records that the request may have crossed the end of an idle connection of an upstream. */
+  recordCrossing({ id }: UpstreamRecord): void {
+    this.crossed.add(id);
+    this.lastCrossed = id;
+  }
+
+  /** Whether the request has met the end of an idle connection of the upstream. */
+  hasCrossed({ id }: UpstreamRecord): boolean {
+    return this.crossed.has(id);
   }
 
   /** Records that an upstream was silent, which a sound one may be for a while. */
--- a/packages/relay/src/outcome.ts
+++ b/packages/relay/src/outcome.ts
@@ -23,8 +23,11 @@
       readonly kind: 'failed';
       readonly failure: Failure;
       readonly detail: string;
-      /** What the failure says of the upstream; `answered` unless given. */
-      readonly contact?: Contact;
+      /**
+       * What the failure says of the upstream; `answered` unless given, and nothing where the request
+       * may have `crossed` the end of an idle connection.
+       */
+      readonly contact?: Contact | 'crossed';
       /** What the attempt received too much of; undefined where it failed otherwise. */
       readonly overrun?: OverrunKind | undefined;
       /** The error response of the upstream, if it sent one. */
@@ -41,12 +44,18 @@
 export function failureOf(error: SendError): AttemptOutcome {
   if (error.kind === 'cancelled') return { kind: 'cancelled' };
   const { kind, detail } = error;
-  if (kind === 'broken') return failureOfRead(error);
+  if (kind === 'broken') {
+    const outcome = failureOfRead(error);
+    return error.mayHaveCrossed ? { ...outcome, contact: 'crossed' } : outcome;
+  }
   return { kind: 'failed', failure: kind, detail, contact: error.isGone ? 'gone' : 'silent' };
 }
 
 /** The outcome of an attempt whose response was not read to its end. */
-export function failureOfRead({ detail, overrun }: BrokenRead): AttemptOutcome {
+export function failureOfRead({
+  detail,
+  overrun,
+}: BrokenRead): Extract<AttemptOutcome, { kind: 'failed' }> {
   return { kind: 'failed', failure: 'broken', detail, overrun };
 }
 
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -3,7 +3,6 @@
  * kind of the route, the deadline and the retry budget allow it.
  */
 
-import type { Result } from 'neverthrow';
 import type { Clock, Logger, Metrics, Millis, Random } from '@tanagercart/base';
 import { formatRange } from '@tanagercart/layers';
 import type { UpstreamRecord } from '@tanagercart/protocol';
@@ -13,7 +12,7 @@
 import { AttemptPace } from './attemptpace.js';
 import { Attempts } from './attempts.js';
 import type { AttemptNews, RunningAttempt } from './attempts.js';
-import type { Availability, UpstreamNotices } from './availability.js';
+import type { Availability } from './availability.js';
 import type { RetryBudget } from './budget.js';
 import type { Health } from './health.js';
 import type { Loads } from './loads.js';
@@ -38,7 +37,7 @@
 import { failureOf, failureOfRead, sendResponse } from './outcome.js';
 import type { AttemptOutcome } from './outcome.js';
 import { Targets } from './targets.js';
-import type { SendError, UpstreamClient, UpstreamResponse } from './upstream.js';
+import type { UpstreamClient, UpstreamResponse } from './upstream.js';
 
 /**
  * Mean retry-after time of refused requests, before jitter and in addition to the time until an
@@ -317,7 +316,13 @@
       },
       onGone: (detail) => attempt.recordGone(detail),
     });
-    const details = { upstream, path, remainingMs, lastEvent: delivery?.lastEvent };
+    const details = {
+      upstream,
+      path,
+      remainingMs,
+      lastEvent: delivery?.lastEvent,
+      needsNewConnection: state.exclusions.hasCrossed(upstream),
+    };
     attempt.isResumed = details.lastEvent !== undefined;
     const onEvents = (count: number) => {
       recordTransferred();
@@ -332,8 +337,7 @@
       const sent = await client.send(call, details, signal);
       const response = sent.isOk() ? sent.value : undefined;
       if (response && !delivery) recordTransferred();
-      const notices = noticesOf(sent);
-      if (notices) this.o.availability.record(call.id, upstream, notices);
+      if (response) this.o.availability.record(call.id, upstream, response.notices);
       const received = response
         ? await forwardResponse(state, attempt, response, onEvents, holding)
         : failureOf(sent._unsafeUnwrapErr());
@@ -437,9 +441,10 @@
     }
     const { failure, detail, overrun, contact = 'answered' } = outcome;
     const culprit = response?.culprit;
-    const fields = { upstream: upstream.id, failure, detail, culprit, tookMs: took };
+    const crossed = contact === 'crossed' ? true : undefined;
+    const fields = { upstream: upstream.id, failure, detail, culprit, crossed, tookMs: took };
     state.log.info('Attempt failed.', fields);
-    this.o.metrics.count('attempt.failed', { reason: failure });
+    this.o.metrics.count('attempt.failed', { reason: crossed ? 'crossed' : failure });
     if (overrun !== undefined) this.o.metrics.count('attempt.overrun', { kind: overrun });
     if (failure === 'failed') this.crashes.recordError(call);
     // An upstream that sends too much has not crashed under the request.
@@ -448,6 +453,10 @@
       state.mayCrashAgain = this.crashes.recordBreak(call, upstream, events, tookMs);
     }
     const failed = this.upstreamAtFault(upstream, culprit);
+    if (contact === 'crossed') {
+      state.exclusions.recordCrossing(failed);
+      return;
+    }
     // One that only did not accept a connection in time may do so a moment later.
     if (contact === 'silent') state.exclusions.recordSilence(failed);
     else state.exclusions.recordFailure(failed);
@@ -460,12 +469,6 @@
   return news.kind === 'ended' && news.outcome.kind === 'failed' ? news.outcome.failure : 'silent';
 }
 
-/** What an upstream said of itself, if it answered at all. */
-function noticesOf(sent: Result<UpstreamResponse, SendError>): UpstreamNotices | undefined {
-  if (sent.isOk()) return sent.value.notices;
-  return sent.error.kind === 'broken' ? sent.error.notices : undefined;
-}
-
 /** How an attempt ended that received `received`. */
 function endOf(
   received: AttemptOutcome,
--- a/packages/relay/src/targets.ts
+++ b/packages/relay/src/targets.ts
@@ -3,7 +3,7 @@
 import type { Clock, Millis, UpstreamId } from '@tanagercart/base';
 import type { UpstreamRecord } from '@tanagercart/protocol';
 import type { Availability } from './availability.js';
-import type { Balancer, NoTarget, Target } from './balancer.js';
+import type { Balancer, NoTarget, Selection, Target } from './balancer.js';
 import { maxPermitWaitMs } from './permitwait.js';
 import type { RequestState } from './requeststate.js';
 
@@ -79,14 +79,23 @@
     // Once the route's attempts are used up, only upstreams that may have run it get it again.
     const { mayHaveRun } = attempts;
     const attemptsExhausted = mayHaveRun.size >= call.route.maxAttempts;
-    return this.o.balancer.pick(call, {
+    const selection: Selection = {
       isExcluded: (u) => isExcludedNow(state, u),
       isAvoided: (u) => exclusions.isAvoided(u),
       receivers: attemptsExhausted ? mayHaveRun : undefined,
       withoutPermit: refused.size < maxPermitRefusals ? refused : 'all-limited',
       maxWaitMs,
       targetLeftMs: call.startedAt + call.route.latencyTargetMs - this.o.clock.now(),
-    });
+    };
+    // It counts as run at this one already, and nothing is held against it.
+    const { lastCrossed } = exclusions;
+    const again =
+      lastCrossed === undefined
+        ? undefined
+        : this.o.balancer.pick(call, { ...selection, receivers: new Set([lastCrossed]) });
+    return again === undefined || typeof again === 'string'
+      ? this.o.balancer.pick(call, selection)
+      : again;
   }
 
   /** Whether an upstream is still there, and the request may be sent to it again. */
--- a/packages/relay/src/upstream.ts
+++ b/packages/relay/src/upstream.ts
@@ -18,6 +18,8 @@
   readonly remainingMs: Millis;
   /** Id of the last event that the caller received; a resumed stream continues after it. */
   readonly lastEvent: number | undefined;
+  /** Whether it needs a connection of its own, as a kept one has closed under the request. */
+  readonly needsNewConnection: boolean;
 }
 
 /** A response whose head was received and whose body is still to be read. */
@@ -39,15 +41,15 @@
       readonly kind: 'broken';
       readonly detail: string;
       readonly overrun?: OverrunKind;
-      /** What a response to a second sending said, where the first may have run. */
-      readonly notices?: UpstreamNotices;
+      /** Whether the upstream may have closed an idle connection before the request arrived. */
+      readonly mayHaveCrossed?: boolean;
     }
   /** The relay cancelled the attempt. */
   | { readonly kind: 'cancelled' };
 
 /** Sends requests to upstreams. */
 export interface UpstreamClient {
-  /** Resolves once the head of the response is received; `stop` also aborts its body. */
+  /** Sends a request once; to send it again is up to the relay. Resolves once the head of the response is received; `stop` also aborts its body. */
   send(
     call: Call,
     attempt: Attempt,
--- a/packages/relay/test/fixtures.ts
+++ b/packages/relay/test/fixtures.ts
@@ -304,6 +304,8 @@
   | { readonly kind: 'not-run' }
   | { readonly kind: 'unreachable' }
   | { readonly kind: 'broken' }
+  /** The request may have crossed the end of a kept connection. */
+  | { readonly kind: 'crossed' }
   /** Neither responds nor closes. */
   | { readonly kind: 'hang' };
 
@@ -322,6 +324,8 @@
         return err({ kind: 'unreachable', detail: 'refused', isGone: true });
       case 'broken':
         return err({ kind: 'broken', detail: 'reset' });
+      case 'crossed':
+        return err({ kind: 'broken', detail: 'reset', mayHaveCrossed: true });
       case 'hang':
         await aborted(stop);
         return err({ kind: 'cancelled' });
