Let entries tell a new leader what they saw of crashes and answers

Cause: the leader counts crashes in memory, for its term, and entries forgot a report once it was acknowledged. Ruled out: lost reports, and a quarantine that got lost.

Why this works: the entries are the ones that saw the crashes, whoever leads. They remember them with their age, in bounds, and tell each new term. A crash counts once by address and time; an answer has a time and takes off what was before it, whenever that is told; a crash that a quarantine explains strikes nobody else.

--- a/packages/fleet/src/bulletin.ts
+++ b/packages/fleet/src/bulletin.ts
@@ -81,6 +81,17 @@
   return { ...bulletin, loads };
 }
 
+/** The revision of a list of entries, which differs from those of other leaders. */
+export function entriesRevisionOf(term: number, revision: number): string {
+  return `${term}.${revision}`;
+}
+
+/** The term of the leader that named a revision; undefined where it named none. */
+export function termOf(entriesRevision: string): string | undefined {
+  const [term = ''] = entriesRevision.split('.', 1);
+  return term === '' ? undefined : term;
+}
+
 /** A load in the form of a compact bulletin. */
 export function rowOf({ id, sequences, entered, tokenLayers }: UpstreamLoad): LoadRow {
   return [id, sequences, entered, tokenLayers];
--- a/packages/fleet/src/control.ts
+++ b/packages/fleet/src/control.ts
@@ -478,17 +478,15 @@
     return { kind: 'document', version, text: version === knownVersion ? undefined : text };
   }
 
-  private async handleCrash({ crash, answered }: CrashCall): Promise<CrashReply> {
+  private async handleCrash(call: CrashCall): Promise<CrashReply> {
+    const { crash, answered, answeredAgesMs } = call;
     const leaderTerm = this.currentTerm();
     if (!leaderTerm) return { kind: 'not-leader' };
     const { crashes } = leaderTerm;
-    const before = crashes.suspected;
-    for (const subject of answered) crashes.acquit(subject);
+    const before = crashes.published;
+    answered.forEach((subject, i) => crashes.acquit(subject, answeredAgesMs?.[i]));
     const guilty = crash ? crashes.record(crash) : [];
-    if (!isDeepStrictEqual(crashes.suspected, before)) {
-      leaderTerm.liveness.revision += 1;
-      this.voter.changed.ring();
-    }
+    if (!isDeepStrictEqual(crashes.published, before)) this.publish(leaderTerm);
     const done = await Promise.all(
       guilty.map(async (subject) => {
         const isQuarantined = await this.quarantine(subject);
@@ -496,9 +494,16 @@
         return isQuarantined;
       }),
     );
+    if (guilty.length > 0) this.publish(leaderTerm);
     return { kind: done.every(Boolean) ? 'recorded' : 'unavailable' };
   }
 
+  /** Lets the entries know what has changed in the bulletin. */
+  private publish({ liveness }: LeaderTerm): void {
+    liveness.revision += 1;
+    this.voter.changed.ring();
+  }
+
   /** Records as many strikes as it takes to quarantine; returns whether they are committed. */
   private async quarantine(fingerprint: string): Promise<boolean> {
     this.o.logger.warn('Quarantining what crashes upstreams.', { fingerprint });
--- a/packages/fleet/src/crashes.ts
+++ b/packages/fleet/src/crashes.ts
@@ -30,6 +30,9 @@
 /** A suspicion without a further crash is dropped after this time. */
 const suspicionMs: Millis = 30_000;
 
+/** Time for which entries remember what a new leader may need. */
+export const crashMemoryMs: Millis = suspicionMs;
+
 /** Outdated suspicions are looked for this often: a crash may be reported by hundreds of streams. */
 const dropIntervalMs: Millis = 500;
 
@@ -62,19 +65,39 @@
   soleRequest: string | undefined;
 }
 
-/** Suspicions against requests and parts of prompts during one term of the leader. */
+/**
+ * Suspicions against requests and parts of prompts during one term of the leader. Entries tell a new
+ * leader again what they saw, in any order, so each crash and each answer counts by its own time.
+ */
 export class CrashSuspicions {
   /** By the fingerprint of the request, or the name of the part. */
   private readonly suspicions = new Map<string, Suspicion>();
   /** Suspicions that led to a quarantine of which it is not known yet whether it is in the log. */
   private readonly convicted = new Map<string, Suspicion>();
   private readonly log = CrashLog.create();
+  /** Times of the last answers to what was suspected; earlier crashes strike it no more. */
+  private readonly answeredAt = new Map<string, Millis>();
   private droppedAt: Millis = -Infinity;
 
-  private constructor(private readonly clock: Clock) {}
+  private constructor(
+    private readonly clock: Clock,
+    private readonly isQuarantined: (subject: string) => boolean,
+  ) {}
 
-  static create(clock: Clock): CrashSuspicions {
-    return new CrashSuspicions(clock);
+  /** `isQuarantined` tells whether a request or part is quarantined by the log. */
+  static create(
+    clock: Clock,
+    isQuarantined: (subject: string) => boolean = () => false,
+  ): CrashSuspicions {
+    return new CrashSuspicions(clock, isQuarantined);
+  }
+
+  /**
+   * What entries are told: the suspected parts and requests, and those of which it is not known yet
+   * whether their quarantine is in the log.
+   */
+  get published(): readonly string[] {
+    return [...this.suspected, ...this.convicted.keys()];
   }
 
   /** Parts and requests that were struck by crashes and have not been answered since. */
@@ -93,6 +116,11 @@
     const answered = new Set(crash.answered);
     const crashedAt = now - crash.ageMs;
     const { request, address, attemptMs, hadBegun = false } = crash;
+    // Told again, as by entries to a new leader, or on its way as its cause was found.
+    if ([request ?? '', ...crash.parts].some((subject) => this.isQuarantined(subject))) {
+      if (address !== undefined) this.explain(this.log.record(address, crashedAt));
+      return [];
+    }
     const attempt = {
       startedAt: crashedAt - attemptMs,
       crashedAt,
@@ -130,9 +158,11 @@
     this.suspicions.delete(subject);
   }
 
-  /** Ends the suspicion against a request or part, as it was answered. */
-  acquit(subject: string): void {
-    this.suspicions.delete(subject);
+  /** Takes the crashes up to an answer off a request or part, which is sound by it. */
+  acquit(subject: string, ageMs: Millis = 0): void {
+    const at = this.clock.now() - ageMs;
+    this.answeredAt.set(subject, Math.max(at, this.answeredAt.get(subject) ?? -Infinity));
+    this.takeOff(subject, (a) => a.crashedAt <= at);
   }
 
   private isGuiltyRequest(suspicion: Suspicion): boolean {
@@ -157,15 +187,25 @@
 
   /** Takes the crashes that a request has caused off the suspicions against other requests. */
   private dropExplained(guilty: Suspicion): void {
-    const explained = crashesOf(guilty);
-    for (const [subject, { kind, attempts }] of this.suspicions) {
-      if (kind === 'part') continue;
-      const left = attempts.filter((a) => !a.crash || !explained.includes(a.crash));
-      attempts.splice(0, attempts.length, ...left);
-      if (attempts.length === 0) this.suspicions.delete(subject);
+    for (const crash of crashesOf(guilty)) this.explain(crash);
+  }
+
+  /** Takes a crash whose cause is found off all requests that it struck. */
+  private explain(crash: Crash): void {
+    crash.isExplained = true;
+    for (const [subject, { kind }] of this.suspicions) {
+      if (kind === 'request') this.takeOff(subject, (a) => a.crash === crash);
     }
   }
 
+  /** Takes some of the crashes off a suspicion, and ends it if none is left. */
+  private takeOff(subject: string, isOff: (attempt: CrashedAttempt) => boolean): void {
+    const { attempts } = this.suspicions.get(subject) ?? { attempts: [] };
+    const left = attempts.filter((a) => !isOff(a));
+    attempts.splice(0, attempts.length, ...left);
+    if (left.length === 0) this.suspicions.delete(subject);
+  }
+
   /**
    * Counts a crash if its attempt overlaps none that is counted. Attempts that were in progress at
    * once may have been cut by the same crash, or by a loss of several upstreams at the same time; and
@@ -183,6 +223,7 @@
       wasAnswered: false,
       soleRequest: request,
     };
+    if (this.isCleared(kind, subject, attempt)) return suspicion;
     this.suspicions.set(subject, suspicion);
     if (suspicion.attempts.some((other) => isSameCrash(attempt, other))) return suspicion;
     suspicion.attempts.push(attempt);
@@ -191,6 +232,16 @@
     return suspicion;
   }
 
+  /** Whether a crash does not count against a request or part, though it is told only now. */
+  private isCleared(
+    kind: Suspicion['kind'],
+    subject: string,
+    { crash, crashedAt }: CrashedAttempt,
+  ): boolean {
+    if (kind === 'request' && crash?.isExplained) return true;
+    return crashedAt < (this.answeredAt.get(subject) ?? -Infinity);
+  }
+
   private dropOutdated(now: Millis): void {
     if (now - this.droppedAt < dropIntervalMs) return;
     this.droppedAt = now;
@@ -198,6 +249,9 @@
     for (const [subject, { attempts }] of this.suspicions) {
       if (now - lastCrashOf(attempts) > suspicionMs) this.suspicions.delete(subject);
     }
+    for (const [subject, at] of this.answeredAt) {
+      if (now - at > crashMemoryMs) this.answeredAt.delete(subject);
+    }
   }
 }
 
--- a/packages/fleet/src/crashlog.ts
+++ b/packages/fleet/src/crashlog.ts
@@ -9,6 +9,8 @@
 export interface Crash {
   readonly address: string;
   readonly at: Millis;
+  /** Whether the request that caused it is found. */
+  isExplained: boolean;
 }
 
 /** Remembers crashes for a while. */
@@ -25,7 +27,7 @@
       (c) => c.address === address && Math.abs(c.at - at) <= sameCrashMs,
     );
     if (known) return known;
-    const crash = { address, at };
+    const crash = { address, at, isExplained: false };
     this.crashes.push(crash);
     return crash;
   }
--- a/packages/fleet/src/leaderterm.ts
+++ b/packages/fleet/src/leaderterm.ts
@@ -4,7 +4,7 @@
 import type { Configuration } from '@tanagercart/config';
 import type { Bulletin, CompactBulletin, UpstreamRecord, WatchCall } from '@tanagercart/protocol';
 import { NamedLimits } from '@tanagercart/pacing';
-import { BulletinCache, rowOf } from './bulletin.js';
+import { BulletinCache, entriesRevisionOf, rowOf } from './bulletin.js';
 import { Liveness } from './liveness.js';
 import { CrashSuspicions } from './crashes.js';
 import { Paces } from './paces.js';
@@ -92,7 +92,7 @@
       logger: o.logger.part('layers'),
     };
     this.placer = Placer.create(placerOptions, term);
-    this.crashes = CrashSuspicions.create(clock);
+    this.crashes = CrashSuspicions.create(clock, (s) => voter.state.isQuarantined(s));
     this.limits = NamedLimits.create(clock, logger);
     this.paces = Paces.create(logger);
     this.pacer = ReplyPacer.create(clock, o.utilization);
@@ -172,7 +172,7 @@
 
   /** Revision of the list of entries, which differs from those of other leaders. */
   private get entriesRevision(): string {
-    return `${this.term}.${this.liveness.entryList.revision}`;
+    return entriesRevisionOf(this.term, this.liveness.entryList.revision);
   }
 
   /** Opens, steps and ends the paces of upstreams. */
@@ -206,7 +206,7 @@
       loads: [...liveness.loads.values()],
       suspicions: liveness.excluded(o.voter.state.upstreams.values()),
       slow: liveness.slow ?? monitor.slow,
-      suspectedParts: this.crashes.suspected,
+      suspectedParts: this.crashes.published,
       limits: this.limits.notices,
       demand: liveness.demand,
       ...(paces.length > 0 ? { paces } : {}),
--- a/packages/fleet/src/state.ts
+++ b/packages/fleet/src/state.ts
@@ -88,6 +88,10 @@
     return crashing.map(([fingerprint]) => fingerprint);
   }
 
+  isQuarantined(fingerprint: string): boolean {
+    return (this.strikes.get(fingerprint) ?? 0) >= strikesToQuarantine;
+  }
+
   /** Applies the encoded command at `index`; returns its encoded outcome. */
   apply(index: number, bytes: Uint8Array): Uint8Array {
     const outcome = this.execute(index, decodeCommand(bytes));
--- a/packages/fleet/src/view.ts
+++ b/packages/fleet/src/view.ts
@@ -18,7 +18,7 @@
   WatchCall,
   WatchReply,
 } from '@tanagercart/protocol';
-import { decodeBulletin } from './bulletin.js';
+import { decodeBulletin, termOf } from './bulletin.js';
 import type { DecodedBulletin } from './bulletin.js';
 import { rateOf } from './demand.js';
 import { addLoad, clampLoad, sumByService } from './load.js';
@@ -109,6 +109,11 @@
     return this.records;
   }
 
+  /** The term of the leader that sent the last update; undefined if it named none. */
+  get leaderTerm(): string | undefined {
+    return termOf(this.entriesRevision);
+  }
+
   /** Time since the leader last confirmed this state. */
   get ageMs(): Millis {
     return this.o.clock.latest() - this.confirmedAt;
--- a/packages/fleet/test/crashes.test.ts
+++ b/packages/fleet/test/crashes.test.ts
@@ -237,3 +237,34 @@
   await clock.advance(15);
   assert.deepEqual(crashOf('b', 's1', 30), []);
 });
+
+// Guards against crashes that count twice as entries tell a new leader again what they saw.
+test('a crash that is told again later counts once, and not where its request was answered since', async () => {
+  const { clock, crashes } = create();
+  const tell = (address: string, ageMs: Millis, request = 'r1') =>
+    crashes.record({ request, address, parts: [], answered: [], attemptMs: 50, ageMs });
+  await clock.advance(5000);
+  tell('u1', 0);
+  await clock.advance(3000);
+  for (let i = 0; i < 5; i += 1) assert.deepEqual(tell('u1', 3000), []);
+  assert.deepEqual(tell('u2', 2000), []);
+  assert.deepEqual(crashes.suspected, ['r1']);
+  crashes.acquit('r1', 1500);
+  assert.deepEqual(crashes.suspected, []);
+  assert.deepEqual([tell('u1', 3000), tell('u2', 2000), tell('u3', 1600)], [[], [], []]);
+  assert.deepEqual([tell('u1', 1000), tell('u2', 500)], [[], []]);
+  assert.deepEqual(tell('u3', 0), ['r1']);
+});
+
+test('a crash that a quarantined request explains strikes no other, in whatever order both are told', async () => {
+  const clock = HeldClock.create();
+  const crashes = CrashSuspicions.create(clock, (subject) => subject === 'deadly');
+  const tell = (request: string, address: string) =>
+    crashes.record({ request, address, parts: [], answered: [], attemptMs: 50, ageMs: 0 });
+  for (const [i, address] of ['u1', 'u2', 'u3'].entries()) {
+    await clock.advance(5000);
+    const told = i % 2 === 0 ? ['sound', 'deadly'] : ['deadly', 'sound'];
+    for (const request of told) assert.deepEqual(tell(request, address), []);
+  }
+  assert.deepEqual(crashes.suspected, []);
+});
--- a/packages/protocol/src/fleetmessage.ts
+++ b/packages/protocol/src/fleetmessage.ts
@@ -353,6 +353,8 @@
   readonly crash: UpstreamCrash | undefined;
   /** Suspected requests and parts to which an upstream has written an answer. */
   readonly answered: readonly string[];
+  /** Times since these answers, in the same order; missing in reports of older entries: just now. */
+  readonly answeredAgesMs?: readonly Millis[];
 }
 
 /** The reply to a `CrashCall`. */
--- a/packages/relay/src/fleetquarantine.ts
+++ b/packages/relay/src/fleetquarantine.ts
@@ -3,6 +3,8 @@
 import type { Clock, Millis } from '@tanagercart/base';
 import type { FleetView, Watcher } from '@tanagercart/fleet';
 import type { UpstreamCrash } from '@tanagercart/protocol';
+import { CrashMemory } from './crashmemory.js';
+import type { LeaderTermName, RememberedAnswer, RememberedCrash } from './crashmemory.js';
 import type { Quarantine } from './quarantine.js';
 
 /** A crash is reported until the leader has answered, or this time has passed. */
@@ -11,11 +13,19 @@
 /** Pause before a report is sent again. */
 const reportPauseMs: Millis = 200;
 
+/** Interval at which a new leader is looked for, and told what it does not know. */
+const retellIntervalMs: Millis = 200;
+
+/** Crashes that a new leader is told in one interval; it has much to do in its first second. */
+const crashesPerRetelling = 20;
+
 /** What the quarantine reads of the leader's state. */
-export type QuarantineView = Pick<FleetView, 'quarantined' | 'suspects'>;
+export type QuarantineView = Pick<FleetView, 'quarantined' | 'suspects' | 'leaderTerm'>;
 
 /** Reads the quarantine from the view of an entry, and reports crashes and answers to the leader. */
 export class FleetQuarantine implements Quarantine {
+  private readonly memory = CrashMemory.create();
+
   private constructor(
     private readonly view: QuarantineView,
     private readonly watcher: Pick<Watcher, 'reportCrash'>,
@@ -46,21 +56,61 @@
     return this.view.suspects.has(subject);
   }
 
+  /** Tells each new leader what this entry saw under earlier ones, until `stop` is aborted. */
+  async run(stop: AbortSignal): Promise<void> {
+    const { clock, memory, view } = this;
+    while (!stop.aborted) {
+      await clock.sleep(retellIntervalMs, stop);
+      const { leaderTerm: term, suspects, quarantined } = view;
+      if (term === undefined) continue;
+      memory.hear({ term, suspects, quarantined }, clock.now());
+      await this.retell(term);
+    }
+  }
+
   recordCrash(crash: UpstreamCrash): void {
-    void this.report(crash);
+    void this.report(this.memory.addCrash(crash, this.clock.now()));
+  }
+
+  recordAnswer(subject: string): void {
+    void this.tellAnswers([this.memory.addAnswer(subject, this.clock.now())]);
   }
 
   /** Reports a crash again until the leader has answered; it counts a crash once. */
-  private async report(crash: UpstreamCrash): Promise<void> {
-    const { clock, watcher } = this;
-    const crashedAt = clock.now() - crash.ageMs;
-    for (let { ageMs } = crash; ageMs < reportMs; ageMs = clock.now() - crashedAt) {
-      if (await watcher.reportCrash({ crash: { ...crash, ageMs }, answered: [] })) return;
+  private async report(remembered: RememberedCrash): Promise<void> {
+    const { clock } = this;
+    while (clock.now() - remembered.at < reportMs) {
+      if (await this.tellCrash(remembered)) return;
       await clock.sleep(reportPauseMs);
     }
   }
 
-  recordAnswer(subject: string): void {
-    void this.watcher.reportCrash({ crash: undefined, answered: [subject] });
+  private async retell(term: LeaderTermName): Promise<void> {
+    const { crashes, answers } = this.memory.untold(term);
+    for (const crash of crashes.slice(0, crashesPerRetelling)) {
+      if (!(await this.tellCrash(crash))) return;
+    }
+    if (answers.length > 0) await this.tellAnswers(answers);
+  }
+
+  private async tellCrash(remembered: RememberedCrash): Promise<boolean> {
+    const { crash, at } = remembered;
+    const { leaderTerm } = this.view;
+    const ageMs = this.clock.now() - at;
+    const isTold = await this.watcher.reportCrash({ crash: { ...crash, ageMs }, answered: [] });
+    if (isTold) remembered.toldTo = leaderTerm;
+    return isTold;
+  }
+
+  private async tellAnswers(answers: readonly RememberedAnswer[]): Promise<void> {
+    const now = this.clock.now();
+    const { leaderTerm } = this.view;
+    const isTold = await this.watcher.reportCrash({
+      crash: undefined,
+      answered: answers.map(({ subject }) => subject),
+      answeredAgesMs: answers.map(({ at }) => now - at),
+    });
+    if (!isTold) return;
+    for (const answer of answers) answer.toldTo = leaderTerm;
   }
 }
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -26,6 +26,7 @@
 export * from './parthistory.js';
 export * from './crashwatch.js';
 export * from './quarantine.js';
+export * from './crashmemory.js';
 export * from './fleetquarantine.js';
 export * from './requestlog.js';
 export * from './exclusions.js';
