Remember the crashes of a request for an hour

Cause: the leader forgot the crashes of a request 30 s after the last one. The users' rule has no such time; the 30 s were ours, and are needed for parts of prompts only, of which entries hear from the first crash on.

Evidence: the new test of fleet/crashes, with crashes half a minute and 20 minutes apart, fails with the memory of 30 s.

Why this works: suspicions against requests last for an hour, in bounds; those of a single crash give way first. A sound request is cleared by the first answer after it was made suspected. What entries tell a new leader is paced for the whole fleet, as there may be more of it now.

--- a/packages/fleet/src/crashes.ts
+++ b/packages/fleet/src/crashes.ts
@@ -27,11 +27,17 @@
 /** Reports of attempts and crashes that follow one another may be this much out of order. */
 const reportJitterMs: Millis = 20;
 
-/** A suspicion without a further crash is dropped after this time. */
-const suspicionMs: Millis = 30_000;
+/**
+ * A suspicion against a request without a further crash is dropped after this time. A request may
+ * come again at any time, and a sound one is answered then.
+ */
+export const crashMemoryMs: Millis = 60 * 60_000;
+
+/** The same against a part, of which entries are told from the first crash on. */
+const partMemoryMs: Millis = 30_000;
 
-/** Time for which entries remember what a new leader may need. */
-export const crashMemoryMs: Millis = suspicionMs;
+/** Bounds the suspicions; those against requests that a single crash struck give way, oldest first. */
+const maxSuspicions = 5000;
 
 /** Outdated suspicions are looked for this often: a crash may be reported by hundreds of streams. */
 const dropIntervalMs: Millis = 500;
@@ -92,6 +98,11 @@
     return new CrashSuspicions(clock, isQuarantined);
   }
 
+  /** Number of suspicions. */
+  get size(): number {
+    return this.suspicions.size;
+  }
+
   /**
    * What entries are told: the suspected parts and requests, and those of which it is not known yet
    * whether their quarantine is in the log.
@@ -127,7 +138,8 @@
       hadBegun,
       crash: address === undefined ? undefined : this.log.record(address, crashedAt),
     };
-    const parts = crash.parts.filter((part) => {
+    const isRecent = now - crashedAt <= partMemoryMs;
+    const parts = (isRecent ? crash.parts : []).filter((part) => {
       const suspicion = this.strike('part', part, request, attempt);
       suspicion.wasAnswered ||= answered.has(part);
       return suspicion.soleRequest === undefined && isGuiltyPart(suspicion);
@@ -232,6 +244,16 @@
     return suspicion;
   }
 
+  private dropExcess(): void {
+    let excess = this.suspicions.size - maxSuspicions;
+    for (const [subject, suspicion] of this.suspicions) {
+      if (excess <= 0) return;
+      if (!isWeak(suspicion)) continue;
+      this.suspicions.delete(subject);
+      excess -= 1;
+    }
+  }
+
   /** Whether a crash does not count against a request or part, though it is told only now. */
   private isCleared(
     kind: Suspicion['kind'],
@@ -245,16 +267,22 @@
   private dropOutdated(now: Millis): void {
     if (now - this.droppedAt < dropIntervalMs) return;
     this.droppedAt = now;
-    this.log.forget(now - uncertainCrashes * suspicionMs);
-    for (const [subject, { attempts }] of this.suspicions) {
-      if (now - lastCrashOf(attempts) > suspicionMs) this.suspicions.delete(subject);
+    this.log.forget(now - crashMemoryMs);
+    for (const [subject, { kind, attempts }] of this.suspicions) {
+      const memoryMs = kind === 'part' ? partMemoryMs : crashMemoryMs;
+      if (now - lastCrashOf(attempts) > memoryMs) this.suspicions.delete(subject);
     }
+    this.dropExcess();
     for (const [subject, at] of this.answeredAt) {
       if (now - at > crashMemoryMs) this.answeredAt.delete(subject);
     }
   }
 }
 
+function isWeak({ kind, attempts }: Suspicion): boolean {
+  return kind === 'request' && attempts.length === 1;
+}
+
 function isPublished({ kind, attempts }: Suspicion): boolean {
   return kind === 'part' || attempts.length >= crashesToPublishRequest;
 }
--- a/packages/fleet/test/crashes.test.ts
+++ b/packages/fleet/test/crashes.test.ts
@@ -268,3 +268,39 @@
   }
   assert.deepEqual(crashes.suspected, []);
 });
+
+// Guards against a deadly request whose crashes are forgotten before it comes again.
+test('a request that crashes two upstreams every half minute, or one in many minutes, is found', async () => {
+  for (const pauses of [
+    [1000, 31_000],
+    [20 * 60_000, 20 * 60_000],
+  ]) {
+    const { clock, crashes } = create();
+    const tell = (address: string) =>
+      crashes.record({ request: 'r', address, parts: [], answered: [], attemptMs: 50, ageMs: 0 });
+    await clock.advance(1000);
+    assert.deepEqual(tell('u1'), []);
+    await clock.advance(pauses[0]!);
+    assert.deepEqual(tell('u2'), []);
+    await clock.advance(pauses[1]!);
+    assert.deepEqual(tell('u3'), ['r']);
+  }
+});
+
+test('suspicions have a bound, and those of several crashes are kept', async () => {
+  const { clock, crashes } = create();
+  const tell = (request: string, address: string) =>
+    crashes.record({ request, address, parts: [], answered: [], attemptMs: 50, ageMs: 0 });
+  for (const address of ['u1', 'u2']) {
+    await clock.advance(1000);
+    tell('deadly', address);
+  }
+  await clock.advance(1000);
+  for (let i = 0; i < 20_000; i += 1) tell(`r${i}`, 'u3');
+  await clock.advance(1000);
+  assert.deepEqual(crashes.suspected, ['deadly']);
+  assert.ok(crashes.size <= 5000, `${crashes.size}`);
+  tell('r0', 'u4');
+  assert.deepEqual(crashes.suspected, ['deadly']);
+  assert.deepEqual(tell('deadly', 'u4'), ['deadly']);
+});
--- a/packages/relay/src/fleetquarantine.ts
+++ b/packages/relay/src/fleetquarantine.ts
@@ -16,11 +16,14 @@
 /** Interval at which a new leader is looked for, and told what it does not know. */
 const retellIntervalMs: Millis = 200;
 
-/** Crashes that a new leader is told in one interval; it has much to do in its first second. */
-const crashesPerRetelling = 20;
+/**
+ * Crashes that all entries together tell a new leader in one interval, the latest first; it has much
+ * to do in its first seconds.
+ */
+const crashesPerInterval = 40;
 
 /** What the quarantine reads of the leader's state. */
-export type QuarantineView = Pick<FleetView, 'quarantined' | 'suspects' | 'leaderTerm'>;
+export type QuarantineView = Pick<FleetView, 'quarantined' | 'suspects' | 'leaderTerm' | 'entries'>;
 
 /** Reads the quarantine from the view of an entry, and reports crashes and answers to the leader. */
 export class FleetQuarantine implements Quarantine {
@@ -60,11 +63,12 @@
   async run(stop: AbortSignal): Promise<void> {
     const { clock, memory, view } = this;
     while (!stop.aborted) {
-      await clock.sleep(retellIntervalMs, stop);
+      const share = crashesPerInterval / Math.max(1, view.entries.length);
+      await clock.sleep(retellIntervalMs / Math.min(1, share), stop);
       const { leaderTerm: term, suspects, quarantined } = view;
       if (term === undefined) continue;
       memory.hear({ term, suspects, quarantined }, clock.now());
-      await this.retell(term);
+      await this.retell(term, Math.max(1, Math.floor(share)));
     }
   }
 
@@ -85,9 +89,9 @@
     }
   }
 
-  private async retell(term: LeaderTermName): Promise<void> {
+  private async retell(term: LeaderTermName, maxCrashes: number): Promise<void> {
     const { crashes, answers } = this.memory.untold(term);
-    for (const crash of crashes.slice(0, crashesPerRetelling)) {
+    for (const crash of crashes.slice(-maxCrashes).reverse()) {
       if (!(await this.tellCrash(crash))) return;
     }
     if (answers.length > 0) await this.tellAnswers(answers);
