Tell a new leader answers before crashes, and bound what it keeps of them

Found by reading the change: an answer that came to a new leader after the crashes before it let these count for a moment, and beside a leader of an earlier build for good; and the leader kept the times of all answers of an hour. Answers go first now, a crash is not told where its request was answered since, and 5,000 answers are kept. The new test of relay/handover has no counterpart in the code before. Names of the module that read like speech are those of reports now.

--- a/packages/fleet/src/crashes.ts
+++ b/packages/fleet/src/crashes.ts
@@ -51,6 +51,9 @@
 /** Bounds the crashes that are remembered of one suspicion. */
 const maxCrashes = 16;
 
+/** Bounds the answers whose times are remembered. */
+const maxAnswers = 5000;
+
 /** An attempt that ended in a crash, by the clock of the leader. */
 interface CrashedAttempt {
   readonly startedAt: Millis;
@@ -173,7 +176,13 @@
   /** Takes the crashes up to an answer off a request or part, which is sound by it. */
   acquit(subject: string, ageMs: Millis = 0): void {
     const at = this.clock.now() - ageMs;
-    this.answeredAt.set(subject, Math.max(at, this.answeredAt.get(subject) ?? -Infinity));
+    const last = Math.max(at, this.answeredAt.get(subject) ?? -Infinity);
+    // The latest ones stand last.
+    this.answeredAt.delete(subject);
+    this.answeredAt.set(subject, last);
+    if (this.answeredAt.size > maxAnswers) {
+      this.answeredAt.delete(this.answeredAt.keys().next().value!);
+    }
     this.takeOff(subject, (a) => a.crashedAt <= at);
   }
 
--- a/packages/relay/src/crashmemory.ts
+++ b/packages/relay/src/crashmemory.ts
@@ -19,18 +19,18 @@
   readonly crash: UpstreamCrash;
   readonly at: Millis;
   /** The term whose leader was told last; undefined if none was. */
-  toldTo: LeaderTermName | undefined;
+  reportedTo: LeaderTermName | undefined;
 }
 
 /** The last answer to a request or part that was suspected. */
 export interface RememberedAnswer {
   readonly subject: string;
   readonly at: Millis;
-  toldTo: LeaderTermName | undefined;
+  reportedTo: LeaderTermName | undefined;
 }
 
 /** What the leader of a term says. */
-export interface LeaderWord {
+export interface LeaderState {
   readonly term: LeaderTermName;
   readonly suspects: ReadonlySet<string>;
   readonly quarantined: ReadonlySet<string>;
@@ -40,7 +40,7 @@
 export class CrashMemory {
   private crashes: RememberedCrash[] = [];
   private readonly answers = new Map<string, RememberedAnswer>();
-  private heard: LeaderWord | undefined;
+  private last: LeaderState | undefined;
 
   static create(): CrashMemory {
     return new CrashMemory();
@@ -48,14 +48,14 @@
 
   /** Remembers a crash; `crash.ageMs` is its age at `now`. */
   addCrash(crash: UpstreamCrash, now: Millis): RememberedCrash {
-    const remembered = { crash, at: now - crash.ageMs, toldTo: undefined };
+    const remembered = { crash, at: now - crash.ageMs, reportedTo: undefined };
     this.crashes = [...this.crashes, remembered].slice(-maxRemembered);
     return remembered;
   }
 
   /** Remembers that a request or part was answered at `now`. */
   addAnswer(subject: string, now: Millis): RememberedAnswer {
-    const answer = { subject, at: now, toldTo: undefined };
+    const answer = { subject, at: now, reportedTo: undefined };
     this.answers.delete(subject);
     this.answers.set(subject, answer);
     if (this.answers.size > maxRemembered) this.answers.delete(this.answers.keys().next().value!);
@@ -66,29 +66,38 @@
    * Takes note of what the leader says. What it no longer suspects, and has not quarantined, was
    * answered somewhere: so this entry can tell that, too, if the one that saw it is gone.
    */
-  hear(word: LeaderWord, now: Millis): void {
+  recordLeader(state: LeaderState, now: Millis): void {
     this.dropOutdated(now);
-    const { heard } = this;
-    this.heard = word;
-    if (heard?.term !== word.term) return;
-    for (const subject of heard.suspects) {
-      if (word.suspects.has(subject) || word.quarantined.has(subject)) continue;
-      this.addAnswer(subject, now).toldTo = word.term;
+    const { last } = this;
+    this.last = state;
+    if (last?.term !== state.term) return;
+    for (const subject of last.suspects) {
+      if (state.suspects.has(subject) || state.quarantined.has(subject)) continue;
+      this.addAnswer(subject, now).reportedTo = state.term;
     }
   }
 
-  /** Crashes and answers that the leader of `term` has not been told of. */
-  untold(term: LeaderTermName): {
+  /**
+   * Crashes and answers that the leader of `term` has not been told of. Crashes of requests that were
+   * answered since are left out.
+   */
+  unreported(term: LeaderTermName): {
     readonly crashes: readonly RememberedCrash[];
     readonly answers: readonly RememberedAnswer[];
   } {
-    const isUntold = ({ toldTo }: { readonly toldTo: string | undefined }) => toldTo !== term;
+    const isUnreported = ({ reportedTo }: { readonly reportedTo: string | undefined }) =>
+      reportedTo !== term;
     return {
-      crashes: this.crashes.filter(isUntold),
-      answers: [...this.answers.values()].filter(isUntold),
+      crashes: this.crashes.filter((c) => isUnreported(c) && !this.wasAnsweredSince(c)),
+      answers: [...this.answers.values()].filter(isUnreported),
     };
   }
 
+  private wasAnsweredSince({ crash: { request }, at }: RememberedCrash): boolean {
+    const answer = request === undefined ? undefined : this.answers.get(request);
+    return answer !== undefined && answer.at >= at;
+  }
+
   private dropOutdated(now: Millis): void {
     const isOutdated = ({ at }: { readonly at: Millis }) => now - at > crashMemoryMs;
     if (this.crashes.some(isOutdated)) this.crashes = this.crashes.filter((c) => !isOutdated(c));
--- a/packages/relay/src/fleetquarantine.ts
+++ b/packages/relay/src/fleetquarantine.ts
@@ -14,7 +14,7 @@
 const reportPauseMs: Millis = 200;
 
 /** Interval at which a new leader is looked for, and told what it does not know. */
-const retellIntervalMs: Millis = 200;
+const repeatIntervalMs: Millis = 200;
 
 /**
  * Crashes that all entries together tell a new leader in one interval, the latest first; it has much
@@ -22,6 +22,9 @@
  */
 const crashesPerInterval = 40;
 
+/** Answers that are as much work for the leader as one crash; one message tells of many. */
+const answersPerCrash = 10;
+
 /** What the quarantine reads of the leader's state. */
 export type QuarantineView = Pick<FleetView, 'quarantined' | 'suspects' | 'leaderTerm' | 'entries'>;
 
@@ -64,11 +67,11 @@
     const { clock, memory, view } = this;
     while (!stop.aborted) {
       const share = crashesPerInterval / Math.max(1, view.entries.length);
-      await clock.sleep(retellIntervalMs / Math.min(1, share), stop);
+      await clock.sleep(repeatIntervalMs / Math.min(1, share), stop);
       const { leaderTerm: term, suspects, quarantined } = view;
       if (term === undefined) continue;
-      memory.hear({ term, suspects, quarantined }, clock.now());
-      await this.retell(term, Math.max(1, Math.floor(share)));
+      memory.recordLeader({ term, suspects, quarantined }, clock.now());
+      await this.reportAgain(term, Math.max(1, Math.floor(share)));
     }
   }
 
@@ -77,44 +80,48 @@
   }
 
   recordAnswer(subject: string): void {
-    void this.tellAnswers([this.memory.addAnswer(subject, this.clock.now())]);
+    void this.sendAnswers([this.memory.addAnswer(subject, this.clock.now())]);
   }
 
   /** Reports a crash again until the leader has answered; it counts a crash once. */
   private async report(remembered: RememberedCrash): Promise<void> {
     const { clock } = this;
     while (clock.now() - remembered.at < reportMs) {
-      if (await this.tellCrash(remembered)) return;
+      if (await this.sendCrash(remembered)) return;
       await clock.sleep(reportPauseMs);
     }
   }
 
-  private async retell(term: LeaderTermName, maxCrashes: number): Promise<void> {
-    const { crashes, answers } = this.memory.untold(term);
+  private async reportAgain(term: LeaderTermName, maxCrashes: number): Promise<void> {
+    const { crashes, answers } = this.memory.unreported(term);
+    // Before crashes, so that none counts for which there was an answer.
+    if (answers.length > 0) {
+      await this.sendAnswers(answers.slice(-maxCrashes * answersPerCrash));
+      return;
+    }
     for (const crash of crashes.slice(-maxCrashes).reverse()) {
-      if (!(await this.tellCrash(crash))) return;
+      if (!(await this.sendCrash(crash))) return;
     }
-    if (answers.length > 0) await this.tellAnswers(answers);
   }
 
-  private async tellCrash(remembered: RememberedCrash): Promise<boolean> {
+  private async sendCrash(remembered: RememberedCrash): Promise<boolean> {
     const { crash, at } = remembered;
     const { leaderTerm } = this.view;
     const ageMs = this.clock.now() - at;
-    const isTold = await this.watcher.reportCrash({ crash: { ...crash, ageMs }, answered: [] });
-    if (isTold) remembered.toldTo = leaderTerm;
-    return isTold;
+    const isRecorded = await this.watcher.reportCrash({ crash: { ...crash, ageMs }, answered: [] });
+    if (isRecorded) remembered.reportedTo = leaderTerm;
+    return isRecorded;
   }
 
-  private async tellAnswers(answers: readonly RememberedAnswer[]): Promise<void> {
+  private async sendAnswers(answers: readonly RememberedAnswer[]): Promise<void> {
     const now = this.clock.now();
     const { leaderTerm } = this.view;
-    const isTold = await this.watcher.reportCrash({
+    const isRecorded = await this.watcher.reportCrash({
       crash: undefined,
       answered: answers.map(({ subject }) => subject),
       answeredAgesMs: answers.map(({ at }) => now - at),
     });
-    if (!isTold) return;
-    for (const answer of answers) answer.toldTo = leaderTerm;
+    if (!isRecorded) return;
+    for (const answer of answers) answer.reportedTo = leaderTerm;
   }
 }
--- a/packages/relay/test/handover.test.ts
+++ b/packages/relay/test/handover.test.ts
@@ -114,25 +114,40 @@
   const memory = CrashMemory.create();
   for (let i = 0; i < 5000; i += 1) {
     memory.addCrash(crashOf(`r${i}`, 'u1'), i);
-    memory.addAnswer(`r${i}`, i);
+    memory.addAnswer(`s${i}`, i);
   }
-  const { crashes, answers } = memory.untold('1');
+  const { crashes, answers } = memory.unreported('1');
   assert.equal(crashes.length, 1000);
   assert.equal(answers.length, 1000);
-  assert.equal(answers.at(-1)!.subject, 'r4999');
-  const word = { term: '1', suspects: new Set<string>(), quarantined: new Set<string>() };
-  memory.hear(word, 24 * 3600 * 1000);
-  assert.deepEqual(memory.untold('1'), { crashes: [], answers: [] });
+  assert.equal(answers.at(-1)!.subject, 's4999');
+  const state = { term: '1', suspects: new Set<string>(), quarantined: new Set<string>() };
+  memory.recordLeader(state, 24 * 3600 * 1000);
+  assert.deepEqual(memory.unreported('1'), { crashes: [], answers: [] });
 });
 
 test('what the leader has quarantined is not taken for answered', () => {
   const memory = CrashMemory.create();
-  const hear = (suspects: readonly string[], quarantined: readonly string[], term = '1') => {
-    memory.hear({ term, suspects: new Set(suspects), quarantined: new Set(quarantined) }, 100);
-    return memory.untold('2').answers.map((a) => a.subject);
+  const record = (suspects: readonly string[], quarantined: readonly string[], term = '1') => {
+    memory.recordLeader(
+      { term, suspects: new Set(suspects), quarantined: new Set(quarantined) },
+      100,
+    );
+    return memory.unreported('2').answers.map((a) => a.subject);
   };
-  assert.deepEqual(hear(['deadly', 'sound'], []), []);
-  assert.deepEqual(hear([], [], '2'), []);
-  assert.deepEqual(hear(['deadly', 'sound'], []), []);
-  assert.deepEqual(hear([], ['deadly']), ['sound']);
+  assert.deepEqual(record(['deadly', 'sound'], []), []);
+  assert.deepEqual(record([], [], '2'), []);
+  assert.deepEqual(record(['deadly', 'sound'], []), []);
+  assert.deepEqual(record([], ['deadly']), ['sound']);
+});
+
+test('a crash of a request that was answered since is told to no new leader', () => {
+  const memory = CrashMemory.create();
+  for (const at of [100, 300]) memory.addCrash(crashOf('sound', 'u1'), at);
+  memory.addCrash(crashOf('deadly', 'u1'), 100);
+  memory.addAnswer('sound', 200);
+  const told = memory.unreported('1').crashes.map(({ crash, at }) => [crash.request, at]);
+  assert.deepEqual(told, [
+    ['sound', 300],
+    ['deadly', 100],
+  ]);
 });
