--- a/packages/relay/src/fleetquarantine.ts
+++ b/packages/relay/src/fleetquarantine.ts
@@ -1,6 +1,7 @@
 /** The quarantine as the leader of the fleet keeps it. */
 
-import type { Clock, Millis } from '@tanagercart/base';
+import { silentLogger } from '@tanagercart/base';
+import type { Clock, Logger, Millis } from '@tanagercart/base';
 import type { FleetView, Watcher } from '@tanagercart/fleet';
 import type { UpstreamCrash } from '@tanagercart/protocol';
 import { CrashMemory } from './crashmemory.js';
@@ -36,14 +37,16 @@
     private readonly view: QuarantineView,
     private readonly watcher: Pick<Watcher, 'reportCrash'>,
     private readonly clock: Clock,
+    private readonly logger: Logger,
   ) {}
 
   static create(
     view: QuarantineView,
     watcher: Pick<Watcher, 'reportCrash'>,
     clock: Clock,
+    logger: Logger = silentLogger,
   ): FleetQuarantine {
-    return new FleetQuarantine(view, watcher, clock);
+    return new FleetQuarantine(view, watcher, clock, logger);
   }
 
   isEmpty(): boolean {
@@ -94,6 +97,9 @@
 
   private async reportAgain(term: LeaderTermName, maxCrashes: number): Promise<void> {
     const { crashes, answers } = this.memory.unreported(term);
+    if (crashes.length + answers.length === 0) return;
+    const fields = { term, crashes: crashes.length, answers: answers.length };
+    this.logger.info('Telling a new leader of crashes.', fields);
     // Before crashes, so that none counts for which there was an answer.
     if (answers.length > 0) {
       await this.sendAnswers(answers.slice(-maxCrashes * answersPerCrash));
